--- /dev/null
+++ b/scripts/runTests.ts
@@ -0,0 +1,89 @@
+/**
+ * Runs the compiled tests with tap and prints `N passed, N failed`.
+ *
+ * Tests listed in KNOWN-RED.txt are printed and left out of the verdict. An entry there starts with
+ * `test: ` followed by the file and the full test name, as this script prints them on failure.
+ */
+import { spawn } from 'node:child_process';
+import { existsSync, readFileSync } from 'node:fs';
+
+import { Parser } from 'tap-parser';
+
+const DEFAULT_JOBS = 4;
+const DEFAULT_PATTERNS = ['src', 'stand-ins', 'bench', 'fuzz', 'scripts', 'test'].flatMap(
+  (folder) => [`dist/${folder}/**/test.js`, `dist/${folder}/**/*.test.js`],
+);
+
+interface TestOutcome {
+  name: string;
+  ok: boolean;
+}
+
+/** Collects one outcome for each named test below a file; a file without one counts itself. */
+const collectOutcomes = (parser: Parser, path: string, outcomes: TestOutcome[]): void => {
+  const children: string[] = [];
+  parser.on('child', (child: Parser) => {
+    children.push(child.name);
+    const childPath = path === '' ? child.name : `${path} > ${child.name}`;
+    collectOutcomes(child, childPath, outcomes);
+  });
+  parser.on('assert', (assertion) => {
+    const depth = path === '' ? 0 : path.split(' > ').length;
+    const isNamedTest = depth === 1;
+    const isFile = depth === 0;
+    if (isNamedTest) {
+      outcomes.push({ name: `${path} > ${assertion.name}`, ok: assertion.ok || !!assertion.skip });
+    } else if (isFile && !assertion.ok) {
+      const reported = outcomes.some(
+        (outcome) => !outcome.ok && outcome.name.startsWith(assertion.name),
+      );
+      if (!reported) outcomes.push({ name: assertion.name, ok: false });
+    }
+  });
+};
+
+const readKnownRed = (): Set<string> => {
+  if (!existsSync('KNOWN-RED.txt')) return new Set();
+  const lines = readFileSync('KNOWN-RED.txt', 'utf8').split('\n');
+  return new Set(
+    lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice(6).trim()),
+  );
+};
+
+const run = async (patterns: string[]): Promise<number> => {
+  const outcomes: TestOutcome[] = [];
+  const parser = new Parser();
+  collectOutcomes(parser, '', outcomes);
+  const jobs = process.env.TEST_JOBS ?? String(DEFAULT_JOBS);
+  const tap = spawn(
+    'node_modules/.bin/tap',
+    ['run', '--reporter=tap', `--jobs=${jobs}`, ...patterns],
+    { stdio: ['ignore', 'pipe', 'inherit'] },
+  );
+  tap.stdout.on('data', (chunk: Buffer) => {
+    parser.write(chunk);
+    process.stdout.write(chunk);
+  });
+  const exitCode = await new Promise<number>((resolve) => {
+    tap.on('close', (code) => resolve(code ?? 1));
+  });
+  parser.end();
+
+  const knownRed = readKnownRed();
+  const failed = outcomes.filter((outcome) => !outcome.ok);
+  const skippedRed = failed.filter((outcome) => knownRed.has(outcome.name));
+  const newFailures = failed.filter((outcome) => !knownRed.has(outcome.name));
+  const passedCount = outcomes.length - failed.length;
+  process.stdout.write('\n');
+  skippedRed.forEach((outcome) => process.stdout.write(`known red: ${outcome.name}\n`));
+  newFailures.forEach((outcome) => process.stdout.write(`failed: ${outcome.name}\n`));
+  // tap can fail without a failed test, for example when no file matches.
+  const unexplained = exitCode !== 0 && failed.length === 0 ? 1 : 0;
+  if (unexplained === 1) process.stdout.write(`failed: tap exited with code ${exitCode}\n`);
+  const failedCount = newFailures.length + unexplained;
+  process.stdout.write(`${passedCount} passed, ${failedCount} failed\n`);
+  return failedCount === 0 && passedCount > 0 ? 0 : 1;
+};
+
+const patterns = process.argv.slice(2);
+process.exitCode = await run(patterns.length > 0 ? patterns : DEFAULT_PATTERNS);
--- /dev/null
+++ b/src/process/metrics/index.ts
@@ -0,0 +1,85 @@
+/** Counters and latency histograms of one process, rendered for `GET /metrics`. */
+import { build } from 'hdr-histogram-js';
+
+import type { Histogram } from 'hdr-histogram-js';
+
+const SIGNIFICANT_DIGITS = 3;
+const HIGHEST_TRACKABLE_US = 600_000_000;
+const PERCENTILES = [50, 90, 99, 99.9, 100];
+
+type Labels = Record<string, string>;
+
+const formatSeries = (name: string, labels: Labels): string => {
+  const pairs = Object.entries(labels).map(([key, value]) => `${key}="${value}"`);
+  return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
+};
+
+/** A number that only grows. */
+export class Counter {
+  value = 0;
+
+  add(amount: number): void {
+    this.value += amount;
+  }
+}
+
+/** Registry of the metrics of one process. */
+export class MetricsRegistry {
+  readonly #counters = new Map<string, Counter>();
+
+  readonly #gauges = new Map<string, () => number>();
+
+  readonly #histograms = new Map<string, Histogram>();
+
+  /**
+   * Returns the counter of a series, created on first use.
+   *
+   * @param name - metric name with its unit, for example `control_sent_bytes`
+   * @param labels - label values, for example the message kind
+   */
+  counter(name: string, labels: Labels = {}): Counter {
+    const series = formatSeries(name, labels);
+    const existing = this.#counters.get(series);
+    if (existing) return existing;
+    const counter = new Counter();
+    this.#counters.set(series, counter);
+    return counter;
+  }
+
+  /** Registers a value that is read when the metrics are rendered. */
+  gauge(name: string, read: () => number, labels: Labels = {}): void {
+    this.#gauges.set(formatSeries(name, labels), read);
+  }
+
+  /**
+   * Returns the histogram of a metric, created on first use.
+   *
+   * @param name - metric name ending in `_us`; values are whole microseconds
+   */
+  histogram(name: string): Histogram {
+    const existing = this.#histograms.get(name);
+    if (existing) return existing;
+    const histogram = build({
+      highestTrackableValue: HIGHEST_TRACKABLE_US,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+      autoResize: true,
+      lowestDiscernibleValue: 1,
+    });
+    this.#histograms.set(name, histogram);
+    return histogram;
+  }
+
+  /** Renders every metric as text, one `series value` per line. */
+  render(): string {
+    const counters = [...this.#counters].map(([series, counter]) => `${series} ${counter.value}`);
+    const gauges = [...this.#gauges].map(([series, read]) => `${series} ${read()}`);
+    const histograms = [...this.#histograms].flatMap(([name, histogram]) => [
+      ...PERCENTILES.map(
+        (percentile) =>
+          `${name}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`,
+      ),
+      `${name}_count ${histogram.totalCount}`,
+    ]);
+    return `${[...counters, ...gauges, ...histograms].join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/src/version/hashConfiguration/index.ts
@@ -0,0 +1,34 @@
+import { createHash } from 'node:crypto';
+
+import { create, toBinary } from '@bufbuild/protobuf';
+
+import type { Route, Service } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+/** The rows of a configuration, without its version. */
+export interface ConfigurationContent {
+  services: Service[];
+  routes: Route[];
+}
+
+const compareNames = (left: { name: string }, right: { name: string }): number => {
+  if (left.name === right.name) return 0;
+  return left.name < right.name ? -1 : 1;
+};
+
+/**
+ * Computes the content hash of a configuration, independent of version and row order.
+ *
+ * @param content - services and routes in any order
+ * @returns SHA-256 digest, 32 bytes
+ *
+ * @example
+ * hashConfiguration({ services: [], routes: [] }).length; // 32
+ */
+export const hashConfiguration = (content: ConfigurationContent): Uint8Array => {
+  const canonical = create(ConfigurationSchema, {
+    services: content.services.toSorted(compareNames),
+    routes: content.routes.toSorted(compareNames),
+  });
+  return createHash('sha256').update(toBinary(ConfigurationSchema, canonical)).digest();
+};
--- /dev/null
+++ b/src/version/hashConfiguration/test.ts
@@ -0,0 +1,24 @@
+import { create } from '@bufbuild/protobuf';
+import tap from 'tap';
+
+import { ServiceSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { hashConfiguration } from './index.js';
+
+const desk = create(ServiceSchema, { name: 'order-desk', timeoutMs: 500, slots: 20 });
+const ledger = create(ServiceSchema, { name: 'harvest-ledger', timeoutMs: 500, slots: 20 });
+
+tap.test('row order does not change the hash, so an exported sheet can be reordered', async (t) => {
+  const first = hashConfiguration({ services: [desk, ledger], routes: [] });
+  const second = hashConfiguration({ services: [ledger, desk], routes: [] });
+  t.strictSame(first, second);
+});
+
+tap.test(
+  'a changed value changes the hash, so equal numbers with other content differ',
+  async (t) => {
+    const first = hashConfiguration({ services: [desk], routes: [] });
+    const changed = create(ServiceSchema, { ...desk, slots: 21 });
+    const second = hashConfiguration({ services: [changed], routes: [] });
+    t.notSame(first, second);
+  },
+);
