--- a/src/process/metrics/index.ts
+++ b/src/process/metrics/index.ts
@@ -14,13 +14,9 @@
   return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
 };
 
-/** A number that only grows. */
-export class Counter {
-  value = 0;
-
-  add(amount: number): void {
-    this.value += amount;
-  }
+/** A number that only grows; the owner adds to `value`. */
+export interface Counter {
+  value: number;
 }
 
 /** Registry of the metrics of one process. */
@@ -41,7 +37,7 @@
     const series = formatSeries(name, labels);
     const existing = this.#counters.get(series);
     if (existing) return existing;
-    const counter = new Counter();
+    const counter: Counter = { value: 0 };
     this.#counters.set(series, counter);
     return counter;
   }
