--- /dev/null
+++ b/src/connection/openTransport/index.ts
@@ -0,0 +1,56 @@
+import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+
+import type { Transport } from '@connectrpc/connect';
+
+/** PEM material for mutual TLS between processes. */
+export interface TlsMaterial {
+  key: string;
+  cert: string;
+  ca: string;
+}
+
+export interface OpenTransportOptions {
+  /** Set when `[tls]` is configured; plain HTTP/2 otherwise. */
+  tls?: TlsMaterial;
+  /** Interval of HTTP/2 pings that detect a half-open connection. */
+  pingIntervalMs?: number;
+  /** Time without a ping response after which the connection is closed. */
+  pingTimeoutMs?: number;
+}
+
+/** A connection to one other process, with the means to close it. */
+export interface OpenedTransport {
+  transport: Transport;
+  close: () => void;
+}
+
+const DEFAULT_PING_INTERVAL_MS = 2_000;
+const DEFAULT_PING_TIMEOUT_MS = 1_000;
+
+/**
+ * Opens a connect-es transport over HTTP/2 to one process; connects on first use.
+ *
+ * @param address - `host:port` of the process
+ * @param options - TLS material and ping settings
+ * @returns the transport and a function that closes its connection
+ *
+ * @example
+ * const { transport, close } = openTransport('127.0.0.1:7400');
+ */
+export const openTransport = (
+  address: string,
+  options: OpenTransportOptions = {},
+): OpenedTransport => {
+  const { tls } = options;
+  const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
+  const sessionManager = new Http2SessionManager(
+    baseUrl,
+    {
+      pingIntervalMs: options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS,
+      pingTimeoutMs: options.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS,
+    },
+    tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : undefined,
+  );
+  const transport = createConnectTransport({ httpVersion: '2', baseUrl, sessionManager });
+  return { transport, close: () => sessionManager.abort() };
+};
--- /dev/null
+++ b/src/process/endpoints/types.ts
@@ -0,0 +1,7 @@
+import type { NodeRecord, Server } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+
+/** A backend server together with the node beside it. */
+export interface ServerEntry {
+  readonly server: Server;
+  readonly node: NodeRecord;
+}
