--- /dev/null
+++ b/src/connection/replication/PeerClient/index.ts
@@ -0,0 +1,43 @@
+import type { Result } from 'neverthrow';
+
+import type {
+  AppendRequest,
+  AppendResponse,
+  DescribeRequest,
+  DescribeResponse,
+  ForwardRequest,
+  ForwardResponse,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from '../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { PeerError } from '../PeerError/index.js';
+
+/** Requests to one control peer; each takes a timeout in milliseconds. */
+export default abstract class PeerClient {
+  abstract describe(
+    request: DescribeRequest,
+    timeoutMs: number,
+  ): Promise<Result<DescribeResponse, PeerError>>;
+
+  abstract vote(request: VoteRequest, timeoutMs: number): Promise<Result<VoteResponse, PeerError>>;
+
+  abstract append(
+    request: AppendRequest,
+    timeoutMs: number,
+  ): Promise<Result<AppendResponse, PeerError>>;
+
+  abstract installSnapshot(
+    request: SnapshotRequest,
+    timeoutMs: number,
+  ): Promise<Result<SnapshotResponse, PeerError>>;
+
+  abstract forward(
+    request: ForwardRequest,
+    timeoutMs: number,
+  ): Promise<Result<ForwardResponse, PeerError>>;
+
+  /** Closes the connection; requests under way fail. */
+  abstract close(): void;
+}
--- /dev/null
+++ b/src/connection/replication/ReplicationHandlers/index.ts
@@ -0,0 +1,23 @@
+import type { Result } from 'neverthrow';
+
+import type {
+  AppendRequest,
+  AppendResponse,
+  DescribeResponse,
+  ForwardRequest,
+  ForwardResponse,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from '../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { PeerError } from '../PeerError/index.js';
+
+/** What a control VM answers to its peers; an error says that the request had no effect. */
+export interface ReplicationHandlers {
+  describe: () => DescribeResponse;
+  vote: (request: VoteRequest) => Promise<Result<VoteResponse, PeerError>>;
+  append: (request: AppendRequest) => Promise<Result<AppendResponse, PeerError>>;
+  installSnapshot: (request: SnapshotRequest) => Promise<Result<SnapshotResponse, PeerError>>;
+  forward: (request: ForwardRequest) => Promise<Result<ForwardResponse, PeerError>>;
+}
--- /dev/null
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -0,0 +1,348 @@
+/** The replicated log of one control VM: storage, elections, replication and acceptance. */
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import {
+  AcceptedVersionSchema,
+  DescribeResponseSchema,
+  ForwardResponseSchema,
+  MemberSchema,
+  MembershipSchema,
+} from '../../../_generated/foxtailvane/v1/replication_pb.js';
+import type {
+  AcceptedVersion,
+  ForwardRequest,
+  ForwardResponse,
+  Membership,
+} from '../../../_generated/foxtailvane/v1/replication_pb.js';
+import ConnectPeerClient from '../../../connection/replication/ConnectPeerClient/index.js';
+import type PeerClient from '../../../connection/replication/PeerClient/index.js';
+import { PeerError, PeerErrorCode } from '../../../connection/replication/PeerError/index.js';
+import registerReplication from '../../../connection/replication/registerReplication/index.js';
+import type { OpenTransportOptions } from '../../../connection/openTransport/index.js';
+import { DurableStorage } from '../../storage/DurableStorage/index.js';
+import type FileOperations from '../../storage/FileOperations/index.js';
+import { ApplyOutcome, ControlLog } from '../ControlLog/index.js';
+import type {
+  ApplyResult,
+  CommittedConfiguration,
+  ConfigurationChange,
+  MemberStatus,
+  VersionHolder,
+} from '../ControlLog/index.js';
+import { ReplicationError, ReplicationErrorCode } from '../ReplicationError/index.js';
+import { toHolder } from '../_lib/AcceptedVersions/index.js';
+import ClientPool from '../_lib/ClientPool/index.js';
+import { Leadership } from '../_lib/Leadership/index.js';
+import { Replica } from '../_lib/Replica/index.js';
+import { campaign } from '../_lib/campaign/index.js';
+import checkHeader from '../_lib/checkHeader/index.js';
+import describeMembers from '../_lib/describeMembers/index.js';
+import { foundCluster } from '../_lib/foundCluster/index.js';
+import type { InitialMember } from '../_lib/foundCluster/index.js';
+import { handleAppend } from '../_lib/handleAppend/index.js';
+import handleSnapshot from '../_lib/handleSnapshot/index.js';
+import handleVote from '../_lib/handleVote/index.js';
+import { proposeChange } from '../_lib/proposeChange/index.js';
+import { DEFAULT_LIMITS, DEFAULT_TIMINGS } from '../_lib/timings/index.js';
+import type { ReplicationLimits, ReplicationTimings } from '../_lib/timings/index.js';
+import validateChange from '../_lib/validateChange/index.js';
+import readMonotonicNowMs from '../readMonotonicNowMs/index.js';
+
+export type { InitialMember } from '../_lib/foundCluster/index.js';
+export type { ReplicationLimits, ReplicationTimings } from '../_lib/timings/index.js';
+
+export interface ReplicatedLogOptions {
+  /** Defaults as in `timings`. */
+  timings?: Partial<ReplicationTimings>;
+  limits?: Partial<ReplicationLimits>;
+  /** Source of election timeouts, from 0 to 1. */
+  random?: () => number;
+  /** Clock of leases; `isConfirmed` and `members` compare their `nowMs` with it. */
+  readNowMs?: () => number;
+  files?: FileOperations;
+  /** TLS material and ping settings of connections to peers. */
+  transport?: OpenTransportOptions;
+  /** Replaces the connect-es client, for tests. */
+  createClient?: (address: string) => PeerClient;
+}
+
+export interface ReplicatedLogSettings {
+  /** Name of this VM. */
+  memberId: string;
+  dataFolder: string;
+  /** All members of the first start, the same on each; later ones come from the log. */
+  initialMembers: InitialMember[];
+}
+
+const refuse = (message: string): Result<never, PeerError> =>
+  err(new PeerError(PeerErrorCode.NotRun, message));
+
+/**
+ * The project's own leader-based replicated log.
+ *
+ * @example
+ * const opened = await ReplicatedLog.open({ memberId: 'c1', dataFolder, initialMembers });
+ * const log = opened._unsafeUnwrap();
+ * log.register(router);
+ * log.start();
+ */
+export class ReplicatedLog extends ControlLog {
+  readonly #replica: Replica;
+
+  readonly #initialMembers: InitialMember[];
+
+  readonly #clients: ClientPool;
+
+  #leadership: Leadership | undefined;
+
+  #isStopped = false;
+
+  #task: Promise<void> | undefined;
+
+  private constructor(replica: Replica, initialMembers: InitialMember[], clients: ClientPool) {
+    super();
+    this.#replica = replica;
+    this.#initialMembers = initialMembers;
+    this.#clients = clients;
+  }
+
+  /**
+   * Opens the data folder of this VM; takes part only after `start`.
+   *
+   * @param settings - name, data folder and initial members
+   * @param options - times, limits and replaceable parts
+   * @returns the log; InvalidSettings or StorageFailed otherwise
+   */
+  static async open(
+    settings: ReplicatedLogSettings,
+    options: ReplicatedLogOptions = {},
+  ): Promise<Result<ReplicatedLog, ReplicationError>> {
+    const { memberId, dataFolder, initialMembers } = settings;
+    if (!initialMembers.some((member) => member.memberId === memberId)) {
+      const message = `${memberId} is not among the initial members`;
+      return err(new ReplicationError(ReplicationErrorCode.InvalidSettings, message));
+    }
+    const opened = await DurableStorage.open(dataFolder, {
+      ...(options.files && { files: options.files }),
+    });
+    if (opened.isErr()) {
+      const { message } = opened.error;
+      return err(new ReplicationError(ReplicationErrorCode.StorageFailed, message, opened.error));
+    }
+    const replica = new Replica(opened.value, {
+      memberId,
+      timings: { ...DEFAULT_TIMINGS, ...options.timings },
+      limits: { ...DEFAULT_LIMITS, ...options.limits },
+      readNowMs: options.readNowMs ?? readMonotonicNowMs,
+      random: options.random ?? Math.random,
+    });
+    const createClient =
+      options.createClient ?? ((address) => new ConnectPeerClient(address, options.transport));
+    return ok(new ReplicatedLog(replica, initialMembers, new ClientPool(createClient)));
+  }
+
+  /** Identity of the data folder. */
+  get diskIdentity(): string {
+    return this.#replica.diskIdentity;
+  }
+
+  /** Registers the replication service on the router of the `listen` listener. */
+  register(router: ConnectRouter): void {
+    const replica = this.#replica;
+    registerReplication(router, {
+      describe: () =>
+        create(DescribeResponseSchema, {
+          memberId: replica.memberId,
+          diskIdentity: replica.diskIdentity,
+          clusterId: replica.isUnused ? '' : replica.clusterId,
+        }),
+      vote: (request) => this.#handle(() => handleVote(replica, request)),
+      append: (request) => this.#handle(() => handleAppend(replica, request)),
+      installSnapshot: (request) => this.#handle(() => handleSnapshot(replica, request)),
+      forward: (request) => this.#handleForward(request),
+    });
+  }
+
+  /** Starts elections and replication; call it once the service is being served. */
+  start(): void {
+    this.#task ??= this.#run();
+  }
+
+  /** Stops taking part and closes the data folder; the log cannot be started again. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    this.#replica.becomeFollower();
+    this.#replica.changed.notify();
+    this.#clients.close();
+    await this.#task;
+    await this.#replica.queue.run(() => this.#replica.storage.close());
+  }
+
+  async propose(change: ConfigurationChange, nowMs: number): Promise<ApplyResult> {
+    const replica = this.#replica;
+    const { limits, timings } = replica.options;
+    const validated = validateChange(change, nowMs, limits.maxConfigurationBytes);
+    if (validated.isErr()) return { outcome: ApplyOutcome.Invalid, message: validated.error };
+    return proposeChange(
+      {
+        replica,
+        findClient: (address) => this.#clients.find(address),
+        findLeadership: () => this.#activeLeadership(),
+        isStopped: () => this.#isStopped,
+      },
+      validated.value,
+      replica.readNowMs() + timings.proposalTimeoutMs,
+    );
+  }
+
+  committed(): CommittedConfiguration | undefined {
+    return this.#replica.versions.newestCommitted();
+  }
+
+  committedVersion(version: number): CommittedConfiguration | undefined {
+    return this.#replica.versions.committedVersion(version);
+  }
+
+  isConfirmed(nowMs: number): boolean {
+    if (this.#isStopped) return false;
+    const leadership = this.#activeLeadership();
+    if (leadership) return leadership.isReady && nowMs < leadership.leaseUntilMs;
+    return nowMs < this.#replica.confirmedUntilMs;
+  }
+
+  onCommitted(listener: (committed: CommittedConfiguration) => void): () => void {
+    return this.#replica.onCommitted(listener);
+  }
+
+  history(): VersionHolder[] {
+    return this.#replica.versions.list().map(toHolder);
+  }
+
+  members(nowMs: number): MemberStatus[] {
+    return describeMembers(this.#replica, this.#activeLeadership(), this.isConfirmed(nowMs));
+  }
+
+  /**
+   * Adds a VM as a non-voter; it becomes a voter once it holds what is committed. Call it on the
+   * leader.
+   *
+   * @param member - name and address
+   * @returns once committed; NotLeader, Refused or Unknown otherwise
+   */
+  addMember(member: InitialMember): Promise<Result<void, ReplicationError>> {
+    return this.#changeMembership(({ members, clusterId }) =>
+      members.some(({ memberId }) => memberId === member.memberId)
+        ? undefined
+        : create(MembershipSchema, {
+            clusterId,
+            members: [...members, create(MemberSchema, { ...member, isVoter: false })],
+          }),
+    );
+  }
+
+  /**
+   * Removes a VM. Call it on the leader.
+   *
+   * @param memberId - name of the VM
+   * @returns once committed; NotLeader, Refused or Unknown otherwise
+   */
+  removeMember(memberId: string): Promise<Result<void, ReplicationError>> {
+    return this.#changeMembership(({ members, clusterId }) => {
+      const remaining = members.filter((member) => member.memberId !== memberId);
+      const isPossible = remaining.length < members.length && remaining.some((m) => m.isVoter);
+      return isPossible ? create(MembershipSchema, { clusterId, members: remaining }) : undefined;
+    });
+  }
+
+  #activeLeadership(): Leadership | undefined {
+    return this.#leadership?.isActive ? this.#leadership : undefined;
+  }
+
+  async #run(): Promise<void> {
+    const replica = this.#replica;
+    const { heartbeatMs } = replica.options.timings;
+    const findClient = (address: string): PeerClient => this.#clients.find(address);
+    while (!this.#isStopped) {
+      const waitMs = replica.electionDeadlineMs - replica.readNowMs();
+      if (replica.failure) {
+        await replica.changed.wait(heartbeatMs);
+      } else if (replica.isUnused) {
+        await foundCluster(replica, this.#initialMembers, findClient);
+        await replica.changed.wait(heartbeatMs);
+      } else if (replica.isVoter && waitMs <= 0) {
+        await this.#campaign(findClient);
+      } else {
+        await replica.changed.wait(waitMs > 0 ? waitMs : heartbeatMs);
+      }
+    }
+  }
+
+  async #campaign(findClient: (address: string) => PeerClient): Promise<void> {
+    const term = await campaign(this.#replica, findClient);
+    if (term === undefined || this.#isStopped) return;
+    this.#leadership = new Leadership(this.#replica, term, findClient);
+    await this.#leadership.run();
+    this.#leadership = undefined;
+  }
+
+  #handle<T>(answer: () => Promise<Result<T, PeerError>>): Promise<Result<T, PeerError>> {
+    return this.#replica.queue.run(() =>
+      this.#isStopped ? Promise.resolve(refuse('this member is stopping')) : answer(),
+    );
+  }
+
+  async #handleForward(request: ForwardRequest): Promise<Result<ForwardResponse, PeerError>> {
+    const checked = checkHeader(this.#replica, request.header);
+    if (checked.isErr()) return err(checked.error);
+    const leadership = this.#activeLeadership();
+    const { change } = request;
+    if (!leadership || !change) return ok(create(ForwardResponseSchema, { isLeader: false }));
+    const deadlineMs = this.#replica.readNowMs() + request.timeoutMs;
+    const { result, mayRun } = await leadership.propose(change, deadlineMs);
+    if (!result && !mayRun) return ok(create(ForwardResponseSchema, { isLeader: false }));
+    const outcome = result?.outcome ?? ApplyOutcome.Unknown;
+    const holder = result?.holder && this.#toMessage(result.holder);
+    return ok(
+      create(ForwardResponseSchema, {
+        isLeader: true,
+        outcome,
+        message: result?.message ?? '',
+        ...(holder && { holder }),
+      }),
+    );
+  }
+
+  #toMessage(holder: VersionHolder): AcceptedVersion {
+    return create(AcceptedVersionSchema, {
+      version: holder.version,
+      contentHash: Buffer.from(holder.contentHash, 'hex'),
+      operator: holder.operator,
+      requestId: holder.requestId,
+      acceptedAtMs: BigInt(holder.acceptedAtMs),
+    });
+  }
+
+  async #changeMembership(
+    change: (membership: Membership) => Membership | undefined,
+  ): Promise<Result<void, ReplicationError>> {
+    const leadership = this.#activeLeadership();
+    if (!leadership?.isReady) {
+      const leaderId = this.#replica.leaderId || 'unknown';
+      const message = `this member is not the leader (leader: ${leaderId}); the request did not run`;
+      return err(new ReplicationError(ReplicationErrorCode.NotLeader, message));
+    }
+    const next = change(this.#replica.membership);
+    const index = next && leadership.appendMembership(next);
+    if (index === undefined) {
+      const message =
+        'the membership does not allow this change, or another one is under way; the request did not run';
+      return err(new ReplicationError(ReplicationErrorCode.Refused, message));
+    }
+    return (await leadership.awaitCommit(index))
+      ? ok(undefined)
+      : err(new ReplicationError(ReplicationErrorCode.Unknown, 'the outcome is not known'));
+  }
+}
--- /dev/null
+++ b/src/process/replication/_lib/AcceptedVersions/index.ts
@@ -0,0 +1,105 @@
+import { create, fromBinary } from '@bufbuild/protobuf';
+
+import { ConfigurationSchema } from '../../../../_generated/foxtailvane/v1/configuration_pb.js';
+import { AcceptedVersionSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { AcceptedVersion } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { CommittedConfiguration, VersionHolder } from '../../ControlLog/index.js';
+
+/** Returns the holder of an accepted version. */
+export const toHolder = (accepted: AcceptedVersion): VersionHolder => ({
+  version: accepted.version,
+  contentHash: Buffer.from(accepted.contentHash).toString('hex'),
+  operator: accepted.operator,
+  requestId: accepted.requestId,
+  acceptedAtMs: Number(accepted.acceptedAtMs),
+});
+
+const toCommitted = (accepted: AcceptedVersion): CommittedConfiguration => ({
+  configuration: fromBinary(ConfigurationSchema, accepted.configuration),
+  holder: toHolder(accepted),
+  logIndex: accepted.logIndex,
+});
+
+/**
+ * The accepted versions as of the last applied entry. Every holder stays known; configurations
+ * beyond the limit are dropped, oldest first. Configurations stay encoded, since the deltas of a
+ * few versions are all that is computed from them.
+ */
+export class AcceptedVersions {
+  readonly #maxConfigurations: number;
+
+  /** In ascending order, since versions are accepted in ascending order. */
+  #byVersion = new Map<number, AcceptedVersion>();
+
+  #withConfiguration: number[] = [];
+
+  #newest: AcceptedVersion | undefined;
+
+  #newestCommitted: CommittedConfiguration | undefined;
+
+  /** @param maxConfigurations - number of configurations held */
+  constructor(maxConfigurations: number) {
+    this.#maxConfigurations = maxConfigurations;
+  }
+
+  get newest(): AcceptedVersion | undefined {
+    return this.#newest;
+  }
+
+  /** Applies a committed version; returns false for a number that is not above the newest. */
+  apply(accepted: AcceptedVersion, logIndex: number): boolean {
+    if (this.#newest && accepted.version <= this.#newest.version) return false;
+    this.#add(create(AcceptedVersionSchema, { ...accepted, logIndex }));
+    return true;
+  }
+
+  find(version: number): AcceptedVersion | undefined {
+    return this.#byVersion.get(version);
+  }
+
+  newestCommitted(): CommittedConfiguration | undefined {
+    if (this.#newest && this.#newestCommitted?.holder.version !== this.#newest.version) {
+      this.#newestCommitted = toCommitted(this.#newest);
+    }
+    return this.#newestCommitted;
+  }
+
+  committedVersion(version: number): CommittedConfiguration | undefined {
+    if (version === this.#newest?.version) return this.newestCommitted();
+    const accepted = this.#byVersion.get(version);
+    return accepted && accepted.configuration.length > 0 ? toCommitted(accepted) : undefined;
+  }
+
+  /** Returns all accepted versions, oldest first. */
+  list(): AcceptedVersion[] {
+    return [...this.#byVersion.values()];
+  }
+
+  /** Replaces everything with the content of a snapshot. */
+  replace(accepted: AcceptedVersion[]): void {
+    this.#byVersion = new Map();
+    this.#withConfiguration = [];
+    this.#newest = undefined;
+    this.#newestCommitted = undefined;
+    accepted.forEach((version) => this.#add(version));
+  }
+
+  #add(accepted: AcceptedVersion): void {
+    this.#byVersion.set(accepted.version, accepted);
+    this.#newest = accepted;
+    if (accepted.configuration.length > 0) this.#withConfiguration.push(accepted.version);
+    if (this.#withConfiguration.length > this.#maxConfigurations) this.#dropOldest();
+  }
+
+  #dropOldest(): void {
+    const oldest = this.#byVersion.get(this.#withConfiguration.shift() ?? 0);
+    if (!oldest) return;
+    // New arrays, so that the bytes of the log entry can be freed.
+    const holder = create(AcceptedVersionSchema, {
+      ...oldest,
+      contentHash: new Uint8Array(oldest.contentHash),
+      configuration: new Uint8Array(0),
+    });
+    this.#byVersion.set(oldest.version, holder);
+  }
+}
--- /dev/null
+++ b/src/process/replication/_lib/ClientPool/index.ts
@@ -0,0 +1,26 @@
+import type PeerClient from '../../../../connection/replication/PeerClient/index.js';
+
+/** One connection per control peer, opened on first use and shared by all tasks. */
+export default class ClientPool {
+  readonly #createClient: (address: string) => PeerClient;
+
+  readonly #clients = new Map<string, PeerClient>();
+
+  constructor(createClient: (address: string) => PeerClient) {
+    this.#createClient = createClient;
+  }
+
+  /** Returns the connection to an address. */
+  find(address: string): PeerClient {
+    const existing = this.#clients.get(address);
+    if (existing) return existing;
+    const client = this.#createClient(address);
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  close(): void {
+    this.#clients.forEach((client) => client.close());
+    this.#clients.clear();
+  }
+}
--- /dev/null
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -0,0 +1,52 @@
+import type PeerClient from '../../../../connection/replication/PeerClient/index.js';
+import Notifier from '../Notifier/index.js';
+
+/** What a leader knows of one peer. */
+export default class PeerProgress {
+  readonly memberId: string;
+
+  readonly address: string;
+
+  readonly client: PeerClient;
+
+  /** Notified when there is something to send before the next heartbeat. */
+  readonly wake = new Notifier();
+
+  /** Disk identity that the peer answers with; empty before the first response. */
+  diskIdentity = '';
+
+  matchIndex = 0;
+
+  nextIndex: number;
+
+  /** Commit index of the last accepted request. */
+  sentCommitIndex = 0;
+
+  /** When the last request that the peer answered as follower was sent. */
+  contactMs = -Infinity;
+
+  sequence = 0;
+
+  answeredSequence = 0;
+
+  isReachable = false;
+
+  isRemoved = false;
+
+  constructor(memberId: string, address: string, client: PeerClient, nextIndex: number) {
+    this.memberId = memberId;
+    this.address = address;
+    this.client = client;
+    this.nextIndex = nextIndex;
+  }
+
+  /** Starts anew with a peer that answers with another disk identity. */
+  restart(diskIdentity: string): void {
+    this.diskIdentity = diskIdentity;
+    this.matchIndex = 0;
+    this.sentCommitIndex = 0;
+    this.contactMs = -Infinity;
+    this.sequence = 0;
+    this.answeredSequence = 0;
+  }
+}
--- /dev/null
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -0,0 +1,426 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import {
+  LogSnapshotSchema,
+  MembershipSchema,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type {
+  Member,
+  Membership,
+  PeerHeader,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { createLogger } from '../../../log/index.js';
+import SerialQueue from '../../../storage/SerialQueue/index.js';
+import type {
+  DurableStorage,
+  HardState,
+  OpenedStorage,
+  StoredSnapshot,
+} from '../../../storage/DurableStorage/index.js';
+import type { StorageError } from '../../../storage/StorageError/index.js';
+import { MemberRole } from '../../ControlLog/index.js';
+import type { CommittedConfiguration } from '../../ControlLog/index.js';
+import { AcceptedVersions } from '../AcceptedVersions/index.js';
+import { EntryLog, decodeEntry } from '../EntryLog/index.js';
+import type { LogEntry } from '../EntryLog/index.js';
+import Notifier from '../Notifier/index.js';
+import type { ReplicationLimits, ReplicationTimings } from '../timings/index.js';
+
+const log = createLogger('replication');
+
+// The leader sends one request at a time; a few more cover responses that it did not get.
+const REMEMBERED_ANSWERS = 8;
+
+export interface ReplicaOptions {
+  memberId: string;
+  timings: ReplicationTimings;
+  limits: ReplicationLimits;
+  readNowMs: () => number;
+  random: () => number;
+}
+
+/** A snapshot that is being received in chunks. */
+interface IncomingSnapshot {
+  term: number;
+  lastIndex: number;
+  chunks: Uint8Array[];
+  receivedBytes: number;
+}
+
+/** When this member answered a request of the leader, for the bounds of its lease. */
+interface AnsweredRequest {
+  term: number;
+  sequence: number;
+  atMs: number;
+}
+
+type CommittedListener = (committed: CommittedConfiguration) => void;
+
+/**
+ * State of one member, shared by its tasks. Requests of peers and changes of term run one after the
+ * other in `queue`; what is stored is synced before it is answered.
+ */
+export class Replica {
+  readonly options: ReplicaOptions;
+
+  readonly storage: DurableStorage;
+
+  readonly log: EntryLog;
+
+  readonly versions: AcceptedVersions;
+
+  readonly queue = new SerialQueue();
+
+  /** Notified when role, term, commit index or membership change. */
+  readonly changed = new Notifier();
+
+  role = MemberRole.Follower;
+
+  /** Member that leads the current term; empty when unknown. */
+  leaderId = '';
+
+  /** Until then no other member is helped to become leader. */
+  guardUntilMs: number;
+
+  electionDeadlineMs = 0;
+
+  /** Until then the newest version is known to be current. */
+  confirmedUntilMs = 0;
+
+  answered: AnsweredRequest[] = [];
+
+  /** Last entry of this member's own log that is synced. */
+  durableIndex: number;
+
+  #hardState: HardState;
+
+  #commitIndex: number;
+
+  #committedMembership: Membership;
+
+  #committedMembershipIndex: number;
+
+  #failure: StorageError | undefined;
+
+  #isCompacting = false;
+
+  #incomingSnapshot: IncomingSnapshot | undefined;
+
+  readonly #listeners = new Set<CommittedListener>();
+
+  constructor({ storage, recovered }: OpenedStorage, options: ReplicaOptions) {
+    this.options = options;
+    this.storage = storage;
+    const entries = recovered.entries.map(decodeEntry);
+    this.log = new EntryLog(recovered.baseIndex, recovered.baseTerm, entries);
+    this.versions = new AcceptedVersions(options.limits.maxConfigurations);
+    this.durableIndex = this.log.lastIndex;
+    this.#commitIndex = recovered.snapshot?.lastIndex ?? 0;
+    this.#committedMembership = create(MembershipSchema);
+    this.#committedMembershipIndex = 0;
+    if (recovered.snapshot) this.#loadSnapshot(recovered.snapshot);
+    // The first entry of a cluster is stored before its term.
+    const term = Math.max(recovered.hardState.term, this.log.lastTerm);
+    const votedFor = term === recovered.hardState.term ? recovered.hardState.votedFor : '';
+    this.#hardState = { ...recovered.hardState, term, votedFor };
+    // Before the restart this member may have promised a leader not to help another one.
+    this.guardUntilMs = options.readNowMs() + options.timings.electionTimeoutMinMs;
+    this.resetElectionDeadline();
+    if (!this.isVoter) this.role = MemberRole.NonVoter;
+  }
+
+  get memberId(): string {
+    return this.options.memberId;
+  }
+
+  get diskIdentity(): string {
+    return this.storage.diskIdentity;
+  }
+
+  get term(): number {
+    return this.#hardState.term;
+  }
+
+  get votedFor(): string {
+    return this.#hardState.votedFor;
+  }
+
+  get clusterId(): string {
+    return this.#hardState.clusterId || this.membership.clusterId;
+  }
+
+  get commitIndex(): number {
+    return this.#commitIndex;
+  }
+
+  get failure(): StorageError | undefined {
+    return this.#failure;
+  }
+
+  /** The newest membership in the log, committed or not, as the algorithm requires. */
+  get membership(): Membership {
+    return this.log.findMembership(this.#commitIndex)?.membership ?? this.#committedMembership;
+  }
+
+  get isMembershipCommitted(): boolean {
+    return this.log.findMembership(this.#commitIndex) === undefined;
+  }
+
+  get committedMembershipIndex(): number {
+    return this.#committedMembershipIndex;
+  }
+
+  /** This disk as the membership knows it. */
+  get self(): Member | undefined {
+    return this.membership.members.find(
+      (member) => member.memberId === this.memberId && member.diskIdentity === this.diskIdentity,
+    );
+  }
+
+  get isVoter(): boolean {
+    return this.self?.isVoter ?? false;
+  }
+
+  /** True while this disk has never belonged to a cluster. */
+  get isUnused(): boolean {
+    return this.clusterId === '' && this.log.lastIndex === 0;
+  }
+
+  readNowMs(): number {
+    return this.options.readNowMs();
+  }
+
+  resetElectionDeadline(): void {
+    const { electionTimeoutMinMs, electionTimeoutMaxMs } = this.options.timings;
+    const spreadMs = electionTimeoutMaxMs - electionTimeoutMinMs;
+    this.electionDeadlineMs =
+      this.readNowMs() + electionTimeoutMinMs + this.options.random() * spreadMs;
+  }
+
+  /** Records that a leader was heard or a vote was granted. */
+  extendGuard(): void {
+    this.guardUntilMs = this.readNowMs() + this.options.timings.electionTimeoutMinMs;
+    this.resetElectionDeadline();
+  }
+
+  /** Stores a change of term, vote or cluster; call it within `queue`. */
+  async saveHardState(change: Partial<HardState>): Promise<Result<void, StorageError>> {
+    const next = { ...this.#hardState, clusterId: this.clusterId, ...change };
+    const saved = await this.storage.saveHardState(next);
+    if (saved.isErr()) {
+      this.fail(saved.error);
+      return err(saved.error);
+    }
+    this.#hardState = next;
+    return ok(undefined);
+  }
+
+  /** Follows the leader of a term, if it is known; stores a newer term first. */
+  async follow(term: number, leaderId: string): Promise<Result<void, StorageError>> {
+    if (term > this.term) {
+      const saved = await this.saveHardState({ term, votedFor: '' });
+      if (saved.isErr()) return saved;
+      this.forgetLeader();
+    }
+    if (this.leaderId !== leaderId && leaderId !== '') {
+      log.info({ memberId: this.memberId, leaderId, term: this.term }, 'following a leader');
+    }
+    if (leaderId !== '') this.leaderId = leaderId;
+    this.becomeFollower();
+    return ok(undefined);
+  }
+
+  /** Becomes a candidate. */
+  becomeCandidate(): void {
+    this.role = MemberRole.Candidate;
+  }
+
+  /** Forgets the leader of an earlier term. */
+  forgetLeader(): void {
+    this.leaderId = '';
+    this.answered = [];
+  }
+
+  /** Records that the whole log of this member is synced. */
+  markDurable(): void {
+    this.durableIndex = this.log.lastIndex;
+  }
+
+  /** Extends the time for which the newest version is known to be current. */
+  confirmUntil(untilMs: number): void {
+    this.confirmedUntilMs = Math.max(this.confirmedUntilMs, untilMs);
+  }
+
+  /** Records the answer to a numbered request of the leader. */
+  rememberAnswer(sequence: number): void {
+    const answer = { term: this.term, sequence, atMs: this.readNowMs() };
+    this.answered = [...this.answered, answer].slice(-REMEMBERED_ANSWERS);
+  }
+
+  /** Keeps a chunk of a snapshot; returns false when it does not continue what was received. */
+  addSnapshotChunk(lastIndex: number, offsetBytes: number, chunk: Uint8Array): boolean {
+    if (offsetBytes === 0) {
+      this.#incomingSnapshot = { term: this.term, lastIndex, chunks: [], receivedBytes: 0 };
+    }
+    const incoming = this.#incomingSnapshot;
+    const continues =
+      incoming?.term === this.term &&
+      incoming.lastIndex === lastIndex &&
+      incoming.receivedBytes === offsetBytes;
+    if (!incoming || !continues) return false;
+    incoming.chunks.push(chunk);
+    incoming.receivedBytes += chunk.length;
+    return true;
+  }
+
+  /** Returns the snapshot received and forgets it. */
+  takeIncomingSnapshot(): Uint8Array {
+    const payload = Buffer.concat(this.#incomingSnapshot?.chunks ?? []);
+    this.#incomingSnapshot = undefined;
+    return payload;
+  }
+
+  /** Ends a candidacy or leadership within the current term. */
+  becomeFollower(): void {
+    if (this.role === MemberRole.SteppedDown) return;
+    if (this.role === MemberRole.Leader) {
+      log.warn({ memberId: this.memberId, term: this.term }, 'no longer leader');
+      if (this.leaderId === this.memberId) this.leaderId = '';
+      this.resetElectionDeadline();
+    }
+    this.role = this.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
+    this.changed.notify();
+  }
+
+  /** Stops taking part, since this disk may not hold what it acknowledges. */
+  fail(error: StorageError): void {
+    if (this.#failure) return;
+    this.#failure = error;
+    this.role = MemberRole.SteppedDown;
+    this.leaderId = '';
+    this.confirmedUntilMs = 0;
+    log.error(
+      { memberId: this.memberId, code: error.code, reason: error.message },
+      'storage failed; this member no longer takes part in replication',
+    );
+    this.changed.notify();
+  }
+
+  /** Applies the entries up to an index that a majority holds. */
+  commitTo(index: number): void {
+    const target = Math.min(index, this.log.lastIndex);
+    if (target <= this.#commitIndex) return;
+    const entries = this.log.from(this.#commitIndex + 1).slice(0, target - this.#commitIndex);
+    entries.forEach((entry) => this.#apply(entry));
+    if (this.role === MemberRole.Follower || this.role === MemberRole.NonVoter) {
+      this.role = this.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
+    }
+    this.changed.notify();
+    this.#compactWhenLarge();
+  }
+
+  /** Encodes the state after the last applied entry. */
+  encodeSnapshot(): StoredSnapshot {
+    const lastIndex = this.#commitIndex;
+    const snapshot = create(LogSnapshotSchema, {
+      membership: this.#committedMembership,
+      accepted: this.versions.list(),
+    });
+    return {
+      lastIndex,
+      lastTerm: this.log.termAt(lastIndex) ?? 0,
+      payload: toBinary(LogSnapshotSchema, snapshot),
+    };
+  }
+
+  /** Replaces log and state with a snapshot of the leader; call it within `queue`. */
+  async installSnapshot(snapshot: StoredSnapshot): Promise<Result<void, StorageError>> {
+    const { lastIndex, lastTerm } = snapshot;
+    const saved = await this.storage.saveSnapshot(snapshot, [], {
+      index: lastIndex,
+      term: lastTerm,
+    });
+    if (saved.isErr()) {
+      this.fail(saved.error);
+      return saved;
+    }
+    const previousVersion = this.versions.newest?.version ?? 0;
+    this.log.reset(lastIndex, lastTerm);
+    this.durableIndex = lastIndex;
+    this.#commitIndex = lastIndex;
+    this.#loadSnapshot(snapshot);
+    this.role = this.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
+    this.versions
+      .list()
+      .filter(({ version }) => version > previousVersion)
+      .forEach(({ version }) => this.#publish(version));
+    this.changed.notify();
+    return ok(undefined);
+  }
+
+  onCommitted(listener: CommittedListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Builds the header of a request to a peer. */
+  createHeader(targetDiskIdentity: string): Omit<PeerHeader, '$typeName' | '$unknown'> {
+    return {
+      clusterId: this.clusterId,
+      memberId: this.memberId,
+      diskIdentity: this.diskIdentity,
+      targetDiskIdentity,
+      term: this.term,
+    };
+  }
+
+  #loadSnapshot(snapshot: StoredSnapshot): void {
+    const decoded = fromBinary(LogSnapshotSchema, snapshot.payload);
+    this.versions.replace(decoded.accepted);
+    this.#committedMembership = decoded.membership ?? create(MembershipSchema);
+    this.#committedMembershipIndex = snapshot.lastIndex;
+  }
+
+  #apply(entry: LogEntry): void {
+    this.#commitIndex = entry.index;
+    const { change } = entry.change;
+    if (change.case === 'membership') {
+      this.#committedMembership = change.value;
+      this.#committedMembershipIndex = entry.index;
+    }
+    if (change.case === 'accepted' && this.versions.apply(change.value, entry.index)) {
+      this.#publish(change.value.version);
+    }
+  }
+
+  #publish(version: number): void {
+    const committed = this.versions.committedVersion(version);
+    if (committed) this.#listeners.forEach((listener) => listener(committed));
+  }
+
+  #compactWhenLarge(): void {
+    const { compactAfterEntries, compactAfterBytes, retainedEntries } = this.options.limits;
+    const appliedCount = this.#commitIndex - this.log.baseIndex;
+    const isLarge =
+      appliedCount >= compactAfterEntries + retainedEntries ||
+      (this.storage.logBytes >= compactAfterBytes && appliedCount > retainedEntries);
+    if (isLarge && !this.#isCompacting) {
+      this.#isCompacting = true;
+      this.#compact(this.#commitIndex - retainedEntries).finally(() => {
+        this.#isCompacting = false;
+      });
+    }
+  }
+
+  async #compact(baseIndex: number): Promise<void> {
+    const base = { index: baseIndex, term: this.log.termAt(baseIndex) ?? 0 };
+    const snapshot = this.encodeSnapshot();
+    // Everything in memory is stored or its write was requested before this one.
+    const retained = this.log.from(baseIndex + 1);
+    const saved = await this.storage.saveSnapshot(snapshot, retained, base);
+    if (saved.isErr()) this.fail(saved.error);
+    else this.log.compactTo(baseIndex);
+  }
+}
--- /dev/null
+++ b/src/process/replication/_lib/campaign/index.ts
@@ -0,0 +1,107 @@
+import { create } from '@bufbuild/protobuf';
+
+import { VoteRequestSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { Member, VoteResponse } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type PeerClient from '../../../../connection/replication/PeerClient/index.js';
+import { createLogger } from '../../../log/index.js';
+import { MemberRole } from '../../ControlLog/index.js';
+import type { Replica } from '../Replica/index.js';
+import { computeMajority } from '../quorum/index.js';
+
+const log = createLogger('replication');
+
+export type FindClient = (address: string) => PeerClient;
+
+const requestVote = async (
+  replica: Replica,
+  member: Member,
+  findClient: FindClient,
+  options: { term: number; isPreVote: boolean },
+): Promise<VoteResponse | undefined> => {
+  const header = { ...replica.createHeader(member.diskIdentity), term: options.term };
+  const { lastIndex, lastTerm } = replica.log;
+  const { isPreVote } = options;
+  const request = create(VoteRequestSchema, { header, lastIndex, lastTerm, isPreVote });
+  const response = await findClient(member.address).vote(
+    request,
+    replica.options.timings.peerTimeoutMs,
+  );
+  return response.unwrapOr(undefined);
+};
+
+/** Resolves as soon as a majority has granted, or when every peer has answered or failed. */
+const collectVotes = (
+  replica: Replica,
+  findClient: FindClient,
+  options: { term: number; isPreVote: boolean },
+): Promise<{ isWon: boolean; highestTerm: number }> => {
+  const voters = replica.membership.members.filter((member) => member.isVoter);
+  const others = voters.filter((member) => member.diskIdentity !== replica.diskIdentity);
+  const majority = computeMajority(voters.length);
+  let grantedCount = 1;
+  let highestTerm = 0;
+  return new Promise((resolve) => {
+    const resolveIfWon = (): void => {
+      if (grantedCount >= majority) resolve({ isWon: true, highestTerm });
+    };
+    resolveIfWon();
+    const requests = others.map(async (member) => {
+      const response = await requestVote(replica, member, findClient, options);
+      if (!response) return;
+      highestTerm = Math.max(highestTerm, response.term);
+      if (response.isGranted && response.diskIdentity === member.diskIdentity) grantedCount += 1;
+      resolveIfWon();
+    });
+    Promise.all(requests).then(() => resolve({ isWon: grantedCount >= majority, highestTerm }));
+  });
+};
+
+/** Starts a new term with this member's vote for itself; returns it unless something intervened. */
+const startTerm = (replica: Replica): Promise<number | undefined> =>
+  replica.queue.run(async () => {
+    if (replica.role !== MemberRole.Candidate || !replica.isVoter) return undefined;
+    const term = replica.term + 1;
+    const { diskIdentity } = replica;
+    const saved = await replica.saveHardState({ term, votedFor: diskIdentity });
+    if (saved.isErr()) return undefined;
+    replica.forgetLeader();
+    return term;
+  });
+
+const adoptTerm = async (replica: Replica, term: number): Promise<void> => {
+  await replica.queue.run(async () => {
+    if (term > replica.term && !replica.failure) await replica.follow(term, '');
+  });
+};
+
+const giveUp = async (replica: Replica, highestTerm: number): Promise<undefined> => {
+  replica.resetElectionDeadline();
+  await adoptTerm(replica, highestTerm);
+  if (replica.role === MemberRole.Candidate) replica.becomeFollower();
+};
+
+/**
+ * Tries to become leader: a pre-vote that changes nothing, then a vote in a new term.
+ *
+ * @param replica - this member, a voter
+ * @param findClient - returns the connection to a peer
+ * @returns the term that was won, if any
+ */
+export const campaign = async (
+  replica: Replica,
+  findClient: FindClient,
+): Promise<number | undefined> => {
+  replica.becomeCandidate();
+  const startedTerm = replica.term;
+  const preVote = await collectVotes(replica, findClient, {
+    term: startedTerm + 1,
+    isPreVote: true,
+  });
+  if (!preVote.isWon || replica.term !== startedTerm) return giveUp(replica, preVote.highestTerm);
+  const term = await startTerm(replica);
+  if (term === undefined) return undefined;
+  log.info({ memberId: replica.memberId, term }, 'standing for election');
+  const vote = await collectVotes(replica, findClient, { term, isPreVote: false });
+  const isWon = vote.isWon && replica.term === term && replica.role === MemberRole.Candidate;
+  return isWon ? term : giveUp(replica, vote.highestTerm);
+};
--- /dev/null
+++ b/src/process/replication/_lib/checkHeader/index.ts
@@ -0,0 +1,28 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import type { PeerHeader } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { PeerError, PeerErrorCode } from '../../../../connection/replication/PeerError/index.js';
+import type { Replica } from '../Replica/index.js';
+
+const refuse = (message: string): Result<never, PeerError> =>
+  err(new PeerError(PeerErrorCode.NotRun, message));
+
+/**
+ * Checks that a request comes from the same cluster and that this member can answer it.
+ *
+ * @returns the header; NotRun otherwise
+ */
+const checkHeader = (
+  replica: Replica,
+  header: PeerHeader | undefined,
+): Result<PeerHeader, PeerError> => {
+  if (!header) return refuse('the request has no header');
+  if (replica.failure) return refuse(`the storage of ${replica.memberId} has failed`);
+  if (replica.clusterId !== '' && replica.clusterId !== header.clusterId) {
+    return refuse(`${replica.memberId} belongs to another cluster`);
+  }
+  return ok(header);
+};
+
+export default checkHeader;
--- /dev/null
+++ b/src/process/replication/_lib/describeMembers/index.ts
@@ -0,0 +1,42 @@
+import { MemberRole } from '../../ControlLog/index.js';
+import type { MemberStatus } from '../../ControlLog/index.js';
+import type { Member } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { Leadership } from '../Leadership/index.js';
+import type { Replica } from '../Replica/index.js';
+
+const findRole = (replica: Replica, member: Member): MemberRole => {
+  if (member.memberId === replica.memberId) return replica.role;
+  if (member.memberId === replica.leaderId) return MemberRole.Leader;
+  return member.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
+};
+
+/**
+ * Returns the members as this member knows them. Only the leader knows how far the others are and
+ * whether they can be reached.
+ *
+ * @param replica - this member
+ * @param leadership - the term that this member leads, if it does
+ * @param isConfirmed - whether this member has heard from a leader within the lease
+ */
+const describeMembers = (
+  replica: Replica,
+  leadership: Leadership | undefined,
+  isConfirmed: boolean,
+): MemberStatus[] =>
+  replica.membership.members.map((member) => {
+    const { memberId, diskIdentity, address, isVoter } = member;
+    const isSelf = memberId === replica.memberId;
+    const peer = leadership?.peer(memberId);
+    const isConfirmedLeader = isConfirmed && memberId === replica.leaderId;
+    return {
+      memberId,
+      diskIdentity,
+      address,
+      isVoter,
+      role: findRole(replica, member),
+      matchIndex: isSelf ? replica.durableIndex : (peer?.matchIndex ?? 0),
+      isReachable: isSelf || (peer?.isReachable ?? isConfirmedLeader),
+    };
+  });
+
+export default describeMembers;
--- /dev/null
+++ b/src/process/replication/_lib/foundCluster/index.ts
@@ -0,0 +1,101 @@
+import { randomUUID } from 'node:crypto';
+
+import { create, toBinary } from '@bufbuild/protobuf';
+
+import {
+  DescribeRequestSchema,
+  LogChangeSchema,
+  MemberSchema,
+  MembershipSchema,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { Member } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { createLogger } from '../../../log/index.js';
+import { decodeEntry } from '../EntryLog/index.js';
+import type { Replica } from '../Replica/index.js';
+import type { FindClient } from '../campaign/index.js';
+
+const log = createLogger('replication');
+
+/** A control VM as the settings name it. */
+export interface InitialMember {
+  memberId: string;
+  /** host:port of its `listen` listener. */
+  address: string;
+}
+
+const FOUNDING_TERM = 1;
+
+/** Returns the member as a voter if its disk is unused. */
+const describeUnused = async (
+  replica: Replica,
+  initial: InitialMember,
+  findClient: FindClient,
+): Promise<Member | undefined> => {
+  const { memberId, address } = initial;
+  if (memberId === replica.memberId) {
+    const { diskIdentity } = replica;
+    return create(MemberSchema, { memberId, diskIdentity, address, isVoter: true });
+  }
+  const request = create(DescribeRequestSchema, { memberId: replica.memberId });
+  const described = await findClient(address).describe(
+    request,
+    replica.options.timings.peerTimeoutMs,
+  );
+  if (described.isErr()) return undefined;
+  const { value } = described;
+  if (value.memberId !== memberId) {
+    const found = value.memberId;
+    log.error({ memberId, found, address }, 'another member answers at this address');
+    return undefined;
+  }
+  if (value.clusterId !== '') {
+    log.info({ memberId, address }, 'a cluster exists already; waiting to be added to it');
+    return undefined;
+  }
+  const { diskIdentity } = value;
+  return create(MemberSchema, { memberId, diskIdentity, address, isVoter: true });
+};
+
+/**
+ * Founds the cluster if this is its first start: this member has the lowest name of all initial
+ * members, and every one of them has answered that its disk is unused. One founder, because two
+ * could choose different memberships; all members, because a single one that does not answer may
+ * hold the log of an existing cluster.
+ *
+ * @param replica - this member
+ * @param initialMembers - all members of the settings
+ * @param findClient - returns the connection to a peer
+ */
+export const foundCluster = async (
+  replica: Replica,
+  initialMembers: InitialMember[],
+  findClient: FindClient,
+): Promise<void> => {
+  const [founder] = initialMembers.map(({ memberId }) => memberId).toSorted();
+  if (founder !== replica.memberId || !replica.isUnused) return;
+  const described = await Promise.all(
+    initialMembers.map((initial) => describeUnused(replica, initial, findClient)),
+  );
+  const members = described.filter((member) => member !== undefined);
+  if (members.length < initialMembers.length) return;
+  await replica.queue.run(async () => {
+    if (!replica.isUnused) return;
+    const membership = create(MembershipSchema, { members, clusterId: randomUUID() });
+    const change = create(LogChangeSchema, { change: { case: 'membership', value: membership } });
+    const payload = toBinary(LogChangeSchema, change);
+    const entry = decodeEntry({ index: 1, term: FOUNDING_TERM, payload });
+    const appended = await replica.storage.append([entry]);
+    if (appended.isErr()) {
+      replica.fail(appended.error);
+      return;
+    }
+    replica.log.replaceFrom([entry]);
+    replica.markDurable();
+    await replica.saveHardState({ term: FOUNDING_TERM, clusterId: membership.clusterId });
+    replica.becomeFollower();
+    log.info(
+      { memberId: replica.memberId, clusterId: membership.clusterId, members: members.length },
+      'founded the cluster',
+    );
+  });
+};
--- /dev/null
+++ b/src/process/replication/_lib/handleAppend/index.ts
@@ -0,0 +1,136 @@
+import { create } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { AppendResponseSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type {
+  AppendRequest,
+  AppendResponse,
+  PeerHeader,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { PeerError, PeerErrorCode } from '../../../../connection/replication/PeerError/index.js';
+import { createLogger } from '../../../log/index.js';
+import { decodeEntry } from '../EntryLog/index.js';
+import type { LogEntry } from '../EntryLog/index.js';
+import type { Replica } from '../Replica/index.js';
+import checkHeader from '../checkHeader/index.js';
+
+const log = createLogger('replication');
+
+const respond = (
+  replica: Replica,
+  isAccepted: boolean,
+  matchIndex: number,
+): Result<AppendResponse, PeerError> =>
+  ok(
+    create(AppendResponseSchema, {
+      term: replica.term,
+      isAccepted,
+      matchIndex,
+      diskIdentity: replica.diskIdentity,
+    }),
+  );
+
+const refuse = (message: string, cause?: unknown): Result<never, PeerError> =>
+  err(new PeerError(PeerErrorCode.NotRun, message, cause));
+
+/** Follows the sender of a request as leader of its term and joins its cluster if in none. */
+export const followLeader = async (
+  replica: Replica,
+  header: PeerHeader,
+): Promise<Result<void, PeerError>> => {
+  if (replica.clusterId === '') {
+    const saved = await replica.saveHardState({ clusterId: header.clusterId });
+    if (saved.isErr()) return refuse(saved.error.message, saved.error);
+  }
+  const followed = await replica.follow(header.term, header.memberId);
+  if (followed.isErr()) return refuse(followed.error.message, followed.error);
+  replica.extendGuard();
+  return ok(undefined);
+};
+
+const decodeMissing = (replica: Replica, request: AppendRequest): LogEntry[] => {
+  const stored = request.entries.map(({ term, payload }, position) => ({
+    index: request.previousIndex + 1 + position,
+    term,
+    payload,
+  }));
+  const firstMissing = stored.findIndex(
+    ({ index, term }) => index > replica.log.baseIndex && replica.log.termAt(index) !== term,
+  );
+  return firstMissing === -1 ? [] : stored.slice(firstMissing).map(decodeEntry);
+};
+
+const appendMissing = async (
+  replica: Replica,
+  request: AppendRequest,
+): Promise<Result<void, PeerError>> => {
+  const missing = decodeMissing(replica, request);
+  const [first] = missing;
+  if (!first) return ok(undefined);
+  if (first.index <= replica.commitIndex) {
+    log.error(
+      { memberId: replica.memberId, index: first.index, commitIndex: replica.commitIndex },
+      'a leader contradicts a committed entry; its request is refused',
+    );
+    return refuse('the request contradicts a committed entry');
+  }
+  replica.log.replaceFrom(missing);
+  const appended = await replica.storage.append(missing);
+  if (appended.isErr()) {
+    replica.fail(appended.error);
+    return refuse(appended.error.message, appended.error);
+  }
+  replica.markDurable();
+  return ok(undefined);
+};
+
+/**
+ * Extends the time for which the newest version is known to be current. The leader wrote the
+ * request after it had the response to `answeredSequence`, so the rest of its lease counts from the
+ * sending of that response at the earliest.
+ */
+const confirm = (replica: Replica, request: AppendRequest): void => {
+  const answer = replica.answered.find(
+    ({ sequence, term }) => sequence === request.answeredSequence && term === replica.term,
+  );
+  if (!answer || replica.commitIndex < request.commitIndex) return;
+  replica.confirmUntil(answer.atMs + request.leaseRemainingMs);
+};
+
+const agreesBefore = (replica: Replica, request: AppendRequest): boolean =>
+  request.previousIndex < replica.log.baseIndex ||
+  replica.log.termAt(request.previousIndex) === request.previousTerm;
+
+/**
+ * Stores entries of the leader and answers once they are synced.
+ *
+ * @param replica - this member; call it within its queue
+ * @param request - entries or a heartbeat
+ */
+export const handleAppend = async (
+  replica: Replica,
+  request: AppendRequest,
+): Promise<Result<AppendResponse, PeerError>> => {
+  const checked = checkHeader(replica, request.header);
+  if (checked.isErr()) return err(checked.error);
+  const header = checked.value;
+  const isAddressed = header.targetDiskIdentity === replica.diskIdentity;
+  if (!isAddressed || header.term < replica.term) return respond(replica, false, 0);
+  const followed = await followLeader(replica, header);
+  if (followed.isErr()) return err(followed.error);
+  if (!agreesBefore(replica, request)) {
+    replica.rememberAnswer(request.sequence);
+    // What is committed agrees with every leader, so the leader can go on from there.
+    return respond(replica, false, replica.commitIndex);
+  }
+  const appended = await appendMissing(replica, request);
+  if (appended.isErr()) return err(appended.error);
+  const matchIndex = request.previousIndex + request.entries.length;
+  replica.commitTo(Math.min(request.commitIndex, matchIndex));
+  confirm(replica, request);
+  // A slow sync must not look like the silence of the leader.
+  replica.resetElectionDeadline();
+  replica.rememberAnswer(request.sequence);
+  return respond(replica, true, matchIndex);
+};
--- /dev/null
+++ b/src/process/replication/_lib/handleVote/index.ts
@@ -0,0 +1,72 @@
+import { create } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { VoteResponseSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type {
+  PeerHeader,
+  VoteRequest,
+  VoteResponse,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { PeerError, PeerErrorCode } from '../../../../connection/replication/PeerError/index.js';
+import type { Replica } from '../Replica/index.js';
+import checkHeader from '../checkHeader/index.js';
+
+const isUpToDate = (replica: Replica, request: VoteRequest): boolean => {
+  const { lastTerm, lastIndex } = replica.log;
+  if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm;
+  return request.lastIndex >= lastIndex;
+};
+
+/** Tells whether this member may still help a candidate: within a lease it may not. */
+const isGuarded = (replica: Replica): boolean => replica.readNowMs() < replica.guardUntilMs;
+
+const canVoteFor = (replica: Replica, header: PeerHeader): boolean =>
+  header.term > replica.term ||
+  (header.term === replica.term &&
+    (replica.votedFor === '' || replica.votedFor === header.diskIdentity));
+
+const respond = (replica: Replica, isGranted: boolean): Result<VoteResponse, PeerError> =>
+  ok(
+    create(VoteResponseSchema, {
+      term: replica.term,
+      isGranted,
+      diskIdentity: replica.diskIdentity,
+    }),
+  );
+
+const convertFailure = (error: Error): Result<never, PeerError> =>
+  err(new PeerError(PeerErrorCode.NotRun, error.message, error));
+
+/**
+ * Answers a candidate. A granted vote is stored before the answer.
+ *
+ * @param replica - this member; call it within its queue
+ * @param request - vote or pre-vote
+ */
+const handleVote = async (
+  replica: Replica,
+  request: VoteRequest,
+): Promise<Result<VoteResponse, PeerError>> => {
+  const checked = checkHeader(replica, request.header);
+  if (checked.isErr()) return err(checked.error);
+  const header = checked.value;
+  const isAddressed = header.targetDiskIdentity === replica.diskIdentity;
+  // A guarded member ignores even a higher term, so that a cut-off candidate disturbs nobody.
+  if (!isAddressed || isGuarded(replica)) return respond(replica, false);
+  const isGranted = canVoteFor(replica, header) && isUpToDate(replica, request);
+  if (request.isPreVote) return respond(replica, isGranted);
+  if (header.term > replica.term) {
+    const followed = await replica.follow(header.term, '');
+    if (followed.isErr()) return convertFailure(followed.error);
+  }
+  if (isGranted && replica.votedFor !== header.diskIdentity) {
+    const { clusterId } = header;
+    const saved = await replica.saveHardState({ votedFor: header.diskIdentity, clusterId });
+    if (saved.isErr()) return convertFailure(saved.error);
+  }
+  if (isGranted) replica.extendGuard();
+  return respond(replica, isGranted);
+};
+
+export default handleVote;
--- /dev/null
+++ b/src/process/replication/_lib/proposeChange/index.ts
@@ -0,0 +1,113 @@
+import { create } from '@bufbuild/protobuf';
+
+import { ForwardRequestSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { AcceptedVersion } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { PeerErrorCode } from '../../../../connection/replication/PeerError/index.js';
+import { ApplyOutcome } from '../../ControlLog/index.js';
+import type { ApplyResult } from '../../ControlLog/index.js';
+import { toHolder } from '../AcceptedVersions/index.js';
+import type { AttemptResult, Leadership } from '../Leadership/index.js';
+import type { Replica } from '../Replica/index.js';
+import type { FindClient } from '../campaign/index.js';
+import { settleChange } from '../settleChange/index.js';
+
+// Pause before the next attempt while no leader answers.
+const RETRY_MS = 50;
+
+const OUTCOMES: string[] = Object.values(ApplyOutcome);
+
+export interface ProposeContext {
+  replica: Replica;
+  findClient: FindClient;
+  findLeadership: () => Leadership | undefined;
+  isStopped: () => boolean;
+}
+
+const toOutcome = (text: string): ApplyOutcome =>
+  OUTCOMES.includes(text) ? (text as ApplyOutcome) : ApplyOutcome.Unknown;
+
+const forward = async (
+  context: ProposeContext,
+  change: AcceptedVersion,
+  deadlineMs: number,
+): Promise<AttemptResult> => {
+  const { replica } = context;
+  const leader = replica.membership.members.find(({ memberId }) => memberId === replica.leaderId);
+  if (!leader || leader.memberId === replica.memberId) return { mayRun: false };
+  const timeoutMs = Math.max(1, Math.floor(deadlineMs - replica.readNowMs()));
+  const header = replica.createHeader(leader.diskIdentity);
+  const request = create(ForwardRequestSchema, { header, change, timeoutMs });
+  const response = await context.findClient(leader.address).forward(request, timeoutMs);
+  if (response.isErr()) return { mayRun: response.error.code === PeerErrorCode.Unknown };
+  const { isLeader, message } = response.value;
+  if (!isLeader) return { mayRun: false };
+  const outcome = toOutcome(response.value.outcome);
+  if (outcome === ApplyOutcome.Unknown) return { mayRun: true };
+  const holder = response.value.holder ? toHolder(response.value.holder) : undefined;
+  return { result: { outcome, message, ...(holder && { holder }) }, mayRun: false };
+};
+
+const attempt = (
+  context: ProposeContext,
+  change: AcceptedVersion,
+  deadlineMs: number,
+): Promise<AttemptResult> => {
+  const leadership = context.findLeadership();
+  return leadership ? leadership.propose(change, deadlineMs) : forward(context, change, deadlineMs);
+};
+
+/** An earlier attempt of the same request has run when its answer was lost. */
+const creditOwnAttempt = (
+  result: ApplyResult,
+  change: AcceptedVersion,
+  mayHaveRun: boolean,
+): ApplyResult => {
+  const isOwn =
+    mayHaveRun &&
+    result.outcome === ApplyOutcome.AlreadyAccepted &&
+    result.holder?.requestId === change.requestId;
+  if (!isOwn) return result;
+  const message = `version ${change.version} was accepted`;
+  return { ...result, outcome: ApplyOutcome.Accepted, message };
+};
+
+const describeUndecided = (mayHaveRun: boolean, hasFailed: boolean): ApplyResult => {
+  if (mayHaveRun) {
+    const message = 'the outcome is not known; repeat the request with the same version';
+    return { outcome: ApplyOutcome.Unknown, message };
+  }
+  const reason = hasFailed ? 'the storage of this control VM has failed' : 'there is no leader';
+  return { outcome: ApplyOutcome.Unavailable, message: `${reason}; the request did not run` };
+};
+
+/**
+ * Has a change accepted by the leader, wherever it is, until the deadline. The same request may be
+ * attempted several times: the leader tells by number and content that it is the same.
+ *
+ * @param context - this member
+ * @param change - the change
+ * @param deadlineMs - monotonic time at which to give up
+ */
+export const proposeChange = async (
+  context: ProposeContext,
+  change: AcceptedVersion,
+  deadlineMs: number,
+): Promise<ApplyResult> => {
+  const { replica } = context;
+  let mayHaveRun = false;
+  let result: ApplyResult | undefined;
+  const isOpen = (): boolean =>
+    !result && !replica.failure && !context.isStopped() && replica.readNowMs() < deadlineMs;
+  while (isOpen()) {
+    const settled = settleChange(replica.versions, change);
+    const tried = settled
+      ? { result: settled, mayRun: false }
+      : await attempt(context, change, deadlineMs);
+    result = tried.result && creditOwnAttempt(tried.result, change, mayHaveRun);
+    mayHaveRun ||= tried.mayRun;
+    if (isOpen()) await replica.changed.wait(RETRY_MS);
+  }
+  const settled = result ?? settleChange(replica.versions, change);
+  if (settled) return creditOwnAttempt(settled, change, mayHaveRun);
+  return describeUndecided(mayHaveRun, replica.failure !== undefined);
+};
--- /dev/null
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -0,0 +1,169 @@
+import { create } from '@bufbuild/protobuf';
+
+import {
+  AppendRequestSchema,
+  SnapshotRequestSchema,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { createLogger } from '../../../log/index.js';
+import type { Leadership } from '../Leadership/index.js';
+import type PeerProgress from '../PeerProgress/index.js';
+import type { Replica } from '../Replica/index.js';
+
+const log = createLogger('replication');
+
+const MAX_BATCH_BYTES = 1024 * 1024;
+const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
+
+/** The fields common to all responses. */
+interface PeerResponse {
+  term: number;
+  diskIdentity: string;
+}
+
+const setReachable = (peer: PeerProgress, isReachable: boolean, reason: string): void => {
+  if (peer.isReachable !== isReachable) {
+    const message = isReachable ? 'control peer is reachable' : 'control peer is unreachable';
+    log.info({ peerId: peer.memberId, address: peer.address, reason }, message);
+  }
+  Object.assign(peer, { isReachable });
+};
+
+/** Tells whether the response is one of a follower in this term; adopts what else it says. */
+const checkResponse = async (
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+  response: PeerResponse,
+): Promise<boolean> => {
+  if (response.term > leadership.term) {
+    await replica.queue.run(async () => {
+      if (response.term > replica.term && !replica.failure) await replica.follow(response.term, '');
+    });
+    return false;
+  }
+  if (response.diskIdentity !== peer.diskIdentity) {
+    const { memberId: peerId } = peer;
+    log.warn(
+      { peerId, diskIdentity: response.diskIdentity, expected: peer.diskIdentity },
+      'control peer answers with another disk identity; it is replicated to as a non-voter',
+    );
+    peer.restart(response.diskIdentity);
+    return false;
+  }
+  return leadership.isActive && response.term === leadership.term;
+};
+
+const noteContact = (leadership: Leadership, peer: PeerProgress, sentAtMs: number): void => {
+  Object.assign(peer, { contactMs: Math.max(peer.contactMs, sentAtMs) });
+  leadership.noteContact();
+};
+
+const sendSnapshot = async (
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+): Promise<boolean> => {
+  const { lastIndex, lastTerm, payload } = replica.encodeSnapshot();
+  const totalBytes = payload.length;
+  let offsetBytes = 0;
+  let isAccepted = true;
+  log.info({ peerId: peer.memberId, lastIndex, totalBytes }, 'sending a snapshot');
+  do {
+    const chunk = payload.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
+    const header = replica.createHeader(peer.diskIdentity);
+    const sentAtMs = replica.readNowMs();
+    const response = await peer.client.installSnapshot(
+      create(SnapshotRequestSchema, {
+        header,
+        lastIndex,
+        lastTerm,
+        offsetBytes,
+        totalBytes,
+        chunk,
+      }),
+      replica.options.timings.peerTimeoutMs,
+    );
+    if (response.isErr()) {
+      setReachable(peer, false, response.error.message);
+      return false;
+    }
+    const isFollower = await checkResponse(leadership, replica, peer, response.value);
+    if (isFollower) noteContact(leadership, peer, sentAtMs);
+    isAccepted = isFollower && response.value.isAccepted;
+    offsetBytes += chunk.length;
+  } while (isAccepted && offsetBytes < totalBytes);
+  if (isAccepted) {
+    Object.assign(peer, { matchIndex: lastIndex, nextIndex: lastIndex + 1 });
+    leadership.advanceCommit();
+  }
+  return isAccepted;
+};
+
+const sendAppend = async (
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+): Promise<boolean> => {
+  const previousIndex = peer.nextIndex - 1;
+  const sequence = peer.sequence + 1;
+  const sentAtMs = replica.readNowMs();
+  const { commitIndex } = replica;
+  const remainingMs = leadership.isReady ? leadership.leaseUntilMs - sentAtMs : 0;
+  const request = create(AppendRequestSchema, {
+    header: replica.createHeader(peer.diskIdentity),
+    previousIndex,
+    previousTerm: replica.log.termAt(previousIndex) ?? 0,
+    entries: replica.log.batchFrom(peer.nextIndex, MAX_BATCH_BYTES),
+    commitIndex,
+    sequence,
+    answeredSequence: peer.answeredSequence,
+    leaseRemainingMs: Math.max(0, Math.floor(remainingMs)),
+  });
+  Object.assign(peer, { sequence });
+  const response = await peer.client.append(request, replica.options.timings.peerTimeoutMs);
+  if (response.isErr()) {
+    setReachable(peer, false, response.error.message);
+    return false;
+  }
+  setReachable(peer, true, '');
+  if (!(await checkResponse(leadership, replica, peer, response.value))) return false;
+  noteContact(leadership, peer, sentAtMs);
+  const { isAccepted, matchIndex } = response.value;
+  Object.assign(peer, { answeredSequence: sequence, nextIndex: matchIndex + 1 });
+  if (isAccepted) {
+    Object.assign(peer, { matchIndex, sentCommitIndex: Math.min(commitIndex, matchIndex) });
+    leadership.advanceCommit();
+  }
+  return true;
+};
+
+const hasNews = (replica: Replica, peer: PeerProgress): boolean =>
+  peer.nextIndex <= replica.log.lastIndex || peer.sentCommitIndex < replica.commitIndex;
+
+/**
+ * Keeps one peer up to date until the leadership ends: one request at a time, entries as they come,
+ * a heartbeat otherwise, a snapshot when the log no longer reaches back far enough.
+ *
+ * @param leadership - the term led
+ * @param replica - this member
+ * @param peer - what is known of the peer; updated
+ */
+const replicateToPeer = async (
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+): Promise<void> => {
+  const { heartbeatMs } = replica.options.timings;
+  while (leadership.isActive && !peer.isRemoved) {
+    const startedAtMs = replica.readNowMs();
+    const needsSnapshot = peer.nextIndex <= replica.log.baseIndex;
+    const isDone = needsSnapshot
+      ? await sendSnapshot(leadership, replica, peer)
+      : await sendAppend(leadership, replica, peer);
+    if (leadership.isActive && !(isDone && hasNews(replica, peer))) {
+      await peer.wake.wait(startedAtMs + heartbeatMs - replica.readNowMs());
+    }
+  }
+};
+
+export default replicateToPeer;
--- /dev/null
+++ b/stand-ins/FaultyPeerClient/index.ts
@@ -0,0 +1,98 @@
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import type {
+  AppendRequest,
+  AppendResponse,
+  DescribeRequest,
+  DescribeResponse,
+  ForwardRequest,
+  ForwardResponse,
+  SnapshotRequest,
+  SnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from '../../src/_generated/foxtailvane/v1/replication_pb.js';
+import PeerClient from '../../src/connection/replication/PeerClient/index.js';
+import { PeerError, PeerErrorCode } from '../../src/connection/replication/PeerError/index.js';
+
+/** What happens to requests of one kind on one link. */
+export enum LinkFault {
+  None = 'none',
+  /** The request does not arrive; its sender waits for the timeout. */
+  DropRequest = 'drop-request',
+  /** The request runs; its response does not arrive. */
+  DropResponse = 'drop-response',
+}
+
+export type FindFault = (kind: string) => LinkFault;
+
+const waitUntilTimeout = (timeoutMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, timeoutMs);
+  });
+
+/** A connection to a control peer whose requests or responses a test can drop. */
+export class FaultyPeerClient extends PeerClient {
+  readonly #client: PeerClient;
+
+  readonly #findFault: FindFault;
+
+  /**
+   * @param client - the real connection
+   * @param findFault - asked for each request and, once more, for each response
+   */
+  constructor(client: PeerClient, findFault: FindFault) {
+    super();
+    this.#client = client;
+    this.#findFault = findFault;
+  }
+
+  describe(
+    request: DescribeRequest,
+    timeoutMs: number,
+  ): Promise<Result<DescribeResponse, PeerError>> {
+    return this.#send('describe', timeoutMs, () => this.#client.describe(request, timeoutMs));
+  }
+
+  vote(request: VoteRequest, timeoutMs: number): Promise<Result<VoteResponse, PeerError>> {
+    return this.#send('vote', timeoutMs, () => this.#client.vote(request, timeoutMs));
+  }
+
+  append(request: AppendRequest, timeoutMs: number): Promise<Result<AppendResponse, PeerError>> {
+    return this.#send('append', timeoutMs, () => this.#client.append(request, timeoutMs));
+  }
+
+  installSnapshot(
+    request: SnapshotRequest,
+    timeoutMs: number,
+  ): Promise<Result<SnapshotResponse, PeerError>> {
+    return this.#send('snapshot', timeoutMs, () =>
+      this.#client.installSnapshot(request, timeoutMs),
+    );
+  }
+
+  forward(request: ForwardRequest, timeoutMs: number): Promise<Result<ForwardResponse, PeerError>> {
+    return this.#send('forward', timeoutMs, () => this.#client.forward(request, timeoutMs));
+  }
+
+  close(): void {
+    this.#client.close();
+  }
+
+  async #send<T>(
+    kind: string,
+    timeoutMs: number,
+    send: () => Promise<Result<T, PeerError>>,
+  ): Promise<Result<T, PeerError>> {
+    const lost = new PeerError(PeerErrorCode.Unknown, `${kind} was lost on a cut link`);
+    if (this.#findFault(kind) === LinkFault.DropRequest) {
+      await waitUntilTimeout(timeoutMs);
+      return err(lost);
+    }
+    const response = await send();
+    if (this.#findFault(kind) === LinkFault.None) return response;
+    await waitUntilTimeout(timeoutMs);
+    return err(lost);
+  }
+}
--- /dev/null
+++ b/stand-ins/controlCluster/index.ts
@@ -0,0 +1,288 @@
+/** Control VMs within one process, each with a connect-es server on loopback and a data folder. */
+import { createServer } from 'node:http2';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import { mkdtemp, rm } from 'node:fs/promises';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { create } from '@bufbuild/protobuf';
+
+import {
+  ConfigurationSchema,
+  ServiceSchema,
+} from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+import ConnectPeerClient from '../../src/connection/replication/ConnectPeerClient/index.js';
+import type { ConfigurationChange } from '../../src/process/replication/ControlLog/index.js';
+import { MemberRole } from '../../src/process/replication/ControlLog/index.js';
+import { ReplicatedLog } from '../../src/process/replication/ReplicatedLog/index.js';
+import type {
+  InitialMember,
+  ReplicatedLogOptions,
+} from '../../src/process/replication/ReplicatedLog/index.js';
+import readMonotonicNowMs from '../../src/process/replication/readMonotonicNowMs/index.js';
+import NodeFiles from '../../src/process/storage/NodeFiles/index.js';
+import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
+import FaultyFiles from '../FaultyFiles/index.js';
+import { FaultyPeerClient, LinkFault } from '../FaultyPeerClient/index.js';
+
+const POLL_MS = 10;
+
+/** Generator of numbers from 0 to 1 that repeats for the same seed (mulberry32). */
+export const createRandom = (seed: number): (() => number) => {
+  let state = Math.trunc(seed);
+  /* eslint-disable no-bitwise */
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+  /* eslint-enable no-bitwise */
+};
+
+/** Waits until a condition holds; rejects after the timeout. */
+export const waitUntil = async (
+  condition: () => boolean,
+  what: string,
+  timeoutMs = 30_000,
+): Promise<void> => {
+  const untilMs = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > untilMs) throw new Error(`timed out waiting until ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+};
+
+/** Builds a change whose content depends on the number of slots. */
+export const createChange = (
+  version: number,
+  slots: number,
+  options: { requestId?: string; operator?: string; serviceCount?: number } = {},
+): ConfigurationChange => {
+  const services = Array.from({ length: options.serviceCount ?? 1 }, (_, position) =>
+    create(ServiceSchema, { name: `order-desk-${position}`, timeoutMs: 500, slots }),
+  );
+  const contentHash = hashConfiguration({ services, routes: [] });
+  return {
+    requestId: options.requestId ?? `request-${version}-${slots}`,
+    operator: options.operator ?? 'operator-1',
+    configuration: create(ConfigurationSchema, { version, contentHash, services }),
+  };
+};
+
+interface Node {
+  memberId: string;
+  port: number;
+  dataFolder: string;
+  files: FaultyFiles;
+  server: Http2Server | undefined;
+  sessions: Set<ServerHttp2Session>;
+  log: ReplicatedLog | undefined;
+}
+
+export interface ControlClusterOptions extends ReplicatedLogOptions {
+  seed: number;
+  memberCount: number;
+}
+
+/** A number of control VMs that a test can stop, cut off and start again. */
+export class ControlCluster {
+  readonly #options: ControlClusterOptions;
+
+  readonly #nodes = new Map<string, Node>();
+
+  readonly #random: () => number;
+
+  #initialMembers: InitialMember[] = [];
+
+  #folder = '';
+
+  /** Decides what happens to a request between two members. */
+  findFault: (from: string, to: string, kind: string) => LinkFault = () => LinkFault.None;
+
+  private constructor(options: ControlClusterOptions) {
+    this.#options = options;
+    this.#random = createRandom(options.seed);
+  }
+
+  /** Prepares members named c1, c2 and so on, without starting them. */
+  static async create(options: ControlClusterOptions): Promise<ControlCluster> {
+    const cluster = new ControlCluster(options);
+    cluster.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-cluster-'));
+    const names = Array.from({ length: options.memberCount }, (_, position) => `c${position + 1}`);
+    await Promise.all(names.map((memberId) => cluster.#prepare(memberId)));
+    cluster.#initialMembers = names.map((memberId) => cluster.initialMember(memberId));
+    return cluster;
+  }
+
+  /** Prepares and starts members and waits for a leader that is ready. */
+  static async start(options: ControlClusterOptions): Promise<ControlCluster> {
+    const cluster = await ControlCluster.create(options);
+    await Promise.all(cluster.memberIds().map((memberId) => cluster.startMember(memberId)));
+    await cluster.waitForLeader();
+    return cluster;
+  }
+
+  memberIds(): string[] {
+    return [...this.#nodes.keys()];
+  }
+
+  initialMember(memberId: string): InitialMember {
+    return { memberId, address: `127.0.0.1:${this.#node(memberId).port}` };
+  }
+
+  log(memberId: string): ReplicatedLog {
+    const { log } = this.#node(memberId);
+    if (!log) throw new Error(`${memberId} is not running`);
+    return log;
+  }
+
+  files(memberId: string): FaultyFiles {
+    return this.#node(memberId).files;
+  }
+
+  dataFolder(memberId: string): string {
+    return this.#node(memberId).dataFolder;
+  }
+
+  isRunning(memberId: string): boolean {
+    return this.#node(memberId).log !== undefined;
+  }
+
+  /** Prepares a member that is not among the initial ones. */
+  async prepareMember(memberId: string): Promise<void> {
+    await this.#prepare(memberId);
+  }
+
+  async startMember(memberId: string): Promise<ReplicatedLog> {
+    const node = this.#node(memberId);
+    const { seed, memberCount, ...options } = this.#options;
+    const isInitial = this.#initialMembers.some((member) => member.memberId === memberId);
+    const initialMembers = isInitial
+      ? this.#initialMembers
+      : [...this.#initialMembers, this.initialMember(memberId)];
+    const opened = await ReplicatedLog.open(
+      { memberId, dataFolder: node.dataFolder, initialMembers },
+      {
+        random: this.#random,
+        files: node.files,
+        createClient: (address) => this.#createClient(memberId, address),
+        ...options,
+      },
+    );
+    if (opened.isErr()) throw opened.error;
+    node.log = opened.value;
+    await this.#listen(node, opened.value);
+    opened.value.start();
+    return opened.value;
+  }
+
+  /** Ends a member abruptly: its connections break and nothing is sent any more. */
+  async stopMember(memberId: string): Promise<void> {
+    const node = this.#node(memberId);
+    const { log, server } = node;
+    node.log = undefined;
+    node.server = undefined;
+    const closed = new Promise<void>((resolve) => {
+      if (server) server.close(() => resolve());
+      else resolve();
+    });
+    node.sessions.forEach((session) => session.destroy());
+    await log?.stop();
+    await closed;
+  }
+
+  /** Ends a member and removes its data folder. */
+  async loseDisk(memberId: string): Promise<void> {
+    await this.stopMember(memberId);
+    await rm(this.#node(memberId).dataFolder, { recursive: true, force: true });
+  }
+
+  /** Returns the member that leads with a valid lease, if there is one. */
+  findLeader(): string | undefined {
+    return this.memberIds().find((memberId) => {
+      const { log } = this.#node(memberId);
+      const nowMs = readMonotonicNowMs();
+      if (!log?.isConfirmed(nowMs)) return false;
+      const self = log.members(nowMs).find((member) => member.memberId === memberId);
+      return self?.role === MemberRole.Leader;
+    });
+  }
+
+  async waitForLeader(except: string[] = []): Promise<string> {
+    let leader: string | undefined;
+    await waitUntil(() => {
+      leader = this.findLeader();
+      return leader !== undefined && !except.includes(leader);
+    }, 'there is a leader');
+    return leader ?? '';
+  }
+
+  /** Cuts all links between the members given and the others, in both directions. */
+  isolate(memberIds: string[]): void {
+    this.findFault = (from, to) =>
+      memberIds.includes(from) === memberIds.includes(to) ? LinkFault.None : LinkFault.DropRequest;
+  }
+
+  heal(): void {
+    this.findFault = () => LinkFault.None;
+  }
+
+  /** Stops all members and removes their data folders. */
+  async close(): Promise<void> {
+    this.heal();
+    await Promise.all(this.memberIds().map((memberId) => this.stopMember(memberId)));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  #node(memberId: string): Node {
+    const node = this.#nodes.get(memberId);
+    if (!node) throw new Error(`there is no member ${memberId}`);
+    return node;
+  }
+
+  async #prepare(memberId: string): Promise<void> {
+    // Lets the system choose a free port, which the member keeps over restarts.
+    const probe = createServer();
+    await new Promise<void>((resolve) => {
+      probe.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = probe.address() as AddressInfo;
+    await new Promise((resolve) => {
+      probe.close(resolve);
+    });
+    this.#nodes.set(memberId, {
+      memberId,
+      port,
+      dataFolder: join(this.#folder, memberId),
+      files: new FaultyFiles(new NodeFiles()),
+      server: undefined,
+      sessions: new Set(),
+      log: undefined,
+    });
+  }
+
+  async #listen(node: Node, log: ReplicatedLog): Promise<void> {
+    const server = createServer(connectNodeAdapter({ routes: (router) => log.register(router) }));
+    server.on('session', (session) => {
+      node.sessions.add(session);
+      session.on('close', () => node.sessions.delete(session));
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(node.port, '127.0.0.1', resolve);
+    });
+    Object.assign(node, { server });
+  }
+
+  #createClient(from: string, address: string): FaultyPeerClient {
+    const to = this.memberIds().find((id) => this.initialMember(id).address === address) ?? '';
+    return new FaultyPeerClient(new ConnectPeerClient(address), (kind) =>
+      this.findFault(from, to, kind),
+    );
+  }
+}
