Forward requests over two hops and take server announcements

Adds the entry handler (listen), the owner handler (forward_listen), the local servers with leases and exact slots, and the announcement routes. A request counts as possibly run from the moment its headers are handed to the socket; a refusal marked by a node and a failed connection count as not run and are placed on another server.

--- /dev/null
+++ b/src/connection/UpstreamCall/index.ts
@@ -0,0 +1,243 @@
+import { err, ok } from 'neverthrow';
+
+import type { ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Result } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import { copyHeaders } from '../copyHeaders/index.js';
+import { CallError, CallErrorCode } from '../CallError/index.js';
+
+const EARLY_HINTS = 103;
+const FIRST_FINAL_STATUS = 200;
+const SERVICE_UNAVAILABLE = 503;
+const MS_PER_SECOND = 1_000;
+
+/** What an upstream is asked for. */
+export interface UpstreamRequest {
+  method: string;
+  /** Path with query. */
+  path: string;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Buffer | Readable | null;
+}
+
+/** Head of a final response, before it is passed on. */
+export interface ResponseHead {
+  statusCode: number;
+  /** Names and values in turn, without internal and connection headers. */
+  headers: string[];
+  /** Internal headers of the upstream; undefined when there are none. */
+  internal: Map<string, string> | undefined;
+}
+
+/** A response that was passed on completely. */
+export interface CallSummary {
+  statusCode: number;
+}
+
+export interface UpstreamCallOptions {
+  /**
+   * Called with the head of a response before it is passed on; may add headers to it.
+   *
+   * @returns false to withhold the response from the caller
+   */
+  onHead?: (head: ResponseHead) => boolean;
+  /** True when the upstream is a node, whose internal headers are trusted. */
+  isNode: boolean;
+}
+
+const decodeHeaders = (raw: Buffer[]): string[] => raw.map((part) => part.toString('latin1'));
+
+const parseRetryAfterMs = (headers: string[]): number | undefined => {
+  const index = headers.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'retry-after',
+  );
+  const seconds = index < 0 ? Number.NaN : Number(headers[index + 1]);
+  return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
+};
+
+/**
+ * One request to one upstream, whose response is streamed to the caller.
+ *
+ * The request counts as possibly run from the moment its headers are handed to the socket.
+ */
+export class UpstreamCall implements Dispatcher.DispatchHandler {
+  readonly #response: ServerResponse;
+
+  readonly #options: UpstreamCallOptions;
+
+  #settle: (result: Result<CallSummary, CallError>) => void = () => undefined;
+
+  #isSettled = false;
+
+  #isWritten = false;
+
+  #isHeadPassed = false;
+
+  #isWithheld = false;
+
+  #hasBody = false;
+
+  #withheld: CallError | undefined;
+
+  #statusCode = 0;
+
+  #cancelReason: string | undefined;
+
+  #abort: ((error?: Error) => void) | undefined;
+
+  #resume: (() => void) | undefined;
+
+  constructor(response: ServerResponse, options: UpstreamCallOptions) {
+    this.#response = response;
+    this.#options = options;
+  }
+
+  /** Tells whether a byte of the request may have been written. */
+  get isWritten(): boolean {
+    return this.#isWritten;
+  }
+
+  /**
+   * Sends the request and streams the response.
+   *
+   * @param dispatcher - pool of the upstream
+   * @param request - request without connection headers
+   * @returns the status passed on, or what is known about a failure
+   */
+  send(dispatcher: Dispatcher, request: UpstreamRequest): Promise<Result<CallSummary, CallError>> {
+    return new Promise((resolve) => {
+      this.#settle = resolve;
+      try {
+        dispatcher.dispatch(request, this);
+      } catch (error) {
+        this.onError(error as Error);
+      }
+    });
+  }
+
+  /**
+   * Gives the call up; its connection is closed if the request was written.
+   *
+   * @param reason - for the error
+   */
+  cancel(reason: string): void {
+    if (this.#isSettled) return;
+    this.#cancelReason = reason;
+    if (this.#abort) this.#abort(new Error(reason));
+    else this.onError(new Error(reason));
+  }
+
+  /** Called by undici immediately before it writes the request. */
+  onConnect(abort: (error?: Error) => void): void {
+    if (this.#isSettled) {
+      abort();
+      return;
+    }
+    this.#abort = abort;
+    this.#isWritten = true;
+  }
+
+  /** Called by undici for each response head, including informational ones. */
+  onHeaders(statusCode: number, raw: Buffer[], resume: () => void): boolean {
+    if (statusCode < FIRST_FINAL_STATUS) {
+      this.#passInformation(statusCode, raw);
+      return true;
+    }
+    this.#resume = resume;
+    this.#statusCode = statusCode;
+    const copied = copyHeaders(decodeHeaders(raw), { isRequest: false });
+    const internal = this.#options.isNode ? copied.internal : undefined;
+    const head: ResponseHead = { statusCode, headers: copied.headers, internal };
+    this.#withheld = this.#findRefusal(head);
+    this.#isWithheld = this.#withheld !== undefined || !(this.#options.onHead?.(head) ?? true);
+    if (this.#isWithheld) return true;
+    this.#isHeadPassed = true;
+    this.#response.writeHead(statusCode, head.headers);
+    queueMicrotask(() => this.#flushHead());
+    return true;
+  }
+
+  /** Called by undici for each part of the body; false pauses the upstream. */
+  onData(chunk: Buffer): boolean {
+    if (this.#isWithheld) return true;
+    this.#hasBody = true;
+    if (this.#response.write(chunk)) return true;
+    const resume = this.#resume;
+    this.#response.once('drain', () => resume?.());
+    return false;
+  }
+
+  /** Called by undici when the response is complete. */
+  onComplete(trailers: unknown): void {
+    if (this.#withheld) {
+      this.#finish(err(this.#withheld));
+      return;
+    }
+    if (!this.#isWithheld) this.#end(trailers as Buffer[] | null);
+    this.#finish(ok({ statusCode: this.#statusCode }));
+  }
+
+  /** Called by undici when the request failed. */
+  onError(error: Error): void {
+    if (this.#withheld) {
+      this.#finish(err(this.#withheld));
+      return;
+    }
+    this.#finish(err(this.#toCallError(error)));
+  }
+
+  /** Sends a head whose body has not arrived yet, so that the caller need not wait for both. */
+  #flushHead(): void {
+    if (!this.#hasBody && !this.#isSettled && !this.#response.destroyed) {
+      this.#response.flushHeaders();
+    }
+  }
+
+  #finish(result: Result<CallSummary, CallError>): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    this.#settle(result);
+  }
+
+  #toCallError(cause: Error): CallError {
+    const options = { isWritten: this.#isWritten, cause };
+    if (this.#cancelReason !== undefined) {
+      return new CallError(CallErrorCode.Cancelled, this.#cancelReason, options);
+    }
+    if (!this.#isWritten) return new CallError(CallErrorCode.NotWritten, cause.message, options);
+    if (this.#isHeadPassed) return new CallError(CallErrorCode.Truncated, cause.message, options);
+    return new CallError(CallErrorCode.NoResponse, cause.message, options);
+  }
+
+  #findRefusal(head: ResponseHead): CallError | undefined {
+    if (head.statusCode !== SERVICE_UNAVAILABLE) return undefined;
+    if (head.internal?.get('foxtailvane-outcome') !== 'not-run') return undefined;
+    const reason = head.internal.get('foxtailvane-reason') ?? 'refused';
+    return new CallError(CallErrorCode.Refused, reason, {
+      isWritten: true,
+      retryAfterMs: parseRetryAfterMs(head.headers),
+    });
+  }
+
+  #passInformation(statusCode: number, raw: Buffer[]): void {
+    if (statusCode !== EARLY_HINTS) return;
+    const headers = decodeHeaders(raw);
+    const links = headers.filter(
+      (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'link',
+    );
+    if (links.length > 0) this.#response.writeEarlyHints({ link: links });
+  }
+
+  #end(trailers: Buffer[] | null): void {
+    if (trailers && trailers.length > 0) {
+      const copied = copyHeaders(decodeHeaders(trailers), { isRequest: false }).headers;
+      const pairs = copied.flatMap((name, index): [string, string][] =>
+        index % 2 === 0 ? [[name, copied[index + 1] ?? '']] : [],
+      );
+      this.#response.addTrailers(pairs);
+    }
+    this.#response.end();
+  }
+}
--- /dev/null
+++ b/src/connection/copyHeaders/index.ts
@@ -0,0 +1,72 @@
+/** Header rules at each hop: what is passed on, what is dropped and what is refused. */
+
+/** Prefix of the headers that nodes use between each other. */
+export const INTERNAL_PREFIX = 'foxtailvane-';
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Answered or framed by this node itself. */
+const OWN_REQUEST_HEADERS = new Set(['expect', 'trailer', 'http2-settings']);
+
+/** Names in a Connection header that a message cannot do without, so they are kept. */
+const NOT_REMOVABLE = new Set(['host', 'content-length', 'idempotency-key', 'authorization']);
+
+const parseConnectionTokens = (value: string): string[] =>
+  value
+    .toLowerCase()
+    .split(',')
+    .map((token) => token.trim())
+    .filter((token) => token !== '' && !NOT_REMOVABLE.has(token));
+
+/** The header lines of one message. */
+export interface CopiedHeaders {
+  /** Names and values in turn, for the next hop. */
+  headers: string[];
+  /** Values of the internal headers by lower-case name; undefined when there are none. */
+  internal: Map<string, string> | undefined;
+}
+
+const isKeptValue = (name: string, value: string): boolean =>
+  name === 'connection' && value !== 'close' && value !== 'keep-alive';
+
+/**
+ * Copies the header lines that the next hop receives.
+ *
+ * @param raw - names and values in turn
+ * @param options - `isRequest`: drops `expect` and `trailer` too
+ * @returns the lines to pass on, and the internal headers apart
+ */
+export const copyHeaders = (raw: string[], options: { isRequest: boolean }): CopiedHeaders => {
+  const headers: string[] = [];
+  const connectionTokens: string[] = [];
+  let internal: Map<string, string> | undefined;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const line = raw[index] ?? '';
+    const value = raw[index + 1] ?? '';
+    const name = line.toLowerCase();
+    if (HOP_BY_HOP.has(name)) {
+      if (isKeptValue(name, value)) connectionTokens.push(...parseConnectionTokens(value));
+    } else if (name.startsWith(INTERNAL_PREFIX)) {
+      internal ??= new Map();
+      internal.set(name, value);
+    } else if (!options.isRequest || !OWN_REQUEST_HEADERS.has(name)) {
+      headers.push(line, value);
+    }
+  }
+  if (connectionTokens.length === 0) return { headers, internal };
+  const named = new Set(connectionTokens);
+  const kept = headers.filter(
+    (_, index) => !named.has((headers[index - (index % 2)] ?? '').toLowerCase()),
+  );
+  return { headers: kept, internal };
+};
--- /dev/null
+++ b/src/process/localServers/LocalServers/index.ts
@@ -0,0 +1,249 @@
+import { create } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import {
+  NodeRecordSchema,
+  ServerSchema,
+  ServerState,
+} from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { createLogger } from '../../log/index.js';
+import { AnnouncementError, AnnouncementErrorCode } from '../AnnouncementError/index.js';
+import { SlotGate } from '../SlotGate/index.js';
+import { AnnouncedState } from '../_lib/parseAnnouncement.js';
+
+import type { NodeRecord, Server } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { Announcement } from '../_lib/parseAnnouncement.js';
+
+const DEFAULT_LEASE_MS = 3_000;
+/** Bounds the record that every node of the data centre holds. */
+const MAX_SERVERS = 64;
+
+const log = createLogger('local-servers');
+
+const STATES: Record<AnnouncedState, ServerState> = {
+  [AnnouncedState.Starting]: ServerState.STARTING,
+  [AnnouncedState.Serving]: ServerState.SERVING,
+  [AnnouncedState.Draining]: ServerState.DRAINING,
+};
+
+/** A server beside this node, with its slots. */
+export interface LocalServer {
+  server: Server;
+  leaseEndsAtMs: number;
+  readonly gate: SlotGate;
+}
+
+export interface LocalServersOptions {
+  nodeId: string;
+  dataCentre: string;
+  /** Start time of the node process in milliseconds since the epoch. */
+  incarnation: bigint;
+  /** Time without a renewal after which a server is removed. */
+  leaseMs?: number;
+}
+
+type RecordListener = (record: NodeRecord) => void;
+
+const isSameServer = (left: Server, right: Server): boolean =>
+  left.service === right.service &&
+  left.address === right.address &&
+  left.directAddress === right.directAddress &&
+  left.slots === right.slots &&
+  left.connections === right.connections &&
+  left.state === right.state &&
+  left.servingSinceMs === right.servingSinceMs;
+
+/**
+ * The backend servers that announced themselves to this node, and the node record made of them.
+ *
+ * @example
+ * const servers = new LocalServers({ nodeId: 'n1', dataCentre: 'a', incarnation: 1n });
+ * servers.announce('desk-1', announcement, Date.now());
+ */
+export class LocalServers {
+  readonly leaseMs: number;
+
+  readonly #servers = new Map<string, LocalServer>();
+
+  /** Gates of removed servers whose requests still run, so that their slots stay counted. */
+  readonly #retiredGates = new Map<string, SlotGate>();
+
+  readonly #listeners = new Set<RecordListener>();
+
+  #record: NodeRecord;
+
+  constructor(options: LocalServersOptions) {
+    this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
+    this.#record = create(NodeRecordSchema, {
+      nodeId: options.nodeId,
+      dataCentre: options.dataCentre,
+      incarnation: options.incarnation,
+      sequence: 1,
+    });
+  }
+
+  /** Returns the present record of this node; a changed record is a new object. */
+  record(): NodeRecord {
+    return this.#record;
+  }
+
+  /** Calls the listener for each new record; returns the unsubscriber. */
+  onChanged(listener: RecordListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Returns the server of that name, if it is announced. */
+  find(serverId: string): LocalServer | undefined {
+    return this.#servers.get(serverId);
+  }
+
+  /** Returns all announced servers. */
+  list(): LocalServer[] {
+    return [...this.#servers.values()];
+  }
+
+  get isDraining(): boolean {
+    return this.#record.draining;
+  }
+
+  /**
+   * Sets the addresses that other nodes use.
+   *
+   * @param addresses - `host:port` of `forward_listen` and `peer_listen`
+   */
+  setAddresses(addresses: { forwardAddress: string; peerAddress: string }): void {
+    this.#publish(addresses);
+  }
+
+  /**
+   * Accepts or renews the announcement of a server.
+   *
+   * @param serverId - name of the server, unique on this node
+   * @param announcement - checked announcement
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns an error when the node drains or holds too many servers
+   */
+  announce(
+    serverId: string,
+    announcement: Announcement,
+    nowMs: number,
+  ): Result<void, AnnouncementError> {
+    const known = this.#servers.get(serverId);
+    if (!known && this.isDraining) {
+      return err(
+        new AnnouncementError(AnnouncementErrorCode.NodeDraining, 'the node beside is draining'),
+      );
+    }
+    if (!known && this.#servers.size >= MAX_SERVERS) {
+      const message = `the node holds ${MAX_SERVERS} servers already`;
+      return err(new AnnouncementError(AnnouncementErrorCode.TooManyServers, message));
+    }
+    const server = this.#toServer(serverId, announcement, known?.server, nowMs);
+    const leaseEndsAtMs = nowMs + this.leaseMs;
+    if (!known) {
+      const gate = this.#takeGate(server, nowMs);
+      this.#servers.set(serverId, { server, leaseEndsAtMs, gate });
+      this.#publish();
+      return ok();
+    }
+    known.leaseEndsAtMs = leaseEndsAtMs;
+    if (!isSameServer(known.server, server)) {
+      const hasNewSlots = known.server.slots !== server.slots;
+      known.server = server;
+      if (hasNewSlots) known.gate.setSlots(server.slots, nowMs);
+      this.#publish();
+    }
+    return ok();
+  }
+
+  /**
+   * Removes a server at once.
+   *
+   * @returns an error when no such server is announced
+   */
+  withdraw(serverId: string): Result<void, AnnouncementError> {
+    if (!this.#remove(serverId)) {
+      const message = `no server "${serverId}" is announced`;
+      return err(new AnnouncementError(AnnouncementErrorCode.UnknownServer, message, 'serverId'));
+    }
+    this.#publish();
+    return ok();
+  }
+
+  /**
+   * Removes the servers whose lease has ended.
+   *
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns names of the removed servers
+   */
+  expire(nowMs: number): string[] {
+    const expired = [...this.#servers]
+      .filter(([, entry]) => entry.leaseEndsAtMs <= nowMs)
+      .map(([serverId]) => serverId);
+    expired.forEach((serverId) => {
+      log.warn({ serverId, leaseMs: this.leaseMs }, 'server removed: announcement not renewed');
+      this.#remove(serverId);
+    });
+    if (expired.length > 0) this.#publish();
+    return expired;
+  }
+
+  /** Marks the node as draining; no server beside it is chosen any more. */
+  drain(): void {
+    if (!this.isDraining) this.#publish({ draining: true });
+  }
+
+  #remove(serverId: string): boolean {
+    const entry = this.#servers.get(serverId);
+    if (!entry) return false;
+    entry.gate.close();
+    if (entry.gate.used > 0) this.#retiredGates.set(entry.server.address, entry.gate);
+    return this.#servers.delete(serverId);
+  }
+
+  #takeGate(server: Server, nowMs: number): SlotGate {
+    [...this.#retiredGates]
+      .filter(([, gate]) => gate.used === 0)
+      .forEach(([address]) => this.#retiredGates.delete(address));
+    const retired = this.#retiredGates.get(server.address);
+    if (!retired) return new SlotGate({ slots: server.slots });
+    this.#retiredGates.delete(server.address);
+    retired.open();
+    retired.setSlots(server.slots, nowMs);
+    return retired;
+  }
+
+  #toServer(
+    serverId: string,
+    announcement: Announcement,
+    previous: Server | undefined,
+    nowMs: number,
+  ): Server {
+    const state = STATES[announcement.state];
+    const keepsServing =
+      previous?.state === ServerState.SERVING && previous.address === announcement.address;
+    const servingSinceMs = keepsServing ? previous.servingSinceMs : BigInt(nowMs);
+    return create(ServerSchema, {
+      serverId,
+      service: announcement.service,
+      address: announcement.address,
+      directAddress: announcement.directAddress ?? '',
+      slots: announcement.slots,
+      connections: announcement.connections,
+      state,
+      servingSinceMs: state === ServerState.SERVING ? servingSinceMs : 0n,
+    });
+  }
+
+  #publish(change: Partial<Omit<NodeRecord, '$typeName'>> = {}): void {
+    this.#record = create(NodeRecordSchema, {
+      ...this.#record,
+      ...change,
+      sequence: this.#record.sequence + 1,
+      servers: [...this.#servers.values()].map((entry) => entry.server),
+    });
+    this.#listeners.forEach((listener) => listener(this.#record));
+  }
+}
--- /dev/null
+++ b/src/process/localServers/LocalServers/test.ts
@@ -0,0 +1,68 @@
+import tap from 'tap';
+
+import { ServerState } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { AnnouncedState } from '../_lib/parseAnnouncement.js';
+import { LocalServers } from './index.js';
+
+import type { Announcement } from '../_lib/parseAnnouncement.js';
+
+const START_MS = 1_000_000;
+const LEASE_MS = 3_000;
+
+const desk: Announcement = {
+  service: 'order-desk',
+  address: '127.0.0.1:9001',
+  slots: 1,
+  connections: 130,
+  state: AnnouncedState.Serving,
+};
+
+const open = () =>
+  new LocalServers({ nodeId: 'n1', dataCentre: 'a', incarnation: 1n, leaseMs: LEASE_MS });
+
+const demand = { deadlineMs: START_MS + 60_000, isRetry: false, isSlow: false };
+
+tap.test('a server whose lease ends is removed; a renewed one stays', async (t) => {
+  const servers = open();
+  servers.announce('desk-1', desk, START_MS);
+  servers.announce('desk-2', { ...desk, address: '127.0.0.1:9002' }, START_MS);
+  servers.announce('desk-2', { ...desk, address: '127.0.0.1:9002' }, START_MS + 1_000);
+  t.strictSame(servers.expire(START_MS + LEASE_MS - 1), []);
+  t.strictSame(servers.expire(START_MS + LEASE_MS), ['desk-1']);
+  t.equal(servers.record().servers.length, 1);
+});
+
+tap.test('a renewal without a change costs no update to other nodes', async (t) => {
+  const servers = open();
+  servers.announce('desk-1', desk, START_MS);
+  const { sequence } = servers.record();
+  let updates = 0;
+  servers.onChanged(() => {
+    updates += 1;
+  });
+  servers.announce('desk-1', desk, START_MS + 1_000);
+  t.equal(updates, 0);
+  servers.announce('desk-1', { ...desk, state: AnnouncedState.Draining }, START_MS + 2_000);
+  t.equal(updates, 1);
+  t.equal(servers.record().sequence, sequence + 1);
+  t.equal(servers.record().servers[0]?.state, ServerState.DRAINING);
+});
+
+tap.test('slow start begins when a server begins to serve, not at each renewal', async (t) => {
+  const servers = open();
+  servers.announce('desk-1', { ...desk, state: AnnouncedState.Starting }, START_MS);
+  servers.announce('desk-1', desk, START_MS + 500);
+  servers.announce('desk-1', desk, START_MS + 1_500);
+  t.equal(servers.record().servers[0]?.servingSinceMs, BigInt(START_MS + 500));
+});
+
+tap.test('requests that outlive a lease keep their slot when the server returns', async (t) => {
+  const servers = open();
+  servers.announce('desk-1', desk, START_MS);
+  const before = servers.find('desk-1');
+  before?.gate.admit(demand, START_MS, () => undefined);
+  servers.expire(START_MS + LEASE_MS);
+  servers.announce('desk-1', desk, START_MS + LEASE_MS + 1);
+  const after = servers.find('desk-1');
+  t.equal(after?.gate.used, 1);
+});
--- /dev/null
+++ b/src/process/localServers/createLocalServerRoutes/index.ts
@@ -0,0 +1,70 @@
+import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+
+import { AnnouncementErrorCode } from '../AnnouncementError/index.js';
+import { parseAnnouncement } from '../_lib/parseAnnouncement.js';
+
+import type { AnnouncementError } from '../AnnouncementError/index.js';
+import type { LocalServers } from '../LocalServers/index.js';
+
+const MAX_BODY_BYTES = 16_384;
+
+const STATUS_OF = {
+  [AnnouncementErrorCode.InvalidField]: 400,
+  [AnnouncementErrorCode.UnknownServer]: 404,
+  [AnnouncementErrorCode.TooManyServers]: 429,
+  [AnnouncementErrorCode.NodeDraining]: 503,
+} as const;
+
+const describe = (error: AnnouncementError) => ({
+  code: error.code,
+  message: error.message,
+  ...(error.field === undefined ? {} : { field: error.field }),
+});
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+export interface LocalServerRoutesOptions {
+  /** Reads the clock, in milliseconds since the epoch. */
+  getNowMs?: () => number;
+}
+
+/**
+ * Creates the routes that backend servers announce themselves on; mounted on `local_listen`.
+ *
+ * @param localServers - receives the announcements
+ * @param options - clock
+ *
+ * @example
+ * const app = new Hono().route('/', createLocalServerRoutes(localServers));
+ */
+export const createLocalServerRoutes = (
+  localServers: LocalServers,
+  options: LocalServerRoutesOptions = {},
+): Hono => {
+  const getNowMs = options.getNowMs ?? Date.now;
+  const app = new Hono();
+  app.put('/v1/servers/:serverId', bodyLimit({ maxSize: MAX_BODY_BYTES }), async (context) => {
+    const serverId = context.req.param('serverId');
+    const result = parseAnnouncement(serverId, parseJson(await context.req.text())).andThen(
+      (announcement) => localServers.announce(serverId, announcement, getNowMs()),
+    );
+    return result.match(
+      () => context.json({ leaseMs: localServers.leaseMs }),
+      (error) => context.json(describe(error), STATUS_OF[error.code]),
+    );
+  });
+  app.delete('/v1/servers/:serverId', (context) =>
+    localServers.withdraw(context.req.param('serverId')).match(
+      () => context.body(null, 204),
+      (error) => context.json(describe(error), STATUS_OF[error.code]),
+    ),
+  );
+  return app;
+};
--- /dev/null
+++ b/src/request/RequestServer/index.ts
@@ -0,0 +1,182 @@
+import { createServer as createHttpServer } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
+import { EntryHandler } from '../_lib/EntryHandler.js';
+import LocalCaller from '../_lib/LocalCaller.js';
+import OwnerHandler from '../_lib/OwnerHandler.js';
+import { RoundRobinSelector } from '../selectServer/index.js';
+
+import type { TlsMaterial } from '../../connection/openTransport/index.js';
+import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
+import type { ServerSelector } from '../selectServer/index.js';
+
+export type { RequestDirectory };
+
+const MAX_HEADER_BYTES = 32_768;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const DRAIN_POLL_MS = 10;
+/** Within this time the draining record reaches every node of the data centre. */
+const DEFAULT_DRAIN_GRACE_MS = 2_000;
+const MAINTENANCE_INTERVAL_MS = 250;
+
+export interface RequestServerOptions
+  extends
+    Omit<RequestContext, 'random' | 'getNowMs'>,
+    Partial<Pick<RequestContext, 'random' | 'getNowMs'>> {
+  /** `host:port` for callers. */
+  listen: string;
+  /** `host:port` for other nodes. */
+  forwardListen: string;
+  /** Set when `[tls]` is configured: mutual TLS on `forwardListen`. */
+  tls?: TlsMaterial;
+  selector?: ServerSelector;
+  /** Time during which a draining node still takes new requests. */
+  drainGraceMs?: number;
+}
+
+/** `host:port` on which the listeners are bound. */
+export interface RequestAddresses {
+  listen: string;
+  forwardListen: string;
+}
+
+const listenOn = (server: Server, address: string): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const colon = address.lastIndexOf(':');
+    const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+    server.once('error', reject);
+    server.listen({ host, port: Number(address.slice(colon + 1)) }, () => {
+      server.off('error', reject);
+      const bound = server.address() as AddressInfo;
+      resolve(`${address.slice(0, colon)}:${bound.port}`);
+    });
+  });
+
+const closeServer = (server: Server): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+  });
+
+const delay = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/**
+ * The request path of a node: the listener for callers and the listener for other nodes.
+ *
+ * @example
+ * const server = new RequestServer(options);
+ * const { listen } = await server.start();
+ * await server.drain();
+ * await server.stop();
+ */
+export class RequestServer {
+  readonly #options: RequestServerOptions;
+
+  readonly #context: RequestContext;
+
+  readonly #entry: Server;
+
+  readonly #owner: Server;
+
+  readonly #serverPools = new UpstreamPools();
+
+  readonly #nodePools: UpstreamPools;
+
+  #inFlight = 0;
+
+  #isDraining = false;
+
+  #maintenance: NodeJS.Timeout | undefined;
+
+  constructor(options: RequestServerOptions) {
+    this.#options = options;
+    this.#context = {
+      ...options,
+      random: options.random ?? Math.random,
+      getNowMs: options.getNowMs ?? Date.now,
+    };
+    this.#nodePools = new UpstreamPools({ tls: options.tls });
+    const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
+    const entry = new EntryHandler(this.#context, {
+      localCaller,
+      nodePools: this.#nodePools,
+      selector: options.selector ?? new RoundRobinSelector(),
+    });
+    const owner = new OwnerHandler(this.#context, localCaller);
+    this.#entry = this.#createServer((request, response) => entry.handle(request, response));
+    this.#owner = this.#createServer(
+      (request, response) => owner.handle(request, response),
+      options.tls,
+    );
+  }
+
+  /** Requests that this node has not finished yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /**
+   * Binds both listeners.
+   *
+   * @returns the bound addresses; rejects when an address is in use
+   */
+  async start(): Promise<RequestAddresses> {
+    const forwardListen = await listenOn(this.#owner, this.#options.forwardListen);
+    const listen = await listenOn(this.#entry, this.#options.listen);
+    this.#maintenance = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
+    this.#maintenance.unref();
+    return { listen, forwardListen };
+  }
+
+  /** Stops taking new requests, finishes those in flight, then closes the listeners. */
+  async drain(): Promise<void> {
+    this.#isDraining = true;
+    this.#context.localServers.drain();
+    await delay(this.#options.drainGraceMs ?? DEFAULT_DRAIN_GRACE_MS);
+    const closed = [closeServer(this.#entry), closeServer(this.#owner)];
+    while (this.#inFlight > 0) await delay(DRAIN_POLL_MS);
+    this.#entry.closeIdleConnections();
+    this.#owner.closeIdleConnections();
+    await Promise.all(closed);
+  }
+
+  /** Closes everything at once; requests in flight fail. */
+  async stop(): Promise<void> {
+    clearInterval(this.#maintenance);
+    const closed = [closeServer(this.#entry), closeServer(this.#owner)];
+    this.#entry.closeAllConnections();
+    this.#owner.closeAllConnections();
+    await Promise.all([...closed, this.#serverPools.destroy(), this.#nodePools.destroy()]);
+  }
+
+  #createServer(
+    handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+    tls?: TlsMaterial,
+  ): Server {
+    const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
+    const listener = (request: IncomingMessage, response: ServerResponse) => {
+      this.#inFlight += 1;
+      response.once('close', () => {
+        this.#inFlight -= 1;
+      });
+      if (this.#isDraining) response.shouldKeepAlive = false;
+      handle(request, response).catch(() => response.destroy());
+    };
+    const server = tls
+      ? createHttpsServer({ ...options, ...tls, requestCert: true, rejectUnauthorized: true })
+      : createHttpServer(options);
+    server.on('request', listener);
+    // Without this listener node sends 100 Continue before a server is known.
+    server.on('checkContinue', listener);
+    return server;
+  }
+
+  #maintain(): void {
+    this.#context.localServers.expire(this.#context.getNowMs());
+  }
+}
--- /dev/null
+++ b/src/request/_lib/OwnerHandler.ts
@@ -0,0 +1,82 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { CallErrorCode } from '../../connection/CallError/index.js';
+import {
+  ATTEMPT_HEADER,
+  CALL_HEADER,
+  DEADLINE_HEADER,
+  parseCallHeader,
+  parseCount,
+} from './callHeader.js';
+import { BodyState, Exchange } from './Exchange.js';
+import { answerFailure } from './answerFailure.js';
+import { RefusalReason, createNotRun, writeRefusal } from './writeRefusal.js';
+
+import type { LocalServer } from '../../process/localServers/index.js';
+import type LocalCaller from './LocalCaller.js';
+import type { RequestContext } from './RequestContext.js';
+
+const MAX_DEADLINE_MS = 600_000;
+
+/** Answers requests that other nodes forward to the servers beside this one. */
+export default class OwnerHandler {
+  readonly #context: RequestContext;
+
+  readonly #caller: LocalCaller;
+
+  constructor(context: RequestContext, caller: LocalCaller) {
+    this.#context = context;
+    this.#caller = caller;
+  }
+
+  /** Handles one forwarded request; never rejects. */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange = new Exchange(request, response);
+    const call = parseCallHeader(exchange.internal.get(CALL_HEADER));
+    if (!call) {
+      const message = `header ${CALL_HEADER} is missing or malformed`;
+      this.#refuse(exchange, createNotRun(RefusalReason.BadRequest, message, { statusCode: 400 }));
+      return;
+    }
+    const local = this.#context.localServers.find(call.serverId);
+    if (!local) {
+      const message = `server "${call.serverId}" is not announced to this node`;
+      this.#refuse(exchange, createNotRun(RefusalReason.UnknownServer, message));
+      return;
+    }
+    await this.#forward(exchange, local, request.url ?? '/');
+  }
+
+  async #forward(exchange: Exchange, local: LocalServer, path: string): Promise<void> {
+    const nowMs = this.#context.getNowMs();
+    const remainingMs = parseCount(exchange.internal.get(DEADLINE_HEADER)) ?? MAX_DEADLINE_MS;
+    const attempt = parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0;
+    exchange.startDeadline(remainingMs);
+    const body = await exchange.readBody();
+    if (body === BodyState.Incomplete) {
+      answerFailure(exchange, undefined);
+      return;
+    }
+    const demand = { deadlineMs: nowMs + remainingMs, isRetry: attempt > 0, isSlow: false };
+    const elapsedMs = this.#context.getNowMs() - nowMs;
+    const headers = [
+      ...exchange.headers,
+      DEADLINE_HEADER,
+      String(Math.max(0, remainingMs - elapsedMs)),
+      ...(attempt > 0 ? [ATTEMPT_HEADER, String(attempt)] : []),
+    ];
+    const result = await this.#caller.call(exchange, local, demand, { path, headers });
+    if (result.isErr()) {
+      answerFailure(exchange, result.error);
+      if (result.error.code === CallErrorCode.Refused) this.#countRefusal(result.error.message);
+    }
+  }
+
+  #refuse(exchange: Exchange, refusal: ReturnType<typeof createNotRun>): void {
+    this.#countRefusal(refusal.reason);
+    writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody });
+  }
+
+  #countRefusal(reason: string): void {
+    this.#context.metrics.counter('requests_refused', { at: 'owner', reason }).value += 1;
+  }
+}
--- /dev/null
+++ b/src/request/_lib/RequestContext.ts
@@ -0,0 +1,26 @@
+import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { ServerEntry } from '../../process/endpoints/types.js';
+import type { LocalServers } from '../../process/localServers/index.js';
+import type { MetricsRegistry } from '../../process/metrics/index.js';
+import type { CompiledConfiguration } from '../../version/compileConfiguration/types.js';
+
+/** The part of the endpoint directory that requests need. */
+export interface RequestDirectory {
+  serversOf: (service: string) => ServerEntry[];
+  records: () => NodeRecord[];
+}
+
+/** What the handlers of a node share. */
+export interface RequestContext {
+  nodeId: string;
+  dataCentre: string;
+  /** Returns the configuration in force. */
+  current: () => CompiledConfiguration | undefined;
+  directory: RequestDirectory;
+  localServers: LocalServers;
+  metrics: MetricsRegistry;
+  /** Returns a number from 0 up to 1. */
+  random: () => number;
+  /** Returns the present time in milliseconds since the epoch. */
+  getNowMs: () => number;
+}
--- /dev/null
+++ b/src/request/_lib/answerFailure.ts
@@ -0,0 +1,63 @@
+import { CallErrorCode } from '../../connection/CallError/index.js';
+import { RefusalReason, createNotRun, createUnknown, writeRefusal } from './writeRefusal.js';
+
+import type { CallError } from '../../connection/CallError/index.js';
+import type { Exchange } from './Exchange.js';
+import type { Refusal } from './writeRefusal.js';
+
+const GATEWAY_TIMEOUT = 504;
+
+const describeCancelled = (exchange: Exchange, error: CallError | undefined): Refusal => {
+  if (error?.options.isWritten) {
+    return createUnknown(RefusalReason.DeadlinePassed, 'no complete response within the deadline', {
+      statusCode: GATEWAY_TIMEOUT,
+    });
+  }
+  const message = exchange.isPastDeadline
+    ? 'the deadline passed before the request was sent'
+    : 'the request was given up before it was sent';
+  return createNotRun(RefusalReason.DeadlinePassed, message);
+};
+
+/**
+ * Describes a failed call to the caller.
+ *
+ * @param exchange - request and response
+ * @param error - failure of the last call; undefined when nothing was sent
+ */
+export const describeFailure = (exchange: Exchange, error: CallError | undefined): Refusal => {
+  switch (error?.code) {
+    case CallErrorCode.NotWritten:
+      return createNotRun(RefusalReason.NotConnected, error.message);
+    case CallErrorCode.Refused:
+      return createNotRun(RefusalReason.NoSlot, error.message, {
+        retryAfterMs: error.options.retryAfterMs,
+      });
+    case CallErrorCode.NoResponse:
+      return createUnknown(RefusalReason.NoResponse, error.message);
+    case CallErrorCode.Truncated:
+      return createUnknown(RefusalReason.Truncated, error.message);
+    default:
+      return describeCancelled(exchange, error);
+  }
+};
+
+/**
+ * Answers a request whose last call failed; ends the connection if a response has begun.
+ *
+ * @param exchange - request and response
+ * @param error - failure of the last call; undefined when nothing was sent
+ * @returns the answer, or undefined when the connection was ended instead
+ */
+export const answerFailure = (
+  exchange: Exchange,
+  error: CallError | undefined,
+): Refusal | undefined => {
+  if (exchange.response.headersSent || exchange.isCallerGone) {
+    exchange.destroy();
+    return undefined;
+  }
+  const refusal = describeFailure(exchange, error);
+  writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody });
+  return refusal;
+};
--- /dev/null
+++ b/src/request/_lib/callHeader.ts
@@ -0,0 +1,69 @@
+/** Header in which the entry node tells the node beside the server what it forwards. */
+
+export const CALL_HEADER = 'foxtailvane-call';
+export const DEADLINE_HEADER = 'foxtailvane-deadline-ms';
+export const ATTEMPT_HEADER = 'foxtailvane-attempt';
+
+const FIELD_COUNT = 6;
+const MAX_CACHED_ENCODINGS = 4_096;
+
+/** What a forwarded request carries for the node beside the server. */
+export interface ForwardedCall {
+  serverId: string;
+  routeName: string;
+  isIdempotent: boolean;
+  requestId: string;
+  version: number;
+  /** Node that received the request from the caller. */
+  entryNodeId: string;
+}
+
+const encodings = new Map<string, string>();
+
+/** Encodes a name for a header field; names repeat, so results are kept. */
+const encode = (name: string): string => {
+  const known = encodings.get(name);
+  if (known !== undefined) return known;
+  if (encodings.size >= MAX_CACHED_ENCODINGS) encodings.clear();
+  const encoded = encodeURIComponent(name);
+  encodings.set(name, encoded);
+  return encoded;
+};
+
+const decode = (text: string): string => {
+  if (!text.includes('%')) return text;
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+};
+
+export const formatCallHeader = (call: ForwardedCall): string =>
+  `${encode(call.serverId)};${encode(call.routeName)};${call.isIdempotent ? 1 : 0};${
+    call.requestId
+  };${call.version};${encode(call.entryNodeId)}`;
+
+/** Returns undefined when the header is absent or malformed. */
+export const parseCallHeader = (value: string | undefined): ForwardedCall | undefined => {
+  const parts = value?.split(';') ?? [];
+  if (parts.length !== FIELD_COUNT) return undefined;
+  const [serverId, routeName, idempotent, requestId, version, entryNodeId] = parts.map(decode);
+  if (!serverId || !requestId || !entryNodeId) return undefined;
+  return {
+    serverId,
+    routeName: routeName ?? '',
+    isIdempotent: idempotent === '1',
+    requestId,
+    version: Number(version),
+    entryNodeId,
+  };
+};
+
+/**
+ * Reads a header that holds a whole number.
+ *
+ * @returns undefined when it is absent or not a whole number
+ */
+export const parseCount = (value: string | undefined): number | undefined =>
+  value !== undefined && /^\d{1,9}$/.test(value) ? Number(value) : undefined;
--- /dev/null
+++ b/src/request/_lib/writeRefusal.ts
@@ -0,0 +1,102 @@
+import type { ServerResponse } from 'node:http';
+
+const MS_PER_SECOND = 1_000;
+
+/** What is known about the execution of a request that got no response from a server. */
+export enum RequestOutcome {
+  NotRun = 'not-run',
+  Unknown = 'unknown',
+}
+
+/** Why a node answered a request itself. */
+export enum RefusalReason {
+  NoConfiguration = 'NO_CONFIGURATION',
+  NoRoute = 'NO_ROUTE',
+  NoServer = 'NO_SERVER',
+  BadRequest = 'BAD_REQUEST',
+  UnknownServer = 'UNKNOWN_SERVER',
+  NodeDraining = 'NODE_DRAINING',
+  NoSlot = 'NO_SLOT',
+  DeadlineTooShort = 'DEADLINE_TOO_SHORT',
+  DeadlinePassed = 'DEADLINE_PASSED',
+  NotConnected = 'NOT_CONNECTED',
+  NoResponse = 'NO_RESPONSE',
+  Truncated = 'TRUNCATED',
+  KeyInUse = 'IDEMPOTENCY_KEY_IN_USE',
+  KeyUnknown = 'IDEMPOTENCY_KEY_UNKNOWN',
+  KeyMismatch = 'IDEMPOTENCY_KEY_MISMATCH',
+  KeyHoldersCold = 'IDEMPOTENCY_HOLDERS_COLD',
+  KeyStoreFull = 'IDEMPOTENCY_STORE_FULL',
+}
+
+/** An answer that this node gives itself. */
+export interface Refusal {
+  statusCode: number;
+  outcome: RequestOutcome;
+  reason: RefusalReason;
+  message: string;
+  retryAfterMs?: number;
+}
+
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Creates a refusal of a request that certainly did not run. */
+export const createNotRun = (
+  reason: RefusalReason,
+  message: string,
+  options: { statusCode?: number; retryAfterMs?: number } = {},
+): Refusal => ({
+  statusCode: options.statusCode ?? 503,
+  outcome: RequestOutcome.NotRun,
+  reason,
+  message,
+  retryAfterMs: options.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+});
+
+/** Creates the answer to a request that may have run. */
+export const createUnknown = (
+  reason: RefusalReason,
+  message: string,
+  options: { statusCode?: number } = {},
+): Refusal => ({
+  statusCode: options.statusCode ?? 502,
+  outcome: RequestOutcome.Unknown,
+  reason,
+  message,
+});
+
+/**
+ * Answers a request that got no response from a server.
+ *
+ * @param response - response whose head was not written yet
+ * @param refusal - status, outcome and reason
+ * @param options - `closesConnection`: the rest of the request body is not read
+ */
+export const writeRefusal = (
+  response: ServerResponse,
+  refusal: Refusal,
+  options: { closesConnection: boolean },
+): void => {
+  const body = JSON.stringify({
+    outcome: refusal.outcome,
+    reason: refusal.reason,
+    message: refusal.message,
+  });
+  const headers = [
+    'content-type',
+    'application/json',
+    'content-length',
+    String(Buffer.byteLength(body)),
+    'foxtailvane-outcome',
+    refusal.outcome,
+    'foxtailvane-reason',
+    refusal.reason,
+  ];
+  if (refusal.statusCode === 503) {
+    const seconds = Math.ceil((refusal.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS) / MS_PER_SECOND);
+    headers.push('retry-after', String(Math.max(1, seconds)));
+  }
+  if (options.closesConnection) headers.push('connection', 'close');
+  response.writeHead(refusal.statusCode, headers);
+  response.end(body);
+};
--- /dev/null
+++ b/src/request/observeServers/index.ts
@@ -0,0 +1,89 @@
+/** What this node observed of each backend server: in-flight requests, speed and failures. */
+import type { ServerEntry } from '../../process/endpoints/types.js';
+
+/** Weight of the newest sample in the moving averages. */
+const SAMPLE_WEIGHT = 0.15;
+/** Observations of a server that was not used for this long are dropped. */
+const FORGET_AFTER_MS = 60_000;
+
+/** Observations of one server. */
+export interface ServerObservation {
+  inFlight: number;
+  /** Latency relative to the mean of the same route over all servers; 1 is average. */
+  relativeLatency: number;
+  sampleCount: number;
+  lastUsedAtMs: number;
+  lastSuccessAtMs: number;
+  /** Share of slots in use, as its node reported with a response. */
+  reportedLoad: number;
+  reportedLoadAtMs: number;
+  /** Last time its node refused a request for want of a slot. */
+  lastRefusalAtMs: number;
+}
+
+/** Returns the name of a server that is unique among all nodes. */
+export const formatServerKey = (entry: ServerEntry): string =>
+  `${entry.node.nodeId}/${entry.server.serverId}`;
+
+const createObservation = (nowMs: number): ServerObservation => ({
+  inFlight: 0,
+  relativeLatency: 1,
+  sampleCount: 0,
+  lastUsedAtMs: nowMs,
+  lastSuccessAtMs: 0,
+  reportedLoad: 0,
+  reportedLoadAtMs: 0,
+  lastRefusalAtMs: 0,
+});
+
+/** Observations by server, and the mean latency by route that they are relative to. */
+export class ServerObservations {
+  readonly #byKey = new Map<string, ServerObservation>();
+
+  readonly #meanLatencyMsByRoute = new Map<string, number>();
+
+  /** Returns the observation of a server, created on first use. */
+  get(key: string, nowMs: number): ServerObservation {
+    const known = this.#byKey.get(key);
+    if (known) return known;
+    const created = createObservation(nowMs);
+    this.#byKey.set(key, created);
+    return created;
+  }
+
+  /**
+   * Adds the latency of a complete response.
+   *
+   * @param observation - of the server that responded
+   * @param routeName - route of the request; routes differ in cost, so latencies are compared
+   *   within a route only
+   * @param latencyMs - time from sending the request to the end of the response
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  addLatency(
+    observation: ServerObservation,
+    routeName: string,
+    latencyMs: number,
+    nowMs: number,
+  ): void {
+    const mean = this.#meanLatencyMsByRoute.get(routeName) ?? latencyMs;
+    this.#meanLatencyMsByRoute.set(routeName, mean + SAMPLE_WEIGHT * (latencyMs - mean));
+    const relative = mean > 0 ? latencyMs / mean : 1;
+    const target = observation;
+    target.relativeLatency += SAMPLE_WEIGHT * (relative - target.relativeLatency);
+    target.sampleCount += 1;
+    target.lastSuccessAtMs = nowMs;
+  }
+
+  /** Returns the mean latency of a route, in milliseconds, if it has been used. */
+  getMeanLatencyMs(routeName: string): number | undefined {
+    return this.#meanLatencyMsByRoute.get(routeName);
+  }
+
+  /** Drops the observations of idle servers that were not used for a while. */
+  forget(nowMs: number): void {
+    [...this.#byKey]
+      .filter(([, seen]) => seen.inFlight === 0 && nowMs - seen.lastUsedAtMs > FORGET_AFTER_MS)
+      .forEach(([key]) => this.#byKey.delete(key));
+  }
+}
--- /dev/null
+++ b/src/request/selectServer/index.ts
@@ -0,0 +1,4 @@
+/** Choice of the backend server of a request. */
+export { default as RoundRobinSelector } from './RoundRobinSelector.js';
+export { SelectionReason, ServerSelector } from './ServerSelector.js';
+export type { Selection, SelectionContext } from './ServerSelector.js';
