Keep the unknown outcome of a request across the second hop

The entry node stripped the owner's internal headers and passed its 502 on as if the server had sent it, so the caller lost the outcome and a lookup was not retried. Answers that the owner gives itself are now recognised by their internal header.

--- a/src/connection/CallError/index.ts
+++ b/src/connection/CallError/index.ts
@@ -6,6 +6,8 @@
   Refused = 'REFUSED',
   /** The request may have run; no response head was received. */
   NoResponse = 'NO_RESPONSE',
+  /** The upstream node reported that its deadline passed; the request may have run. */
+  TimedOut = 'TIMED_OUT',
   /** The response ended before it was complete. */
   Truncated = 'TRUNCATED',
   /** This node gave the call up: the caller left or the deadline passed. */
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -9,7 +9,7 @@
 
 const EARLY_HINTS = 103;
 const FIRST_FINAL_STATUS = 200;
-const SERVICE_UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
 const MS_PER_SECOND = 1_000;
 
 /** What an upstream is asked for. */
@@ -150,7 +150,7 @@
     const copied = copyHeaders(decodeHeaders(raw), { isRequest: false });
     const internal = this.#options.isNode ? copied.internal : undefined;
     const head: ResponseHead = { statusCode, headers: copied.headers, internal };
-    this.#withheld = this.#findRefusal(head);
+    this.#withheld = this.#findOwnAnswer(head);
     this.#isWithheld = this.#withheld !== undefined || !(this.#options.onHead?.(head) ?? true);
     if (this.#isWithheld) return true;
     this.#isHeadPassed = true;
@@ -211,14 +211,17 @@
     return new CallError(CallErrorCode.NoResponse, cause.message, options);
   }
 
-  #findRefusal(head: ResponseHead): CallError | undefined {
-    if (head.statusCode !== SERVICE_UNAVAILABLE) return undefined;
-    if (head.internal?.get('foxtailvane-outcome') !== 'not-run') return undefined;
-    const reason = head.internal.get('foxtailvane-reason') ?? 'refused';
-    return new CallError(CallErrorCode.Refused, reason, {
-      isWritten: true,
-      retryAfterMs: parseRetryAfterMs(head.headers),
-    });
+  /** Recognizes an answer that the upstream node gave itself, instead of the server. */
+  #findOwnAnswer(head: ResponseHead): CallError | undefined {
+    const outcome = head.internal?.get('foxtailvane-outcome');
+    if (outcome === undefined) return undefined;
+    const reason = head.internal?.get('foxtailvane-reason') ?? outcome;
+    const retryAfterMs = parseRetryAfterMs(head.headers);
+    const options = { isWritten: true, retryAfterMs };
+    if (outcome === 'not-run') return new CallError(CallErrorCode.Refused, reason, options);
+    const isTimeout = head.statusCode === GATEWAY_TIMEOUT;
+    const code = isTimeout ? CallErrorCode.TimedOut : CallErrorCode.NoResponse;
+    return new CallError(code, reason, options);
   }
 
   #passInformation(statusCode: number, raw: Buffer[]): void {
--- /dev/null
+++ b/src/request/RequestServer/framing.test.ts
@@ -0,0 +1,305 @@
+import { createHash, randomBytes } from 'node:crypto';
+import { Agent, request as sendRequest } from 'node:http';
+
+import tap from 'tap';
+
+import type { RequestListener } from 'node:http';
+import type { Test } from 'tap';
+import createRandom from '../../../test/requestMesh/createRandom.js';
+import { TestMesh, send } from '../../../test/requestMesh/index.js';
+import sendRaw from '../../../test/requestMesh/sendRaw.js';
+
+const MEBIBYTE = 1_048_576;
+
+/** Starts an entry node and an owner node with one server; `oneHop` puts it beside the entry. */
+const open = async (t: Test, listener: RequestListener, options: { oneHop?: boolean } = {}) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = options.oneHop ? entry : await mesh.startNode('owner');
+  const backend = await mesh.startBackend(owner, listener);
+  return { mesh, entry, owner, backend };
+};
+
+const bothPaths = [{ oneHop: true }, { oneHop: false }];
+
+const digest = (body: Buffer): string => createHash('sha256').update(body).digest('hex');
+
+tap.test('a truncated response never looks complete to the caller', async (t) => {
+  const cut: Record<string, RequestListener> = {
+    'with a length': (_, response) => {
+      response.writeHead(200, { 'content-length': 1_000 });
+      response.write('part', () => response.destroy());
+    },
+    chunked: (_, response) => {
+      response.write('part', () => response.destroy());
+    },
+  };
+  await Promise.all(
+    Object.entries(cut).flatMap(([name, listener]) =>
+      bothPaths.map(async (path) => {
+        const { entry } = await open(t, listener, path);
+        const reply = await send(entry.address);
+        t.equal(reply.isComplete, false, `${name}, one hop: ${path.oneHop}`);
+        t.equal(reply.body, 'part');
+      }),
+    ),
+  );
+});
+
+tap.test('responses reach their own callers although others give up', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const { entry } = await open(t, (request, response) => {
+    setTimeout(() => response.end(request.url), Math.floor(random() * 10));
+  });
+  const agent = new Agent({ keepAlive: true, maxSockets: 16 });
+  t.teardown(() => agent.destroy());
+  let crossed = 0;
+  let complete = 0;
+  const call = (index: number) =>
+    new Promise<void>((resolve) => {
+      const path = `/stock/${index}`;
+      const request = sendRequest(`http://${entry.address}${path}`, { agent }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => {
+          complete += 1;
+          if (Buffer.concat(chunks).toString() !== path) crossed += 1;
+        });
+        response.on('error', () => undefined);
+      });
+      request.on('error', () => undefined);
+      request.on('close', resolve);
+      request.end();
+      if (random() < 0.3) setTimeout(() => request.destroy(), Math.floor(random() * 10));
+    });
+  await Promise.all(Array.from({ length: 400 }, (_, index) => call(index)));
+  t.equal(crossed, 0);
+  t.ok(complete > 100, `${complete} complete`);
+});
+
+tap.test('HEAD keeps its headers, has no body, and leaves the connection usable', async (t) => {
+  await Promise.all(
+    bothPaths.map(async (path) => {
+      const { entry } = await open(
+        t,
+        (request, response) => {
+          response.setHeader('content-length', 5);
+          response.end(request.method === 'HEAD' ? undefined : 'stock');
+        },
+        path,
+      );
+      const head = await send(entry.address, { method: 'HEAD' });
+      t.equal(head.headers['content-length'], '5');
+      t.equal(head.body, '');
+      t.equal((await send(entry.address)).body, 'stock');
+    }),
+  );
+});
+
+tap.test('early hints and trailers pass both hops', async (t) => {
+  const { entry } = await open(t, (_, response) => {
+    response.writeEarlyHints({ link: '</style.css>; rel=preload' });
+    response.writeHead(200, { trailer: 'x-checksum' });
+    response.write('body');
+    response.addTrailers({ 'x-checksum': 'abc' });
+    response.end();
+  });
+  const hints: unknown[] = [];
+  const trailers = await new Promise((resolve, reject) => {
+    const request = sendRequest(`http://${entry.address}/`, { agent: false }, (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.trailers));
+    });
+    request.on('information', (information) => hints.push(information.statusCode));
+    request.on('error', reject);
+    request.end();
+  });
+  t.strictSame(hints, [103]);
+  t.strictSame(trailers, { 'x-checksum': 'abc' });
+});
+
+tap.test('a caller that expects 100 Continue gets it once and its body arrives', async (t) => {
+  const { entry } = await open(t, (request, response) => {
+    t.equal(request.headers.expect, undefined);
+    request.pipe(response);
+  });
+  let continueCount = 0;
+  const body = await new Promise<string>((resolve, reject) => {
+    const headers = { expect: '100-continue', 'content-length': 5 };
+    const request = sendRequest(
+      `http://${entry.address}/orders`,
+      { agent: false, method: 'POST', headers },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => resolve(Buffer.concat(chunks).toString()));
+      },
+    );
+    request.on('continue', () => {
+      continueCount += 1;
+      request.end('order');
+    });
+    request.on('error', reject);
+    request.flushHeaders();
+  });
+  t.equal(body, 'order');
+  t.equal(continueCount, 1);
+});
+
+tap.test('large bodies pass unchanged in both directions', async (t) => {
+  await Promise.all(
+    bothPaths.flatMap((path) =>
+      [{ chunked: true }, { chunked: false }].map(async ({ chunked }) => {
+        const { entry } = await open(t, (request, response) => request.pipe(response), path);
+        const body = randomBytes(8 * MEBIBYTE);
+        const echoed = await new Promise<Buffer>((resolve, reject) => {
+          const headers = chunked ? {} : { 'content-length': body.length };
+          const request = sendRequest(
+            `http://${entry.address}/orders`,
+            { agent: false, method: 'POST', headers },
+            (response) => {
+              const chunks: Buffer[] = [];
+              response.on('data', (chunk: Buffer) => chunks.push(chunk));
+              response.on('end', () => resolve(Buffer.concat(chunks)));
+              response.on('error', reject);
+            },
+          );
+          request.on('error', reject);
+          request.write(body.subarray(0, MEBIBYTE));
+          request.end(body.subarray(MEBIBYTE));
+        });
+        t.equal(digest(echoed), digest(body));
+      }),
+    ),
+  );
+});
+
+tap.test('a caller that does not read stops the server from sending', async (t) => {
+  const totalBytes = 256 * MEBIBYTE;
+  const part = Buffer.alloc(MEBIBYTE);
+  let sentBytes = 0;
+  const { entry } = await open(t, (_, response) => {
+    const fill = (): void => {
+      while (sentBytes < totalBytes && !response.destroyed) {
+        sentBytes += part.length;
+        if (!response.write(part)) {
+          response.once('drain', fill);
+          return;
+        }
+      }
+      response.end();
+    };
+    fill();
+  });
+  await new Promise<void>((resolve) => {
+    const request = sendRequest(`http://${entry.address}/`, { agent: false }, (response) => {
+      response.pause();
+      let before = -1;
+      const timer = setInterval(() => {
+        if (sentBytes === before) {
+          clearInterval(timer);
+          request.destroy();
+          resolve();
+        }
+        before = sentBytes;
+      }, 500);
+    });
+    request.on('error', () => undefined);
+    request.end();
+  });
+  t.ok(sentBytes < totalBytes / 4, `${sentBytes} bytes sent`);
+});
+
+tap.test('ambiguous or oversized requests are refused before any server sees them', async (t) => {
+  let seen = 0;
+  const { entry } = await open(t, (_, response) => {
+    seen += 1;
+    response.end();
+  });
+  const start = 'POST /orders HTTP/1.1\r\nHost: desk\r\n';
+  const smuggled = 'GET /smuggled HTTP/1.1\r\nHost: desk\r\n\r\n';
+  const attempts: [string, string, RegExp][] = [
+    [
+      'both lengths',
+      `${start}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n${smuggled}`,
+      /^HTTP\/1.1 400/,
+    ],
+    [
+      'conflicting lengths',
+      `${start}Content-Length: 0\r\nContent-Length: 44\r\n\r\n${smuggled}`,
+      /^HTTP\/1.1 400/,
+    ],
+    ['list of lengths', `${start}Content-Length: 0, 44\r\n\r\n${smuggled}`, /^HTTP\/1.1 400/],
+    ['signed length', `${start}Content-Length: +0\r\n\r\n${smuggled}`, /^HTTP\/1.1 400/],
+    [
+      'unknown coding',
+      `${start}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n${smuggled}`,
+      /^HTTP\/1.1 400/,
+    ],
+    [
+      'chunked not last',
+      `${start}Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n${smuggled}`,
+      /^HTTP\/1.1 400/,
+    ],
+    ['space before colon', `${start}Content-Length : 0\r\n\r\n${smuggled}`, /^HTTP\/1.1 400/],
+    [
+      'bad chunk size',
+      `${start}Transfer-Encoding: chunked\r\n\r\n0x5\r\nhello\r\n`,
+      /^HTTP\/1.1 400/,
+    ],
+    [
+      'two hosts',
+      'GET / HTTP/1.1\r\nHost: desk\r\nHost: ledger\r\nConnection: close\r\n\r\n',
+      /^HTTP\/1.1 400/,
+    ],
+    ['no host', 'GET / HTTP/1.1\r\nConnection: close\r\n\r\n', /^HTTP\/1.1 400/],
+    ['oversize headers', `${start}X-Big: ${'x'.repeat(40_000)}\r\n\r\n`, /^HTTP\/1.1 431/],
+  ];
+  await Promise.all(
+    attempts.map(async ([name, bytes, expected]) => {
+      t.match(await sendRaw(entry.address, bytes), expected, name);
+    }),
+  );
+  t.equal(seen, 0);
+});
+
+tap.test('connection headers and internal headers stop at the node', async (t) => {
+  const received: NodeJS.Dict<string | string[]>[] = [];
+  await Promise.all(
+    bothPaths.map(async (path) => {
+      const { entry } = await open(
+        t,
+        (request, response) => {
+          received.push(request.headers);
+          response.setHeader('foxtailvane-outcome', 'not-run');
+          response.setHeader('connection', 'x-local');
+          response.setHeader('x-local', '1');
+          response.end('ran');
+        },
+        path,
+      );
+      const reply = await send(entry.address, {
+        headers: {
+          connection: 'x-hop, content-length',
+          'x-hop': '1',
+          'x-kept': '2',
+          'proxy-authorization': 'secret',
+          'foxtailvane-call': 'forged',
+          'foxtailvane-outcome': 'not-run',
+        },
+      });
+      t.equal(reply.status, 200);
+      t.equal(reply.headers['foxtailvane-outcome'], undefined);
+      t.equal(reply.headers['x-local'], undefined);
+    }),
+  );
+  t.equal(received.length, 2);
+  received.forEach((headers) => {
+    t.equal(headers['x-kept'], '2');
+    t.equal(headers['x-hop'], undefined);
+    t.equal(headers['proxy-authorization'], undefined);
+    t.equal(headers['foxtailvane-call'], undefined);
+    t.equal(headers['foxtailvane-outcome'], undefined);
+  });
+});
--- a/src/request/_lib/answerFailure.ts
+++ b/src/request/_lib/answerFailure.ts
@@ -35,6 +35,10 @@
       });
     case CallErrorCode.NoResponse:
       return createUnknown(RefusalReason.NoResponse, error.message);
+    case CallErrorCode.TimedOut:
+      return createUnknown(RefusalReason.DeadlinePassed, error.message, {
+        statusCode: GATEWAY_TIMEOUT,
+      });
     case CallErrorCode.Truncated:
       return createUnknown(RefusalReason.Truncated, error.message);
     default:
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -92,6 +92,7 @@
   path?: string;
   headers?: OutgoingHttpHeaders;
   body?: string | Buffer;
+  signal?: AbortSignal;
 }
 
 /** Listens on a port of loopback that the system chooses. */
