--- /dev/null
+++ b/stand-ins/SimulatedFile/index.ts
@@ -0,0 +1,78 @@
+import AppendFile from '../../src/process/storage/AppendFile/index.js';
+
+const SECTOR_BYTES = 512;
+
+/** Carries out one step of the disk, unless the disk fails or has stopped. */
+export type RunStep = (operation: string, writtenBytes: number) => void;
+
+/** Content of a file, and the part of it that a crash leaves intact. */
+export interface Inode {
+  content: Buffer;
+  synced: Buffer;
+}
+
+/** Returns what a crash leaves of a file: unsynced sectors may be missing or read as zeros. */
+export const crashInode = (inode: Inode, random: () => number): Inode => {
+  const { content, synced } = inode;
+  const isExtended = content.subarray(0, synced.length).equals(synced);
+  if (!isExtended) {
+    const kept = random() < 0.5 ? content : synced;
+    return { content: kept, synced: kept };
+  }
+  const addedBytes = Math.floor(random() * (content.length - synced.length + 1));
+  const left = Buffer.from(content.subarray(0, synced.length + addedBytes));
+  const firstSector = Math.floor(synced.length / SECTOR_BYTES);
+  const sectorCount = Math.ceil(left.length / SECTOR_BYTES) - firstSector;
+  Array.from({ length: Math.max(0, sectorCount) }, (_, position) => firstSector + position)
+    .filter(() => random() < 0.3)
+    .forEach((sector) => {
+      const start = Math.max(synced.length, sector * SECTOR_BYTES);
+      left.fill(0, start, Math.min(left.length, (sector + 1) * SECTOR_BYTES));
+    });
+  return { content: left, synced: left };
+};
+
+/** A file of a simulated disk. */
+export class SimulatedFile extends AppendFile {
+  readonly #inode: Inode;
+
+  readonly #runStep: RunStep;
+
+  readonly #random: () => number;
+
+  constructor(inode: Inode, runStep: RunStep, random: () => number) {
+    super();
+    this.#inode = inode;
+    this.#runStep = runStep;
+    this.#random = random;
+  }
+
+  async append(bytes: Uint8Array): Promise<void> {
+    try {
+      this.#runStep('append', bytes.length);
+    } catch (error) {
+      const writtenBytes = Math.floor(this.#random() * bytes.length);
+      this.#write(bytes.subarray(0, writtenBytes));
+      throw error;
+    }
+    this.#write(bytes);
+  }
+
+  async truncate(lengthBytes: number): Promise<void> {
+    this.#runStep('truncate', 0);
+    this.#inode.content = this.#inode.content.subarray(0, lengthBytes);
+  }
+
+  async sync(): Promise<void> {
+    this.#runStep('sync', 0);
+    this.#inode.synced = this.#inode.content;
+  }
+
+  async close(): Promise<void> {
+    // Closing a file makes nothing durable and cannot lose anything.
+  }
+
+  #write(bytes: Uint8Array): void {
+    this.#inode.content = Buffer.concat([this.#inode.content, bytes]);
+  }
+}
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -24,24 +24,12 @@
 import readMonotonicNowMs from '../../src/process/replication/readMonotonicNowMs/index.js';
 import NodeFiles from '../../src/process/storage/NodeFiles/index.js';
 import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
+import createRandom from '../createRandom/index.js';
 import FaultyFiles from '../FaultyFiles/index.js';
 import { FaultyPeerClient, LinkFault } from '../FaultyPeerClient/index.js';
 
 const POLL_MS = 10;
 
-/** Generator of numbers from 0 to 1 that repeats for the same seed (mulberry32). */
-export const createRandom = (seed: number): (() => number) => {
-  let state = Math.trunc(seed);
-  /* eslint-disable no-bitwise */
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-  /* eslint-enable no-bitwise */
-};
-
 /** Waits until a condition holds; rejects after the timeout. */
 export const waitUntil = async (
   condition: () => boolean,
