Add configuration delta and compiled configuration

Nodes receive changes as deltas against the version held. Applying one checks the hash of the base and of the result, so a delta on the wrong base or a truncated one is refused. A version is compiled only as a whole, after its hash, names, services and weights are checked.

A path prefix matches whole path segments: /stock does not match /stockings. A host without a matching route falls back to the routes of *.

--- /dev/null
+++ b/src/version/applyDelta/index.ts
@@ -0,0 +1,61 @@
+/** Applies the difference between two configuration versions. */
+import { create } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { ConfigurationError, ConfigurationErrorCode } from '../ConfigurationError/index.js';
+import { hashConfiguration } from '../hashConfiguration/index.js';
+
+import type {
+  Configuration,
+  ConfigurationDelta,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+export type { ConfigurationDelta } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+interface Named {
+  name: string;
+}
+
+const mergeRows = <Row extends Named>(base: Row[], upserted: Row[], removed: string[]): Row[] => {
+  const rows = new Map(base.map((row) => [row.name, row]));
+  removed.forEach((name) => rows.delete(name));
+  upserted.forEach((row) => rows.set(row.name, row));
+  return [...rows.values()].toSorted((left, right) => (left.name < right.name ? -1 : 1));
+};
+
+const isBaseOf = (base: Configuration, delta: ConfigurationDelta): boolean =>
+  base.version === delta.baseVersion && Buffer.compare(base.contentHash, delta.baseHash) === 0;
+
+/**
+ * Applies a delta to the version it was created against.
+ *
+ * @param base - the version held
+ * @param delta - the changes
+ * @returns the new version, BaseMismatch when the delta is for another base, or HashMismatch when
+ *   the result is not the content that was announced
+ *
+ * @example
+ * applyDelta(version4, delta).map((configuration) => configuration.version); // 5
+ */
+export const applyDelta = (
+  base: Configuration,
+  delta: ConfigurationDelta,
+): Result<Configuration, ConfigurationError> => {
+  if (!isBaseOf(base, delta)) {
+    const message = `delta to version ${delta.version} is for base version ${delta.baseVersion}, but version ${base.version} is held or its content differs`;
+    return err(new ConfigurationError(ConfigurationErrorCode.BaseMismatch, message));
+  }
+  const next = create(ConfigurationSchema, {
+    version: delta.version,
+    contentHash: delta.contentHash,
+    services: mergeRows(base.services, delta.upsertedServices, delta.removedServices),
+    routes: mergeRows(base.routes, delta.upsertedRoutes, delta.removedRoutes),
+  });
+  if (Buffer.compare(hashConfiguration(next), delta.contentHash) !== 0) {
+    const message = `content of version ${delta.version} does not match its hash after the delta`;
+    return err(new ConfigurationError(ConfigurationErrorCode.HashMismatch, message));
+  }
+  return ok(next);
+};
--- /dev/null
+++ b/src/version/compileConfiguration/_lib/checkConfiguration.ts
@@ -0,0 +1,77 @@
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { ConfigurationError, ConfigurationErrorCode } from '../../ConfigurationError/index.js';
+import { hashConfiguration } from '../../hashConfiguration/index.js';
+
+import type { Configuration, Route } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+
+const WEIGHT_SUM_PERCENT = 100;
+
+type Violation = ConfigurationError | undefined;
+
+const findDuplicate = (kind: string, rows: { name: string }[]): Violation => {
+  const seen = new Set<string>();
+  const duplicate = rows.find((row) => seen.size === seen.add(row.name).size);
+  if (duplicate === undefined) return undefined;
+  const message = `${kind} ${duplicate.name} is declared twice`;
+  return new ConfigurationError(ConfigurationErrorCode.DuplicateName, message);
+};
+
+const findUnknownService = (routes: Route[], services: Set<string>): Violation => {
+  const violations = routes.flatMap((route) =>
+    route.targets
+      .filter((target) => !services.has(target.service))
+      .map((target) => `route ${route.name} refers to undeclared service ${target.service}`),
+  );
+  const [message] = violations;
+  return message === undefined
+    ? undefined
+    : new ConfigurationError(ConfigurationErrorCode.UnknownService, message);
+};
+
+const sumWeights = (route: Route): number =>
+  route.targets.reduce((sum, target) => sum + target.weightPercent, 0);
+
+const findWeightError = (routes: Route[]): Violation => {
+  const route = routes.find((candidate) => sumWeights(candidate) !== WEIGHT_SUM_PERCENT);
+  if (route === undefined) return undefined;
+  const message = `weights of route ${route.name} add up to ${sumWeights(route)}, not ${WEIGHT_SUM_PERCENT}`;
+  return new ConfigurationError(ConfigurationErrorCode.WeightSum, message);
+};
+
+const findHashError = (configuration: Configuration): Violation => {
+  if (Buffer.compare(hashConfiguration(configuration), configuration.contentHash) === 0) {
+    return undefined;
+  }
+  const message = `content of version ${configuration.version} does not match its hash`;
+  return new ConfigurationError(ConfigurationErrorCode.HashMismatch, message);
+};
+
+// Version 0 means "none held" on the wire, so no configuration may carry it.
+const findVersionError = (configuration: Configuration): Violation =>
+  configuration.version === 0
+    ? new ConfigurationError(ConfigurationErrorCode.VersionMissing, 'version number is 0')
+    : undefined;
+
+/**
+ * Checks the rules that hold within one version.
+ *
+ * @param configuration - the version
+ * @returns the same version, or the first violation
+ */
+const checkConfiguration = (
+  configuration: Configuration,
+): Result<Configuration, ConfigurationError> => {
+  const services = new Set(configuration.services.map((service) => service.name));
+  const violation =
+    findVersionError(configuration) ??
+    findHashError(configuration) ??
+    findDuplicate('service', configuration.services) ??
+    findDuplicate('route', configuration.routes) ??
+    findUnknownService(configuration.routes, services) ??
+    findWeightError(configuration.routes);
+  return violation === undefined ? ok(configuration) : err(violation);
+};
+
+export default checkConfiguration;
--- /dev/null
+++ b/src/version/compileConfiguration/index.ts
@@ -0,0 +1,34 @@
+/** Prepares a configuration version for serving requests. */
+import type { Result } from 'neverthrow';
+import checkConfiguration from './_lib/checkConfiguration.js';
+import RouteIndex from './_lib/RouteIndex.js';
+
+import type { Configuration } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { ConfigurationError } from '../ConfigurationError/index.js';
+import type { CompiledConfiguration } from './types.js';
+
+export type { CompiledConfiguration } from './types.js';
+
+/**
+ * Checks a version as a whole and builds its lookup tables.
+ *
+ * @param configuration - the version; it must not be changed afterwards
+ * @returns the compiled version, or the first rule that it violates: number, hash, unique names,
+ *   declared services, weights that add up to 100
+ *
+ * @example
+ * compileConfiguration(configuration).map((compiled) => compiled.matchRoute('*', '/stock', 'GET'));
+ */
+export const compileConfiguration = (
+  configuration: Configuration,
+): Result<CompiledConfiguration, ConfigurationError> =>
+  checkConfiguration(configuration).map((checked) => {
+    const services = new Map(checked.services.map((service) => [service.name, service]));
+    const routes = new RouteIndex(checked.routes);
+    return {
+      configuration: checked,
+      version: checked.version,
+      findService: (name) => services.get(name),
+      matchRoute: (host, path, method) => routes.match(host, path, method),
+    };
+  });
--- /dev/null
+++ b/src/version/compileConfiguration/test.ts
@@ -0,0 +1,81 @@
+import tap from 'tap';
+
+import { buildConfiguration } from '../../../stand-ins/configurations/index.js';
+import { expectError, expectOk } from '../../../stand-ins/results/index.js';
+import { ConfigurationErrorCode } from '../ConfigurationError/index.js';
+import { compileConfiguration } from './index.js';
+
+import type { ConfigurationRows } from '../../../stand-ins/configurations/index.js';
+
+const targets = [{ service: 'desk', weightPercent: 100 }];
+const services = [{ name: 'desk' }];
+
+const compile = (rows: ConfigurationRows) => compileConfiguration(buildConfiguration(1, rows));
+
+const readCode = (rows: ConfigurationRows): string => expectError(compile(rows)).code;
+
+tap.test('a version that breaks a rule is refused as a whole', async (t) => {
+  const lost = [{ name: 'r', targets: [{ service: 'lost', weightPercent: 100 }] }];
+  t.equal(readCode({ services, routes: lost }), ConfigurationErrorCode.UnknownService);
+  const light = [{ name: 'r', targets: [{ service: 'desk', weightPercent: 99 }] }];
+  t.equal(readCode({ services, routes: light }), ConfigurationErrorCode.WeightSum);
+  t.equal(readCode({ services, routes: [{ name: 'r' }] }), ConfigurationErrorCode.WeightSum);
+  const twice = [
+    { name: 'r', targets },
+    { name: 'r', targets },
+  ];
+  t.equal(readCode({ services, routes: twice }), ConfigurationErrorCode.DuplicateName);
+  t.equal(readCode({ services: [...services, ...services] }), ConfigurationErrorCode.DuplicateName);
+});
+
+tap.test('content that was altered on the way is refused', async (t) => {
+  const configuration = buildConfiguration(1, { services });
+  const altered = { ...configuration, services: [] };
+  const error = expectError(compileConfiguration(altered));
+  t.equal(error.code, ConfigurationErrorCode.HashMismatch);
+});
+
+tap.test('version 0 is refused, because it means that none is held', async (t) => {
+  const error = expectError(compileConfiguration(buildConfiguration(0, { services })));
+  t.equal(error.code, ConfigurationErrorCode.VersionMissing);
+});
+
+tap.test('a request gets the most precise route', async (t) => {
+  const compiled = expectOk(
+    compile({
+      services,
+      routes: [
+        { name: 'any-root', host: '*', pathPrefix: '/', targets },
+        { name: 'any-stock', host: '*', pathPrefix: '/stock', targets },
+        { name: 'any-orders-post', host: '*', pathPrefix: '/orders', methods: ['POST'], targets },
+        { name: 'desk-root', host: 'Desk.example', pathPrefix: '/', methods: ['GET'], targets },
+        {
+          name: 'desk-stock',
+          host: 'desk.example',
+          pathPrefix: '/stock',
+          methods: ['PUT'],
+          targets,
+        },
+      ],
+    }),
+  );
+  const match = (host: string, path: string, method: string) =>
+    compiled.matchRoute(host, path, method)?.name;
+
+  t.equal(match('desk.example', '/stock/1', 'PUT'), 'desk-stock', 'longest prefix of the host');
+  t.equal(match('desk.example', '/stock/1', 'GET'), 'desk-root', 'a prefix without the method');
+  t.equal(match('desk.example', '/stock/1', 'DELETE'), 'any-stock', 'no route of the host');
+  t.equal(match('other.example', '/stock', 'GET'), 'any-stock');
+  t.equal(match('other.example', '/stockings', 'GET'), 'any-root', 'whole segments only');
+  t.equal(match('other.example', '/orders/7', 'POST'), 'any-orders-post');
+  t.equal(match('other.example', '/orders/7', 'GET'), 'any-root');
+  t.equal(compiled.findService('desk')?.name, 'desk');
+  t.equal(compiled.findService('lost'), undefined);
+});
+
+tap.test('a request without a route gets none', async (t) => {
+  const routes = [{ name: 'r', host: 'desk.example', pathPrefix: '/stock', targets }];
+  const compiled = expectOk(compile({ services, routes }));
+  t.equal(compiled.matchRoute('other.example', '/stock', 'GET'), undefined);
+  t.equal(compiled.matchRoute('desk.example', '/', 'GET'), undefined);
+});
--- /dev/null
+++ b/src/version/createDelta/index.ts
@@ -0,0 +1,75 @@
+/** Creates the difference between two configuration versions. */
+import { create, equals } from '@bufbuild/protobuf';
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import {
+  ConfigurationDeltaSchema,
+  RouteSchema,
+  ServiceSchema,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { ConfigurationError, ConfigurationErrorCode } from '../ConfigurationError/index.js';
+
+import type {
+  Configuration,
+  ConfigurationDelta,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+export type { ConfigurationDelta } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+interface Named {
+  name: string;
+}
+
+const selectUpserted = <Row extends Named>(
+  base: Row[],
+  next: Row[],
+  isEqual: (left: Row, right: Row) => boolean,
+): Row[] => {
+  const held = new Map(base.map((row) => [row.name, row]));
+  return next.filter((row) => {
+    const former = held.get(row.name);
+    return former === undefined || !isEqual(former, row);
+  });
+};
+
+const selectRemoved = (base: Named[], next: Named[]): string[] => {
+  const kept = new Set(next.map((row) => row.name));
+  return base.map((row) => row.name).filter((name) => !kept.has(name));
+};
+
+/**
+ * Creates the delta that turns one version into a newer one.
+ *
+ * @param base - the version that the receiver holds
+ * @param next - the version that it shall hold
+ * @returns the delta, or NotNewer when `next` does not have the greater number
+ *
+ * @example
+ * createDelta(version4, version5).map((delta) => delta.upsertedRoutes.length);
+ */
+export const createDelta = (
+  base: Configuration,
+  next: Configuration,
+): Result<ConfigurationDelta, ConfigurationError> => {
+  if (next.version <= base.version) {
+    const message = `version ${next.version} is not newer than base version ${base.version}`;
+    return err(new ConfigurationError(ConfigurationErrorCode.NotNewer, message));
+  }
+  return ok(
+    create(ConfigurationDeltaSchema, {
+      baseVersion: base.version,
+      baseHash: base.contentHash,
+      version: next.version,
+      contentHash: next.contentHash,
+      upsertedServices: selectUpserted(base.services, next.services, (left, right) =>
+        equals(ServiceSchema, left, right),
+      ),
+      removedServices: selectRemoved(base.services, next.services),
+      upsertedRoutes: selectUpserted(base.routes, next.routes, (left, right) =>
+        equals(RouteSchema, left, right),
+      ),
+      removedRoutes: selectRemoved(base.routes, next.routes),
+    }),
+  );
+};
--- /dev/null
+++ b/stand-ins/configurations/index.ts
@@ -0,0 +1,55 @@
+/** Configurations for tests and experiments. */
+import { create } from '@bufbuild/protobuf';
+
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { ConfigurationSchema } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
+
+import type { Configuration } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+
+export type ConfigurationRows = Pick<
+  MessageInitShape<typeof ConfigurationSchema>,
+  'services' | 'routes'
+>;
+
+/** Builds a version from its rows, with the hash set. */
+export const buildConfiguration = (version: number, rows: ConfigurationRows): Configuration => {
+  const configuration = create(ConfigurationSchema, { version, ...rows });
+  return { ...configuration, contentHash: hashConfiguration(configuration) };
+};
+
+const numberName = (prefix: string, index: number): string =>
+  `${prefix}-${String(index).padStart(3, '0')}`;
+
+export interface SizeOptions {
+  services?: number;
+  routes?: number;
+  /** Timeout of the first route, which a test changes to get a one-row change. */
+  firstTimeoutMs?: number;
+}
+
+/** Builds a version of a given size, by default that of the design scale. */
+export const buildSizedConfiguration = (
+  version: number,
+  options: SizeOptions = {},
+): Configuration => {
+  const serviceCount = options.services ?? 33;
+  const routeCount = options.routes ?? 200;
+  const services = Array.from({ length: serviceCount }, (_, index) => ({
+    name: numberName('service', index),
+    timeoutMs: 500,
+    slots: 20,
+    connections: 130,
+  }));
+  const routes = Array.from({ length: routeCount }, (_, index) => ({
+    name: numberName('route', index),
+    host: index % 2 === 0 ? '*' : 'orders.delta-south.example',
+    pathPrefix: `/${numberName('path', index)}`,
+    methods: ['GET'],
+    idempotent: true,
+    timeoutMs: index === 0 ? (options.firstTimeoutMs ?? 400) : 400,
+    maxAttempts: 2,
+    targets: [{ service: numberName('service', index % serviceCount), weightPercent: 100 }],
+  }));
+  return buildConfiguration(version, { services, routes });
+};
