Add the configuration holder

A node must never revert and never apply half a version. The holder compares numbers before anything else, compiles the candidate and then switches one reference; every refusal has a typed reason.

--- /dev/null
+++ b/src/process/holder/ConfigurationHolder/index.ts
@@ -0,0 +1,91 @@
+/** The configuration version that a node has in force. */
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { ConfigurationErrorCode } from '../../../version/ConfigurationError/index.js';
+import { compileConfiguration } from '../../../version/compileConfiguration/index.js';
+import { createLogger } from '../../log/index.js';
+import { InstallError, InstallErrorCode } from '../InstallError/index.js';
+
+import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { ConfigurationError } from '../../../version/ConfigurationError/index.js';
+import type { CompiledConfiguration } from '../../../version/compileConfiguration/types.js';
+
+/** Called after each switch, with the version now in force. */
+export type InstallListener = (compiled: CompiledConfiguration, nowMs: number) => void;
+
+const log = createLogger('holder');
+
+const convertError = (version: number, error: ConfigurationError): InstallError => {
+  const code =
+    error.code === ConfigurationErrorCode.HashMismatch
+      ? InstallErrorCode.HashMismatch
+      : InstallErrorCode.Invalid;
+  return new InstallError(code, version, error.message);
+};
+
+/** Holds one version; a newer one replaces it whole, by the switch of one reference. */
+export class ConfigurationHolder {
+  #current: CompiledConfiguration | undefined;
+
+  readonly #listeners = new Set<InstallListener>();
+
+  /** Returns the version in force; a request keeps the reference it started with. */
+  current(): CompiledConfiguration | undefined {
+    return this.#current;
+  }
+
+  /**
+   * Installs a version unless it is older, conflicts with the one held, or is invalid.
+   *
+   * @param candidate - the whole version; it must not be changed afterwards
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns the version in force; the one held when the candidate is the same
+   */
+  install(candidate: Configuration, nowMs: number): Result<CompiledConfiguration, InstallError> {
+    const held = this.#current;
+    if (held !== undefined && candidate.version <= held.version) {
+      return this.#compareWithHeld(candidate, held);
+    }
+    const compiled = compileConfiguration(candidate).mapErr((error) =>
+      convertError(candidate.version, error),
+    );
+    compiled.match(
+      (next) => this.#switchTo(next, nowMs),
+      (error) => log.warn({ version: error.version, code: error.code }, error.message),
+    );
+    return compiled;
+  }
+
+  /**
+   * Calls the listener after each switch.
+   *
+   * @returns a function that removes the listener
+   */
+  onInstalled(listener: InstallListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #switchTo(next: CompiledConfiguration, nowMs: number): void {
+    this.#current = next;
+    log.info({ version: next.version }, 'configuration version in force');
+    this.#listeners.forEach((listener) => listener(next, nowMs));
+  }
+
+  #compareWithHeld(
+    candidate: Configuration,
+    held: CompiledConfiguration,
+  ): Result<CompiledConfiguration, InstallError> {
+    const { version } = candidate;
+    if (version < held.version) {
+      const message = `version ${version} is older than version ${held.version} in force`;
+      return err(new InstallError(InstallErrorCode.Older, version, message));
+    }
+    if (Buffer.compare(candidate.contentHash, held.configuration.contentHash) !== 0) {
+      const message = `version ${version} is in force with other content`;
+      return err(new InstallError(InstallErrorCode.Conflict, version, message));
+    }
+    return ok(held);
+  }
+}
