Add the endpoint directory

The newest (incarnation, sequence) of each node wins. Removed states are remembered for 60 s, because another process can still offer a record after it expired here. Servers of a service are indexed and cached until one of its records changes, since every request reads them.

--- /dev/null
+++ b/src/process/endpoints/EndpointDirectory/index.ts
@@ -0,0 +1,220 @@
+/** Records of all nodes and the servers beside them, as one process knows them. */
+import { compareStamps } from '../_lib/compareStamps.js';
+
+import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { Stamp } from '../_lib/compareStamps.js';
+import type { ServerEntry } from '../types.js';
+
+/** Default time after which a record that is not renewed expires. */
+export const ENDPOINT_LEASE_MS = 3_000;
+
+/**
+ * How long the stamp of a removed record is kept. It must exceed the time for which another process
+ * can still offer the removed state.
+ */
+const TOMBSTONE_MS = 60_000;
+
+export interface EndpointDirectoryOptions {
+  /** Time after which a record that is not renewed expires. */
+  leaseMs?: number;
+  /** Node whose record never expires, because this process is that node. */
+  ownNodeId?: string;
+}
+
+/** Called with the id of a node whose record was added, replaced or removed. */
+export type EndpointListener = (nodeId: string) => void;
+
+interface HeldRecord {
+  record: NodeRecord;
+  expiresAtMs: number;
+}
+
+interface Tombstone {
+  stamp: Stamp;
+  forgottenAtMs: number;
+}
+
+/** Keeps the newest record of each node; the newest (incarnation, sequence) wins. */
+export class EndpointDirectory {
+  readonly #leaseMs: number;
+
+  readonly #ownNodeId: string | undefined;
+
+  readonly #held = new Map<string, HeldRecord>();
+
+  readonly #tombstones = new Map<string, Tombstone>();
+
+  readonly #nodesByService = new Map<string, Set<string>>();
+
+  /** Entries by service, dropped when a record that concerns the service changes. */
+  readonly #entries = new Map<string, ServerEntry[]>();
+
+  readonly #listeners = new Set<EndpointListener>();
+
+  #revision = 0;
+
+  constructor(options: EndpointDirectoryOptions = {}) {
+    this.#leaseMs = options.leaseMs ?? ENDPOINT_LEASE_MS;
+    this.#ownNodeId = options.ownNodeId;
+  }
+
+  /** Number of changes so far; equal numbers mean equal content. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /**
+   * Takes over a record if it is newer than the one held, and renews its lease if it is the same.
+   *
+   * @param record - must not be changed afterwards
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns true when the directory changed
+   */
+  merge(record: NodeRecord, nowMs: number): boolean {
+    const { nodeId } = record;
+    const tombstone = this.#tombstones.get(nodeId);
+    if (tombstone !== undefined && compareStamps(record, tombstone.stamp) <= 0) return false;
+    const held = this.#held.get(nodeId);
+    const order = held === undefined ? 1 : compareStamps(record, held.record);
+    if (order < 0) return false;
+    if (order === 0) {
+      this.renew(nodeId, nowMs);
+      return false;
+    }
+    this.#tombstones.delete(nodeId);
+    this.#held.set(nodeId, { record, expiresAtMs: nowMs + this.#leaseMs });
+    this.#index(nodeId, held?.record, record);
+    return true;
+  }
+
+  /**
+   * Extends the lease of a record.
+   *
+   * @returns false when no record of the node is held
+   */
+  renew(nodeId: string, nowMs: number): boolean {
+    const held = this.#held.get(nodeId);
+    if (held === undefined) return false;
+    held.expiresAtMs = Math.max(held.expiresAtMs, nowMs + this.#leaseMs);
+    return true;
+  }
+
+  /** Extends the lease of every record, as after a time in which none could be renewed. */
+  renewAll(nowMs: number): void {
+    this.#held.forEach((_, nodeId) => this.renew(nodeId, nowMs));
+  }
+
+  /**
+   * Removes the records whose lease has ended.
+   *
+   * @returns the removed records
+   */
+  expire(nowMs: number): NodeRecord[] {
+    this.#tombstones.forEach((tombstone, nodeId) => {
+      if (tombstone.forgottenAtMs <= nowMs) this.#tombstones.delete(nodeId);
+    });
+    const expired = [...this.#held.values()]
+      .filter((held) => held.expiresAtMs <= nowMs)
+      .map((held) => held.record)
+      .filter((record) => record.nodeId !== this.#ownNodeId);
+    expired.forEach((record) => this.remove(record.nodeId, record, nowMs));
+    return expired;
+  }
+
+  /**
+   * Removes the record of a node, and refuses it from now on, unless a newer one is held.
+   *
+   * @param nodeId - the node
+   * @param stamp - the newest state that is removed
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns true when the directory changed
+   */
+  remove(nodeId: string, stamp: Stamp, nowMs: number): boolean {
+    if (nodeId === this.#ownNodeId) return false;
+    const held = this.#held.get(nodeId);
+    if (held !== undefined && compareStamps(held.record, stamp) > 0) return false;
+    this.#bury(nodeId, stamp, nowMs);
+    if (held === undefined) return false;
+    this.#held.delete(nodeId);
+    this.#index(nodeId, held.record, undefined);
+    return true;
+  }
+
+  /** Returns the record of one node. */
+  find(nodeId: string): NodeRecord | undefined {
+    return this.#held.get(nodeId)?.record;
+  }
+
+  /** Returns the newest state that was removed, while it is remembered. */
+  findRemoved(nodeId: string): Stamp | undefined {
+    return this.#tombstones.get(nodeId)?.stamp;
+  }
+
+  /** Returns all records. */
+  records(): NodeRecord[] {
+    return [...this.#held.values()].map((held) => held.record);
+  }
+
+  /**
+   * Returns the servers of a service with the nodes beside them, in every state, draining included.
+   *
+   * The array is cached until a record of the service changes; it must not be changed.
+   */
+  serversOf(service: string): readonly ServerEntry[] {
+    const cached = this.#entries.get(service);
+    if (cached !== undefined) return cached;
+    const nodeIds = this.#nodesByService.get(service);
+    if (nodeIds === undefined) return [];
+    const entries = [...nodeIds].flatMap((nodeId) => this.#entriesBeside(nodeId, service));
+    this.#entries.set(service, entries);
+    return entries;
+  }
+
+  /**
+   * Calls the listener after each change.
+   *
+   * @returns a function that removes the listener
+   */
+  onChanged(listener: EndpointListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #entriesBeside(nodeId: string, service: string): ServerEntry[] {
+    const node = this.find(nodeId);
+    if (node === undefined) return [];
+    return node.servers
+      .filter((server) => server.service === service)
+      .map((server) => ({ server, node }));
+  }
+
+  #bury(nodeId: string, stamp: Stamp, nowMs: number): void {
+    const former = this.#tombstones.get(nodeId);
+    if (former !== undefined && compareStamps(former.stamp, stamp) > 0) return;
+    const { incarnation, sequence } = stamp;
+    const forgottenAtMs = nowMs + TOMBSTONE_MS;
+    this.#tombstones.set(nodeId, { stamp: { incarnation, sequence }, forgottenAtMs });
+  }
+
+  #index(nodeId: string, former: NodeRecord | undefined, next: NodeRecord | undefined): void {
+    const formerServices = new Set(former?.servers.map((server) => server.service));
+    const nextServices = new Set(next?.servers.map((server) => server.service));
+    formerServices.forEach((service) => {
+      if (!nextServices.has(service)) this.#forget(nodeId, service);
+      this.#entries.delete(service);
+    });
+    nextServices.forEach((service) => {
+      const nodeIds = this.#nodesByService.get(service) ?? new Set();
+      this.#nodesByService.set(service, nodeIds.add(nodeId));
+      this.#entries.delete(service);
+    });
+    this.#revision += 1;
+    this.#listeners.forEach((listener) => listener(nodeId));
+  }
+
+  #forget(nodeId: string, service: string): void {
+    const nodeIds = this.#nodesByService.get(service);
+    nodeIds?.delete(nodeId);
+    if (nodeIds?.size === 0) this.#nodesByService.delete(service);
+  }
+}
