--- /dev/null
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -0,0 +1,308 @@
+/** Exchange of node records and progress among control VMs. */
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import {
+  ExchangeService,
+  FollowResponseSchema,
+  RecordStampSchema,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { createLogger } from '../../../process/log/index.js';
+import { openTransport } from '../../openTransport/index.js';
+import ByteMeter from '../_lib/ByteMeter.js';
+import { computeBackoff } from '../_lib/computeBackoff.js';
+import FollowerFeed from '../_lib/FollowerFeed.js';
+import sleep from '../_lib/sleep.js';
+import * as timing from '../timing.js';
+import { LinkError } from '../LinkError/index.js';
+
+import type {
+  FollowResponse,
+  NodeProgress,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { NodeStatus } from '../../../process/fleet/types.js';
+import type { MetricsRegistry } from '../../../process/metrics/index.js';
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type { DistributionHub } from '../DistributionHub/index.js';
+
+/** Another control VM. */
+export interface ExchangePeer {
+  memberId: string;
+  /** host:port of its connect-es listener. */
+  address: string;
+}
+
+export interface ExchangeOptions {
+  metrics?: MetricsRegistry;
+  tls?: () => TlsMaterial | undefined;
+  /** Uniform in [0, 1). */
+  random?: () => number;
+  /** Present time in milliseconds since the epoch. */
+  now?: () => number;
+  heartbeatIntervalMs?: number;
+  silenceMs?: number;
+  windowMs?: number;
+}
+
+/** Reachability of another control VM, as this one sees it. */
+export interface ExchangeStatus extends ExchangePeer {
+  isReachable: boolean;
+  /** When it was last heard, in milliseconds since the epoch; 0 for never. */
+  heardAtMs: number;
+}
+
+interface Followed {
+  peer: ExchangePeer;
+  stopping: AbortController;
+  running: Promise<void>;
+  isReachable: boolean;
+  heardAtMs: number;
+  /** Nodes that the peer holds; its messages renew their leases. */
+  heldNodes: Set<string>;
+}
+
+const log = createLogger('exchange');
+
+/** Follows every other control VM and serves those that follow this one. */
+export class ControlExchange {
+  readonly #memberId: string;
+
+  readonly #hub: DistributionHub;
+
+  readonly #listPeers: () => ExchangePeer[];
+
+  readonly #options: ExchangeOptions;
+
+  readonly #now: () => number;
+
+  readonly #meter: ByteMeter;
+
+  readonly #followed = new Map<string, Followed>();
+
+  readonly #feeds = new Set<FollowerFeed>();
+
+  #timers: NodeJS.Timeout[] = [];
+
+  #unsubscribers: (() => void)[] = [];
+
+  /**
+   * @param memberId - name of this control VM
+   * @param hub - the nodes attached here
+   * @param listPeers - the other control VMs; read again at each heartbeat
+   */
+  constructor(
+    memberId: string,
+    hub: DistributionHub,
+    listPeers: () => ExchangePeer[],
+    options: ExchangeOptions = {},
+  ) {
+    this.#memberId = memberId;
+    this.#hub = hub;
+    this.#listPeers = listPeers;
+    this.#options = options;
+    this.#now = options.now ?? Date.now;
+    this.#meter = new ByteMeter(options.metrics, 'exchange');
+  }
+
+  /** Adds the service for other control VMs to the router of the process. */
+  registerRoutes(router: ConnectRouter): void {
+    router.service(
+      ExchangeService,
+      { follow: (_, context) => this.#serve(context.signal) },
+      { acceptCompression: [], readMaxBytes: timing.MAX_MESSAGE_BYTES },
+    );
+  }
+
+  /** Starts one task per other control VM; returns at once. */
+  start(): void {
+    const heartbeatMs = this.#options.heartbeatIntervalMs ?? timing.HEARTBEAT_INTERVAL_MS;
+    const windowMs = this.#options.windowMs ?? timing.ENDPOINT_WINDOW_MS;
+    const { directory, fleet } = this.#hub;
+    this.#unsubscribers = [
+      directory.onChanged((nodeId) => {
+        if (fleet.isOwn(nodeId)) this.#feeds.forEach((feed) => feed.noteRecord(nodeId));
+      }),
+      fleet.onOwnChanged((nodeId) => this.#feeds.forEach((feed) => feed.noteReport(nodeId))),
+    ];
+    this.#timers = [
+      setInterval(() => this.#feeds.forEach((feed) => feed.wakeup.set()), windowMs),
+      setInterval(() => this.#feeds.forEach((feed) => feed.requestRenewal()), heartbeatMs),
+      setInterval(() => this.#reconcile(), heartbeatMs),
+    ];
+    this.#reconcile();
+  }
+
+  /** Ends all streams and resolves when all tasks have ended. */
+  async stop(): Promise<void> {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#unsubscribers.forEach((unsubscribe) => unsubscribe());
+    this.#feeds.forEach((feed) => feed.close());
+    const followed = [...this.#followed.values()];
+    this.#followed.clear();
+    followed.forEach(({ stopping }) => stopping.abort());
+    await Promise.all(followed.map(({ running }) => running));
+  }
+
+  /** Bytes by direction and message kind. */
+  get meter(): ByteMeter {
+    return this.#meter;
+  }
+
+  /** Returns whether each other control VM is reachable. */
+  readStatus(): ExchangeStatus[] {
+    return [...this.#followed.values()].map(({ peer, isReachable, heardAtMs }) => ({
+      ...peer,
+      isReachable,
+      heardAtMs,
+    }));
+  }
+
+  /**
+   * Returns the status of all nodes over all control VMs. A node whose control VM is unreachable is
+   * listed with its last known version, and not as connected.
+   */
+  async readFleet(): Promise<NodeStatus[]> {
+    return this.#hub.fleet.readAll(
+      (memberId) => this.#followed.get(memberId)?.isReachable === true,
+    );
+  }
+
+  async *#serve(signal: AbortSignal): AsyncGenerator<FollowResponse> {
+    const feed = new FollowerFeed(this.#hub);
+    this.#feeds.add(feed);
+    signal.addEventListener('abort', () => feed.close());
+    try {
+      while (!feed.isClosed) {
+        const update = feed.collect(this.#memberId);
+        if (update === undefined) {
+          await feed.wakeup.wait();
+        } else {
+          this.#meter.countSent(FollowResponseSchema, update, { case: 'update' });
+          yield update;
+        }
+      }
+    } finally {
+      this.#feeds.delete(feed);
+    }
+  }
+
+  #reconcile(): void {
+    const peers = new Map(
+      this.#listPeers()
+        .filter((peer) => peer.memberId !== this.#memberId)
+        .map((peer) => [peer.memberId, peer]),
+    );
+    this.#followed.forEach((followed, memberId) => {
+      if (peers.get(memberId)?.address === followed.peer.address) return;
+      followed.stopping.abort();
+      this.#followed.delete(memberId);
+    });
+    peers.forEach((peer, memberId) => {
+      if (!this.#followed.has(memberId)) this.#startFollowing(peer);
+    });
+  }
+
+  #startFollowing(peer: ExchangePeer): void {
+    const followed: Followed = {
+      peer,
+      stopping: new AbortController(),
+      running: Promise.resolve(),
+      isReachable: false,
+      heardAtMs: 0,
+      heldNodes: new Set(),
+    };
+    this.#followed.set(peer.memberId, followed);
+    followed.running = this.#follow(followed);
+  }
+
+  async #follow(followed: Followed): Promise<void> {
+    const { signal } = followed.stopping;
+    const backoff = {
+      baseMs: timing.BACKOFF_BASE_MS,
+      capMs: timing.BACKOFF_CAP_MS,
+      random: this.#options.random ?? Math.random,
+    };
+    let attempt = 0;
+    while (!signal.aborted) {
+      const wasReachable = await this.#followOnce(followed);
+      attempt = wasReachable ? 0 : attempt + 1;
+      await sleep(computeBackoff(attempt, backoff), signal);
+    }
+  }
+
+  async #followOnce(followed: Followed): Promise<boolean> {
+    const tls = this.#options.tls?.();
+    const { transport, close } = openTransport(followed.peer.address, tls ? { tls } : {});
+    const client = createClient(ExchangeService, transport);
+    const silence = new AbortController();
+    const silenceMs = this.#options.silenceMs ?? timing.STREAM_SILENCE_MS;
+    const watchdog = setTimeout(() => silence.abort(), silenceMs);
+    const signal = AbortSignal.any([silence.signal, followed.stopping.signal]);
+    try {
+      for await (const update of client.follow({ memberId: this.#memberId }, { signal })) {
+        watchdog.refresh();
+        this.#apply(followed, update, this.#now());
+      }
+    } catch (cause) {
+      const { code, message } = LinkError.from(cause);
+      log.debug({ memberId: followed.peer.memberId, code }, message);
+    }
+    clearTimeout(watchdog);
+    close();
+    return this.#noteLost(followed);
+  }
+
+  #noteLost(followed: Followed): boolean {
+    const wasReachable = followed.isReachable;
+    Object.assign(followed, { isReachable: false });
+    if (wasReachable) log.warn({ memberId: followed.peer.memberId }, 'control VM is unreachable');
+    return wasReachable;
+  }
+
+  #apply(followed: Followed, update: FollowResponse, nowMs: number): void {
+    const { memberId } = followed.peer;
+    if (!followed.isReachable) log.info({ memberId }, 'following control VM');
+    Object.assign(followed, { isReachable: true, heardAtMs: nowMs });
+    this.#meter.countReceived(FollowResponseSchema, update, { case: 'update' });
+    const { directory, fleet } = this.#hub;
+    // A node that the full update lacks may be on its way back to the peer; its lease decides.
+    if (update.isFull) followed.heldNodes.clear();
+    update.progress.forEach((progress) => this.#takeProgress(memberId, progress, nowMs));
+    update.upserted.forEach((record) => this.#takeRecord(followed, record, nowMs));
+    update.released.forEach((stamp) => {
+      followed.heldNodes.delete(stamp.nodeId);
+      if (!this.#hub.reportNewer(stamp) && !this.#hub.isAttached(stamp.nodeId)) {
+        directory.remove(stamp.nodeId, stamp, nowMs);
+      }
+    });
+    followed.heldNodes.forEach((nodeId) => directory.renew(nodeId, nowMs));
+    fleet.touch(memberId, nowMs);
+  }
+
+  #takeProgress(memberId: string, progress: NodeProgress, nowMs: number): void {
+    const { nodeId, dataCentre, version, isConnected, incarnation, sequence } = progress;
+    const refusal =
+      progress.refusedVersion === 0
+        ? {}
+        : { refusedVersion: progress.refusedVersion, refusalReason: progress.refusalReason };
+    const inForceAtMs = Number(progress.inForceAtMs);
+    const status = { nodeId, dataCentre, version, inForceAtMs, isConnected, ...refusal };
+    this.#hub.fleet.merge(memberId, { ...status, incarnation, sequence }, nowMs);
+  }
+
+  // A record that another control VM offers in an older state belongs to a node whose incarnation
+  // is too low; that control VM tells the node to raise it.
+  #takeRecord(followed: Followed, record: NodeRecord, nowMs: number): void {
+    const { directory } = this.#hub;
+    const { nodeId } = record;
+    followed.heldNodes.add(nodeId);
+    if (directory.merge(record, nowMs)) return;
+    const known = directory.find(nodeId) ?? directory.findRemoved(nodeId);
+    if (known === undefined || known.incarnation <= record.incarnation) return;
+    const { incarnation, sequence } = known;
+    const stamp = create(RecordStampSchema, { nodeId, incarnation, sequence });
+    this.#feeds.forEach((feed) => feed.noteNewer(stamp));
+  }
+}
--- /dev/null
+++ b/src/connection/distribution/ControlExchange/test.ts
@@ -0,0 +1,49 @@
+import tap from 'tap';
+
+import {
+  buildSizedConfiguration,
+  startControl,
+  startNode,
+  waitUntil,
+} from '../../../../stand-ins/controlCluster/index.js';
+
+import type { ExchangePeer } from './index.js';
+
+tap.test('every control VM knows all nodes, and reports those of a lost VM as such', async (t) => {
+  const peers: ExchangePeer[] = [];
+  const listPeers = (): ExchangePeer[] => peers;
+  const first = await startControl('control-1', { listPeers, heartbeatIntervalMs: 100 });
+  const second = await startControl('control-2', { listPeers, heartbeatIntervalMs: 100 });
+  peers.push(first, second);
+  const nodes = [startNode('node-1', [first]), startNode('node-2', [second])];
+  t.teardown(async () => {
+    await Promise.all(nodes.map((node) => node.link.stop()));
+    await first.stop();
+    await second.stop();
+  });
+
+  await waitUntil('both nodes know both servers', () =>
+    nodes.every((node) => node.directory.serversOf('service-000').length === 2),
+  );
+  [first, second].forEach((control) => control.log.commit(buildSizedConfiguration(1), Date.now()));
+  await waitUntil('both control VMs know both versions', () =>
+    [first, second].every(
+      (control) =>
+        control.hub.fleet.readAll(() => true).filter((status) => status.version === 1).length === 2,
+    ),
+  );
+
+  await second.stop();
+  await waitUntil(
+    'control-2 is unreachable',
+    () => !first.exchange.readStatus().some((status) => status.isReachable),
+  );
+  const fleet = await first.exchange.readFleet();
+  t.strictSame(
+    fleet.map(({ nodeId, version, isConnected }) => ({ nodeId, version, isConnected })),
+    [
+      { nodeId: 'node-1', version: 1, isConnected: true },
+      { nodeId: 'node-2', version: 1, isConnected: false },
+    ],
+  );
+});
--- /dev/null
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -0,0 +1,373 @@
+/** Control side of configuration distribution: one session per attached node. */
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import {
+  AttachRequestSchema,
+  AttachResponseSchema,
+  DistributionService,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
+import { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
+import { FleetTable } from '../../../process/fleet/FleetTable/index.js';
+import { createLogger } from '../../../process/log/index.js';
+import ByteMeter from '../_lib/ByteMeter.js';
+import { EndpointBroadcast } from '../_lib/EndpointBroadcast.js';
+import { NodeSession } from '../_lib/NodeSession.js';
+import { PayloadCache } from '../_lib/PayloadCache.js';
+import { SnapshotAdmission } from '../_lib/SnapshotAdmission.js';
+import * as timing from '../timing.js';
+
+import type {
+  AttachRequest,
+  AttachResponse,
+  Hello,
+  InForce,
+  ReadVersionResponse,
+  RecordStamp,
+  Refusal,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { NodeReport } from '../../../process/fleet/FleetTable/index.js';
+import type { MetricsRegistry } from '../../../process/metrics/index.js';
+import type { ControlLog } from '../../../process/replication/ControlLog/index.js';
+import type { SessionSource } from '../_lib/NodeSession.js';
+
+/** Limits of a hub; the defaults are in `timing.ts`. */
+export interface HubOptions {
+  metrics?: MetricsRegistry;
+  /** Uniform in [0, 1). */
+  random?: () => number;
+  /** Present time in milliseconds since the epoch. */
+  now?: () => number;
+  heartbeatIntervalMs?: number;
+  silenceMs?: number;
+  windowMs?: number;
+  snapshotSlots?: number;
+  retryAfterMs?: number;
+}
+
+const log = createLogger('distribution');
+
+/** Serves the nodes attached to one control VM. */
+export class DistributionHub {
+  /** Records of all nodes known to this control VM. */
+  readonly directory: EndpointDirectory;
+
+  /** Status of all nodes known to this control VM. */
+  readonly fleet: FleetTable;
+
+  readonly #memberId: string;
+
+  readonly #log: ControlLog;
+
+  readonly #options: HubOptions;
+
+  readonly #now: () => number;
+
+  readonly #silenceMs: number;
+
+  readonly #sessions = new Map<string, NodeSession>();
+
+  readonly #meter: ByteMeter;
+
+  readonly #source: SessionSource & { endpoints: EndpointBroadcast };
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #unsubscribe: (() => void) | undefined;
+
+  /**
+   * @param memberId - name of this control VM
+   * @param controlLog - source of committed versions
+   */
+  constructor(memberId: string, controlLog: ControlLog, options: HubOptions = {}) {
+    this.#memberId = memberId;
+    this.#log = controlLog;
+    this.#options = options;
+    this.#now = options.now ?? Date.now;
+    this.#silenceMs = options.silenceMs ?? timing.STREAM_SILENCE_MS;
+    this.#meter = new ByteMeter(options.metrics, 'control');
+    this.directory = new EndpointDirectory({ leaseMs: this.#silenceMs });
+    this.fleet = new FleetTable(memberId);
+    this.#source = this.#createSource();
+  }
+
+  /** Adds the service for nodes to the router of the process. */
+  registerRoutes(router: ConnectRouter): void {
+    const limits = { acceptCompression: [], readMaxBytes: timing.MAX_MESSAGE_BYTES };
+    router.service(
+      DistributionService,
+      {
+        attach: (requests, context) => this.#serve(requests, context.signal),
+        readVersion: () => this.#readVersion(),
+      },
+      limits,
+    );
+  }
+
+  /** Starts heartbeats and the expiry of leases. */
+  start(): void {
+    const intervalMs = this.#options.heartbeatIntervalMs ?? timing.HEARTBEAT_INTERVAL_MS;
+    this.#timer = setInterval(() => this.#tick(this.#now()), intervalMs);
+    this.#unsubscribe = this.#log.onCommitted(() => this.#wakeSessions());
+  }
+
+  /** Ends all sessions. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#unsubscribe?.();
+    this.#source.endpoints.stop();
+    this.#sessions.forEach((session) => session.close());
+  }
+
+  /** Tells whether the node is attached to this control VM. */
+  isAttached(nodeId: string): boolean {
+    return this.#sessions.has(nodeId);
+  }
+
+  /** Number of attached nodes. */
+  get sessionCount(): number {
+    return this.#sessions.size;
+  }
+
+  /** Bytes by direction and message kind. */
+  get meter(): ByteMeter {
+    return this.#meter;
+  }
+
+  /** Number of configuration payloads encoded so far. */
+  get encodingCount(): number {
+    return this.#source.payloads.encodingCount;
+  }
+
+  /**
+   * Tells an attached node that another process holds a newer record of it.
+   *
+   * @param stamp - the newer state
+   * @returns false when the node is not attached here, or its record is newer
+   */
+  reportNewer(stamp: RecordStamp): boolean {
+    const session = this.#sessions.get(stamp.nodeId);
+    const record = this.directory.find(stamp.nodeId);
+    if (session === undefined) return false;
+    if (record !== undefined && compareStamps(record, stamp) >= 0) return false;
+    this.#sendSuperseded(session, stamp.incarnation);
+    return true;
+  }
+
+  #createSource(): SessionSource & { endpoints: EndpointBroadcast } {
+    const options = this.#options;
+    return {
+      payloads: new PayloadCache((version) => this.#log.committedVersion(version)?.configuration),
+      endpoints: new EndpointBroadcast(this.directory, {
+        windowMs: options.windowMs ?? timing.ENDPOINT_WINDOW_MS,
+        keptBatches: timing.KEPT_BATCHES,
+        epoch: `${this.#memberId}:${this.#now()}`,
+        onBatch: () => this.#wakeSessions(),
+      }),
+      admission: new SnapshotAdmission({
+        slots: options.snapshotSlots ?? timing.SNAPSHOT_SLOTS,
+        slotMs: timing.SNAPSHOT_SLOT_MS,
+        retryAfterMs: options.retryAfterMs ?? timing.RETRY_AFTER_MS,
+        random: options.random ?? Math.random,
+      }),
+      readTarget: () => this.#log.committed()?.configuration,
+      isConfirmed: (nowMs) => this.#log.isConfirmed(nowMs),
+    };
+  }
+
+  #readVersion(): Omit<ReadVersionResponse, '$typeName'> {
+    return {
+      memberId: this.#memberId,
+      version: this.#log.committed()?.configuration.version ?? 0,
+      isConfirmed: this.#log.isConfirmed(this.#now()),
+    };
+  }
+
+  #wakeSessions(): void {
+    this.#sessions.forEach((session) => session.wakeup.set());
+  }
+
+  #tick(nowMs: number): void {
+    this.#sessions.forEach((session) => {
+      if (session.isSilent(this.#silenceMs, nowMs)) {
+        log.warn({ nodeId: session.nodeId }, 'node is silent; its stream is closed');
+        session.close();
+      } else {
+        session.requestHeartbeat();
+      }
+    });
+    this.directory.expire(nowMs).forEach((record) => {
+      log.info({ nodeId: record.nodeId }, 'lease of node record ended');
+    });
+    this.fleet.touch(this.#memberId, nowMs);
+    this.fleet.expire(nowMs);
+  }
+
+  async *#serve(
+    requests: AsyncIterable<AttachRequest>,
+    signal: AbortSignal,
+  ): AsyncGenerator<AttachResponse> {
+    const iterator = requests[Symbol.asyncIterator]();
+    const first = await iterator.next();
+    const { session, record } = this.#open(first.done === true ? undefined : first.value);
+    signal.addEventListener('abort', () => session.close());
+    const reading = this.#read({ [Symbol.asyncIterator]: () => iterator }, session);
+    try {
+      yield* this.#write(session, record);
+    } finally {
+      this.#close(session);
+    }
+    // The stream ends without waiting for the node; a failed read was already handled.
+    reading.catch(() => undefined);
+  }
+
+  async *#write(session: NodeSession, record: NodeRecord): AsyncGenerator<AttachResponse> {
+    let isAdmitted = false;
+    while (true) {
+      const messages = session.collect(this.#now());
+      // A node that was told to come back later is not announced to the others.
+      if (!isAdmitted && !session.isClosed) {
+        isAdmitted = true;
+        this.#admit(session, record, this.#now());
+      }
+      messages.forEach((message) =>
+        this.#meter.countSent(AttachResponseSchema, message, message.kind),
+      );
+      yield* messages;
+      if (session.isClosed) return;
+      if (messages.length === 0) await session.wakeup.wait();
+    }
+  }
+
+  async #read(requests: AsyncIterable<AttachRequest>, session: NodeSession): Promise<void> {
+    try {
+      for await (const request of requests) {
+        if (session.isClosed) return;
+        this.#handle(request, session, this.#now());
+      }
+    } catch (error) {
+      log.debug({ nodeId: session.nodeId, cause: String(error) }, 'stream of node failed');
+    }
+    session.close();
+  }
+
+  #open(request: AttachRequest | undefined): { session: NodeSession; record: NodeRecord } {
+    const hello = request?.kind.case === 'hello' ? request.kind.value : undefined;
+    const record = hello?.record;
+    if (request === undefined || hello === undefined || record?.nodeId !== hello.nodeId) {
+      const message = 'the first message must be Hello with the record of the node';
+      throw new ConnectError(message, Code.InvalidArgument);
+    }
+    this.#meter.countReceived(AttachRequestSchema, request, request.kind);
+    const nowMs = this.#now();
+    const report = this.#createReport(hello, record, nowMs);
+    const session = new NodeSession(hello, report, this.#source, nowMs);
+    this.#sessions.get(hello.nodeId)?.close();
+    this.#sessions.set(hello.nodeId, session);
+    log.info({ nodeId: hello.nodeId, version: hello.version }, 'node attached');
+    return { session, record };
+  }
+
+  #admit(session: NodeSession, record: NodeRecord, nowMs: number): void {
+    this.#publish(session, {}, nowMs);
+    this.#takeRecord(record, session, nowMs);
+  }
+
+  #createReport(hello: Hello, record: NodeRecord, nowMs: number): NodeReport {
+    const former = this.fleet.find(hello.nodeId);
+    const isSameVersion = former?.version === hello.version;
+    return {
+      nodeId: hello.nodeId,
+      dataCentre: hello.dataCentre,
+      version: hello.version,
+      inForceAtMs: isSameVersion ? former.inForceAtMs : nowMs,
+      isConnected: true,
+      incarnation: record.incarnation,
+      sequence: record.sequence,
+    };
+  }
+
+  #publish(session: NodeSession, change: Partial<NodeReport>, nowMs: number): void {
+    Object.assign(session, { report: { ...session.report, ...change } });
+    this.fleet.merge(this.#memberId, session.report, nowMs);
+  }
+
+  #close(session: NodeSession): void {
+    session.close();
+    if (this.#sessions.get(session.nodeId) !== session) return;
+    this.#sessions.delete(session.nodeId);
+    if (this.fleet.isOwn(session.nodeId)) {
+      this.#publish(session, { isConnected: false }, this.#now());
+    }
+    log.info({ nodeId: session.nodeId }, 'node detached');
+  }
+
+  #handle(request: AttachRequest, session: NodeSession, nowMs: number): void {
+    this.#meter.countReceived(AttachRequestSchema, request, request.kind);
+    session.noteReceived(nowMs);
+    this.directory.renew(session.nodeId, nowMs);
+    const { kind } = request;
+    switch (kind.case) {
+      case 'record':
+        this.#takeRecord(kind.value, session, nowMs);
+        break;
+      case 'inForce':
+        this.#takeInForce(kind.value, session, nowMs);
+        break;
+      case 'refusal':
+        this.#takeRefusal(kind.value, session, nowMs);
+        break;
+      case 'newer':
+        this.reportNewer(kind.value);
+        break;
+      default:
+    }
+  }
+
+  #takeRecord(record: NodeRecord, session: NodeSession, nowMs: number): void {
+    if (record.nodeId !== session.nodeId) {
+      log.warn(
+        { nodeId: session.nodeId, recordOf: record.nodeId },
+        'record of another node ignored',
+      );
+      return;
+    }
+    const known = this.directory.find(record.nodeId) ?? this.directory.findRemoved(record.nodeId);
+    if (known !== undefined && compareStamps(known, record) > 0) {
+      this.#sendSuperseded(session, known.incarnation);
+      return;
+    }
+    const { incarnation, sequence } = record;
+    this.directory.merge(record, nowMs);
+    this.#publish(session, { incarnation, sequence }, nowMs);
+  }
+
+  #takeInForce(report: InForce, session: NodeSession, nowMs: number): void {
+    const { version, contentHash } = report;
+    session.noteInForce({ version, contentHash });
+    const inForceAtMs = Number(report.inForceAtMs);
+    const cleared = { refusedVersion: undefined, refusalReason: undefined };
+    this.#publish(session, { version, inForceAtMs, ...cleared }, nowMs);
+    log.debug({ nodeId: session.nodeId, version }, 'version in force on node');
+  }
+
+  #takeRefusal(refusal: Refusal, session: NodeSession, nowMs: number): void {
+    const { version, reason } = refusal;
+    session.noteRefusal(refusal);
+    log.warn({ nodeId: session.nodeId, version, reason }, 'node refused a version');
+    const change = { refusedVersion: version, refusalReason: reason };
+    this.#publish(session, change, nowMs);
+  }
+
+  #sendSuperseded(session: NodeSession, recordedIncarnation: bigint): void {
+    log.warn({ nodeId: session.nodeId }, 'a newer record of the node is known');
+    session.send(
+      create(AttachResponseSchema, {
+        kind: { case: 'superseded', value: { recordedIncarnation } },
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -0,0 +1,344 @@
+import { create, fromBinary } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { err, ok } from 'neverthrow';
+
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Result } from 'neverthrow';
+import {
+  AttachRequestSchema,
+  AttachResponseSchema,
+  DistributionService,
+  EndpointDeltaSchema,
+  RefusalCode,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { InstallErrorCode } from '../../../process/holder/InstallError/index.js';
+import { createLogger } from '../../../process/log/index.js';
+import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
+import { openTransport } from '../../openTransport/index.js';
+import { LinkError, LinkErrorCode } from '../LinkError/index.js';
+import { installDelta, installSnapshot } from './installEncoded.js';
+import MessageQueue from './MessageQueue.js';
+
+import type {
+  AttachRequest,
+  AttachResponse,
+  EndpointDelta,
+  Heartbeat,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { InstallError } from '../../../process/holder/InstallError/index.js';
+import type { CompiledConfiguration } from '../../../version/compileConfiguration/types.js';
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type { ControlTarget, LinkTiming, NodeLinkParts } from '../NodeLink/types.js';
+import type ByteMeter from './ByteMeter.js';
+import type { OwnRecord } from './OwnRecord.js';
+
+/** What a stream shares with the link that opened it. */
+export interface StreamContext {
+  parts: NodeLinkParts;
+  ownRecord: OwnRecord;
+  meter: ByteMeter;
+  timing: LinkTiming;
+  now: () => number;
+  tls: TlsMaterial | undefined;
+  /** Endpoint batches that this node has received, to resume after a reconnect. */
+  cursor: EndpointCursor;
+}
+
+/** How far a node has followed the endpoint batches of one control process. */
+export interface EndpointCursor {
+  epoch: string;
+  revision: number;
+  /** Nodes whose records that process vouches for. */
+  listed: Set<string>;
+}
+
+/** How a stream ended without an error. */
+export interface StreamEnd {
+  /** Set when the control VM had no snapshot slot. */
+  retryAfterMs?: number;
+}
+
+const REFUSAL_CODES: Record<InstallErrorCode, RefusalCode> = {
+  [InstallErrorCode.Older]: RefusalCode.OLDER,
+  [InstallErrorCode.Conflict]: RefusalCode.CONFLICT,
+  [InstallErrorCode.BaseMismatch]: RefusalCode.BASE_MISMATCH,
+  [InstallErrorCode.HashMismatch]: RefusalCode.HASH_MISMATCH,
+  [InstallErrorCode.Invalid]: RefusalCode.INVALID,
+  [InstallErrorCode.Undecodable]: RefusalCode.UNDECODABLE,
+};
+
+const log = createLogger('link');
+
+/** One attachment of a node to a control VM, from connect to end. */
+export class ControlStream {
+  readonly target: ControlTarget;
+
+  readonly #context: StreamContext;
+
+  readonly #queue = new MessageQueue<AttachRequest>();
+
+  readonly #abort = new AbortController();
+
+  #lastHeartbeat: Heartbeat | undefined;
+
+  #confirmedAtMs: number;
+
+  #hasEndpoints = false;
+
+  #isSilent = false;
+
+  #isAttached = false;
+
+  #retryAfterMs: number | undefined;
+
+  #sentRecord: NodeRecord | undefined;
+
+  #recordTimer: NodeJS.Timeout | undefined;
+
+  #reportedVersion = 0;
+
+  constructor(target: ControlTarget, context: StreamContext) {
+    this.target = target;
+    this.#context = context;
+    this.#confirmedAtMs = context.now();
+  }
+
+  /** Whether the control VM has answered. */
+  get isAttached(): boolean {
+    return this.#isAttached;
+  }
+
+  /** The version that the control VM last confirmed, once the endpoints are known as well. */
+  get confirmedVersion(): number | undefined {
+    const heartbeat = this.#lastHeartbeat;
+    return this.#hasEndpoints && heartbeat?.isConfirmed === true ? heartbeat.version : undefined;
+  }
+
+  /** The newest version that the control VM announced, confirmed or not. */
+  get announcedVersion(): number {
+    return this.#lastHeartbeat?.version ?? 0;
+  }
+
+  /** Time at which the control VM was last confirmed; when the stream was opened, if never. */
+  get confirmedAtMs(): number {
+    return this.#confirmedAtMs;
+  }
+
+  /** Ends the stream. */
+  close(): void {
+    this.#queue.close();
+    this.#abort.abort();
+  }
+
+  /**
+   * Serves the stream until it ends.
+   *
+   * @returns how it ended
+   */
+  async run(): Promise<Result<StreamEnd, LinkError>> {
+    const { timing, tls } = this.#context;
+    const { transport, close } = openTransport(this.target.address, tls ? { tls } : {});
+    const client = createClient(DistributionService, transport);
+    const watchdog = setTimeout(() => this.#endSilent(), timing.silenceMs);
+    const renewals = setInterval(
+      () => this.#send({ case: 'renewal', value: {} }),
+      timing.heartbeatIntervalMs,
+    );
+    this.#sendHello();
+    try {
+      const options = { signal: this.#abort.signal };
+      for await (const message of client.attach(this.#queue.iterate(), options)) {
+        watchdog.refresh();
+        this.#handle(message, this.#context.now());
+      }
+      return ok(this.#retryAfterMs === undefined ? {} : { retryAfterMs: this.#retryAfterMs });
+    } catch (cause) {
+      return err(this.#convert(cause));
+    } finally {
+      clearTimeout(watchdog);
+      clearInterval(renewals);
+      clearTimeout(this.#recordTimer);
+      this.close();
+      close();
+    }
+  }
+
+  /**
+   * Sends the node record: at once, or at the end of the window in which one was already sent. A
+   * server that flaps costs one message per window.
+   */
+  sendRecord(): void {
+    if (!this.#isAttached || this.#recordTimer !== undefined) return;
+    this.#sendNewestRecord();
+    this.#recordTimer = setTimeout(() => {
+      this.#recordTimer = undefined;
+      if (this.#sentRecord !== this.#context.ownRecord.current) this.sendRecord();
+    }, this.#context.timing.windowMs);
+  }
+
+  /** Reports the version in force, once per version and stream. */
+  reportInForce(nowMs: number): void {
+    const compiled = this.#context.parts.holder.current();
+    if (compiled === undefined || compiled.version === this.#reportedVersion) return;
+    this.#reportedVersion = compiled.version;
+    const { version, contentHash } = compiled.configuration;
+    this.#send({ case: 'inForce', value: { version, contentHash, inForceAtMs: BigInt(nowMs) } });
+  }
+
+  #sendHello(): void {
+    const { parts, ownRecord, cursor } = this.#context;
+    const held = parts.holder.current()?.configuration;
+    // A new number makes this attachment newer than any earlier one, wherever it was.
+    const record = ownRecord.renumber();
+    parts.directory.merge(record, this.#context.now());
+    this.#sentRecord = record;
+    this.#reportedVersion = held?.version ?? 0;
+    this.#send({
+      case: 'hello',
+      value: {
+        nodeId: parts.nodeId,
+        dataCentre: parts.dataCentre,
+        version: held?.version ?? 0,
+        contentHash: held?.contentHash ?? new Uint8Array(),
+        record,
+        endpointEpoch: cursor.epoch,
+        endpointRevision: cursor.revision,
+      },
+    });
+  }
+
+  #sendNewestRecord(): void {
+    const record = this.#context.ownRecord.current;
+    this.#sentRecord = record;
+    this.#send({ case: 'record', value: record });
+  }
+
+  #send(kind: MessageInitShape<typeof AttachRequestSchema>['kind']): void {
+    const message = create(AttachRequestSchema, { kind });
+    this.#context.meter.countSent(AttachRequestSchema, message, message.kind);
+    this.#queue.push(message);
+  }
+
+  #endSilent(): void {
+    this.#isSilent = true;
+    this.close();
+  }
+
+  #convert(cause: unknown): LinkError {
+    if (!this.#isSilent) return LinkError.from(cause);
+    const message = `no message within ${this.#context.timing.silenceMs} ms`;
+    return new LinkError(LinkErrorCode.Silent, message);
+  }
+
+  #handle(message: AttachResponse, nowMs: number): void {
+    this.#context.meter.countReceived(AttachResponseSchema, message, message.kind);
+    this.#noteAttached(nowMs);
+    const { kind } = message;
+    const { holder } = this.#context.parts;
+    switch (kind.case) {
+      case 'snapshot':
+        this.#finishInstall(installSnapshot(holder, kind.value, nowMs), nowMs);
+        break;
+      case 'delta':
+        this.#finishInstall(installDelta(holder, kind.value, nowMs), nowMs);
+        break;
+      case 'endpoints':
+        this.#takeEndpoints(fromBinary(EndpointDeltaSchema, kind.value), nowMs);
+        break;
+      case 'heartbeat':
+        this.#takeHeartbeat(kind.value, nowMs);
+        break;
+      case 'retryAfter':
+        this.#retryAfterMs = kind.value.afterMs;
+        break;
+      case 'superseded':
+        this.#supersede(kind.value.recordedIncarnation, nowMs);
+        break;
+      default:
+    }
+  }
+
+  // While no control VM was reachable nothing could be renewed, so every lease starts anew.
+  #noteAttached(nowMs: number): void {
+    if (this.#isAttached) return;
+    this.#isAttached = true;
+    this.#context.parts.directory.renewAll(nowMs);
+    if (this.#sentRecord !== this.#context.ownRecord.current) this.sendRecord();
+    this.reportInForce(nowMs);
+  }
+
+  #takeHeartbeat(heartbeat: Heartbeat, nowMs: number): void {
+    this.#lastHeartbeat = heartbeat;
+    if (heartbeat.isConfirmed) this.#confirmedAtMs = nowMs;
+    // The control VM sends an endpoint delta before its first heartbeat unless there is none.
+    this.#hasEndpoints = true;
+    const { directory, nodeId } = this.#context.parts;
+    this.#context.cursor.listed.forEach((listedId) => directory.renew(listedId, nowMs));
+    directory.renew(nodeId, nowMs);
+    directory.expire(nowMs).forEach((record) => {
+      log.info({ nodeId: record.nodeId }, 'record is no longer listed by the control VM; removed');
+    });
+  }
+
+  #finishInstall(result: Result<CompiledConfiguration, InstallError>, nowMs: number): void {
+    result.match(
+      () => {
+        // An update that changed nothing is reported too: the control VM waits for the report.
+        this.#reportedVersion = 0;
+        this.reportInForce(nowMs);
+      },
+      (error) => this.#refuse(error),
+    );
+  }
+
+  #refuse(error: InstallError): void {
+    const held = this.#context.parts.holder.current()?.configuration;
+    log.warn({ version: error.version, code: error.code }, error.message);
+    this.#send({
+      case: 'refusal',
+      value: {
+        version: error.version,
+        code: REFUSAL_CODES[error.code],
+        reason: error.message,
+        heldVersion: held?.version ?? 0,
+        heldHash: held?.contentHash ?? new Uint8Array(),
+      },
+    });
+  }
+
+  #supersede(recordedIncarnation: bigint, nowMs: number): void {
+    const record = this.#context.ownRecord.supersede(recordedIncarnation);
+    log.info({ incarnation: String(record.incarnation) }, 'own record renumbered');
+    this.#context.parts.directory.merge(record, nowMs);
+    this.#sendNewestRecord();
+  }
+
+  #takeEndpoints(delta: EndpointDelta, nowMs: number): void {
+    const { cursor } = this.#context;
+    cursor.epoch = delta.epoch;
+    cursor.revision = delta.revision;
+    if (delta.isFull) cursor.listed.clear();
+    delta.upserted.forEach((record) => this.#takeRecord(record, nowMs));
+    delta.removed.forEach((stamp) => {
+      cursor.listed.delete(stamp.nodeId);
+      this.#context.parts.directory.remove(stamp.nodeId, stamp, nowMs);
+    });
+  }
+
+  #takeRecord(record: NodeRecord, nowMs: number): void {
+    const { directory, nodeId } = this.#context.parts;
+    if (record.nodeId === nodeId) {
+      if (compareStamps(record, this.#context.ownRecord.current) > 0) {
+        this.#supersede(record.incarnation, nowMs);
+      }
+      return;
+    }
+    this.#context.cursor.listed.add(record.nodeId);
+    if (directory.merge(record, nowMs)) return;
+    const held = directory.find(record.nodeId) ?? directory.findRemoved(record.nodeId);
+    if (held === undefined || held.incarnation <= record.incarnation) return;
+    const { incarnation, sequence } = held;
+    this.#send({ case: 'newer', value: { nodeId: record.nodeId, incarnation, sequence } });
+  }
+}
--- /dev/null
+++ b/src/connection/distribution/_lib/FollowerFeed.ts
@@ -0,0 +1,123 @@
+import { create } from '@bufbuild/protobuf';
+
+import {
+  FollowResponseSchema,
+  NodeProgressSchema,
+  RecordStampSchema,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import Wakeup from './Wakeup.js';
+
+import type {
+  FollowResponse,
+  NodeProgress,
+  RecordStamp,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { NodeReport } from '../../../process/fleet/FleetTable/index.js';
+import type { DistributionHub } from '../DistributionHub/index.js';
+
+const encodeProgress = (report: NodeReport): NodeProgress =>
+  create(NodeProgressSchema, {
+    nodeId: report.nodeId,
+    dataCentre: report.dataCentre,
+    version: report.version,
+    inForceAtMs: BigInt(report.inForceAtMs),
+    isConnected: report.isConnected,
+    refusedVersion: report.refusedVersion ?? 0,
+    refusalReason: report.refusalReason ?? '',
+    incarnation: report.incarnation,
+    sequence: report.sequence,
+  });
+
+/** What one other control VM has yet to learn of the nodes attached here. */
+export default class FollowerFeed {
+  readonly wakeup = new Wakeup();
+
+  readonly #hub: DistributionHub;
+
+  readonly #changedRecords = new Set<string>();
+
+  readonly #changedReports = new Set<string>();
+
+  readonly #newer: RecordStamp[] = [];
+
+  #isFullDue = true;
+
+  #isRenewalDue = false;
+
+  #isClosed = false;
+
+  constructor(hub: DistributionHub) {
+    this.#hub = hub;
+  }
+
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.wakeup.set();
+  }
+
+  noteRecord(nodeId: string): void {
+    this.#changedRecords.add(nodeId);
+  }
+
+  noteReport(nodeId: string): void {
+    this.#changedReports.add(nodeId);
+  }
+
+  /** Has the follower told that a newer state is known than the one it offered. */
+  noteNewer(stamp: RecordStamp): void {
+    this.#newer.push(stamp);
+  }
+
+  requestRenewal(): void {
+    this.#isRenewalDue = true;
+    this.wakeup.set();
+  }
+
+  /** Returns the next update; undefined when there is nothing to send. */
+  collect(memberId: string): FollowResponse | undefined {
+    if (this.#isFullDue) return this.#collectFull(memberId);
+    const hasChanges =
+      this.#changedRecords.size > 0 || this.#changedReports.size > 0 || this.#newer.length > 0;
+    if (!hasChanges && !this.#isRenewalDue) return undefined;
+    const records = [...this.#changedRecords];
+    const reports = [...this.#changedReports];
+    const newer = this.#newer.splice(0);
+    this.#clear();
+    return create(FollowResponseSchema, {
+      upserted: records.flatMap((nodeId) => this.#hub.directory.find(nodeId) ?? []),
+      released: [...records.flatMap((nodeId) => this.#findReleased(nodeId)), ...newer],
+      progress: reports.flatMap((nodeId) => {
+        const report = this.#hub.fleet.find(nodeId);
+        return report === undefined ? [] : [encodeProgress(report)];
+      }),
+    });
+  }
+
+  #findReleased(nodeId: string): RecordStamp[] {
+    const stamp = this.#hub.directory.findRemoved(nodeId);
+    if (stamp === undefined || this.#hub.directory.find(nodeId) !== undefined) return [];
+    return [create(RecordStampSchema, { nodeId, ...stamp })];
+  }
+
+  #collectFull(memberId: string): FollowResponse {
+    this.#clear();
+    const reports = this.#hub.fleet.ownReports();
+    return create(FollowResponseSchema, {
+      memberId,
+      isFull: true,
+      upserted: reports.flatMap((report) => this.#hub.directory.find(report.nodeId) ?? []),
+      progress: reports.map(encodeProgress),
+    });
+  }
+
+  #clear(): void {
+    this.#isFullDue = false;
+    this.#isRenewalDue = false;
+    this.#changedRecords.clear();
+    this.#changedReports.clear();
+  }
+}
--- /dev/null
+++ b/src/connection/startRpcServer/index.ts
@@ -0,0 +1,104 @@
+/** The connect-es listener of a process. */
+import { createServer } from 'node:http2';
+
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+import type { ConnectRouter } from '@connectrpc/connect';
+
+/** Largest message accepted from another process. */
+const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
+
+/** Streams of one peer at the same time; a peer needs one stream and a few calls. */
+const MAX_STREAMS_PER_SESSION = 64;
+
+/** Interval of pings and time without an answer after which a session is half-open. */
+const PING_INTERVAL_MS = 2_000;
+const PING_TIMEOUT_MS = 3_000;
+
+/** A listener that accepts calls of other processes. */
+export interface RpcServer {
+  /** host:port that was bound. */
+  address: string;
+  /** Ends all sessions and resolves when the port is free. */
+  close: () => Promise<void>;
+}
+
+export interface RpcServerOptions {
+  /** Adds the services of the process. */
+  routes: (router: ConnectRouter) => void;
+}
+
+const splitAddress = (address: string): { host: string; port: number } => {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(separator + 1)) };
+};
+
+// A peer that vanished without closing its connection leaves writes waiting until TCP gives up, which
+// takes minutes; a ping ends them within seconds.
+const watchSession = (session: ServerHttp2Session): void => {
+  let answeredAtMs = Date.now();
+  const timer = setInterval(() => {
+    if (Date.now() - answeredAtMs > PING_INTERVAL_MS + PING_TIMEOUT_MS) session.destroy();
+    else if (!session.destroyed) {
+      session.ping((error) => {
+        if (error === null) answeredAtMs = Date.now();
+      });
+    }
+  }, PING_INTERVAL_MS);
+  session.once('close', () => clearInterval(timer));
+  session.on('error', () => session.destroy());
+};
+
+const listen = (server: Http2Server, address: string): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const { host, port } = splitAddress(address);
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve(`${host}:${(server.address() as AddressInfo).port}`);
+    });
+  });
+
+/**
+ * Starts an HTTP/2 listener for the services of this process.
+ *
+ * @param address - `host:port`; port 0 lets the system choose
+ * @param options - the services
+ * @returns the bound listener
+ * @throws the system error when the address cannot be bound
+ *
+ * @example
+ * const server = await startRpcServer('127.0.0.1:0', { routes: (router) => hub.registerRoutes(router) });
+ */
+export const startRpcServer = async (
+  address: string,
+  options: RpcServerOptions,
+): Promise<RpcServer> => {
+  const handler = connectNodeAdapter({
+    routes: options.routes,
+    grpc: false,
+    grpcWeb: false,
+    acceptCompression: [],
+    readMaxBytes: MAX_MESSAGE_BYTES,
+  });
+  const sessions = new Set<ServerHttp2Session>();
+  const server = createServer(
+    { settings: { maxConcurrentStreams: MAX_STREAMS_PER_SESSION } },
+    handler,
+  );
+  server.on('session', (session) => {
+    sessions.add(session);
+    session.once('close', () => sessions.delete(session));
+    watchSession(session);
+  });
+  const bound = await listen(server, address);
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      sessions.forEach((session) => session.destroy());
+    });
+  return { address: bound, close };
+};
--- /dev/null
+++ b/src/process/fleet/FleetTable/index.ts
@@ -0,0 +1,118 @@
+/** What a control VM knows of the nodes attached to it and to the other control VMs. */
+import { compareStamps } from '../../endpoints/_lib/compareStamps.js';
+
+import type { NodeStatus } from '../types.js';
+
+/** How long a node that left is still listed. */
+const RETENTION_MS = 600_000;
+
+/** Status of one node together with the state of its record, which orders reports of several VMs. */
+export interface NodeReport extends NodeStatus {
+  incarnation: bigint;
+  sequence: number;
+}
+
+interface Entry {
+  report: NodeReport;
+  /** Control VM that the node is attached to. */
+  memberId: string;
+  heardAtMs: number;
+}
+
+/** Called with the id of a node attached to this control VM whose report changed. */
+export type ReportListener = (nodeId: string) => void;
+
+/** One report per node; the report with the newest record state wins. */
+export class FleetTable {
+  readonly #memberId: string;
+
+  readonly #entries = new Map<string, Entry>();
+
+  readonly #listeners = new Set<ReportListener>();
+
+  /** @param memberId - name of this control VM */
+  constructor(memberId: string) {
+    this.#memberId = memberId;
+  }
+
+  /**
+   * Takes over the report of a control VM unless a newer one is known.
+   *
+   * @param memberId - control VM that the node is attached to
+   * @param report - status and record state of the node
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns true when the report was taken over
+   */
+  merge(memberId: string, report: NodeReport, nowMs: number): boolean {
+    const held = this.#entries.get(report.nodeId);
+    if (held !== undefined && held.memberId !== memberId) {
+      const order = compareStamps(report, held.report);
+      if (order < 0 || (order === 0 && !report.isConnected)) return false;
+    }
+    this.#entries.set(report.nodeId, { report, memberId, heardAtMs: nowMs });
+    if (memberId === this.#memberId) this.#notify(report.nodeId);
+    return true;
+  }
+
+  /** Tells whether the node is attached to this control VM, or was last. */
+  isOwn(nodeId: string): boolean {
+    return this.#entries.get(nodeId)?.memberId === this.#memberId;
+  }
+
+  /** Returns the report of one node. */
+  find(nodeId: string): NodeReport | undefined {
+    return this.#entries.get(nodeId)?.report;
+  }
+
+  /** Returns the reports of the nodes attached to this control VM. */
+  ownReports(): NodeReport[] {
+    return [...this.#entries.values()]
+      .filter((entry) => entry.memberId === this.#memberId)
+      .map((entry) => entry.report);
+  }
+
+  /**
+   * Returns the status of every node, ordered by id.
+   *
+   * @param isReachable - tells whether a control VM is reachable; nodes of others count as not
+   *   connected
+   */
+  readAll(isReachable: (memberId: string) => boolean): NodeStatus[] {
+    return [...this.#entries.values()]
+      .map(({ report, memberId }) => {
+        const { incarnation, sequence, ...status } = report;
+        const isConnected =
+          status.isConnected && (memberId === this.#memberId || isReachable(memberId));
+        return { ...status, isConnected };
+      })
+      .toSorted((left, right) => (left.nodeId < right.nodeId ? -1 : 1));
+  }
+
+  /** Notes that a control VM still vouches for its connected nodes. */
+  touch(memberId: string, nowMs: number): void {
+    [...this.#entries.values()]
+      .filter((entry) => entry.memberId === memberId && entry.report.isConnected)
+      .forEach((entry) => Object.assign(entry, { heardAtMs: nowMs }));
+  }
+
+  /** Drops nodes that no control VM has vouched for in the retention time. */
+  expire(nowMs: number): void {
+    this.#entries.forEach((entry, nodeId) => {
+      if (entry.heardAtMs + RETENTION_MS <= nowMs) this.#entries.delete(nodeId);
+    });
+  }
+
+  /**
+   * Calls the listener after each change of a node attached to this control VM.
+   *
+   * @returns a function that removes the listener
+   */
+  onOwnChanged(listener: ReportListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #notify(nodeId: string): void {
+    this.#listeners.forEach((listener) => listener(nodeId));
+  }
+}
--- /dev/null
+++ b/stand-ins/controlCluster/FakeControlLog.ts
@@ -0,0 +1,73 @@
+import { ApplyOutcome, ControlLog } from '../../src/process/replication/ControlLog/index.js';
+
+import type {
+  ApplyResult,
+  CommittedConfiguration,
+  MemberStatus,
+  VersionHolder,
+} from '../../src/process/replication/ControlLog/index.js';
+import type { Configuration } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+
+/** A log without replication: a test commits versions directly. */
+export default class FakeControlLog extends ControlLog {
+  isLeaderKnown = true;
+
+  readonly #versions = new Map<number, CommittedConfiguration>();
+
+  readonly #listeners = new Set<(committed: CommittedConfiguration) => void>();
+
+  #newest: CommittedConfiguration | undefined;
+
+  /** Commits a version, as if the leader had replicated it. */
+  commit(configuration: Configuration, nowMs: number): void {
+    const { version } = configuration;
+    const contentHash = Buffer.from(configuration.contentHash).toString('hex');
+    const holder = {
+      version,
+      contentHash,
+      operator: 'test',
+      requestId: 'test',
+      acceptedAtMs: nowMs,
+    };
+    const committed = { configuration, holder, logIndex: this.#versions.size + 1 };
+    this.#versions.set(version, committed);
+    this.#newest = committed;
+    this.#listeners.forEach((listener) => listener(committed));
+  }
+
+  /** Forgets older versions, as compaction does. */
+  forgetBefore(version: number): void {
+    [...this.#versions.keys()]
+      .filter((held) => held < version)
+      .forEach((held) => this.#versions.delete(held));
+  }
+
+  override async propose(): Promise<ApplyResult> {
+    return { outcome: ApplyOutcome.Unavailable, message: 'the fake log takes no proposals' };
+  }
+
+  override committed(): CommittedConfiguration | undefined {
+    return this.#newest;
+  }
+
+  override committedVersion(version: number): CommittedConfiguration | undefined {
+    return this.#versions.get(version);
+  }
+
+  override isConfirmed(): boolean {
+    return this.isLeaderKnown;
+  }
+
+  override onCommitted(listener: (committed: CommittedConfiguration) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  override history(): VersionHolder[] {
+    return [...this.#versions.values()].map((committed) => committed.holder);
+  }
+
+  override members(): MemberStatus[] {
+    return [];
+  }
+}
--- /dev/null
+++ b/stand-ins/controlCluster/index.ts
@@ -0,0 +1,145 @@
+/** Control VMs and nodes in one process, on loopback ports chosen by the system. */
+import { ControlExchange } from '../../src/connection/distribution/ControlExchange/index.js';
+import { DistributionHub } from '../../src/connection/distribution/DistributionHub/index.js';
+import { NodeLink } from '../../src/connection/distribution/NodeLink/index.js';
+import { UNLISTED_RECORD_MS } from '../../src/connection/distribution/timing.js';
+import { startRpcServer } from '../../src/connection/startRpcServer/index.js';
+import { EndpointDirectory } from '../../src/process/endpoints/EndpointDirectory/index.js';
+import { ConfigurationHolder } from '../../src/process/holder/ConfigurationHolder/index.js';
+import { buildRecord } from '../records/index.js';
+import FakeControlLog from './FakeControlLog.js';
+
+import type { NodeRecord } from '../../src/_generated/foxtailvane/v1/endpoints_pb.js';
+import type { ExchangePeer } from '../../src/connection/distribution/ControlExchange/index.js';
+import type { HubOptions } from '../../src/connection/distribution/DistributionHub/index.js';
+import type {
+  ControlTarget,
+  NodeLinkOptions,
+} from '../../src/connection/distribution/NodeLink/index.js';
+import type { RpcServer } from '../../src/connection/startRpcServer/index.js';
+
+export { default as FakeControlLog } from './FakeControlLog.js';
+export * from '../configurations/index.js';
+export * from '../records/index.js';
+
+/** One control VM under test. */
+export interface TestControl {
+  memberId: string;
+  address: string;
+  dataCentre: string;
+  log: FakeControlLog;
+  hub: DistributionHub;
+  exchange: ControlExchange;
+  /** Ends the process as a crash does. */
+  stop: () => Promise<void>;
+}
+
+export interface TestControlOptions extends HubOptions {
+  dataCentre?: string;
+  /** Bound address; port 0 by default. */
+  address?: string;
+  log?: FakeControlLog;
+  listPeers?: () => ExchangePeer[];
+}
+
+/** Starts one control VM. */
+export const startControl = async (
+  memberId: string,
+  options: TestControlOptions = {},
+): Promise<TestControl> => {
+  const log = options.log ?? new FakeControlLog();
+  const hub = new DistributionHub(memberId, log, options);
+  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), options);
+  const server: RpcServer = await startRpcServer(options.address ?? '127.0.0.1:0', {
+    routes: (router) => {
+      hub.registerRoutes(router);
+      exchange.registerRoutes(router);
+    },
+  });
+  hub.start();
+  exchange.start();
+  const stop = async (): Promise<void> => {
+    hub.stop();
+    await exchange.stop();
+    await server.close();
+  };
+  const dataCentre = options.dataCentre ?? 'dc1';
+  return { memberId, address: server.address, dataCentre, log, hub, exchange, stop };
+};
+
+/** What a node announces; a test replaces it. */
+export class TestRecordSource {
+  #record: NodeRecord;
+
+  readonly #listeners = new Set<(record: NodeRecord) => void>();
+
+  constructor(record: NodeRecord) {
+    this.#record = record;
+  }
+
+  record(): NodeRecord {
+    return this.#record;
+  }
+
+  onChanged(listener: (record: NodeRecord) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Announces other content. */
+  change(fields: Partial<NodeRecord>): void {
+    this.#record = { ...this.#record, ...fields };
+    this.#listeners.forEach((listener) => listener(this.#record));
+  }
+}
+
+/** One node under test. */
+export interface TestNode {
+  nodeId: string;
+  link: NodeLink;
+  holder: ConfigurationHolder;
+  directory: EndpointDirectory;
+  source: TestRecordSource;
+}
+
+export interface TestNodeOptions extends NodeLinkOptions {
+  dataCentre?: string;
+  record?: NodeRecord;
+}
+
+/** Starts one node. */
+export const startNode = (
+  nodeId: string,
+  controls: ControlTarget[],
+  options: TestNodeOptions = {},
+): TestNode => {
+  const dataCentre = options.dataCentre ?? 'dc1';
+  const holder = new ConfigurationHolder();
+  const directory = new EndpointDirectory({ leaseMs: UNLISTED_RECORD_MS, ownNodeId: nodeId });
+  const source = new TestRecordSource(options.record ?? buildRecord(nodeId, { dataCentre }));
+  const parts = { nodeId, dataCentre, controls, holder, directory, recordSource: source };
+  const link = new NodeLink(parts, options);
+  link.start();
+  return { nodeId, link, holder, directory, source };
+};
+
+const POLL_MS = 5;
+
+/**
+ * Waits until a condition holds.
+ *
+ * @param limitMs - far above the expected time; the wait fails after it
+ */
+export const waitUntil = async (
+  description: string,
+  condition: () => boolean,
+  limitMs = 30_000,
+): Promise<void> => {
+  const deadlineMs = Date.now() + limitMs;
+  while (!condition()) {
+    if (Date.now() > deadlineMs) throw new Error(`not reached in ${limitMs} ms: ${description}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+};
