--- /dev/null
+++ b/src/version/diffConfigurations/index.ts
@@ -0,0 +1,97 @@
+/** The difference between two configurations, as operators read it. */
+import type {
+  Configuration,
+  Route,
+  Service,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+/** What happened to a service or route. */
+export enum DifferenceKind {
+  Added = 'added',
+  Removed = 'removed',
+  Changed = 'changed',
+}
+
+/** A field whose value differs. */
+export interface FieldDifference {
+  /** Column name of the sheet. */
+  field: string;
+  before: string;
+  after: string;
+}
+
+/** A service or route that differs. */
+export interface ConfigurationDifference {
+  subject: 'service' | 'route';
+  name: string;
+  kind: DifferenceKind;
+  /** Set when the kind is Changed. */
+  fields: FieldDifference[];
+}
+
+type Fields = Record<string, string>;
+
+const listServiceFields = (service: Service): Fields => ({
+  timeout_ms: String(service.timeoutMs),
+  slots: String(service.slots),
+  connections: String(service.connections),
+});
+
+const listRouteFields = (route: Route): Fields => ({
+  host: route.host,
+  path_prefix: route.pathPrefix,
+  methods: route.methods.join('|'),
+  service: route.targets.map((target) => `${target.service} ${target.weightPercent}%`).join(', '),
+  idempotent: route.idempotent ? 'yes' : 'no',
+  timeout_ms: String(route.timeoutMs),
+  max_attempts: String(route.maxAttempts),
+});
+
+const compareFields = (before: Fields, after: Fields): FieldDifference[] =>
+  Object.keys(before)
+    .filter((field) => before[field] !== after[field])
+    .map((field) => ({ field, before: before[field] ?? '', after: after[field] ?? '' }));
+
+const comparePair = (
+  subject: ConfigurationDifference['subject'],
+  name: string,
+  before: Fields | undefined,
+  after: Fields | undefined,
+): ConfigurationDifference[] => {
+  if (!before) return [{ subject, name, kind: DifferenceKind.Added, fields: [] }];
+  if (!after) return [{ subject, name, kind: DifferenceKind.Removed, fields: [] }];
+  const fields = compareFields(before, after);
+  return fields.length === 0 ? [] : [{ subject, name, kind: DifferenceKind.Changed, fields }];
+};
+
+const compareAll = <Item extends { name: string }>(
+  subject: ConfigurationDifference['subject'],
+  before: Item[],
+  after: Item[],
+  listFields: (item: Item) => Fields,
+): ConfigurationDifference[] => {
+  const fieldsBefore = new Map(before.map((item) => [item.name, listFields(item)]));
+  const fieldsAfter = new Map(after.map((item) => [item.name, listFields(item)]));
+  const names = [...new Set([...fieldsBefore.keys(), ...fieldsAfter.keys()])].toSorted();
+  return names.flatMap((name) =>
+    comparePair(subject, name, fieldsBefore.get(name), fieldsAfter.get(name)),
+  );
+};
+
+/**
+ * Lists what an operator would change by applying a configuration.
+ *
+ * @param before - configuration in force; undefined when there is none
+ * @param after - intended configuration
+ * @returns services first, then routes, each by name; empty when the content is the same
+ *
+ * @example
+ * diffConfigurations(inForce, intended).map(({ kind, name }) => `${kind} ${name}`);
+ */
+export const diffConfigurations = (
+  before: Configuration | undefined,
+  after: Configuration,
+): ConfigurationDifference[] => [
+  ...compareAll('service', before?.services ?? [], after.services, listServiceFields),
+  ...compareAll('route', before?.routes ?? [], after.routes, listRouteFields),
+];
--- /dev/null
+++ b/src/version/diffConfigurations/test.ts
@@ -0,0 +1,51 @@
+import tap from 'tap';
+
+import type { Configuration } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { SheetColumn, parseSheet } from '../parseSheet/index.js';
+import { DifferenceKind, diffConfigurations } from './index.js';
+
+const HEADER = Object.values(SheetColumn).join(',');
+const SERVICES = ['service,a,,,,,,,500,,20,130', 'service,b,,,,,,,500,,20,130'];
+
+const parse = (...rows: string[]): Configuration => {
+  const parsed = parseSheet([HEADER, ...rows].join('\n'), { version: 1 });
+  if (parsed.isErr()) throw new Error(JSON.stringify(parsed.error.faults));
+  return parsed.value;
+};
+
+tap.test('equal content in another order shows no difference', async (t) => {
+  t.strictSame(diffConfigurations(parse(...SERVICES), parse(...SERVICES.toReversed())), []);
+});
+
+tap.test('what is added, removed and changed is listed by name with its fields', async (t) => {
+  const before = parse(
+    ...SERVICES,
+    'route,gone,*,/gone,GET,a,100,yes,500,1,,',
+    'route,kept,*,/kept,GET,a,100,yes,500,1,,',
+  );
+  const after = parse(
+    'service,a,,,,,,,500,,25,130',
+    'service,c,,,,,,,500,,20,130',
+    'route,kept,*,/kept,GET,a,40,yes,500,1,,',
+    'route,kept,*,/kept,GET,c,60,yes,500,1,,',
+  );
+  t.match(diffConfigurations(before, after), [
+    { name: 'a', kind: DifferenceKind.Changed, fields: [{ field: 'slots', after: '25' }] },
+    { subject: 'service', name: 'b', kind: DifferenceKind.Removed },
+    { subject: 'service', name: 'c', kind: DifferenceKind.Added },
+    { subject: 'route', name: 'gone', kind: DifferenceKind.Removed },
+    {
+      subject: 'route',
+      name: 'kept',
+      fields: [{ field: 'service', before: 'a 100%', after: 'a 40%, c 60%' }],
+    },
+  ]);
+});
+
+tap.test('everything is added when nothing is in force', async (t) => {
+  const differences = diffConfigurations(undefined, parse(...SERVICES));
+  t.strictSame(
+    differences.map(({ kind }) => kind),
+    [DifferenceKind.Added, DifferenceKind.Added],
+  );
+});
--- /dev/null
+++ b/src/version/parseSheet/index.ts
@@ -0,0 +1,78 @@
+/** Reading of the operators' sheet into a configuration. */
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { createFault } from '../validateSheet/_lib/createFault.js';
+import { validateSheet } from '../validateSheet/index.js';
+import { SheetColumn, SheetRowKind } from '../validateSheet/types.js';
+import buildConfiguration from './_lib/buildConfiguration.js';
+import { readRows } from './_lib/readRows.js';
+import { SheetError, SheetErrorCode } from './SheetError.js';
+
+import type { Configuration } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { SheetFault, SheetRow } from '../validateSheet/types.js';
+
+export { SheetError, SheetErrorCode } from './SheetError.js';
+export { SheetColumn, SheetRowKind } from '../validateSheet/types.js';
+export type { SheetFault } from '../validateSheet/types.js';
+
+/** The largest sheet in bytes; the fleet of the design scale needs about 20 kB. */
+export const MAX_SHEET_BYTES = 2 * 1024 * 1024;
+
+/** The largest number of data rows of a sheet. */
+export const MAX_SHEET_ROWS = 10_000;
+
+export interface ParseSheetOptions {
+  /** Version number of the resulting configuration. */
+  version: number;
+}
+
+const findSizeFaults = (sizeBytes: number): SheetFault[] =>
+  sizeBytes <= MAX_SHEET_BYTES
+    ? []
+    : [createFault(0, '', `${sizeBytes} bytes`, `at most ${MAX_SHEET_BYTES} bytes`)];
+
+const findRowCountFaults = (rows: SheetRow[]): SheetFault[] =>
+  rows.length <= MAX_SHEET_ROWS
+    ? []
+    : [createFault(0, '', `${rows.length} rows`, `at most ${MAX_SHEET_ROWS} rows`)];
+
+/** A sheet without services is an export that failed; applying it would remove everything. */
+const findEmptySheetFaults = (rows: SheetRow[]): SheetFault[] =>
+  rows.some((row) => row.cells.get(SheetColumn.Kind) === SheetRowKind.Service)
+    ? []
+    : [createFault(0, SheetColumn.Kind, '', 'at least one service row')];
+
+const findAllFaults = (rows: SheetRow[], formFaults: SheetFault[]): SheetFault[] => {
+  const rowCountFaults = findRowCountFaults(rows);
+  if (rowCountFaults.length > 0) return [...formFaults, ...rowCountFaults];
+  const rowFaults = validateSheet(rows);
+  const faults = [...formFaults, ...rowFaults].toSorted((left, right) => left.row - right.row);
+  return faults.length > 0 ? faults : findEmptySheetFaults(rows);
+};
+
+/**
+ * Reads a sheet as a whole.
+ *
+ * @param sheet - CSV in UTF-8, with or without a byte order mark
+ * @param options - the version number to give to the configuration
+ * @returns the configuration with its content hash, sorted by name, or an error with all faults
+ *
+ * @example
+ * const parsed = parseSheet(await readFile('sheet.csv'), { version: 12 });
+ * if (parsed.isErr()) parsed.error.faults.forEach((fault) => console.error(fault));
+ */
+export const parseSheet = (
+  sheet: string | Uint8Array,
+  options: ParseSheetOptions,
+): Result<Configuration, SheetError> => {
+  const sizeBytes = typeof sheet === 'string' ? Buffer.byteLength(sheet) : sheet.length;
+  const sizeFaults = findSizeFaults(sizeBytes);
+  if (sizeFaults.length > 0) return err(new SheetError(SheetErrorCode.TooLarge, sizeFaults));
+  // Bytes that are not UTF-8 become U+FFFD, which validateSheet reports with row and column.
+  const text = typeof sheet === 'string' ? sheet : new TextDecoder().decode(sheet);
+  const { rows, faults: formFaults } = readRows(text);
+  const faults = findAllFaults(rows, formFaults);
+  if (faults.length > 0) return err(new SheetError(SheetErrorCode.Invalid, faults));
+  return ok(buildConfiguration(rows, options.version));
+};
