Read daemon settings from INI and name every fault

Unknown and repeated keys are checked by the project because the ini package merges or drops them and valibot reports only the first unknown key.

--- /dev/null
+++ b/src/process/settings/_lib/parseControlSettings.ts
@@ -0,0 +1,187 @@
+import { resolve } from 'node:path';
+
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { LogLevel } from '../../log/index.js';
+import { SettingsError, SettingsErrorCode } from '../SettingsError.js';
+import { LogStream } from '../types.js';
+import { readIni } from './readIni.js';
+import { findSectionFaults, readSection } from './readSection.js';
+import {
+  controlSchema,
+  logSchema,
+  membersSchema,
+  operatorSchema,
+  timingSchema,
+  tlsSchema,
+} from './sectionSchemas.js';
+
+import type { SettingsFault } from '../SettingsError.js';
+import type {
+  ControlSettings,
+  LogSettings,
+  MemberSettings,
+  TimingSettings,
+  TlsSettings,
+} from '../types.js';
+import type { Sections } from './readIni.js';
+
+export interface ParseSettingsOptions {
+  /** Folder of the settings file; relative paths start there. */
+  baseFolder: string;
+}
+
+interface LogSection {
+  level?: LogLevel | undefined;
+  destination?: string | undefined;
+}
+
+/** Resolves the destination of log lines, with the defaults of an absent section. */
+export const resolveLog = (log: LogSection | undefined, baseFolder: string): LogSettings => {
+  const destination = log?.destination ?? LogStream.Stdout;
+  const isStream = Object.values<string>(LogStream).includes(destination);
+  return {
+    level: log?.level ?? LogLevel.Info,
+    destination: isStream ? destination : resolve(baseFolder, destination),
+  };
+};
+
+/** Resolves the paths of `[tls]`. */
+export const resolveTls = (tls: TlsSettings, baseFolder: string): TlsSettings => ({
+  key: resolve(baseFolder, tls.key),
+  certificate: resolve(baseFolder, tls.certificate),
+  ca: resolve(baseFolder, tls.ca),
+});
+
+const omitAbsent = <Value extends object>(value: Value): Value =>
+  Object.fromEntries(Object.entries(value).filter(([, entry]) => entry !== undefined)) as Value;
+
+const listMembers = (
+  members: Record<string, Omit<MemberSettings, 'name'>> | undefined,
+): MemberSettings[] => Object.entries(members ?? {}).map(([name, member]) => ({ name, ...member }));
+
+const findRepeatedAddresses = (members: MemberSettings[]): SettingsFault[] =>
+  members
+    .filter((member, index) =>
+      members.slice(0, index).some((earlier) => earlier.address === member.address),
+    )
+    .map((member) => ({
+      section: 'members',
+      key: member.name,
+      value: member.address,
+      expected: 'an address that no other member has',
+    }));
+
+const findOwnMemberFaults = (
+  name: string,
+  dataCentre: string,
+  members: MemberSettings[],
+): SettingsFault[] => {
+  const own = members.find((member) => member.name === name);
+  if (!own) {
+    const expected = 'this VM among the members, under the name of [control] name';
+    return [{ section: 'members', key: name, value: '', expected }];
+  }
+  if (own.dataCentre === dataCentre) return [];
+  const expected = `the data centre of [control] data_centre, "${dataCentre}"`;
+  return [{ section: 'members', key: name, value: own.dataCentre, expected }];
+};
+
+const findListenFaults = (listen: string, operatorListen: string): SettingsFault[] =>
+  listen !== operatorListen
+    ? []
+    : [
+        {
+          section: 'control',
+          key: 'operator_listen',
+          value: operatorListen,
+          expected: 'an address other than listen',
+        },
+      ];
+
+const findTimingFaults = (timing: TimingSettings): SettingsFault[] => {
+  const min = timing.electionTimeoutMinMs;
+  const max = timing.electionTimeoutMaxMs;
+  const heartbeat = timing.heartbeatMs;
+  const maxFault = {
+    section: 'timing',
+    key: 'election_timeout_max_ms',
+    value: String(max),
+    expected: 'more than election_timeout_min_ms',
+  };
+  const minFault = {
+    section: 'timing',
+    key: 'election_timeout_min_ms',
+    value: String(min),
+    expected: 'more than heartbeat_ms',
+  };
+  return [
+    ...(min !== undefined && max !== undefined && max <= min ? [maxFault] : []),
+    ...(min !== undefined && heartbeat !== undefined && min <= heartbeat ? [minFault] : []),
+  ];
+};
+
+const readControlSections = (sections: Sections) => ({
+  control: readSection(sections, 'control', controlSchema),
+  members: readSection(sections, 'members', membersSchema),
+  operator: readSection(sections, 'operator', operatorSchema),
+  tls: readSection(sections, 'tls', tlsSchema),
+  log: readSection(sections, 'log', logSchema),
+  timing: readSection(sections, 'timing', timingSchema),
+});
+
+const REQUIRED = ['control', 'members', 'operator'];
+const OPTIONAL = ['tls', 'log', 'timing'];
+
+/**
+ * Reads the text of the settings of a control VM, without looking at the files it names.
+ *
+ * @param text - INI
+ * @param options - folder from which relative paths start
+ */
+export const parseControlSettings = (
+  text: string,
+  options: ParseSettingsOptions,
+): Result<ControlSettings, SettingsError> => {
+  const { baseFolder } = options;
+  const ini = readIni(text);
+  const read = readControlSections(ini.sections);
+  const control = read.control.value;
+  const members = listMembers(read.members.value);
+  const timing = omitAbsent<TimingSettings>({
+    heartbeatMs: read.timing.value?.heartbeat_ms,
+    electionTimeoutMinMs: read.timing.value?.election_timeout_min_ms,
+    electionTimeoutMaxMs: read.timing.value?.election_timeout_max_ms,
+    leaseMs: read.timing.value?.lease_ms,
+    proposeTimeoutMs: read.timing.value?.propose_timeout_ms,
+  });
+  const faults = [
+    ...ini.faults,
+    ...findSectionFaults(ini.sections, REQUIRED, OPTIONAL),
+    ...Object.values(read).flatMap((section) => section.faults),
+    ...findRepeatedAddresses(members),
+    ...(control && read.members.value
+      ? findOwnMemberFaults(control.name, control.data_centre, members)
+      : []),
+    ...(control ? findListenFaults(control.listen, control.operator_listen) : []),
+    ...findTimingFaults(timing),
+  ];
+  if (faults.length > 0 || !control || !read.operator.value) {
+    return err(new SettingsError(SettingsErrorCode.Invalid, faults));
+  }
+  return ok({
+    name: control.name,
+    dataCentre: control.data_centre,
+    region: control.region,
+    dataFolder: resolve(baseFolder, control.data_folder),
+    listen: control.listen,
+    operatorListen: control.operator_listen,
+    ...(control.bootstrap === undefined ? {} : { bootstrap: control.bootstrap }),
+    members,
+    operator: { tokenFile: resolve(baseFolder, read.operator.value.token_file) },
+    ...(read.tls.value ? { tls: resolveTls(read.tls.value, baseFolder) } : {}),
+    log: resolveLog(read.log.value, baseFolder),
+    timing,
+  });
+};
--- /dev/null
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -0,0 +1,116 @@
+import { err, ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
+import { SettingsError, SettingsErrorCode } from '../SettingsError.js';
+import { resolveLog, resolveTls } from './parseControlSettings.js';
+import { readIni } from './readIni.js';
+import { findSectionFaults, readSection } from './readSection.js';
+import {
+  controlAddressesSchema,
+  logSchema,
+  nodeSchema,
+  requestsSchema,
+  tlsSchema,
+} from './sectionSchemas.js';
+
+import type { SettingsFault } from '../SettingsError.js';
+import type { ControlAddresses, NodeSettings, RequestSettings } from '../types.js';
+import type { ParseSettingsOptions } from './parseControlSettings.js';
+import type { Sections } from './readIni.js';
+
+const LISTEN_KEYS = ['listen', 'forward_listen', 'peer_listen', 'local_listen'];
+const REQUIRED = ['node', 'control'];
+const OPTIONAL = ['tls', 'log', 'requests'];
+
+const findRepeatedListeners = (node: Record<string, string>): SettingsFault[] =>
+  LISTEN_KEYS.filter((key, index) =>
+    LISTEN_KEYS.slice(0, index).some((earlier) => node[earlier] === node[key]),
+  ).map((key) => ({
+    section: 'node',
+    key,
+    value: node[key] ?? '',
+    expected: 'an address that no other listener has',
+  }));
+
+const findRepeatedControls = (control: ControlAddresses[]): SettingsFault[] =>
+  control.flatMap(({ dataCentre, addresses }, index) =>
+    addresses
+      .filter((address) =>
+        control.slice(0, index).some((earlier) => earlier.addresses.includes(address)),
+      )
+      .map((address) => ({
+        section: 'control',
+        key: dataCentre,
+        value: address,
+        expected: 'an address that no other data centre has',
+      })),
+  );
+
+const listControls = (control: Record<string, string[]>): ControlAddresses[] =>
+  Object.entries(control).map(([dataCentre, addresses]) => ({ dataCentre, addresses }));
+
+const findEmptyControls = (control: ControlAddresses[]): SettingsFault[] =>
+  control.length > 0
+    ? []
+    : [{ section: 'control', key: '', value: '', expected: 'at least one control VM' }];
+
+const readNodeSections = (sections: Sections) => ({
+  node: readSection(sections, 'node', nodeSchema),
+  control: readSection(sections, 'control', controlAddressesSchema),
+  tls: readSection(sections, 'tls', tlsSchema),
+  log: readSection(sections, 'log', logSchema),
+  requests: readSection(sections, 'requests', requestsSchema),
+});
+
+type RequestsReading = ReturnType<typeof readNodeSections>['requests'];
+
+const listRequestSettings = ({ value }: RequestsReading): RequestSettings => ({
+  ...(value?.idempotency_retention_ms === undefined
+    ? {}
+    : { idempotencyRetentionMs: value.idempotency_retention_ms }),
+  ...(value?.queue_limit === undefined ? {} : { queueLimit: value.queue_limit }),
+  ...(value?.queue_timeout_ms === undefined ? {} : { queueTimeoutMs: value.queue_timeout_ms }),
+});
+
+/**
+ * Reads the text of the settings of a node, without looking at the files it names.
+ *
+ * @param text - INI
+ * @param options - folder from which relative paths start
+ */
+const parseNodeSettings = (
+  text: string,
+  options: ParseSettingsOptions,
+): Result<NodeSettings, SettingsError> => {
+  const { baseFolder } = options;
+  const ini = readIni(text);
+  const read = readNodeSections(ini.sections);
+  const node = read.node.value;
+  const control = listControls(read.control.value ?? {});
+  const faults = [
+    ...ini.faults,
+    ...findSectionFaults(ini.sections, REQUIRED, OPTIONAL),
+    ...Object.values(read).flatMap((section) => section.faults),
+    ...(node ? findRepeatedListeners(node) : []),
+    ...(read.control.value ? findEmptyControls(control) : []),
+    ...findRepeatedControls(control),
+  ];
+  if (faults.length > 0 || !node) {
+    return err(new SettingsError(SettingsErrorCode.Invalid, faults));
+  }
+  return ok({
+    name: node.name,
+    dataCentre: node.data_centre,
+    region: node.region,
+    listen: node.listen,
+    forwardListen: node.forward_listen,
+    peerListen: node.peer_listen,
+    localListen: node.local_listen,
+    control,
+    ...(read.tls.value ? { tls: resolveTls(read.tls.value, baseFolder) } : {}),
+    log: resolveLog(read.log.value, baseFolder),
+    requests: listRequestSettings(read.requests),
+  });
+};
+
+export default parseNodeSettings;
--- /dev/null
+++ b/src/process/settings/_lib/readSection.ts
@@ -0,0 +1,100 @@
+import * as v from 'valibot';
+
+import type { SettingsFault } from '../SettingsError.js';
+import type { Sections } from './readIni.js';
+
+/** Any schema of one section: fixed keys, or names chosen by the operator. */
+export type SectionSchema = v.GenericSchema<Record<string, string>, unknown>;
+
+/** The value of a section, absent when it has faults or is not in the file. */
+export interface SectionReading<Output> {
+  value: Output | undefined;
+  faults: SettingsFault[];
+}
+
+const listKnownKeys = (schema: SectionSchema): string[] | undefined =>
+  'entries' in schema ? Object.keys(schema.entries as object) : undefined;
+
+const findUnknownKeys = (
+  section: string,
+  entries: Record<string, string>,
+  schema: SectionSchema,
+): SettingsFault[] => {
+  const known = listKnownKeys(schema);
+  if (!known) return [];
+  return Object.keys(entries)
+    .filter((key) => !known.includes(key))
+    .map((key) => ({
+      section,
+      key,
+      value: entries[key] ?? '',
+      expected: `one of the keys ${known.join(', ')}`,
+    }));
+};
+
+const createFault = (
+  section: string,
+  entries: Record<string, string>,
+  issue: v.BaseIssue<unknown>,
+): SettingsFault => {
+  const key = String(issue.path?.[0]?.key ?? '');
+  const isMissing = !Object.hasOwn(entries, key);
+  return {
+    section,
+    key,
+    value: entries[key] ?? '',
+    expected: isMissing ? 'this key, which is required' : issue.message,
+  };
+};
+
+/**
+ * Reads one section.
+ *
+ * @param sections - all sections of the file
+ * @param section - name of the section
+ * @param schema - its keys
+ */
+export const readSection = <Schema extends v.GenericSchema>(
+  sections: Sections,
+  section: string,
+  schema: Schema,
+): SectionReading<v.InferOutput<Schema>> => {
+  const entries = sections[section];
+  if (!entries) return { value: undefined, faults: [] };
+  const unknown = findUnknownKeys(section, entries, schema as unknown as SectionSchema);
+  const parsed = v.safeParse(schema, entries);
+  if (parsed.success) return { value: parsed.output, faults: unknown };
+  const faults = parsed.issues.map((issue) => createFault(section, entries, issue));
+  return { value: undefined, faults: [...unknown, ...faults] };
+};
+
+/**
+ * Lists sections that the program does not know and required ones that are missing.
+ *
+ * @param sections - all sections of the file
+ * @param required - names of the required sections
+ * @param optional - names of the optional sections
+ */
+export const findSectionFaults = (
+  sections: Sections,
+  required: string[],
+  optional: string[],
+): SettingsFault[] => {
+  const known = [...required, ...optional];
+  const unknown = Object.keys(sections).filter((section) => !known.includes(section));
+  const missing = required.filter((section) => !Object.hasOwn(sections, section));
+  return [
+    ...unknown.map((section) => ({
+      section,
+      key: '',
+      value: '',
+      expected: `one of the sections ${known.join(', ')}`,
+    })),
+    ...missing.map((section) => ({
+      section,
+      key: '',
+      value: '',
+      expected: 'this section, which is required',
+    })),
+  ];
+};
--- /dev/null
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -0,0 +1,63 @@
+/** The sections of the settings files. */
+import * as v from 'valibot';
+
+import {
+  addressListField,
+  durationField,
+  levelField,
+  listenField,
+  loopbackField,
+  memberField,
+  nameField,
+  pathField,
+  queueLimitField,
+  reachableField,
+  switchField,
+} from './fields.js';
+
+export const controlSchema = v.object({
+  name: nameField,
+  data_centre: nameField,
+  region: nameField,
+  data_folder: pathField,
+  listen: listenField,
+  operator_listen: listenField,
+  bootstrap: v.optional(switchField),
+});
+
+export const membersSchema = v.record(nameField, memberField);
+
+export const operatorSchema = v.object({ token_file: pathField });
+
+export const tlsSchema = v.object({ key: pathField, certificate: pathField, ca: pathField });
+
+export const logSchema = v.object({
+  level: v.optional(levelField),
+  destination: v.optional(pathField),
+});
+
+export const timingSchema = v.object({
+  heartbeat_ms: v.optional(durationField),
+  election_timeout_min_ms: v.optional(durationField),
+  election_timeout_max_ms: v.optional(durationField),
+  lease_ms: v.optional(durationField),
+  propose_timeout_ms: v.optional(durationField),
+});
+
+export const nodeSchema = v.object({
+  name: nameField,
+  data_centre: nameField,
+  region: nameField,
+  listen: listenField,
+  forward_listen: reachableField,
+  peer_listen: reachableField,
+  local_listen: loopbackField,
+});
+
+export const controlAddressesSchema = v.record(nameField, addressListField);
+
+export const requestsSchema = v.object({
+  idempotency_retention_ms: v.optional(durationField),
+  queue_limit: v.optional(queueLimitField),
+  queue_timeout_ms: v.optional(durationField),
+});
