--- /dev/null
+++ b/src/process/operatorApi/_lib/RateLimiter.ts
@@ -0,0 +1,54 @@
+/** Limits the requests of each client address with a token bucket. */
+
+export interface RateLimiterOptions {
+  /** Sustained rate per client. */
+  requestsPerSecond: number;
+  /** Requests that a client may send at once after a pause. */
+  burst: number;
+}
+
+interface Bucket {
+  tokens: number;
+  updatedAtMs: number;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Clients remembered at a time; the one not seen for longest is forgotten first. */
+const MAX_CLIENTS = 1_000;
+
+/** Token buckets by client address. */
+export default class RateLimiter {
+  readonly #options: RateLimiterOptions;
+
+  readonly #buckets = new Map<string, Bucket>();
+
+  constructor(options: RateLimiterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes one token.
+   *
+   * @param client - address of the client
+   * @param nowMs - present time in milliseconds
+   * @returns false when the client has sent too many requests
+   */
+  admit(client: string, nowMs: number): boolean {
+    const { burst, requestsPerSecond } = this.#options;
+    const bucket = this.#buckets.get(client) ?? { tokens: burst, updatedAtMs: nowMs };
+    const earned = (Math.max(0, nowMs - bucket.updatedAtMs) * requestsPerSecond) / MS_PER_SECOND;
+    const tokens = Math.min(burst, bucket.tokens + earned);
+    const isAdmitted = tokens >= 1;
+    this.#buckets.delete(client);
+    this.#buckets.set(client, { tokens: isAdmitted ? tokens - 1 : tokens, updatedAtMs: nowMs });
+    this.#forgetOldest();
+    return isAdmitted;
+  }
+
+  #forgetOldest(): void {
+    if (this.#buckets.size <= MAX_CLIENTS) return;
+    const [oldest] = this.#buckets.keys();
+    if (oldest !== undefined) this.#buckets.delete(oldest);
+  }
+}
--- /dev/null
+++ b/src/process/operatorApi/_lib/applySheet.ts
@@ -0,0 +1,96 @@
+import { MAX_SHEET_BYTES, SheetErrorCode, parseSheet } from '../../../version/parseSheet/index.js';
+import { createLogger } from '../../log/index.js';
+import { ApplyOutcome } from '../../replication/ControlLog/index.js';
+import { RequestRan } from '../types.js';
+
+import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { SheetError } from '../../../version/parseSheet/index.js';
+import type { ApplyResult, ControlLog } from '../../replication/ControlLog/index.js';
+import type { ApplyAnswer } from '../types.js';
+
+/** A request to accept a version. */
+export interface ApplyRequest {
+  version: number;
+  requestId: string;
+  operator: string;
+  sheet: Uint8Array;
+}
+
+const logger = createLogger('operator-api');
+
+const RAN_OF_OUTCOME: Record<ApplyOutcome, RequestRan> = {
+  [ApplyOutcome.Accepted]: RequestRan.Yes,
+  [ApplyOutcome.AlreadyAccepted]: RequestRan.Yes,
+  [ApplyOutcome.Conflict]: RequestRan.No,
+  [ApplyOutcome.Stale]: RequestRan.No,
+  [ApplyOutcome.Invalid]: RequestRan.No,
+  [ApplyOutcome.Unavailable]: RequestRan.No,
+  [ApplyOutcome.Unknown]: RequestRan.Unknown,
+};
+
+const createAnswer = (request: ApplyRequest, result: ApplyResult): ApplyAnswer => ({
+  outcome: result.outcome,
+  ran: RAN_OF_OUTCOME[result.outcome],
+  message: result.message,
+  requestId: request.requestId,
+  version: request.version,
+  ...(result.holder ? { holder: result.holder } : {}),
+});
+
+const createInvalidAnswer = (request: ApplyRequest, error: SheetError): ApplyAnswer => {
+  const message =
+    error.code === SheetErrorCode.TooLarge
+      ? `the sheet is larger than ${MAX_SHEET_BYTES} bytes; nothing was applied`
+      : `${error.message}; nothing was applied`;
+  const result = { outcome: ApplyOutcome.Invalid, message };
+  return { ...createAnswer(request, result), faults: error.faults };
+};
+
+/** A failure of the log after the proposal began leaves open whether the version was accepted. */
+const propose = async (
+  log: ControlLog,
+  request: ApplyRequest,
+  configuration: Configuration,
+  nowMs: number,
+): Promise<ApplyResult> => {
+  const { requestId, operator } = request;
+  try {
+    return await log.propose({ requestId, operator, configuration }, nowMs);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    logger.error({ requestId, version: request.version, reason }, 'proposal failed unexpectedly');
+    const message = 'the control VM failed while proposing the version; retrying is safe';
+    return { outcome: ApplyOutcome.Unknown, message };
+  }
+};
+
+/**
+ * Validates a sheet and has it accepted.
+ *
+ * @param log - replicated log of this control VM
+ * @param request - the sheet with its version number and request id
+ * @param nowMs - present time in milliseconds since the epoch
+ */
+const applySheet = async (
+  log: ControlLog,
+  request: ApplyRequest,
+  nowMs: number,
+): Promise<ApplyAnswer> => {
+  const parsed = parseSheet(request.sheet, { version: request.version });
+  const answer = parsed.isErr()
+    ? createInvalidAnswer(request, parsed.error)
+    : createAnswer(request, await propose(log, request, parsed.value, nowMs));
+  logger.info(
+    {
+      requestId: request.requestId,
+      operator: request.operator,
+      version: request.version,
+      reason: answer.outcome,
+      ran: answer.ran,
+    },
+    'apply answered',
+  );
+  return answer;
+};
+
+export default applySheet;
--- /dev/null
+++ b/src/process/operatorApi/_lib/buildStatus.ts
@@ -0,0 +1,64 @@
+import { MemberRole } from '../../replication/ControlLog/index.js';
+
+import type { NodeStatus } from '../../fleet/types.js';
+import type { ControlLog, VersionHolder } from '../../replication/ControlLog/index.js';
+import type { ConvergenceStatus, StatusAnswer, VersionCount } from '../types.js';
+
+const countVersions = (nodes: NodeStatus[]): VersionCount[] =>
+  [...new Set(nodes.map((node) => node.version))]
+    .toSorted((left, right) => right - left)
+    .map((version) => ({
+      version,
+      nodes: nodes.filter((node) => node.version === version).length,
+    }));
+
+/**
+ * Measures how far a version has spread. Disconnected nodes serve on without being counted as
+ * late, because what they hold is not known.
+ */
+const measureConvergence = (accepted: VersionHolder, nodes: NodeStatus[]): ConvergenceStatus => {
+  const { acceptedAtMs } = accepted;
+  const inForce = nodes.filter((node) => node.version === accepted.version);
+  const connected = nodes.filter((node) => node.isConnected);
+  const isComplete =
+    inForce.length > 0 && connected.every((node) => node.version === accepted.version);
+  if (inForce.length === 0) return { acceptedAtMs, isComplete };
+  const lastInForceAtMs = Math.max(...inForce.map((node) => node.inForceAtMs));
+  const convergenceMs = Math.max(0, lastInForceAtMs - acceptedAtMs);
+  return { acceptedAtMs, lastInForceAtMs, isComplete, ...(isComplete ? { convergenceMs } : {}) };
+};
+
+/**
+ * Builds the answer to `GET /v1/status`.
+ *
+ * @param log - replicated log of the answering control VM
+ * @param fleet - all nodes known to any control VM
+ * @param nowMs - present time in milliseconds since the epoch
+ */
+const buildStatus = (log: ControlLog, fleet: NodeStatus[], nowMs: number): StatusAnswer => {
+  const accepted = log.committed()?.holder;
+  const members = log.members(nowMs);
+  const leader = members.find((member) => member.role === MemberRole.Leader)?.memberId;
+  return {
+    nowMs,
+    ...(accepted ? { accepted } : {}),
+    isConfirmed: log.isConfirmed(nowMs),
+    ...(leader === undefined ? {} : { leader }),
+    members,
+    nodes: {
+      total: fleet.length,
+      connected: fleet.filter((node) => node.isConnected).length,
+      atAccepted: fleet.filter((node) => accepted && node.version === accepted.version).length,
+      versions: countVersions(fleet),
+      disconnected: fleet.filter((node) => !node.isConnected).map((node) => node.nodeId),
+      refusals: fleet.filter((node) => node.refusedVersion !== undefined),
+      list: fleet,
+    },
+    ...(accepted ? { convergence: measureConvergence(accepted, fleet) } : {}),
+    unreachableMembers: members
+      .filter((member) => !member.isReachable)
+      .map((member) => member.memberId),
+  };
+};
+
+export default buildStatus;
--- /dev/null
+++ b/src/process/operatorApi/_lib/checkToken.ts
@@ -0,0 +1,19 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+const SCHEME_PATTERN = /^Bearer (.+)$/i;
+
+const hash = (text: string): Buffer => createHash('sha256').update(text).digest();
+
+/**
+ * Compares the bearer token of a request in constant time. Hashing first gives both sides the same
+ * length, so that the length of the token does not show either.
+ *
+ * @param header - value of the `Authorization` header
+ * @param token - the expected token
+ */
+const checkToken = (header: string | undefined, token: string): boolean => {
+  const offered = SCHEME_PATTERN.exec(header ?? '')?.[1] ?? '';
+  return timingSafeEqual(hash(offered), hash(token)) && token !== '';
+};
+
+export default checkToken;
--- /dev/null
+++ b/src/process/operatorApi/index.ts
@@ -0,0 +1,268 @@
+/** The HTTP API of a control VM for operators, served on `operator_listen`. */
+import { randomUUID } from 'node:crypto';
+
+import { toJson } from '@bufbuild/protobuf';
+import { getConnInfo } from '@hono/node-server/conninfo';
+import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+
+import type { Context, MiddlewareHandler } from 'hono';
+import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { MAX_SHEET_BYTES } from '../../version/parseSheet/index.js';
+import { createLogger } from '../log/index.js';
+import { ApplyOutcome } from '../replication/ControlLog/index.js';
+import applySheet from './_lib/applySheet.js';
+import buildStatus from './_lib/buildStatus.js';
+import checkToken from './_lib/checkToken.js';
+import listServers from './_lib/listServers.js';
+import RateLimiter from './_lib/RateLimiter.js';
+import { ApiErrorCode, RequestRan } from './types.js';
+
+import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { NodeStatus } from '../fleet/types.js';
+import type { MetricsRegistry } from '../metrics/index.js';
+import type { ControlLog } from '../replication/ControlLog/index.js';
+import type { RateLimiterOptions } from './_lib/RateLimiter.js';
+import type { ApiErrorAnswer } from './types.js';
+
+export { ApiErrorCode, RequestRan } from './types.js';
+export type {
+  ApiErrorAnswer,
+  ApplyAnswer,
+  ConvergenceStatus,
+  ServerAnswer,
+  StatusAnswer,
+  VersionCount,
+} from './types.js';
+
+/** Result of a membership change. */
+export interface MembershipResult {
+  ran: RequestRan;
+  /** One sentence for the operator. */
+  message: string;
+}
+
+/** A control VM to add. */
+export interface AddedMember {
+  memberId: string;
+  dataCentre: string;
+  /** `IP:port` of its `listen`. */
+  address: string;
+}
+
+export interface OperatorApiOptions {
+  log: ControlLog;
+  /** Reads the nodes known to any reachable control VM. */
+  readFleet: () => Promise<NodeStatus[]>;
+  /** The endpoint directory of this control VM. */
+  records: () => NodeRecord[];
+  metrics: MetricsRegistry;
+  /** Bearer token of the operators. */
+  token: string;
+  nowMs: () => number;
+  /** Changes the members one at a time; without it the members endpoints answer 404. */
+  addMember?: (member: AddedMember, nowMs: number) => Promise<MembershipResult>;
+  removeMember?: (memberId: string, nowMs: number) => Promise<MembershipResult>;
+  rateLimit?: RateLimiterOptions;
+}
+
+const REQUEST_ID_HEADER = 'foxtailvane-request-id';
+const OPERATOR_HEADER = 'foxtailvane-operator';
+const DEFAULT_OPERATOR = 'operator';
+const LABEL_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._@-]{0,127}$/;
+const VERSION_PATTERN = /^[1-9][0-9]{0,9}$/;
+const MAX_VERSION = 4_294_967_295;
+const RETRY_AFTER_SECONDS = '1';
+
+/** A dashboard and a few operators stay far below this; a guessing client does not. */
+const DEFAULT_RATE_LIMIT: RateLimiterOptions = { requestsPerSecond: 50, burst: 100 };
+
+const STATUS_OF_OUTCOME = {
+  [ApplyOutcome.Accepted]: 200,
+  [ApplyOutcome.AlreadyAccepted]: 200,
+  [ApplyOutcome.Conflict]: 409,
+  [ApplyOutcome.Stale]: 409,
+  [ApplyOutcome.Invalid]: 422,
+  [ApplyOutcome.Unavailable]: 503,
+  [ApplyOutcome.Unknown]: 504,
+} as const;
+
+const STATUS_OF_RAN = {
+  [RequestRan.Yes]: 200,
+  [RequestRan.No]: 409,
+  [RequestRan.Unknown]: 504,
+} as const;
+
+const STATUS_OF_ERROR = {
+  [ApiErrorCode.Unauthorized]: 401,
+  [ApiErrorCode.RateLimited]: 429,
+  [ApiErrorCode.BodyTooLarge]: 413,
+  [ApiErrorCode.BadRequest]: 400,
+  [ApiErrorCode.NotFound]: 404,
+  [ApiErrorCode.Unavailable]: 503,
+  [ApiErrorCode.Unknown]: 500,
+} as const;
+
+const logger = createLogger('operator-api');
+
+const answerError = (context: Context, code: ApiErrorCode, message: string) => {
+  const ran = code === ApiErrorCode.Unknown ? RequestRan.Unknown : RequestRan.No;
+  const answer: ApiErrorAnswer = { code, ran, message };
+  return context.json(answer, STATUS_OF_ERROR[code]);
+};
+
+/** Tests call the app without a connection; they share one bucket. */
+const readClient = (context: Context): string => {
+  try {
+    return getConnInfo(context).remote.address ?? '';
+  } catch {
+    return '';
+  }
+};
+
+const createRateLimit = (options: OperatorApiOptions): MiddlewareHandler => {
+  const limiter = new RateLimiter(options.rateLimit ?? DEFAULT_RATE_LIMIT);
+  return async (context, next) => {
+    if (limiter.admit(readClient(context), options.nowMs())) return next();
+    context.header('Retry-After', RETRY_AFTER_SECONDS);
+    return answerError(context, ApiErrorCode.RateLimited, 'too many requests from this address');
+  };
+};
+
+const createAuthorization =
+  (options: OperatorApiOptions): MiddlewareHandler =>
+  async (context, next) => {
+    if (checkToken(context.req.header('authorization'), options.token)) return next();
+    context.header('WWW-Authenticate', 'Bearer');
+    return answerError(context, ApiErrorCode.Unauthorized, 'a valid bearer token is required');
+  };
+
+const limitBody = bodyLimit({
+  maxSize: MAX_SHEET_BYTES,
+  onError: (context) =>
+    answerError(
+      context,
+      ApiErrorCode.BodyTooLarge,
+      `the body is larger than ${MAX_SHEET_BYTES} bytes; nothing was applied`,
+    ),
+});
+
+const readVersion = (text: string): number | undefined => {
+  const isVersion = VERSION_PATTERN.test(text) && Number(text) <= MAX_VERSION;
+  return isVersion ? Number(text) : undefined;
+};
+
+const handleApply = (options: OperatorApiOptions) => async (context: Context) => {
+  const version = readVersion(context.req.param('number') ?? '');
+  const requestId = context.req.header(REQUEST_ID_HEADER) ?? '';
+  const operator = context.req.header(OPERATOR_HEADER) ?? DEFAULT_OPERATOR;
+  if (version === undefined) {
+    const message = `the version must be a whole number from 1 to ${MAX_VERSION}`;
+    return answerError(context, ApiErrorCode.BadRequest, message);
+  }
+  if (!LABEL_PATTERN.test(requestId) || !LABEL_PATTERN.test(operator)) {
+    const message =
+      `${REQUEST_ID_HEADER} is required, and it and ${OPERATOR_HEADER} must be 1 to 128 ` +
+      'letters, digits, ".", "_", "@" or "-"';
+    return answerError(context, ApiErrorCode.BadRequest, message);
+  }
+  const sheet = new Uint8Array(await context.req.arrayBuffer());
+  const request = { version, requestId, operator, sheet };
+  const answer = await applySheet(options.log, request, options.nowMs());
+  if (answer.outcome === ApplyOutcome.Unavailable) {
+    context.header('Retry-After', RETRY_AFTER_SECONDS);
+  }
+  return context.json(answer, STATUS_OF_OUTCOME[answer.outcome]);
+};
+
+const handleConfiguration = (options: OperatorApiOptions) => (context: Context) => {
+  const committed = options.log.committed();
+  if (!committed) {
+    return answerError(context, ApiErrorCode.NotFound, 'no version has been accepted yet');
+  }
+  return context.json({
+    holder: committed.holder,
+    configuration: toJson(ConfigurationSchema, committed.configuration),
+  });
+};
+
+const answerMembership = (context: Context, result: MembershipResult) =>
+  context.json(result, STATUS_OF_RAN[result.ran]);
+
+const readMember = async (context: Context): Promise<AddedMember | undefined> => {
+  try {
+    const body = await context.req.json<Partial<AddedMember>>();
+    const { memberId, dataCentre, address } = body;
+    const isComplete = [memberId, dataCentre, address].every(
+      (value) => typeof value === 'string' && value !== '',
+    );
+    return isComplete ? (body as AddedMember) : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+const addMemberRoutes = (app: Hono, options: OperatorApiOptions): void => {
+  const { addMember, removeMember } = options;
+  app.post('/v1/members/add', async (context) => {
+    if (!addMember) return context.notFound();
+    const member = await readMember(context);
+    if (!member) {
+      const message = 'the body must be JSON with memberId, dataCentre and address';
+      return answerError(context, ApiErrorCode.BadRequest, message);
+    }
+    return answerMembership(context, await addMember(member, options.nowMs()));
+  });
+  app.post('/v1/members/remove', async (context) => {
+    if (!removeMember) return context.notFound();
+    const body = await context.req.json<{ memberId?: unknown }>().catch(() => undefined);
+    if (typeof body?.memberId !== 'string' || body.memberId === '') {
+      const message = 'the body must be JSON with memberId';
+      return answerError(context, ApiErrorCode.BadRequest, message);
+    }
+    return answerMembership(context, await removeMember(body.memberId, options.nowMs()));
+  });
+};
+
+const addReadRoutes = (app: Hono, options: OperatorApiOptions): void => {
+  const { log, metrics, nowMs } = options;
+  app.get('/v1/status', async (context) =>
+    context.json(buildStatus(log, await options.readFleet(), nowMs())),
+  );
+  app.get('/v1/servers', (context) => context.json(listServers(options.records())));
+  app.get('/v1/history', (context) => context.json(log.history()));
+  app.get('/v1/configuration', handleConfiguration(options));
+  app.get('/metrics', (context) => context.text(metrics.render()));
+};
+
+const addErrorHandlers = (app: Hono): void => {
+  app.notFound((context) => answerError(context, ApiErrorCode.NotFound, 'no such resource'));
+  app.onError((error, context) => {
+    const errorId = randomUUID();
+    logger.error({ errorId, path: context.req.path, reason: error.message }, 'request failed');
+    // The cause is only in the log: an error message may quote what an operator must not see.
+    return answerError(context, ApiErrorCode.Unknown, `internal error ${errorId}`);
+  });
+};
+
+/**
+ * Creates the operator API.
+ *
+ * @param options - the parts of the control VM that it shows and changes
+ * @returns a hono app, to be served on `operator_listen`
+ *
+ * @example
+ * serve({ fetch: createOperatorApi(options).fetch, hostname: '127.0.0.1', port: 7401 });
+ */
+export const createOperatorApi = (options: OperatorApiOptions): Hono => {
+  const app = new Hono();
+  app.use(createRateLimit(options));
+  app.get('/healthz', (context) => context.text('ok\n'));
+  app.use(createAuthorization(options));
+  app.use(limitBody);
+  app.post('/v1/versions/:number', handleApply(options));
+  addReadRoutes(app, options);
+  addMemberRoutes(app, options);
+  addErrorHandlers(app);
+  return app;
+};
