--- /dev/null
+++ b/src/process/cli/_lib/OperatorClient.ts
@@ -0,0 +1,136 @@
+/** HTTP client of the operator API that goes from one control VM to the next. */
+import { Agent, request } from 'undici';
+
+/** How a single exchange with one control VM ended. */
+export enum ExchangeKind {
+  /** The control VM answered. */
+  Answered = 'answered',
+  /** The connection was not established: the request did not run. */
+  NotSent = 'not-sent',
+  /** The connection failed after the request may have arrived. */
+  Lost = 'lost',
+}
+
+export interface Exchange {
+  kind: ExchangeKind;
+  /** `host:port` of the control VM. */
+  control: string;
+  /** 0 without an answer. */
+  status: number;
+  /** Parsed JSON; undefined without an answer or when it is not JSON. */
+  body: unknown;
+  /** One sentence on why there is no answer. */
+  reason: string;
+}
+
+export interface OperatorClientOptions {
+  /** `host:port` of `operator_listen` of the control VMs, in order of preference. */
+  controls: string[];
+  token: string;
+  /** Time to wait for the answer of one control VM, in milliseconds. */
+  timeoutMs: number;
+}
+
+/** A request to the operator API. */
+export interface OperatorRequest {
+  method: 'GET' | 'POST';
+  path: string;
+  headers?: Record<string, string>;
+  body?: Uint8Array | string;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Failures that occur before anything has been written. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const readCode = (error: unknown): string => {
+  const { code } = error as { code?: unknown };
+  return typeof code === 'string' ? code : '';
+};
+
+const parseBody = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+/** Sends requests to control VMs. */
+export class OperatorClient {
+  readonly #options: OperatorClientOptions;
+
+  readonly #agent: Agent;
+
+  constructor(options: OperatorClientOptions) {
+    this.#options = options;
+    this.#agent = new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: options.timeoutMs,
+      bodyTimeout: options.timeoutMs,
+      pipelining: 0,
+    });
+  }
+
+  get controls(): string[] {
+    return this.#options.controls;
+  }
+
+  /**
+   * Sends a request to one control VM, once.
+   *
+   * @param control - `host:port`
+   * @param sent - the request
+   * @returns how the exchange ended; never throws for a failed connection
+   */
+  async exchange(control: string, sent: OperatorRequest): Promise<Exchange> {
+    try {
+      const response = await request(`http://${control}${sent.path}`, {
+        method: sent.method,
+        headers: { authorization: `Bearer ${this.#options.token}`, ...sent.headers },
+        body: sent.body ?? null,
+        dispatcher: this.#agent,
+      });
+      const body = parseBody(await response.body.text());
+      return {
+        kind: ExchangeKind.Answered,
+        control,
+        status: response.statusCode,
+        body,
+        reason: '',
+      };
+    } catch (error) {
+      const kind = NOT_SENT_CODES.has(readCode(error)) ? ExchangeKind.NotSent : ExchangeKind.Lost;
+      const reason = error instanceof Error ? error.message : String(error);
+      return { kind, control, status: 0, body: undefined, reason };
+    }
+  }
+
+  /**
+   * Reads from the first control VM that answers.
+   *
+   * @param path - resource of the operator API
+   * @returns the exchanges in order; the last one is the answer if there is one
+   */
+  async read(path: string): Promise<Exchange[]> {
+    return this.controls.reduce<Promise<Exchange[]>>(async (previous, control) => {
+      const exchanges = await previous;
+      const last = exchanges.at(-1);
+      if (last?.kind === ExchangeKind.Answered && last.status < 500) return exchanges;
+      return [...exchanges, await this.exchange(control, { method: 'GET', path })];
+    }, Promise.resolve([]));
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/process/cli/_lib/connectionOptions.ts
@@ -0,0 +1,93 @@
+/** The options that every operator command shares. */
+import { readFile } from 'node:fs/promises';
+
+import { Option } from 'commander';
+
+import type { Command } from 'commander';
+import CommandError from '../CommandError.js';
+import ExitCode from '../ExitCode.js';
+import { OperatorClient } from './OperatorClient.js';
+
+/** Options of a command that talks to control VMs. */
+export interface ConnectionOptions {
+  control: string[];
+  tokenFile: string;
+  timeoutMs: number;
+}
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+const CONTROL_PATTERN = /^(\[[0-9a-f:]+\]|[A-Za-z0-9.-]+):[1-9][0-9]{0,4}$/i;
+
+const collectControl = (value: string, previous: string[] | undefined): string[] => {
+  if (!CONTROL_PATTERN.test(value)) {
+    throw new CommandError(ExitCode.BadInput, [`--control ${value}: expected host:port`]);
+  }
+  return [...(previous ?? []), value];
+};
+
+/** Reads a number of milliseconds. */
+export const parseDurationMs = (value: string): number => {
+  if (!/^[1-9][0-9]{0,8}$/.test(value)) {
+    const expected = 'expected a whole number of milliseconds of at least 1';
+    throw new CommandError(ExitCode.BadInput, [`${value}: ${expected}`]);
+  }
+  return Number(value);
+};
+
+/**
+ * Adds `--control`, `--token-file` and `--timeout-ms` to a command.
+ *
+ * @param command - an operator command
+ */
+export const addConnectionOptions = (command: Command): Command =>
+  command
+    .addOption(
+      new Option(
+        '--control <host:port>',
+        'operator_listen of a control VM; repeat it to name others to try next',
+      )
+        .argParser(collectControl)
+        .makeOptionMandatory(),
+    )
+    .requiredOption('--token-file <file>', 'file with the bearer token')
+    .option(
+      '--timeout-ms <ms>',
+      'time to wait for the answer of one control VM',
+      parseDurationMs,
+      DEFAULT_TIMEOUT_MS,
+    );
+
+const readToken = async (path: string): Promise<string> => {
+  try {
+    const token = (await readFile(path, 'utf8')).trim();
+    if (token !== '') return token;
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new CommandError(ExitCode.BadInput, [`--token-file ${path}: ${reason}`]);
+  }
+  throw new CommandError(ExitCode.BadInput, [`--token-file ${path}: the file is empty`]);
+};
+
+/**
+ * Runs an action with a client that is closed afterwards.
+ *
+ * @param options - options of the command
+ * @param act - what to do
+ * @throws CommandError when the token can't be read
+ */
+export const withClient = async <Outcome>(
+  options: ConnectionOptions,
+  act: (client: OperatorClient) => Promise<Outcome>,
+): Promise<Outcome> => {
+  const token = await readToken(options.tokenFile);
+  const client = new OperatorClient({
+    controls: options.control,
+    token,
+    timeoutMs: options.timeoutMs,
+  });
+  try {
+    return await act(client);
+  } finally {
+    await client.close();
+  }
+};
--- /dev/null
+++ b/src/process/cli/_lib/readAnswer.ts
@@ -0,0 +1,29 @@
+import CommandError from '../CommandError.js';
+import ExitCode from '../ExitCode.js';
+import { ExchangeKind } from './OperatorClient.js';
+
+import type { Exchange, OperatorClient } from './OperatorClient.js';
+
+const HTTP_OK = 200;
+
+/** One line on an exchange that did not give what was asked for. */
+export const describeExchange = (exchange: Exchange): string => {
+  if (exchange.kind !== ExchangeKind.Answered) return `${exchange.control}: ${exchange.reason}`;
+  const { message } = (exchange.body ?? {}) as { message?: unknown };
+  const detail = typeof message === 'string' ? message : 'unexpected answer';
+  return `${exchange.control}: HTTP ${exchange.status}: ${detail}`;
+};
+
+/**
+ * Reads a resource of the operator API from the first control VM that answers.
+ *
+ * @param client - client of the control VMs
+ * @param path - resource
+ * @throws CommandError with one line per control VM when none gives the resource
+ */
+export const readAnswer = async <Answer>(client: OperatorClient, path: string): Promise<Answer> => {
+  const exchanges = await client.read(path);
+  const last = exchanges.at(-1);
+  if (last?.status === HTTP_OK && last.body !== undefined) return last.body as Answer;
+  throw new CommandError(ExitCode.Refused, exchanges.map(describeExchange));
+};
--- /dev/null
+++ b/src/process/cli/_lib/readSheetFile.ts
@@ -0,0 +1,48 @@
+import { readFile } from 'node:fs/promises';
+
+import { parseSheet } from '../../../version/parseSheet/index.js';
+import CommandError from '../CommandError.js';
+import ExitCode from '../ExitCode.js';
+
+import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { SheetFault } from '../../../version/parseSheet/index.js';
+
+/** A sheet that is valid. */
+export interface ReadSheet {
+  bytes: Uint8Array;
+  configuration: Configuration;
+}
+
+/** One line on a fault of a sheet. */
+export const formatSheetFault = (path: string, fault: SheetFault): string => {
+  const place = [
+    ...(fault.row > 0 ? [`row ${fault.row}`] : []),
+    ...(fault.column === '' ? [] : [`column ${fault.column}`]),
+  ].join(', ');
+  const value = fault.value === '' ? 'empty' : JSON.stringify(fault.value);
+  return `${path}: ${place === '' ? '' : `${place}: `}${value}: expected ${fault.expected}`;
+};
+
+const readBytes = async (path: string): Promise<Uint8Array> => {
+  try {
+    return await readFile(path);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new CommandError(ExitCode.BadInput, [`${path}: ${reason}`]);
+  }
+};
+
+/**
+ * Reads and checks a sheet file.
+ *
+ * @param path - CSV file
+ * @param version - version number to give to the configuration
+ * @throws CommandError with one line per fault
+ */
+export const readSheetFile = async (path: string, version: number): Promise<ReadSheet> => {
+  const bytes = await readBytes(path);
+  const parsed = parseSheet(bytes, { version });
+  if (parsed.isOk()) return { bytes, configuration: parsed.value };
+  const lines = parsed.error.faults.map((fault) => formatSheetFault(path, fault));
+  throw new CommandError(ExitCode.BadInput, lines);
+};
--- /dev/null
+++ b/src/process/cli/_lib/sendApply.ts
@@ -0,0 +1,133 @@
+/** Sends one `apply` until its outcome is known or the time is up. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { ApplyOutcome } from '../../replication/ControlLog/index.js';
+import { ExchangeKind } from './OperatorClient.js';
+import { describeExchange } from './readAnswer.js';
+
+import type { ApplyAnswer } from '../../operatorApi/index.js';
+import type { VersionHolder } from '../../replication/ControlLog/index.js';
+import type { Exchange, OperatorClient } from './OperatorClient.js';
+
+/** One version to be accepted. */
+export interface SentVersion {
+  version: number;
+  sheet: Uint8Array;
+  requestId: string;
+  operator: string;
+  /** SHA-256 of the content, lower-case hexadecimal. */
+  contentHash: string;
+}
+
+export interface SendApplyOptions {
+  /** Time after which no further attempt starts, in milliseconds since the epoch. */
+  deadlineMs: number;
+  /** Present time in milliseconds since the epoch. */
+  nowMs: () => number;
+  /** Called before another attempt, with one line on the previous one. */
+  onRetry: (line: string) => void;
+}
+
+/** How an `apply` ended, over all attempts. */
+export interface SentApply {
+  /** Absent when no control VM gave a definite answer. */
+  answer?: ApplyAnswer;
+  /** Whether some attempt may have run although no answer says so. */
+  mayHaveRun: boolean;
+  /** The last exchange with each problem, one line each. */
+  problems: string[];
+}
+
+const RETRY_PAUSE_MS = 250;
+
+/** Answers after which another control VM, or the same one later, may give a better one. */
+const RETRIED_STATUS = new Set([429, 500, 502, 503, 504]);
+
+const readApplyAnswer = (exchange: Exchange): ApplyAnswer | undefined => {
+  const { outcome } = (exchange.body ?? {}) as { outcome?: unknown };
+  const isOutcome = Object.values<unknown>(ApplyOutcome).includes(outcome);
+  return isOutcome ? (exchange.body as ApplyAnswer) : undefined;
+};
+
+const mayHaveRun = (exchange: Exchange): boolean => {
+  if (exchange.kind === ExchangeKind.NotSent) return false;
+  if (exchange.kind === ExchangeKind.Lost) return true;
+  const { ran } = (exchange.body ?? {}) as { ran?: unknown };
+  // An answer in an unknown form says nothing about the request.
+  return ran !== 'no' && ran !== 'yes';
+};
+
+const isDefinite = (exchange: Exchange): boolean =>
+  exchange.kind === ExchangeKind.Answered && !RETRIED_STATUS.has(exchange.status);
+
+const wasAccepted = async (client: OperatorClient, sent: SentVersion): Promise<boolean> => {
+  const exchanges = await client.read('/v1/history');
+  const body = exchanges.at(-1)?.body;
+  const history = Array.isArray(body) ? (body as VersionHolder[]) : [];
+  return history.some(
+    (holder) => holder.version === sent.version && holder.contentHash === sent.contentHash,
+  );
+};
+
+/**
+ * Corrects a STALE answer that follows an attempt of unknown outcome: that attempt may have been
+ * accepted and then superseded, which only the history tells.
+ */
+const resolveStale = async (
+  client: OperatorClient,
+  sent: SentVersion,
+  answer: ApplyAnswer,
+): Promise<ApplyAnswer> => {
+  if (!(await wasAccepted(client, sent))) return answer;
+  const message = `version ${sent.version} was accepted and has since been superseded`;
+  return { ...answer, outcome: ApplyOutcome.AlreadyAccepted, message };
+};
+
+/**
+ * Sends a version to one control VM after the other, always with the same request id, until one of
+ * them gives a definite answer.
+ *
+ * @param client - client of the control VMs
+ * @param sent - the version
+ * @param options - how long to try
+ */
+export const sendApply = async (
+  client: OperatorClient,
+  sent: SentVersion,
+  options: SendApplyOptions,
+): Promise<SentApply> => {
+  const { controls } = client;
+  const problems = new Map<string, string>();
+  let isUncertain = false;
+  for (let attempt = 0; ; attempt += 1) {
+    const control = controls[attempt % controls.length] ?? '';
+    const exchange = await client.exchange(control, {
+      method: 'POST',
+      path: `/v1/versions/${sent.version}`,
+      headers: {
+        'content-type': 'text/csv; charset=utf-8',
+        'foxtailvane-request-id': sent.requestId,
+        'foxtailvane-operator': sent.operator,
+      },
+      body: sent.sheet,
+    });
+    const answer = readApplyAnswer(exchange);
+    if (isDefinite(exchange)) {
+      if (!answer) {
+        return { mayHaveRun: isUncertain, problems: [describeExchange(exchange)] };
+      }
+      const isAmbiguous = isUncertain && answer.outcome === ApplyOutcome.Stale;
+      const resolved = isAmbiguous ? await resolveStale(client, sent, answer) : answer;
+      return { answer: resolved, mayHaveRun: false, problems: [] };
+    }
+    isUncertain ||= mayHaveRun(exchange);
+    const problem = describeExchange(exchange);
+    problems.set(control, problem);
+    const isRoundOver = (attempt + 1) % controls.length === 0;
+    if (isRoundOver && options.nowMs() >= options.deadlineMs) {
+      return { mayHaveRun: isUncertain, problems: [...problems.values()] };
+    }
+    options.onRetry(`${problem}; trying again with request id ${sent.requestId}`);
+    if (isRoundOver) await sleep(RETRY_PAUSE_MS);
+  }
+};
--- /dev/null
+++ b/src/process/cli/commands/apply.ts
@@ -0,0 +1,151 @@
+import { randomUUID } from 'node:crypto';
+import { userInfo } from 'node:os';
+
+import type { Command } from 'commander';
+import { ApplyOutcome } from '../../replication/ControlLog/index.js';
+import { addConnectionOptions, parseDurationMs, withClient } from '../_lib/connectionOptions.js';
+import { formatSheetFault, readSheetFile } from '../_lib/readSheetFile.js';
+import { sendApply } from '../_lib/sendApply.js';
+import CommandError from '../CommandError.js';
+import ExitCode from '../ExitCode.js';
+
+import type { ApplyAnswer } from '../../operatorApi/index.js';
+import type { ConnectionOptions } from '../_lib/connectionOptions.js';
+import type { SentApply, SentVersion } from '../_lib/sendApply.js';
+import type Terminal from '../_lib/Terminal.js';
+
+interface ApplyOptions extends ConnectionOptions {
+  version: number;
+  requestId?: string;
+  waitMs: number;
+  json?: boolean;
+}
+
+/** Longer than an election, so that the loss of the leader does not fail an apply. */
+const DEFAULT_WAIT_MS = 10_000;
+const MAX_VERSION = 4_294_967_295;
+
+const HELP = `
+Examples:
+  $ foxtailvane apply sheet.csv --version 12 --control 10.0.0.5:7401 --token-file token
+  $ foxtailvane apply sheet.csv --version 12 --control 10.0.0.5:7401 --control 10.1.0.5:7401 \\
+      --token-file token --json
+
+Exit codes: 0 accepted (also when it was accepted before), 1 refused and not run,
+2 bad sheet or arguments, 3 outcome unknown (running the same command again is safe).`;
+
+const EXIT_CODES: Record<ApplyOutcome, ExitCode> = {
+  [ApplyOutcome.Accepted]: ExitCode.Done,
+  [ApplyOutcome.AlreadyAccepted]: ExitCode.Done,
+  [ApplyOutcome.Conflict]: ExitCode.Refused,
+  [ApplyOutcome.Stale]: ExitCode.Refused,
+  [ApplyOutcome.Invalid]: ExitCode.BadInput,
+  [ApplyOutcome.Unavailable]: ExitCode.Refused,
+  [ApplyOutcome.Unknown]: ExitCode.Unknown,
+};
+
+const parseVersion = (value: string): number => {
+  if (/^[1-9][0-9]{0,9}$/.test(value) && Number(value) <= MAX_VERSION) return Number(value);
+  const expected = `expected a whole number from 1 to ${MAX_VERSION}`;
+  throw new CommandError(ExitCode.BadInput, [`--version ${value}: ${expected}`]);
+};
+
+const describeHolder = (answer: ApplyAnswer): string => {
+  const { holder } = answer;
+  if (!holder) return '';
+  const since = new Date(holder.acceptedAtMs).toISOString();
+  return ` (version ${holder.version} held by ${holder.operator} since ${since}, request ${holder.requestId})`;
+};
+
+const reportAnswer = (
+  path: string,
+  answer: ApplyAnswer,
+  options: ApplyOptions,
+  terminal: Terminal,
+): void => {
+  const exitCode = EXIT_CODES[answer.outcome];
+  if (options.json) terminal.print(JSON.stringify(answer));
+  const line = `${answer.outcome}: ${answer.message}${describeHolder(answer)}`;
+  if (exitCode === ExitCode.Done) {
+    if (!options.json) terminal.print(line);
+    return;
+  }
+  const faults = (answer.faults ?? []).map((fault) => formatSheetFault(path, fault));
+  throw new CommandError(exitCode, [line, ...faults]);
+};
+
+const reportNoAnswer = (
+  sent: SentVersion,
+  result: SentApply,
+  options: ApplyOptions,
+  terminal: Terminal,
+): never => {
+  const { version, requestId } = sent;
+  const outcome = result.mayHaveRun ? ApplyOutcome.Unknown : ApplyOutcome.Unavailable;
+  const message = result.mayHaveRun
+    ? `version ${version} may have been accepted; running the command again with --request-id ` +
+      `${requestId} is safe`
+    : `version ${version} was not applied; no control VM accepted the request`;
+  if (options.json) terminal.print(JSON.stringify({ outcome, message, requestId, version }));
+  throw new CommandError(EXIT_CODES[outcome], [...result.problems, `${outcome}: ${message}`]);
+};
+
+const readOperator = (): string => {
+  try {
+    return userInfo().username.replaceAll(/[^A-Za-z0-9._@-]/g, '_') || 'operator';
+  } catch {
+    // Containers may run under a user id without a name.
+    return 'operator';
+  }
+};
+
+const runApply = async (path: string, options: ApplyOptions, terminal: Terminal): Promise<void> => {
+  const { bytes, configuration } = await readSheetFile(path, options.version);
+  const sent: SentVersion = {
+    version: options.version,
+    sheet: bytes,
+    requestId: options.requestId ?? randomUUID(),
+    operator: readOperator(),
+    contentHash: Buffer.from(configuration.contentHash).toString('hex'),
+  };
+  const result = await withClient(options, (client) =>
+    sendApply(client, sent, {
+      deadlineMs: Date.now() + options.waitMs,
+      nowMs: Date.now,
+      onRetry: (line) => terminal.printError(line),
+    }),
+  );
+  if (result.answer) reportAnswer(path, result.answer, options, terminal);
+  else reportNoAnswer(sent, result, options, terminal);
+};
+
+/**
+ * Adds `foxtailvane apply`.
+ *
+ * @param program - the command line
+ * @param terminal - where to print
+ */
+const addApplyCommand = (program: Command, terminal: Terminal): void => {
+  const command = program
+    .command('apply <sheet>')
+    .description('have a sheet accepted as the configuration of that version number')
+    .requiredOption(
+      '--version <number>',
+      'version number, higher than the one accepted',
+      parseVersion,
+    )
+    .option('--request-id <id>', 'request id of an earlier apply whose outcome is unknown')
+    .option(
+      '--wait-ms <ms>',
+      'time to keep trying while no control VM gives a definite answer',
+      parseDurationMs,
+      DEFAULT_WAIT_MS,
+    )
+    .option('--json', 'print the answer as JSON')
+    .addHelpText('after', HELP);
+  addConnectionOptions(command).action((path: string, options: ApplyOptions) =>
+    runApply(path, options, terminal),
+  );
+};
+
+export default addApplyCommand;
