Let a node announce addresses other than its listeners

A node that listens on a wildcard or behind address translation had no way to name the address that other nodes use. The times of replication are checked with their defaults.

--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -45,7 +45,8 @@
   return !!parts && loopback.check(parts.host, isIPv4(parts.host) ? 'ipv4' : 'ipv6');
 };
 
-const isWildcard = (address: string): boolean =>
+/** Tells whether an address stands for all addresses of the VM. */
+export const isWildcard = (address: string): boolean =>
   ['0.0.0.0', '::'].includes(parseAddress(address)?.host ?? '');
 
 const NAME_EXPECTED =
--- a/src/process/settings/_lib/parseControlSettings.ts
+++ b/src/process/settings/_lib/parseControlSettings.ts
@@ -4,6 +4,7 @@
 
 import type { Result } from 'neverthrow';
 import { LogLevel } from '../../log/index.js';
+import { DEFAULT_TIMINGS } from '../../replication/_lib/timings/index.js';
 import { SettingsError, SettingsErrorCode } from '../SettingsError.js';
 import { LogStream } from '../types.js';
 import { readIni } from './readIni.js';
@@ -100,25 +101,25 @@
         },
       ];
 
+/** Checks the times that will be in effect, the defaults of absent ones included. */
 const findTimingFaults = (timing: TimingSettings): SettingsFault[] => {
-  const min = timing.electionTimeoutMinMs;
-  const max = timing.electionTimeoutMaxMs;
-  const heartbeat = timing.heartbeatMs;
+  const effective = { ...DEFAULT_TIMINGS, ...timing };
+  const { heartbeatMs, electionTimeoutMinMs, electionTimeoutMaxMs, clockMarginMs } = effective;
   const maxFault = {
     section: 'timing',
     key: 'election_timeout_max_ms',
-    value: String(max),
-    expected: 'more than election_timeout_min_ms',
+    value: String(electionTimeoutMaxMs),
+    expected: `more than election_timeout_min_ms, which is ${electionTimeoutMinMs}`,
   };
   const minFault = {
     section: 'timing',
     key: 'election_timeout_min_ms',
-    value: String(min),
-    expected: 'more than heartbeat_ms',
+    value: String(electionTimeoutMinMs),
+    expected: `more than heartbeat_ms and clock_margin_ms together, which are ${heartbeatMs + clockMarginMs}`,
   };
   return [
-    ...(min !== undefined && max !== undefined && max <= min ? [maxFault] : []),
-    ...(min !== undefined && heartbeat !== undefined && min <= heartbeat ? [minFault] : []),
+    ...(electionTimeoutMaxMs <= electionTimeoutMinMs ? [maxFault] : []),
+    ...(electionTimeoutMinMs <= heartbeatMs + clockMarginMs ? [minFault] : []),
   ];
 };
 
@@ -153,8 +154,9 @@
     heartbeatMs: read.timing.value?.heartbeat_ms,
     electionTimeoutMinMs: read.timing.value?.election_timeout_min_ms,
     electionTimeoutMaxMs: read.timing.value?.election_timeout_max_ms,
-    leaseMs: read.timing.value?.lease_ms,
-    proposeTimeoutMs: read.timing.value?.propose_timeout_ms,
+    clockMarginMs: read.timing.value?.clock_margin_ms,
+    peerTimeoutMs: read.timing.value?.peer_timeout_ms,
+    proposalTimeoutMs: read.timing.value?.proposal_timeout_ms,
   });
   const faults = [
     ...ini.faults,
--- a/src/process/settings/_lib/parseNodeSettings.ts
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow';
 import { SettingsError, SettingsErrorCode } from '../SettingsError.js';
 import { resolveLog, resolveTls } from './parseControlSettings.js';
+import { isWildcard } from './fields.js';
 import { readIni } from './readIni.js';
 import { findSectionFaults, readSection } from './readSection.js';
 import {
@@ -22,7 +23,19 @@
 const REQUIRED = ['node', 'control'];
 const OPTIONAL = ['tls', 'log', 'requests'];
 
-const findRepeatedListeners = (node: Record<string, string>): SettingsFault[] =>
+/** A listener on every address needs the one address that other nodes connect to. */
+const findMissingAddresses = (node: Record<string, string | undefined>): SettingsFault[] =>
+  ['forward', 'peer']
+    .filter((prefix) => isWildcard(node[`${prefix}_listen`] ?? ''))
+    .filter((prefix) => node[`${prefix}_address`] === undefined)
+    .map((prefix) => ({
+      section: 'node',
+      key: `${prefix}_address`,
+      value: '',
+      expected: `the address that other nodes connect to, because ${prefix}_listen is a wildcard`,
+    }));
+
+const findRepeatedListeners = (node: Record<string, string | undefined>): SettingsFault[] =>
   LISTEN_KEYS.filter((key, index) =>
     LISTEN_KEYS.slice(0, index).some((earlier) => node[earlier] === node[key]),
   ).map((key) => ({
@@ -92,6 +105,7 @@
     ...findSectionFaults(ini.sections, REQUIRED, OPTIONAL),
     ...Object.values(read).flatMap((section) => section.faults),
     ...(node ? findRepeatedListeners(node) : []),
+    ...(node ? findMissingAddresses(node) : []),
     ...(read.control.value ? findEmptyControls(control) : []),
     ...findRepeatedControls(control),
   ];
@@ -105,6 +119,8 @@
     listen: node.listen,
     forwardListen: node.forward_listen,
     peerListen: node.peer_listen,
+    forwardAddress: node.forward_address ?? node.forward_listen,
+    peerAddress: node.peer_address ?? node.peer_listen,
     localListen: node.local_listen,
     control,
     ...(read.tls.value ? { tls: resolveTls(read.tls.value, baseFolder) } : {}),
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -40,8 +40,9 @@
   heartbeat_ms: v.optional(durationField),
   election_timeout_min_ms: v.optional(durationField),
   election_timeout_max_ms: v.optional(durationField),
-  lease_ms: v.optional(durationField),
-  propose_timeout_ms: v.optional(durationField),
+  clock_margin_ms: v.optional(durationField),
+  peer_timeout_ms: v.optional(durationField),
+  proposal_timeout_ms: v.optional(durationField),
 });
 
 export const nodeSchema = v.object({
@@ -49,8 +50,10 @@
   data_centre: nameField,
   region: nameField,
   listen: listenField,
-  forward_listen: reachableField,
-  peer_listen: reachableField,
+  forward_listen: listenField,
+  forward_address: v.optional(reachableField),
+  peer_listen: listenField,
+  peer_address: v.optional(reachableField),
   local_listen: loopbackField,
 });
 
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -131,21 +131,46 @@
   t.ok(listPlaces(parseControlSettings(loose, OPTIONS)).length > 0);
 });
 
+const listNodeKeys = (text: string): string[] => {
+  const parsed = parseNodeSettings(text, OPTIONS);
+  return parsed.isErr() ? parsed.error.faults.map(({ key }) => key) : [];
+};
+
 tap.test(
-  'listeners that others connect to are not wildcards, and local_listen is local',
+  'addresses that others connect to are no wildcards, and local_listen is local',
   async (t) => {
-    const text = NODE.replace('forward_listen = 127.0.0.1', 'forward_listen = 0.0.0.0').replace(
-      'local_listen = 127.0.0.1:8083',
-      'local_listen = 10.0.0.1:8083',
-    );
-    const parsed = parseNodeSettings(text, OPTIONS);
-    t.strictSame(parsed.isErr() && parsed.error.faults.map(({ key }) => key), [
-      'forward_listen',
-      'local_listen',
+    const wildcard = NODE.replace('forward_listen = 127.0.0.1', 'forward_listen = 0.0.0.0');
+    t.strictSame(listNodeKeys(wildcard), ['forward_address']);
+    const addressed = wildcard.replace('[control]', 'forward_address = 127.0.0.1:8081\n[control]');
+    t.strictSame(listNodeKeys(addressed), []);
+    t.strictSame(listNodeKeys(addressed.replace('address = 127.0.0.1', 'address = [::]')), [
+      'forward_address',
     ]);
+    const remote = NODE.replace('local_listen = 127.0.0.1', 'local_listen = 10.0.0.1');
+    t.strictSame(listNodeKeys(remote), ['local_listen']);
   },
 );
 
+tap.test('a node is reached at its listeners unless other addresses are written', async (t) => {
+  const parsed = parseNodeSettings(
+    NODE.replace('[control]', 'peer_address = 10.0.0.9:9000\n[control]'),
+    OPTIONS,
+  );
+  t.match(parsed.isOk() && parsed.value, {
+    forwardAddress: '127.0.0.1:8081',
+    peerAddress: '10.0.0.9:9000',
+  });
+});
+
+tap.test('times are checked against the defaults of those not written', async (t) => {
+  const withTiming = (line: string) => CONTROL.replace('heartbeat_ms = 50', line);
+  t.strictSame(listPlaces(parseControlSettings(withTiming('heartbeat_ms = 600'), OPTIONS)), [
+    'timing election_timeout_min_ms',
+  ]);
+  const late = withTiming('election_timeout_min_ms = 2000');
+  t.strictSame(listPlaces(parseControlSettings(late, OPTIONS)), ['timing election_timeout_max_ms']);
+});
+
 tap.test('files are checked together with the values', async (t) => {
   const folder = t.testdir({ 'control.ini': CONTROL.replace('debug', 'loud') });
   const path = join(folder, 'control.ini');
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -1,5 +1,6 @@
 /** The settings of the two daemons. Addresses are `IP:port`, with IPv6 as `[IP]:port`. */
 import type { LogLevel } from '../log/index.js';
+import type { ReplicationTimings } from '../replication/ReplicatedLog/index.js';
 
 /** Where log lines are written when the destination is not a file. */
 export enum LogStream {
@@ -28,14 +29,8 @@
   address: string;
 }
 
-/** Overrides of timing defaults; an absent value leaves the default of the part that uses it. */
-export interface TimingSettings {
-  heartbeatMs?: number;
-  electionTimeoutMinMs?: number;
-  electionTimeoutMaxMs?: number;
-  leaseMs?: number;
-  proposeTimeoutMs?: number;
-}
+/** Overrides of the times of replication; an absent value leaves the default. */
+export type TimingSettings = Partial<ReplicationTimings>;
 
 /** Settings of `foxtailvane control`. */
 export interface ControlSettings {
@@ -79,6 +74,10 @@
   forwardListen: string;
   /** For the connect-es protocol between nodes. */
   peerListen: string;
+  /** Where other nodes reach `forwardListen`; the same unless it is written. */
+  forwardAddress: string;
+  /** Where other nodes reach `peerListen`; the same unless it is written. */
+  peerAddress: string;
   /** For servers beside this node and for local operators; always a loopback address. */
   localListen: string;
   /** One entry per data centre. */
