--- /dev/null
+++ b/stand-ins/backendServer/_lib/ProbeReporter.ts
@@ -0,0 +1,43 @@
+import { ProbeBehaviour } from './types.js';
+
+import type { FaultSettings } from './types.js';
+
+/** Answers of `/health` and `/load`. */
+export interface ProbeReport {
+  healthy: boolean;
+  state: string;
+  inFlight: number;
+  slots: number;
+}
+
+interface TimedReport {
+  atMs: number;
+  report: ProbeReport;
+}
+
+// Bounds the memory of a server that runs for hours; older states are never asked for.
+const HISTORY_LIMIT = 4_096;
+
+/** Reports health and load truthfully, late, or falsely. */
+export class ProbeReporter {
+  #history: TimedReport[] = [];
+
+  /** Notes the true state after each change. */
+  note(report: ProbeReport, nowMs: number): void {
+    this.#history.push({ atMs: nowMs, report });
+    if (this.#history.length > HISTORY_LIMIT) {
+      this.#history = this.#history.slice(-HISTORY_LIMIT / 2);
+    }
+  }
+
+  /** Returns what the server says about itself. */
+  report(settings: FaultSettings, nowMs: number): ProbeReport {
+    const newest = this.#history.at(-1)!.report;
+    if (settings.probes === ProbeBehaviour.Lying) {
+      return { ...newest, healthy: true, state: 'serving', inFlight: 0 };
+    }
+    if (settings.probes === ProbeBehaviour.Honest) return newest;
+    const seen = this.#history.findLast((entry) => entry.atMs <= nowMs - settings.probeLagMs);
+    return (seen ?? this.#history[0]!).report;
+  }
+}
--- /dev/null
+++ b/stand-ins/backendServer/_lib/types.ts
@@ -0,0 +1,76 @@
+/** What a backend server does wrong on purpose. */
+export enum BackendFault {
+  None = 'none',
+  /** Service times are multiplied by `slowFactor`. */
+  Slow = 'slow',
+  /** Every request is executed and answered with 500; health stays good. */
+  FailAll = 'fail-all',
+  /** The process ends after half of the answer was written. */
+  DieInAnswer = 'die-in-answer',
+  /** The connection is closed on the first part of a request body, before execution. */
+  CloseWhileReading = 'close-while-reading',
+  /** Answers 413 before the request body was read. */
+  AnswerEarly = 'answer-early',
+}
+
+/** How `/health` and `/load` relate to the truth. */
+export enum ProbeBehaviour {
+  Honest = 'honest',
+  /** Reports the state of `probeLagMs` ago. */
+  Lagging = 'lagging',
+  /** Always reports a healthy, idle server. */
+  Lying = 'lying',
+}
+
+export enum BackendState {
+  Starting = 'starting',
+  Serving = 'serving',
+  Draining = 'draining',
+}
+
+export interface FaultSettings {
+  fault: BackendFault;
+  slowFactor: number;
+  probes: ProbeBehaviour;
+  probeLagMs: number;
+}
+
+export const NO_FAULTS: FaultSettings = {
+  fault: BackendFault.None,
+  slowFactor: 10,
+  probes: ProbeBehaviour.Honest,
+  probeLagMs: 0,
+};
+
+export interface BackendServerOptions {
+  serverId: string;
+  service: string;
+  /** Base URL of the node's `local_listen`; unset when the server does not announce itself. */
+  nodeUrl?: string;
+  host?: string;
+  /** 0 lets the system choose. */
+  port?: number;
+  slots?: number;
+  connections?: number;
+  newConnectionMs?: number;
+  probeMs?: number;
+  /** Time that one request needs at speed factor 1. */
+  serviceMs?: number;
+  speedFactor?: number;
+  /** Time after the start in which requests take longer. */
+  coldStartMs?: number;
+  /** Multiplier of the service time at the start; falls linearly to 1. */
+  coldFactor?: number;
+  leaseMs?: number;
+  /** Shortest time between announcing `draining` and leaving. */
+  drainMs?: number;
+  /** File that receives one JSON line per executed request start and end. */
+  recordFile: string;
+  /** Whether the server offers its address for calls with a slot grant. */
+  isDirect?: boolean;
+  /** URL for nested calls, on the node's `listen`. */
+  nestedUrl?: string;
+  nestedHost?: string;
+  /** Ends the process without cleaning up. */
+  terminate: () => void;
+}
