Add a seeded fault-injecting TCP proxy

Half-open and one-way links hold their bytes back and deliver them after the fault, as TCP does after a lost link, so a stream is never corrupted by the proxy itself.

--- /dev/null
+++ b/stand-ins/faultProxy/_lib/Pipe.ts
@@ -0,0 +1,86 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Socket } from 'node:net';
+import { Direction, LinkFault } from './types.js';
+
+import type { LinkSettings } from './types.js';
+
+const BLOCKED: Record<Direction, LinkFault[]> = {
+  [Direction.ToTarget]: [LinkFault.HalfOpen, LinkFault.OnlyToClient],
+  [Direction.ToClient]: [LinkFault.HalfOpen, LinkFault.OnlyToTarget],
+};
+
+export interface PipeOptions {
+  readSettings: () => LinkSettings;
+  random: () => number;
+  /** Bytes that may still pass to the client before the connection is closed. */
+  takeAllowance: (bytes: number) => number;
+  countBytes: (bytes: number) => void;
+}
+
+/** Copies one direction of a connection, in order, under the present settings of the link. */
+export class Pipe {
+  readonly #from: Socket;
+
+  readonly #to: Socket;
+
+  readonly #direction: Direction;
+
+  readonly #options: PipeOptions;
+
+  #release: (() => void) | undefined;
+
+  constructor(from: Socket, to: Socket, direction: Direction, options: PipeOptions) {
+    this.#from = from;
+    this.#to = to;
+    this.#direction = direction;
+    this.#options = options;
+  }
+
+  /** Lets waiting bytes look at the settings again. */
+  wake(): void {
+    this.#release?.();
+  }
+
+  /** Copies until either end closes. A blocked link keeps its bytes, as a lost link does in TCP. */
+  async run(): Promise<void> {
+    for await (const chunk of this.#from) {
+      await this.#waitUntilOpen();
+      const { delayMs, jitterMs } = this.#options.readSettings();
+      const waitMs = delayMs + this.#options.random() * jitterMs;
+      if (waitMs > 0) await sleep(waitMs);
+      if (!(await this.#forward(chunk as Buffer))) return;
+    }
+    await this.#waitUntilOpen();
+    this.#to.end();
+  }
+
+  async #waitUntilOpen(): Promise<void> {
+    while (BLOCKED[this.#direction].includes(this.#options.readSettings().fault)) {
+      await new Promise<void>((resolve) => {
+        this.#release = resolve;
+      });
+    }
+  }
+
+  async #forward(chunk: Buffer): Promise<boolean> {
+    const allowed =
+      this.#direction === Direction.ToClient
+        ? this.#options.takeAllowance(chunk.length)
+        : chunk.length;
+    this.#options.countBytes(allowed);
+    const part = chunk.subarray(0, allowed);
+    if (allowed < chunk.length) {
+      this.#to.end(part);
+      this.#from.destroy();
+      return false;
+    }
+    if (!this.#to.write(part)) {
+      await new Promise<void>((resolve) => {
+        this.#to.once('drain', resolve);
+        this.#to.once('close', resolve);
+      });
+    }
+    return !this.#to.destroyed;
+  }
+}
--- /dev/null
+++ b/stand-ins/faultProxy/index.ts
@@ -0,0 +1,178 @@
+/** Seeded TCP proxy that injects the faults of a network between two processes. */
+import { connect, createServer } from 'node:net';
+
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { chooseSeed, createSeededRandom, drawInteger } from '../createSeededRandom/index.js';
+import { Pipe } from './_lib/Pipe.js';
+import { Direction, HEALTHY_LINK, LinkFault } from './_lib/types.js';
+
+import type { Random } from '../createSeededRandom/index.js';
+import type { LinkSettings } from './_lib/types.js';
+
+export { LinkFault } from './_lib/types.js';
+export type { LinkSettings } from './_lib/types.js';
+
+const MAX_DRAWN_TRUNCATION_BYTES = 4_096;
+
+/** Bytes that passed since the start. */
+export interface LinkBytes {
+  toTarget: number;
+  toClient: number;
+}
+
+export interface FaultProxyOptions {
+  /** Drawn when unset. */
+  seed?: number;
+  /** 0 lets the system choose. */
+  port?: number;
+  /** Receives the line that names the seed. */
+  print?: (line: string) => void;
+}
+
+interface Link {
+  client: Socket;
+  target: Socket;
+  pipes: Pipe[];
+  allowanceBytes: number;
+}
+
+/**
+ * Forwards connections to one target and injects faults that are switched at run time.
+ *
+ * @example
+ * const proxy = new FaultProxy('127.0.0.1:7400', { seed: 7 });
+ * const address = await proxy.start();
+ * proxy.setLink({ fault: LinkFault.HalfOpen });
+ */
+export class FaultProxy {
+  readonly seed: number;
+
+  readonly bytes: LinkBytes = { toTarget: 0, toClient: 0 };
+
+  readonly #random: Random;
+
+  readonly #server: Server;
+
+  readonly #port: number;
+
+  readonly #links = new Set<Link>();
+
+  #target: string;
+
+  #settings: LinkSettings = HEALTHY_LINK;
+
+  /**
+   * @param target - `host:port` that connections are forwarded to
+   * @param options - seed and port
+   */
+  constructor(target: string, options: FaultProxyOptions = {}) {
+    this.#target = target;
+    this.seed = options.seed ?? chooseSeed();
+    this.#port = options.port ?? 0;
+    this.#random = createSeededRandom(this.seed);
+    this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client));
+    options.print?.(`fault proxy to ${target} seed=${this.seed}`);
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Changes the target of new connections, for example after a restart on another port. */
+  retarget(target: string): void {
+    this.#target = target;
+  }
+
+  /** Listens and returns the address of the proxy. */
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(this.#port, '127.0.0.1', resolve);
+    });
+    return this.address;
+  }
+
+  /** Switches the fault, also for connections that are open; unnamed settings are healthy. */
+  setLink(settings: Partial<LinkSettings> = {}): void {
+    this.#settings = { ...HEALTHY_LINK, ...settings };
+    this.#links.forEach((link) => {
+      const changed = link;
+      changed.allowanceBytes = this.#drawAllowance();
+      this.#endIfCut(link);
+      link.pipes.forEach((pipe) => pipe.wake());
+    });
+  }
+
+  /** Closes all connections and stops listening. */
+  async stop(): Promise<void> {
+    this.setLink({ fault: LinkFault.Cut });
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  #drawAllowance(): number {
+    if (this.#settings.fault !== LinkFault.Truncate) return Infinity;
+    return this.#settings.truncateBytes ?? drawInteger(this.#random, 0, MAX_DRAWN_TRUNCATION_BYTES);
+  }
+
+  #endIfCut(link: Link): boolean {
+    const sockets = [link.client, link.target];
+    if (this.#settings.fault === LinkFault.Reset) {
+      sockets.forEach((socket) => socket.resetAndDestroy());
+    } else if (this.#settings.fault === LinkFault.Cut) {
+      sockets.forEach((socket) => socket.destroy());
+    } else {
+      return false;
+    }
+    this.#links.delete(link);
+    return true;
+  }
+
+  #accept(client: Socket): void {
+    const [host, port] = this.#target.split(':');
+    const target = connect({ host: host!, port: Number(port), allowHalfOpen: true });
+    const link: Link = { client, target, pipes: [], allowanceBytes: this.#drawAllowance() };
+    [client, target].forEach((socket) => {
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+    });
+    if (this.#endIfCut(link)) return;
+    this.#links.add(link);
+    link.pipes = [
+      this.#createPipe(link, Direction.ToTarget),
+      this.#createPipe(link, Direction.ToClient),
+    ];
+    Promise.all(link.pipes.map((pipe) => pipe.run()))
+      .catch(() => undefined)
+      .finally(() => {
+        // Both directions ended, or one broke; a broken one must not leave the other open.
+        this.#closeWhenFlushed(client);
+        this.#closeWhenFlushed(target);
+        this.#links.delete(link);
+      });
+  }
+
+  #closeWhenFlushed(socket: Socket): void {
+    if (socket.writableLength === 0) socket.destroy();
+    else socket.destroySoon();
+  }
+
+  #createPipe(link: Link, direction: Direction): Pipe {
+    const isToTarget = direction === Direction.ToTarget;
+    const from = isToTarget ? link.client : link.target;
+    const to = isToTarget ? link.target : link.client;
+    return new Pipe(from, to, direction, {
+      readSettings: () => this.#settings,
+      random: this.#random,
+      takeAllowance: (bytes) => {
+        const changed = link;
+        const allowed = Math.min(bytes, link.allowanceBytes);
+        changed.allowanceBytes -= allowed;
+        return allowed;
+      },
+      countBytes: (bytes) => {
+        this.bytes[isToTarget ? 'toTarget' : 'toClient'] += bytes;
+      },
+    });
+  }
+}
