Let the fault proxy treat the clients of one target differently

The log replicates one address per control VM, so all peers connect through the same proxy. A partition of one data centre needs faults for single clients.

--- a/stand-ins/faultProxy/index.ts
+++ b/stand-ins/faultProxy/index.ts
@@ -27,9 +27,12 @@
   port?: number;
   /** Receives the line that names the seed. */
   print?: (line: string) => void;
+  /** Names the process behind a client port, for faults of single clients. */
+  identifyClient?: (port: number) => string | undefined;
 }
 
 interface Link {
+  clientName: string | undefined;
   client: Socket;
   target: Socket;
   pipes: Pipe[];
@@ -61,6 +64,10 @@
 
   #settings: LinkSettings = HEALTHY_LINK;
 
+  readonly #clientSettings = new Map<string, LinkSettings>();
+
+  readonly #identifyClient: (port: number) => string | undefined;
+
   /**
    * @param target - `host:port` that connections are forwarded to
    * @param options - seed and port
@@ -70,6 +77,7 @@
     this.seed = options.seed ?? chooseSeed();
     this.#port = options.port ?? 0;
     this.#random = createSeededRandom(this.seed);
+    this.#identifyClient = options.identifyClient ?? (() => undefined);
     this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client));
     options.print?.(`fault proxy to ${target} seed=${this.seed}`);
   }
@@ -91,15 +99,24 @@
     return this.address;
   }
 
-  /** Switches the fault, also for connections that are open; unnamed settings are healthy. */
-  setLink(settings: Partial<LinkSettings> = {}): void {
-    this.#settings = { ...HEALTHY_LINK, ...settings };
-    this.#links.forEach((link) => {
-      const changed = link;
-      changed.allowanceBytes = this.#drawAllowance();
-      this.#endIfCut(link);
-      link.pipes.forEach((pipe) => pipe.wake());
-    });
+  /**
+   * Switches the fault, also for connections that are open.
+   *
+   * @param settings - unnamed settings are healthy
+   * @param options - `client` limits the fault to one client; without it all clients get it
+   */
+  setLink(settings: Partial<LinkSettings> = {}, options: { client?: string } = {}): void {
+    const { client } = options;
+    const link = { ...HEALTHY_LINK, ...settings };
+    if (client === undefined) {
+      this.#settings = link;
+      this.#clientSettings.clear();
+    } else {
+      this.#clientSettings.set(client, link);
+    }
+    [...this.#links]
+      .filter((one) => client === undefined || one.clientName === client)
+      .forEach((one) => this.#refresh(one));
   }
 
   /** Closes all connections and stops listening. */
@@ -110,16 +127,29 @@
     });
   }
 
-  #drawAllowance(): number {
-    if (this.#settings.fault !== LinkFault.Truncate) return Infinity;
-    return this.#settings.truncateBytes ?? drawInteger(this.#random, 0, MAX_DRAWN_TRUNCATION_BYTES);
+  #settingsOf(clientName: string | undefined): LinkSettings {
+    return this.#clientSettings.get(clientName ?? '') ?? this.#settings;
+  }
+
+  #refresh(link: Link): void {
+    const changed = link;
+    changed.allowanceBytes = this.#drawAllowance(link.clientName);
+    this.#endIfCut(link);
+    link.pipes.forEach((pipe) => pipe.wake());
+  }
+
+  #drawAllowance(clientName: string | undefined): number {
+    const { fault, truncateBytes } = this.#settingsOf(clientName);
+    if (fault !== LinkFault.Truncate) return Infinity;
+    return truncateBytes ?? drawInteger(this.#random, 0, MAX_DRAWN_TRUNCATION_BYTES);
   }
 
   #endIfCut(link: Link): boolean {
     const sockets = [link.client, link.target];
-    if (this.#settings.fault === LinkFault.Reset) {
+    const { fault } = this.#settingsOf(link.clientName);
+    if (fault === LinkFault.Reset) {
       sockets.forEach((socket) => socket.resetAndDestroy());
-    } else if (this.#settings.fault === LinkFault.Cut) {
+    } else if (fault === LinkFault.Cut) {
       sockets.forEach((socket) => socket.destroy());
     } else {
       return false;
@@ -131,7 +161,9 @@
   #accept(client: Socket): void {
     const [host, port] = this.#target.split(':');
     const target = connect({ host: host!, port: Number(port), allowHalfOpen: true });
-    const link: Link = { client, target, pipes: [], allowanceBytes: this.#drawAllowance() };
+    const clientName = this.#identifyClient(client.remotePort ?? 0);
+    const allowanceBytes = this.#drawAllowance(clientName);
+    const link: Link = { clientName, client, target, pipes: [], allowanceBytes };
     [client, target].forEach((socket) => {
       socket.setNoDelay(true);
       socket.on('error', () => undefined);
@@ -162,7 +194,7 @@
     const from = isToTarget ? link.client : link.target;
     const to = isToTarget ? link.target : link.client;
     return new Pipe(from, to, direction, {
-      readSettings: () => this.#settings,
+      readSettings: () => this.#settingsOf(link.clientName),
       random: this.#random,
       takeAllowance: (bytes) => {
         const changed = link;
