Add a harness that runs clusters of real processes

Listeners get their own loopback IP: outgoing connections bind to 127.0.0.1, so none takes the port of a process that is down.

--- /dev/null
+++ b/stand-ins/cluster/_lib/AddressPlan.ts
@@ -0,0 +1,33 @@
+import { createServer } from 'node:net';
+
+import type { AddressInfo } from 'node:net';
+
+const OCTETS = 254;
+
+/**
+ * Chooses addresses for listeners that have to be known before their process starts.
+ *
+ * Each listener gets its own loopback IP and a port chosen by the system. Outgoing connections bind
+ * to 127.0.0.1, so none can take the port while a process is down.
+ */
+export default class AddressPlan {
+  readonly #prefix = `127.${1 + Math.floor(Math.random() * OCTETS)}.${Math.floor(Math.random() * OCTETS)}`;
+
+  #count = 0;
+
+  /** Returns a free `IP:port`. */
+  async allocate(): Promise<string> {
+    this.#count += 1;
+    const host = `${this.#prefix}.${1 + (this.#count % OCTETS)}`;
+    const probe = createServer();
+    await new Promise<void>((resolve, reject) => {
+      probe.once('error', reject);
+      probe.listen(0, host, resolve);
+    });
+    const { port } = probe.address() as AddressInfo;
+    await new Promise((resolve) => {
+      probe.close(resolve);
+    });
+    return `${host}:${port}`;
+  }
+}
--- /dev/null
+++ b/stand-ins/cluster/_lib/members.ts
@@ -0,0 +1,75 @@
+import { mkdirSync, rmSync } from 'node:fs';
+
+import { OperatorClient } from './OperatorClient.js';
+
+import type { FaultProxy } from '../../faultProxy/index.js';
+import type ManagedProcess from './ManagedProcess.js';
+
+interface ControlMemberParts {
+  name: string;
+  dataCentre: string;
+  process: ManagedProcess;
+  dataFolder: string;
+  /** Address that others use: the proxy's, or the listener's without proxies. */
+  address: string;
+  operatorUrl: string;
+  token: string;
+  proxy: FaultProxy | undefined;
+}
+
+/** A control VM of a test cluster. */
+export class ControlMember {
+  readonly name: string;
+
+  readonly dataCentre: string;
+
+  readonly process: ManagedProcess;
+
+  readonly address: string;
+
+  readonly operator: OperatorClient;
+
+  readonly proxy: FaultProxy | undefined;
+
+  readonly #dataFolder: string;
+
+  constructor(parts: ControlMemberParts) {
+    this.name = parts.name;
+    this.dataCentre = parts.dataCentre;
+    this.process = parts.process;
+    this.address = parts.address;
+    this.operator = new OperatorClient(parts.operatorUrl, parts.token);
+    this.proxy = parts.proxy;
+    this.#dataFolder = parts.dataFolder;
+  }
+
+  /** Replaces the disk of a stopped VM by an empty one. */
+  wipeDisk(): void {
+    if (this.process.isRunning) throw new Error(`${this.name} still runs`);
+    rmSync(this.#dataFolder, { recursive: true });
+    mkdirSync(this.#dataFolder);
+  }
+}
+
+/** A node of a test cluster. */
+export interface NodeMember {
+  name: string;
+  dataCentre: string;
+  process: ManagedProcess;
+  /** Base URL for callers. */
+  url: string;
+  /** Base URL of `local_listen`. */
+  localUrl: string;
+  forwardAddress: string;
+  peerAddress: string;
+}
+
+/** A backend server of a test cluster. */
+export interface BackendMember {
+  serverId: string;
+  node: NodeMember;
+  process: ManagedProcess;
+  recordFile: string;
+  /** Base URL of the admin endpoint of the present run. */
+  adminUrl: string;
+}
--- /dev/null
+++ b/stand-ins/cluster/_lib/writeIni.ts
@@ -0,0 +1,9 @@
+import { writeFileSync } from 'node:fs';
+
+import { stringify } from 'ini';
+
+export type IniSections = Record<string, Record<string, string | number>>;
+
+/** Writes a settings file. */
+export const writeIni = (file: string, sections: IniSections): void =>
+  writeFileSync(file, stringify(sections, { whitespace: true }));
