--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,6 +23,9 @@
   ...configs.base.typescript,
   prettier,
   {
+    settings: {
+      node: { convertPath: [{ include: ['src/**'], replace: ['^(.+)\\.ts$', 'dist/$1.js'] }] },
+    },
     rules: {
       // A task per connection or peer is a loop that awaits each step.
       'no-await-in-loop': 'off',
--- /dev/null
+++ b/src/connection/splitAddress/index.ts
@@ -0,0 +1,20 @@
+/** Host and port of an address. */
+export interface HostAndPort {
+  host: string;
+  port: number;
+}
+
+/**
+ * Splits an address that was checked before.
+ *
+ * @param address - `IP:port`, with IPv6 as `[IP]:port`; port 0 lets the system choose when listening
+ * @returns host without brackets, and port
+ *
+ * @example
+ * splitAddress('[::1]:7400'); // { host: '::1', port: 7400 }
+ */
+export const splitAddress = (address: string): HostAndPort => {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(separator + 1)) };
+};
--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -6,6 +6,7 @@
 import type { Http2Server, ServerHttp2Session } from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { splitAddress } from '../splitAddress/index.js';
 
 /** Largest message accepted from another process. */
 const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
@@ -30,12 +31,6 @@
   routes: (router: ConnectRouter) => void;
 }
 
-const splitAddress = (address: string): { host: string; port: number } => {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(separator + 1)) };
-};
-
 // A peer that vanished without closing its connection leaves writes waiting until TCP gives up, which
 // takes minutes; a ping ends them within seconds.
 const watchSession = (session: ServerHttp2Session): void => {
--- a/src/process/_lib/installFetchClasses/index.ts
+++ b/src/process/_lib/installFetchClasses/index.ts
@@ -7,8 +7,9 @@
  */
 import { FormData } from 'undici/lib/web/fetch/formdata.js';
 import { Headers } from 'undici/lib/web/fetch/headers.js';
-import { Request } from 'undici/lib/web/fetch/request.js';
+// Request captures a body converter that the module of Response defines, so Response comes first.
 import { Response } from 'undici/lib/web/fetch/response.js';
+import { Request } from 'undici/lib/web/fetch/request.js';
 
 Object.entries({ FormData, Headers, Request, Response }).forEach(([name, value]) => {
   Object.defineProperty(globalThis, name, { value, writable: true, configurable: true });
--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -2,6 +2,7 @@
 import { Command, CommanderError } from 'commander';
 
 import addApplyCommand from './commands/apply.js';
+import addDaemonCommands from './commands/daemons.js';
 import addStatusCommand from './commands/status.js';
 import CommandError from './CommandError.js';
 import ExitCode from './ExitCode.js';
@@ -11,7 +12,7 @@
 export { default as ExitCode } from './ExitCode.js';
 export type { default as Terminal } from './_lib/Terminal.js';
 
-const COMMANDS = [addApplyCommand, addStatusCommand];
+const COMMANDS = [addDaemonCommands, addApplyCommand, addStatusCommand];
 
 /** Subcommands copy these settings, so they precede the commands. */
 const createProgram = (terminal: Terminal): Command => {
--- /dev/null
+++ b/src/process/control/_lib/createMembershipActions.ts
@@ -0,0 +1,30 @@
+import { RequestRan } from '../../operatorApi/index.js';
+import type { AddedMember, MembershipResult } from '../../operatorApi/index.js';
+import { ReplicationErrorCode } from '../../replication/ReplicationError/index.js';
+import type { ReplicationError } from '../../replication/ReplicationError/index.js';
+import type { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
+
+const describeFailure = (error: ReplicationError): MembershipResult => ({
+  ran: error.code === ReplicationErrorCode.Unknown ? RequestRan.Unknown : RequestRan.No,
+  message: error.message,
+});
+
+/** Membership changes of the log in the terms of the operator API. */
+const createMembershipActions = (log: ReplicatedLog) => ({
+  addMember: async ({ memberId, address }: AddedMember): Promise<MembershipResult> => {
+    const result = await log.addMember({ memberId, address });
+    return result.match(
+      () => ({ ran: RequestRan.Yes, message: `${memberId} was added as a non-voter` }),
+      describeFailure,
+    );
+  },
+  removeMember: async (memberId: string): Promise<MembershipResult> => {
+    const result = await log.removeMember(memberId);
+    return result.match(
+      () => ({ ran: RequestRan.Yes, message: `${memberId} was removed` }),
+      describeFailure,
+    );
+  },
+});
+
+export default createMembershipActions;
--- /dev/null
+++ b/src/process/control/startControl/index.ts
@@ -0,0 +1,145 @@
+/** The daemon of a control VM: replicated log, distribution and operator API. */
+import { readFile } from 'node:fs/promises';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { ControlExchange } from '../../../connection/distribution/ControlExchange/index.js';
+import type { ExchangePeer } from '../../../connection/distribution/ControlExchange/index.js';
+import { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
+import { startRpcServer } from '../../../connection/startRpcServer/index.js';
+import type { RpcServer } from '../../../connection/startRpcServer/index.js';
+import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
+import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { createLogger } from '../../log/index.js';
+import { MetricsRegistry } from '../../metrics/index.js';
+import { createOperatorApi } from '../../operatorApi/index.js';
+import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
+import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
+import type { ControlSettings } from '../../settings/index.js';
+import createMembershipActions from '../_lib/createMembershipActions.js';
+
+const logger = createLogger('control');
+
+/** A running control daemon. */
+export interface ControlDaemon {
+  /** `IP:port` of the listener for control peers and nodes. */
+  listen: string;
+  /** `IP:port` of the operator API. */
+  operatorListen: string;
+  /** Stops; nothing of a control daemon needs to drain. */
+  drain: () => Promise<void>;
+}
+
+const openLog = async (settings: ControlSettings): Promise<Result<ReplicatedLog, DaemonError>> => {
+  const opened = await ReplicatedLog.open(
+    {
+      memberId: settings.name,
+      dataFolder: settings.dataFolder,
+      initialMembers: settings.members.map(({ name, address }) => ({ memberId: name, address })),
+    },
+    { timings: settings.timing },
+  );
+  return opened.mapErr(
+    (error) => new DaemonError(DaemonErrorCode.StorageFailed, error.message, error),
+  );
+};
+
+const readToken = async (path: string): Promise<Result<string, DaemonError>> => {
+  try {
+    return ok((await readFile(path, 'utf8')).trim());
+  } catch (error) {
+    const message = `cannot read the operator token file ${path}`;
+    return err(new DaemonError(DaemonErrorCode.TokenUnreadable, message, error));
+  }
+};
+
+const listen = async (
+  address: string,
+  routes: (router: ConnectRouter) => void,
+): Promise<Result<RpcServer, DaemonError>> => {
+  try {
+    return ok(await startRpcServer(address, { routes }));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    const message = `cannot listen on ${address}: ${reason}`;
+    return err(new DaemonError(DaemonErrorCode.ListenFailed, message, error));
+  }
+};
+
+/** Members of the log once it is known, those of the settings before. */
+const listPeers = (settings: ControlSettings, log: ReplicatedLog): ExchangePeer[] => {
+  const members = log.members(readMonotonicNowMs());
+  const known =
+    members.length > 0
+      ? members
+      : settings.members.map(({ name, address }) => ({ memberId: name, address }));
+  return known
+    .filter(({ memberId }) => memberId !== settings.name)
+    .map(({ memberId, address }) => ({ memberId, address }));
+};
+
+/**
+ * Starts the daemon of a control VM.
+ *
+ * @param settings - checked settings
+ * @returns the running daemon; the error says which part could not start
+ *
+ * @example
+ * const daemon = await startControl(settings);
+ */
+export const startControl = async (
+  settings: ControlSettings,
+): Promise<Result<ControlDaemon, DaemonError>> => {
+  const token = await readToken(settings.operator.tokenFile);
+  if (token.isErr()) return err(token.error);
+  const opened = await openLog(settings);
+  if (opened.isErr()) return err(opened.error);
+  const log = opened.value;
+  const metrics = new MetricsRegistry();
+  const options = { metrics, now: readMonotonicNowMs };
+  const hub = new DistributionHub(settings.name, log, options);
+  const exchange = new ControlExchange(settings.name, hub, () => listPeers(settings, log), options);
+
+  const rpc = await listen(settings.listen, (router) => {
+    log.register(router);
+    hub.registerRoutes(router);
+    exchange.registerRoutes(router);
+  });
+  if (rpc.isErr()) {
+    await log.stop();
+    return err(rpc.error);
+  }
+  const api = createOperatorApi({
+    log,
+    readFleet: () => exchange.readFleet(),
+    records: () => hub.directory.records(),
+    metrics,
+    token: token.value,
+    nowMs: readMonotonicNowMs,
+    ...createMembershipActions(log),
+  });
+  const operator = await serveHttp(api, settings.operatorListen);
+  if (operator.isErr()) {
+    await rpc.value.close();
+    await log.stop();
+    return err(operator.error);
+  }
+  log.start();
+  hub.start();
+  exchange.start();
+  logger.info(
+    { name: settings.name, listen: rpc.value.address, operatorListen: operator.value.address },
+    'control daemon started',
+  );
+  const drain = async (): Promise<void> => {
+    await operator.value.close();
+    hub.stop();
+    await exchange.stop();
+    await log.stop();
+    await rpc.value.close();
+    logger.info({ name: settings.name }, 'control daemon stopped');
+  };
+  return ok({ listen: rpc.value.address, operatorListen: operator.value.address, drain });
+};
--- /dev/null
+++ b/src/process/daemon/serveHttp/index.ts
@@ -0,0 +1,63 @@
+import { createServer } from 'node:http';
+
+import { getRequestListener } from '@hono/node-server';
+import type { Hono } from 'hono';
+import { err, ok } from 'neverthrow';
+import type { AddressInfo } from 'node:net';
+import type { Result } from 'neverthrow';
+
+import { splitAddress } from '../../../connection/splitAddress/index.js';
+import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
+
+/** Time for the headers of a request; a slower client holds its connection for nothing. */
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Time for a whole request. */
+const REQUEST_TIMEOUT_MS = 30_000;
+const MAX_CONNECTIONS = 256;
+
+/** A bound listener of a hono app. */
+export interface HttpListener {
+  /** `IP:port` that was bound. */
+  address: string;
+  close: () => Promise<void>;
+}
+
+/**
+ * Serves a hono app over HTTP/1.1.
+ *
+ * @param app - the app
+ * @param address - `IP:port`; port 0 lets the system choose
+ * @returns the bound listener; ListenFailed when the address can't be bound
+ *
+ * @example
+ * const listener = await serveHttp(app, '127.0.0.1:0');
+ */
+export const serveHttp = (
+  app: Hono,
+  address: string,
+): Promise<Result<HttpListener, DaemonError>> => {
+  const { host, port } = splitAddress(address);
+  const server = createServer(
+    { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
+    // The fetch classes of the process stay as they are; see installFetchClasses.
+    getRequestListener(app.fetch, { overrideGlobalObjects: false }),
+  );
+  server.maxConnections = MAX_CONNECTIONS;
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+    });
+  return new Promise((resolve) => {
+    server.once('error', (error) => {
+      const message = `cannot listen on ${address}: ${error.message}`;
+      resolve(err(new DaemonError(DaemonErrorCode.ListenFailed, message, error)));
+    });
+    server.listen(port, host, () => {
+      const bound = server.address() as AddressInfo;
+      resolve(
+        ok({ address: `${address.slice(0, address.lastIndexOf(':'))}:${bound.port}`, close }),
+      );
+    });
+  });
+};
--- /dev/null
+++ b/src/process/node/_lib/createLocalApi.ts
@@ -0,0 +1,33 @@
+import { Hono } from 'hono';
+
+import type { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
+import type { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
+import { createLocalServerRoutes } from '../../localServers/index.js';
+import type { LocalServers } from '../../localServers/index.js';
+import type { MetricsRegistry } from '../../metrics/index.js';
+import { explainRoute } from './explainRoute.js';
+
+export interface LocalApiParts {
+  holder: ConfigurationHolder;
+  directory: EndpointDirectory;
+  localServers: LocalServers;
+  metrics: MetricsRegistry;
+}
+
+/** Creates the app on `local_listen`: announcements, metrics, health and route explanation. */
+export const createLocalApi = (parts: LocalApiParts): Hono => {
+  const { holder, directory, localServers, metrics } = parts;
+  const app = new Hono();
+  app.route('/', createLocalServerRoutes(localServers));
+  app.get('/metrics', (context) => context.text(metrics.render()));
+  app.get('/healthz', (context) => {
+    const version = holder.current()?.version ?? 0;
+    const isServing = version > 0 && !localServers.isDraining;
+    return context.json({ isServing, version }, isServing ? 200 : 503);
+  });
+  app.get('/explain', (context) => {
+    const { host = '*', path = '/', method = 'GET' } = context.req.query();
+    return context.json(explainRoute(holder.current(), directory, { host, path, method }));
+  });
+  return app;
+};
--- /dev/null
+++ b/src/process/node/_lib/explainRoute.ts
@@ -0,0 +1,81 @@
+import { ServerState } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { CompiledConfiguration } from '../../../version/compileConfiguration/types.js';
+import type { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
+import type { ServerEntry } from '../../endpoints/types.js';
+
+/** The request to explain. */
+export interface ExplainQuery {
+  host: string;
+  path: string;
+  method: string;
+}
+
+/** A server that could answer, and why it can or can't be chosen. */
+export interface ExplainedCandidate {
+  serverId: string;
+  nodeId: string;
+  dataCentre: string;
+  state: string;
+  canBeChosen: boolean;
+  reason: string;
+}
+
+export interface ExplainedTarget {
+  service: string;
+  weightPercent: number;
+  candidates: ExplainedCandidate[];
+}
+
+/** Which route a request takes and which servers could answer it. */
+export interface Explanation extends ExplainQuery {
+  /** 0 while no version is in force. */
+  version: number;
+  route?: string;
+  reason: string;
+  targets: ExplainedTarget[];
+}
+
+const describeCandidate = ({ server, node }: ServerEntry): ExplainedCandidate => {
+  const isServing = server.state === ServerState.SERVING;
+  const canBeChosen = isServing && !node.draining;
+  const stateReason = isServing ? 'its node is draining' : 'it is not serving';
+  return {
+    serverId: server.serverId,
+    nodeId: node.nodeId,
+    dataCentre: node.dataCentre,
+    state: ServerState[server.state].toLowerCase(),
+    canBeChosen,
+    reason: canBeChosen ? 'serving' : stateReason,
+  };
+};
+
+/**
+ * Explains which route a request takes and which servers could answer it.
+ *
+ * @param compiled - configuration in force
+ * @param directory - known servers
+ * @param query - host, path and method of the request
+ */
+export const explainRoute = (
+  compiled: CompiledConfiguration | undefined,
+  directory: EndpointDirectory,
+  query: ExplainQuery,
+): Explanation => {
+  const host = query.host.toLowerCase();
+  const method = query.method.toUpperCase();
+  const base = { ...query, host, method, version: compiled?.version ?? 0, targets: [] };
+  if (!compiled) return { ...base, reason: 'no configuration version is in force' };
+  const route = compiled.matchRoute(host, query.path, method);
+  if (!route) return { ...base, reason: 'no route matches host, path and method' };
+  const targets = route.targets.map(({ service, weightPercent }) => ({
+    service,
+    weightPercent,
+    candidates: directory.serversOf(service).map(describeCandidate),
+  }));
+  return {
+    ...base,
+    route: route.name,
+    reason: `prefix ${route.pathPrefix} on host ${route.host} matches`,
+    targets,
+  };
+};
--- /dev/null
+++ b/src/process/node/startNode/index.ts
@@ -0,0 +1,141 @@
+/** The daemon of a node: configuration in force, endpoints, local servers and the request path. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { NodeLink } from '../../../connection/distribution/NodeLink/index.js';
+import type { ControlTarget } from '../../../connection/distribution/NodeLink/index.js';
+import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
+import { startRpcServer } from '../../../connection/startRpcServer/index.js';
+import { RequestServer } from '../../../request/index.js';
+import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
+import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
+import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
+import { LocalServers } from '../../localServers/index.js';
+import { createLogger } from '../../log/index.js';
+import { MetricsRegistry } from '../../metrics/index.js';
+import type { NodeSettings } from '../../settings/index.js';
+import { createLocalApi } from '../_lib/createLocalApi.js';
+
+const logger = createLogger('node');
+
+/** Addresses that a node has bound, each `IP:port`. */
+export interface NodeAddresses {
+  listen: string;
+  forwardListen: string;
+  peerListen: string;
+  localListen: string;
+}
+
+/** A running node daemon. */
+export interface NodeDaemon extends NodeAddresses {
+  /** Finishes the requests in flight, then stops. */
+  drain: () => Promise<void>;
+  /** Stops at once; requests in flight fail. */
+  stop: () => Promise<void>;
+}
+
+const listControls = (settings: NodeSettings): ControlTarget[] =>
+  settings.control.flatMap(({ dataCentre, addresses }) =>
+    addresses.map((address) => ({ address, dataCentre })),
+  );
+
+const toListenError = (error: unknown): DaemonError => {
+  const reason = error instanceof Error ? error.message : String(error);
+  return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
+};
+
+const bindListeners = async (
+  settings: NodeSettings,
+  server: RequestServer,
+): Promise<
+  Result<
+    { peerListen: string; closePeer: () => Promise<void> } & Pick<
+      NodeAddresses,
+      'listen' | 'forwardListen'
+    >,
+    DaemonError
+  >
+> => {
+  try {
+    const { listen, forwardListen } = await server.start();
+    const peer = await startRpcServer(settings.peerListen, { routes: () => undefined });
+    return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
+  } catch (error) {
+    await server.stop();
+    return err(toListenError(error));
+  }
+};
+
+/**
+ * Starts the daemon of a node.
+ *
+ * @param settings - checked settings
+ * @param nowMs - start time of the process in milliseconds since the epoch
+ * @returns the running daemon; ListenFailed when an address can't be bound
+ *
+ * @example
+ * const daemon = await startNode(settings, Date.now());
+ */
+export const startNode = async (
+  settings: NodeSettings,
+  nowMs: number,
+): Promise<Result<NodeDaemon, DaemonError>> => {
+  const { name: nodeId, dataCentre } = settings;
+  const metrics = new MetricsRegistry();
+  const holder = new ConfigurationHolder();
+  const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
+  const localServers = new LocalServers({ nodeId, dataCentre, incarnation: BigInt(nowMs) });
+  const link = new NodeLink(
+    {
+      nodeId,
+      dataCentre,
+      controls: listControls(settings),
+      holder,
+      directory,
+      recordSource: localServers,
+    },
+    { metrics },
+  );
+  const server = new RequestServer({
+    nodeId,
+    dataCentre,
+    current: () => holder.current(),
+    directory: {
+      serversOf: (service) => [...directory.serversOf(service)],
+      records: () => directory.records(),
+    },
+    localServers,
+    metrics,
+    listen: settings.listen,
+    forwardListen: settings.forwardListen,
+  });
+  const bound = await bindListeners(settings, server);
+  if (bound.isErr()) return err(bound.error);
+  const { listen, forwardListen, peerListen, closePeer } = bound.value;
+  localServers.setAddresses({ forwardAddress: forwardListen, peerAddress: peerListen });
+  const api = createLocalApi({ holder, directory, localServers, metrics });
+  const local = await serveHttp(api, settings.localListen);
+  if (local.isErr()) {
+    await closePeer();
+    await server.stop();
+    return err(local.error);
+  }
+  link.start();
+  const localListen = local.value.address;
+  logger.info({ nodeId, listen, forwardListen, peerListen, localListen }, 'node daemon started');
+
+  const stop = async (): Promise<void> => {
+    await link.stop();
+    await closePeer();
+    await local.value.close();
+    await server.stop();
+    logger.info({ nodeId }, 'node daemon stopped');
+  };
+  const drain = async (): Promise<void> => {
+    logger.info({ nodeId }, 'node is draining');
+    await server.drain();
+    await stop();
+  };
+  return ok({ listen, forwardListen, peerListen, localListen, drain, stop });
+};
