Keep an error listener on each HTTP/2 session

A control VM could end with an uncaught error when a peer was stopped: the session manager of connect-es removes its listener from a session that it destroyed after GOAWAY, before the session emits its error.

--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -1,7 +1,9 @@
-import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 
 import type { Transport } from '@connectrpc/connect';
 
+import GuardedSessionManager from './_lib/GuardedSessionManager/index.js';
+
 /** PEM material for mutual TLS between processes. */
 export interface TlsMaterial {
   key: string;
@@ -43,7 +45,7 @@
 ): OpenedTransport => {
   const { tls } = options;
   const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
-  const sessionManager = new Http2SessionManager(
+  const sessionManager = new GuardedSessionManager(
     baseUrl,
     {
       pingIntervalMs: options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS,
