Sync what a former leader holds before it acknowledges as follower

A leader sends entries before its own disk holds them. After it lost the leadership it acknowledged entries that it had never stored, and its next append left a gap in its log that the restart refused as corruption. Followers now sync everything up to the acknowledged entry.

Listeners that throw no longer stop the application of entries, and a forwarded request is retried after 1.5 s, in case its leader was lost.

--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -176,8 +176,10 @@
     this.#isStopped = true;
     this.#replica.becomeFollower();
     this.#replica.changed.notify();
+    // Ends the requests under way, and after the task those that it still began.
     this.#clients.close();
     await this.#task;
+    this.#clients.close();
     await this.#replica.queue.run(() => this.#replica.storage.close());
   }
 
--- a/src/process/replication/_lib/Leadership/index.ts
+++ b/src/process/replication/_lib/Leadership/index.ts
@@ -10,6 +10,7 @@
 import { createLogger } from '../../../log/index.js';
 import { ApplyOutcome, MemberRole } from '../../ControlLog/index.js';
 import type { ApplyResult } from '../../ControlLog/index.js';
+import { decodeEntry } from '../EntryLog/index.js';
 import type { LogEntry } from '../EntryLog/index.js';
 import PeerProgress from '../PeerProgress/index.js';
 import type { Replica } from '../Replica/index.js';
@@ -108,13 +109,12 @@
   /** Appends a change to the log and starts to replicate it; returns its index. */
   append(change: LogChange['change']): number {
     const content = create(LogChangeSchema, { change });
-    const entry: LogEntry = {
+    const entry = decodeEntry({
       index: this.#replica.log.lastIndex + 1,
       term: this.term,
       payload: toBinary(LogChangeSchema, content),
-      change: content,
-    };
-    this.#replica.log.replaceFrom([entry]);
+    });
+    this.#replica.replaceFrom([entry]);
     this.#startTask(this.#persist());
     this.#peers.forEach((peer) => peer.wake.notify());
     return entry.index;
@@ -263,14 +263,8 @@
     // Appends of the same turn of the event loop share one write.
     await Promise.resolve();
     while (this.isActive && this.#replica.durableIndex < this.#replica.log.lastIndex) {
-      const entries = this.#replica.log.from(this.#replica.durableIndex + 1);
-      const appended = await this.#replica.storage.append(entries);
-      if (appended.isErr()) {
-        this.#replica.fail(appended.error);
-      } else if (this.isActive) {
-        this.#replica.durableIndex += entries.length;
-        this.advanceCommit();
-      }
+      const persisted = await this.#replica.persist();
+      if (persisted.isOk()) this.advanceCommit();
     }
     this.#isPersisting = false;
   }
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -91,13 +91,12 @@
 
   answered: AnsweredRequest[] = [];
 
-  /** Last entry of this member's own log that is synced. */
-  durableIndex: number;
-
   #hardState: HardState;
 
   #commitIndex: number;
 
+  #durableIndex: number;
+
   #committedMembership: Membership;
 
   #committedMembershipIndex: number;
@@ -116,7 +115,7 @@
     const entries = recovered.entries.map(decodeEntry);
     this.log = new EntryLog(recovered.baseIndex, recovered.baseTerm, entries);
     this.versions = new AcceptedVersions(options.limits.maxConfigurations);
-    this.durableIndex = this.log.lastIndex;
+    this.#durableIndex = this.log.lastIndex;
     this.#commitIndex = recovered.snapshot?.lastIndex ?? 0;
     this.#committedMembership = create(MembershipSchema);
     this.#committedMembershipIndex = 0;
@@ -155,6 +154,11 @@
     return this.#commitIndex;
   }
 
+  /** Last entry of this member's own log that is synced. */
+  get durableIndex(): number {
+    return this.#durableIndex;
+  }
+
   get failure(): StorageError | undefined {
     return this.#failure;
   }
@@ -243,9 +247,34 @@
     this.answered = [];
   }
 
-  /** Records that the whole log of this member is synced. */
-  markDurable(): void {
-    this.durableIndex = this.log.lastIndex;
+  /** Replaces entries of the log from the first one's index on; `persist` stores them. */
+  replaceFrom(entries: LogEntry[]): void {
+    const [first] = entries;
+    if (!first) return;
+    this.log.replaceFrom(entries);
+    this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
+  }
+
+  /**
+   * Syncs all entries that are not yet known to be synced, in one write. A former leader may hold
+   * entries that it has sent but not yet stored; they are included.
+   */
+  async persist(): Promise<Result<void, StorageError>> {
+    const entries = this.log.from(this.#durableIndex + 1);
+    const [first] = entries;
+    const last = entries.at(-1);
+    if (!first || !last) return ok(undefined);
+    const appended = await this.storage.append(entries);
+    if (appended.isErr()) {
+      this.fail(appended.error);
+      return appended;
+    }
+    // Some of them may have been replaced meanwhile.
+    const isCurrent = this.log.termAt(last.index) === last.term;
+    if (isCurrent && this.#durableIndex >= first.index - 1) {
+      this.#durableIndex = Math.max(this.#durableIndex, last.index);
+    }
+    return ok(undefined);
   }
 
   /** Extends the time for which the newest version is known to be current. */
@@ -348,7 +377,7 @@
     }
     const previousVersion = this.versions.newest?.version ?? 0;
     this.log.reset(lastIndex, lastTerm);
-    this.durableIndex = lastIndex;
+    this.#durableIndex = lastIndex;
     this.#commitIndex = lastIndex;
     this.#loadSnapshot(snapshot);
     this.role = this.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
@@ -397,7 +426,16 @@
 
   #publish(version: number): void {
     const committed = this.versions.committedVersion(version);
-    if (committed) this.#listeners.forEach((listener) => listener(committed));
+    if (!committed) return;
+    this.#listeners.forEach((listener) => {
+      try {
+        listener(committed);
+      } catch (error) {
+        // What is committed must be applied whatever a listener does.
+        const reason = error instanceof Error ? error.message : String(error);
+        log.error({ memberId: this.memberId, version, reason }, 'a listener has failed');
+      }
+    });
   }
 
   #compactWhenLarge(): void {
--- a/src/process/replication/_lib/foundCluster/index.ts
+++ b/src/process/replication/_lib/foundCluster/index.ts
@@ -84,13 +84,9 @@
     const change = create(LogChangeSchema, { change: { case: 'membership', value: membership } });
     const payload = toBinary(LogChangeSchema, change);
     const entry = decodeEntry({ index: 1, term: FOUNDING_TERM, payload });
-    const appended = await replica.storage.append([entry]);
-    if (appended.isErr()) {
-      replica.fail(appended.error);
-      return;
-    }
-    replica.log.replaceFrom([entry]);
-    replica.markDurable();
+    replica.replaceFrom([entry]);
+    const persisted = await replica.persist();
+    if (persisted.isErr()) return;
     await replica.saveHardState({ term: FOUNDING_TERM, clusterId: membership.clusterId });
     replica.becomeFollower();
     log.info(
--- a/src/process/replication/_lib/handleAppend/index.ts
+++ b/src/process/replication/_lib/handleAppend/index.ts
@@ -66,23 +66,17 @@
   request: AppendRequest,
 ): Promise<Result<void, PeerError>> => {
   const missing = decodeMissing(replica, request);
-  const [first] = missing;
-  if (!first) return ok(undefined);
-  if (first.index <= replica.commitIndex) {
+  const firstIndex = missing[0]?.index ?? Infinity;
+  if (firstIndex <= replica.commitIndex) {
     log.error(
-      { memberId: replica.memberId, index: first.index, commitIndex: replica.commitIndex },
+      { memberId: replica.memberId, index: firstIndex, commitIndex: replica.commitIndex },
       'a leader contradicts a committed entry; its request is refused',
     );
     return refuse('the request contradicts a committed entry');
   }
-  replica.log.replaceFrom(missing);
-  const appended = await replica.storage.append(missing);
-  if (appended.isErr()) {
-    replica.fail(appended.error);
-    return refuse(appended.error.message, appended.error);
-  }
-  replica.markDurable();
-  return ok(undefined);
+  replica.replaceFrom(missing);
+  const persisted = await replica.persist();
+  return persisted.mapErr((error) => new PeerError(PeerErrorCode.NotRun, error.message, error));
 };
 
 /**
--- a/src/process/replication/_lib/proposeChange/index.ts
+++ b/src/process/replication/_lib/proposeChange/index.ts
@@ -14,6 +14,9 @@
 // Pause before the next attempt while no leader answers.
 const RETRY_MS = 50;
 
+// A leader that does not answer in this time may be lost; the next attempt finds the new one.
+const FORWARD_TIMEOUT_MS = 1_500;
+
 const OUTCOMES: string[] = Object.values(ApplyOutcome);
 
 export interface ProposeContext {
@@ -34,7 +37,8 @@
   const { replica } = context;
   const leader = replica.membership.members.find(({ memberId }) => memberId === replica.leaderId);
   if (!leader || leader.memberId === replica.memberId) return { mayRun: false };
-  const timeoutMs = Math.max(1, Math.floor(deadlineMs - replica.readNowMs()));
+  const remainingMs = Math.floor(deadlineMs - replica.readNowMs());
+  const timeoutMs = Math.min(FORWARD_TIMEOUT_MS, Math.max(1, remainingMs));
   const header = replica.createHeader(leader.diskIdentity);
   const request = create(ForwardRequestSchema, { header, change, timeoutMs });
   const response = await context.findClient(leader.address).forward(request, timeoutMs);
