Fall back to peers and other data centres, and hold back a node that may be stale

A node without a control VM of its data centre gossips with three random peers per round, and after 500 ms also attaches to a control VM elsewhere, because only a control VM can renew its lease for the other data centres. It returns home once the control VM there is confirmed.

A starting node serves only after a confirmed control VM, a majority of control VMs or, when it is cut off, all reachable peers hold its version. If it reaches neither, it stays out of service: serving a version of unknown age could revert a change that callers have already seen.

--- a/src/connection/distribution/ControlExchange/index.ts
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -236,10 +236,12 @@
     const tls = this.#options.tls?.();
     const { transport, close } = openTransport(followed.peer.address, tls ? { tls } : {});
     const client = createClient(ExchangeService, transport);
-    const silence = new AbortController();
+    const ended = new AbortController();
+    const end = (): void => ended.abort();
+    followed.stopping.signal.addEventListener('abort', end);
     const silenceMs = this.#options.silenceMs ?? timing.STREAM_SILENCE_MS;
-    const watchdog = setTimeout(() => silence.abort(), silenceMs);
-    const signal = AbortSignal.any([silence.signal, followed.stopping.signal]);
+    const watchdog = setTimeout(end, silenceMs);
+    const { signal } = ended;
     try {
       for await (const update of client.follow({ memberId: this.#memberId }, { signal })) {
         watchdog.refresh();
@@ -250,6 +252,7 @@
       log.debug({ memberId: followed.peer.memberId, code }, message);
     }
     clearTimeout(watchdog);
+    followed.stopping.signal.removeEventListener('abort', end);
     close();
     return this.#noteLost(followed);
   }
--- a/src/connection/distribution/ControlExchange/test.ts
+++ b/src/connection/distribution/ControlExchange/test.ts
@@ -17,7 +17,7 @@
   peers.push(first, second);
   const nodes = [startNode('node-1', [first]), startNode('node-2', [second])];
   t.teardown(async () => {
-    await Promise.all(nodes.map((node) => node.link.stop()));
+    await Promise.all(nodes.map((node) => node.stop()));
     await first.stop();
     await second.stop();
   });
--- a/src/connection/distribution/DistributionHub/test.ts
+++ b/src/connection/distribution/DistributionHub/test.ts
@@ -11,7 +11,7 @@
   const control = await startControl('control-1');
   const nodes = ['node-1', 'node-2', 'node-3'].map((nodeId) => startNode(nodeId, [control]));
   t.teardown(async () => {
-    await Promise.all(nodes.map((node) => node.link.stop()));
+    await Promise.all(nodes.map((node) => node.stop()));
     await control.stop();
   });
 
@@ -37,7 +37,7 @@
   const control = await startControl('control-1');
   const nodes = ['node-1', 'node-2'].map((nodeId) => startNode(nodeId, [control]));
   t.teardown(async () => {
-    await Promise.all(nodes.map((node) => node.link.stop()));
+    await Promise.all(nodes.map((node) => node.stop()));
     await control.stop();
   });
   await waitUntil('both nodes know both servers', () =>
--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -1,19 +1,30 @@
 /** Node side of configuration distribution. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { Result } from 'neverthrow';
+import { createLogger } from '../../../process/log/index.js';
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
 import { ControlStream } from '../_lib/ControlStream.js';
 import { OwnRecord } from '../_lib/OwnRecord.js';
+import { Readiness } from '../_lib/Readiness.js';
 import sleep from '../_lib/sleep.js';
+import SourceSurvey from '../_lib/SourceSurvey.js';
+import superviseStream from '../_lib/superviseStream.js';
+import { TargetSelector } from '../_lib/TargetSelector.js';
+import { PeerGossip } from '../PeerGossip/index.js';
 import * as timing from '../timing.js';
-import { createLogger } from '../../../process/log/index.js';
 
-import type { EndpointCursor } from '../_lib/ControlStream.js';
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type { EndpointCursor, StreamEnd } from '../_lib/ControlStream.js';
+import type { LinkError } from '../LinkError/index.js';
+import type { ReadinessError, ReadyBasis } from '../ReadinessError/index.js';
 import type { ControlTarget, LinkTiming, NodeLinkOptions, NodeLinkParts } from './types.js';
 
 export type { ControlTarget, LinkTiming, NodeLinkOptions, NodeLinkParts } from './types.js';
 
 const DEFAULT_TIMING: LinkTiming = {
   heartbeatIntervalMs: timing.HEARTBEAT_INTERVAL_MS,
+  attachTimeoutMs: timing.ATTACH_TIMEOUT_MS,
   silenceMs: timing.STREAM_SILENCE_MS,
   windowMs: timing.ENDPOINT_WINDOW_MS,
   backoffBaseMs: timing.BACKOFF_BASE_MS,
@@ -22,46 +33,77 @@
   homeProbeIntervalMs: timing.HOME_PROBE_INTERVAL_MS,
   unconfirmedPatienceMs: timing.UNCONFIRMED_PATIENCE_MS,
   callTimeoutMs: timing.CALL_TIMEOUT_MS,
+  gossipIntervalMs: timing.GOSSIP_INTERVAL_MS,
+  cutOffAfterMs: timing.CUT_OFF_AFTER_MS,
 };
 
 const log = createLogger('link');
 
-/** Keeps a node attached to a control VM and installs what it receives. */
+interface Round {
+  wasAttached: boolean;
+  retryAfterMs?: number;
+}
+
+/** Keeps a node attached to a control VM, or to its peers, and installs what it receives. */
 export class NodeLink {
   readonly #parts: NodeLinkParts;
 
-  readonly #options: NodeLinkOptions;
-
   readonly #timing: LinkTiming;
 
   readonly #now: () => number;
 
   readonly #random: () => number;
 
+  readonly #tls: () => TlsMaterial | undefined;
+
   readonly #meter: ByteMeter;
 
   readonly #ownRecord: OwnRecord;
 
+  readonly #gossip: PeerGossip;
+
+  readonly #survey: SourceSurvey;
+
+  readonly #selector: TargetSelector;
+
+  readonly #readiness = new Readiness();
+
   readonly #cursor: EndpointCursor = { epoch: '', revision: 0, listed: new Set() };
 
-  #stopping = new AbortController();
+  readonly #stopping = new AbortController();
 
-  #running: Promise<void> = Promise.resolve();
+  #tasks: Promise<void>[] = [];
 
   #stream: ControlStream | undefined;
 
   #unsubscribers: (() => void)[] = [];
 
-  #lostAtMs = 0;
+  #startedAtMs = 0;
 
   constructor(parts: NodeLinkParts, options: NodeLinkOptions = {}) {
     this.#parts = parts;
-    this.#options = options;
     this.#timing = { ...DEFAULT_TIMING, ...options.timing };
     this.#now = options.now ?? Date.now;
     this.#random = options.random ?? Math.random;
+    this.#tls = options.tls ?? (() => undefined);
     this.#meter = new ByteMeter(options.metrics, 'node');
     this.#ownRecord = new OwnRecord(parts.recordSource);
+    this.#gossip = this.#createGossip(options.gossipFanout ?? timing.GOSSIP_FANOUT);
+    this.#survey = new SourceSurvey({
+      controls: parts.controls,
+      gossip: this.#gossip,
+      callTimeoutMs: this.#timing.callTimeoutMs,
+      tls: this.#tls,
+    });
+    this.#selector = new TargetSelector(
+      {
+        controls: parts.controls,
+        dataCentre: parts.dataCentre,
+        elsewhereDelayMs: this.#timing.elsewhereDelayMs,
+        random: this.#random,
+      },
+      this.#now(),
+    );
   }
 
   /** Bytes by direction and message kind. */
@@ -74,16 +116,22 @@
     return this.#stream?.isAttached === true ? this.#stream.target : undefined;
   }
 
-  /** Starts to keep a stream; returns at once. */
+  /** Adds the service for peers to the router of the listener `peer_listen`. */
+  registerRoutes(router: ConnectRouter): void {
+    this.#gossip.registerRoutes(router);
+  }
+
+  /** Starts to keep a stream and to gossip without one; returns at once. A link starts only once. */
   start(): void {
-    this.#stopping = new AbortController();
-    this.#lostAtMs = this.#now();
-    this.#parts.directory.merge(this.#ownRecord.current, this.#now());
+    this.#startedAtMs = this.#now();
+    this.#selector.noteLost(this.#startedAtMs);
+    this.#parts.directory.merge(this.#ownRecord.renumber(), this.#startedAtMs);
     this.#unsubscribers = [
       this.#parts.recordSource.onChanged(() => this.#takeRecordChange()),
       this.#parts.holder.onInstalled((_, nowMs) => this.#stream?.reportInForce(nowMs)),
     ];
-    this.#running = this.#run();
+    const { signal } = this.#stopping;
+    this.#tasks = [this.#keepStream(signal), this.#gossip.run(signal), this.#keepSurvey(signal)];
   }
 
   /** Ends the stream and resolves when all tasks have ended. */
@@ -91,7 +139,54 @@
     this.#unsubscribers.forEach((unsubscribe) => unsubscribe());
     this.#stopping.abort();
     this.#stream?.close();
-    await this.#running;
+    await Promise.all(this.#tasks);
+  }
+
+  /**
+   * Tells whether this node may serve requests: it holds the newest version that a confirmed control
+   * VM or a majority of control VMs knows or, when cut off, the one that all reachable peers hold.
+   * Once ready, a node stays ready.
+   *
+   * @param nowMs - present time in milliseconds since the epoch
+   * @returns what the answer rests on, or why the node must wait
+   */
+  isReadyToServe(nowMs: number): Result<ReadyBasis, ReadinessError> {
+    return this.#readiness.judge({
+      heldVersion: this.#parts.holder.current()?.version ?? 0,
+      confirmedVersion: this.#stream?.confirmedVersion,
+      majorityVersion: this.#survey.majorityVersion,
+      survey: this.#survey.peers,
+      isCutOff: this.#isCutOff(nowMs),
+    });
+  }
+
+  #isCutOff(nowMs: number): boolean {
+    return nowMs - this.#startedAtMs >= this.#timing.cutOffAfterMs;
+  }
+
+  #createGossip(fanout: number): PeerGossip {
+    const { nodeId, dataCentre, holder, directory, peerSeeds } = this.#parts;
+    const isAttached = (): boolean => this.attachedTo !== undefined;
+    const onSuperseded = (incarnation: bigint): void => this.#supersede(incarnation);
+    const seeds = peerSeeds ?? [];
+    const parts = { nodeId, dataCentre, holder, directory, seeds, isAttached, onSuperseded };
+    return new PeerGossip(
+      { ...parts, meter: this.#meter },
+      {
+        now: this.#now,
+        random: this.#random,
+        tls: this.#tls,
+        intervalMs: this.#timing.gossipIntervalMs,
+        fanout,
+        callTimeoutMs: this.#timing.callTimeoutMs,
+      },
+    );
+  }
+
+  #supersede(recordedIncarnation: bigint): void {
+    const record = this.#ownRecord.supersede(recordedIncarnation);
+    this.#parts.directory.merge(record, this.#now());
+    this.#stream?.sendRecord();
   }
 
   #takeRecordChange(): void {
@@ -100,74 +195,92 @@
     this.#stream?.sendRecord();
   }
 
-  async #run(): Promise<void> {
-    const { signal } = this.#stopping;
+  async #keepStream(signal: AbortSignal): Promise<void> {
     let attempt = 0;
     while (!signal.aborted) {
-      const round = await this.#tryTargets(this.#selectTargets());
-      if (signal.aborted) return;
+      const round = await this.#tryTargets(this.#selector.select(this.#now()));
       attempt = round.wasAttached ? 0 : attempt + 1;
       await sleep(this.#chooseDelayMs(attempt, round.retryAfterMs), signal);
     }
   }
 
-  #chooseDelayMs(attempt: number, retryAfterMs: number | undefined): number {
-    const options = {
-      baseMs: this.#timing.backoffBaseMs,
-      capMs: this.#timing.backoffCapMs,
-      random: this.#random,
-    };
-    return (retryAfterMs ?? 0) + computeBackoff(attempt, options);
+  // A node that is ready no longer needs to know where it stands.
+  async #keepSurvey(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && this.isReadyToServe(this.#now()).isErr()) {
+      await sleep(this.#timing.gossipIntervalMs * (0.5 + this.#random()), signal);
+      if (this.#stream?.confirmedVersion === undefined) await this.#askSources(signal);
+    }
+  }
+
+  async #askSources(signal: AbortSignal): Promise<void> {
+    await this.#survey.askControls(signal);
+    const { majorityVersion, newestTarget } = this.#survey;
+    const heldVersion = this.#parts.holder.current()?.version ?? 0;
+    if (majorityVersion === undefined) {
+      if (this.#isCutOff(this.#now())) await this.#survey.askPeers();
+    } else if (newestTarget !== undefined && majorityVersion > heldVersion) {
+      this.#moveTo(newestTarget);
+    }
   }
 
-  // Random order spreads the nodes of a data centre over its control VMs.
-  #shuffle(targets: ControlTarget[]): ControlTarget[] {
-    return targets
-      .map((target) => ({ target, key: this.#random() }))
-      .toSorted((left, right) => left.key - right.key)
-      .map(({ target }) => target);
+  #moveTo(target: ControlTarget): void {
+    if (this.#stream?.target === target) return;
+    this.#selector.prefer(target);
+    this.#stream?.close();
   }
 
-  #selectTargets(): ControlTarget[] {
-    const { controls, dataCentre } = this.#parts;
-    const own = controls.filter((target) => target.dataCentre === dataCentre);
-    const elsewhere = controls.filter((target) => target.dataCentre !== dataCentre);
-    const isElsewhereDue =
-      own.length === 0 || this.#now() - this.#lostAtMs >= this.#timing.elsewhereDelayMs;
-    return [...this.#shuffle(own), ...(isElsewhereDue ? this.#shuffle(elsewhere) : [])];
+  #chooseDelayMs(attempt: number, retryAfterMs: number | undefined): number {
+    const { backoffBaseMs, backoffCapMs } = this.#timing;
+    const options = { baseMs: backoffBaseMs, capMs: backoffCapMs, random: this.#random };
+    return (retryAfterMs ?? 0) + computeBackoff(attempt, options);
   }
 
-  async #tryTargets(
-    targets: ControlTarget[],
-  ): Promise<{ wasAttached: boolean; retryAfterMs?: number }> {
+  async #tryTargets(targets: ControlTarget[]): Promise<Round> {
     const [target, ...rest] = targets;
     if (target === undefined || this.#stopping.signal.aborted) return { wasAttached: false };
-    const stream = new ControlStream(target, {
+    const stream = this.#openStream(target);
+    const end = await this.#runStream(stream);
+    if (!stream.isAttached) return this.#tryTargets(rest);
+    this.#selector.noteLost(this.#now());
+    this.#logEnd(target, end);
+    return { wasAttached: true, ...end.unwrapOr({}) };
+  }
+
+  #openStream(target: ControlTarget): ControlStream {
+    return new ControlStream(target, {
       parts: this.#parts,
       ownRecord: this.#ownRecord,
       meter: this.#meter,
       timing: this.#timing,
       now: this.#now,
-      tls: this.#options.tls?.(),
+      tls: this.#tls(),
       cursor: this.#cursor,
     });
+  }
+
+  async #runStream(stream: ControlStream): Promise<Result<StreamEnd, LinkError>> {
     this.#stream = stream;
+    const ended = new AbortController();
+    const supervision = superviseStream({
+      stream,
+      selector: this.#selector,
+      timing: this.#timing,
+      random: this.#random,
+      now: this.#now,
+      tls: this.#tls,
+      signal: ended.signal,
+    });
     const end = await stream.run();
     this.#stream = undefined;
-    if (!stream.isAttached) return this.#tryTargets(rest);
-    this.#lostAtMs = this.#now();
-    return { wasAttached: true, ...this.#logEnd(target, end) };
+    ended.abort();
+    await supervision;
+    return end;
   }
 
-  #logEnd(
-    target: ControlTarget,
-    end: Awaited<ReturnType<ControlStream['run']>>,
-  ): { retryAfterMs?: number } {
-    const { address } = target;
+  #logEnd({ address }: ControlTarget, end: Result<StreamEnd, LinkError>): void {
     end.match(
       ({ retryAfterMs }) => log.info({ address, retryAfterMs }, 'stream to control VM ended'),
       (error) => log.warn({ address, code: error.code }, error.message),
     );
-    return end.unwrapOr({});
   }
 }
--- a/src/connection/distribution/NodeLink/types.ts
+++ b/src/connection/distribution/NodeLink/types.ts
@@ -20,11 +20,14 @@
   /** Must be created with the id of this node and `UNLISTED_RECORD_MS` as its lease. */
   directory: EndpointDirectory;
   recordSource: RecordSource;
+  /** host:port of peers to ask at start while no record is known. */
+  peerSeeds?: string[];
 }
 
 /** Times of a link in milliseconds; the defaults are in `timing.ts`. */
 export interface LinkTiming {
   heartbeatIntervalMs: number;
+  attachTimeoutMs: number;
   silenceMs: number;
   windowMs: number;
   backoffBaseMs: number;
@@ -33,6 +36,8 @@
   homeProbeIntervalMs: number;
   unconfirmedPatienceMs: number;
   callTimeoutMs: number;
+  gossipIntervalMs: number;
+  cutOffAfterMs: number;
 }
 
 export interface NodeLinkOptions {
@@ -43,4 +48,6 @@
   /** Present time in milliseconds since the epoch. */
   now?: () => number;
   timing?: Partial<LinkTiming>;
+  /** Peers per gossip round. */
+  gossipFanout?: number;
 }
--- /dev/null
+++ b/src/connection/distribution/PeerGossip/index.ts
@@ -0,0 +1,308 @@
+/** Exchange of versions and records among the nodes of a data centre without a control VM. */
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { ResultAsync } from 'neverthrow';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import {
+  GossipRequestSchema,
+  GossipResponseSchema,
+  PeerService,
+  RecordStampSchema,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
+import { createLogger } from '../../../process/log/index.js';
+import { openTransport } from '../../openTransport/index.js';
+import digestRecords from '../_lib/digestRecords.js';
+import { installDelta, installSnapshot } from '../_lib/installEncoded.js';
+import { PayloadCache } from '../_lib/PayloadCache.js';
+import selectRandom from '../_lib/selectRandom.js';
+import Wakeup from '../_lib/Wakeup.js';
+import { LinkError } from '../LinkError/index.js';
+import * as timing from '../timing.js';
+
+import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type {
+  GossipRequest,
+  GossipResponse,
+  RecordStamp,
+} from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
+import type { ConfigurationHolder } from '../../../process/holder/ConfigurationHolder/index.js';
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type ByteMeter from '../_lib/ByteMeter.js';
+import type { HeldVersion } from '../_lib/PayloadCache.js';
+
+/** What gossip reads and changes. */
+export interface GossipParts {
+  nodeId: string;
+  dataCentre: string;
+  holder: ConfigurationHolder;
+  directory: EndpointDirectory;
+  meter: ByteMeter;
+  /** Addresses of peers to ask while no record is known. */
+  seeds: string[];
+  /** Whether a control VM vouches for the records, so that peers cannot add any. */
+  isAttached: () => boolean;
+  /** Called when a peer holds a newer state of the record of this node. */
+  onSuperseded: (recordedIncarnation: bigint) => void;
+}
+
+export interface GossipOptions {
+  now: () => number;
+  random: () => number;
+  tls: () => TlsMaterial | undefined;
+  intervalMs: number;
+  fanout: number;
+  callTimeoutMs: number;
+}
+
+/** What a starting node learnt by asking every peer. */
+export interface PeerSurvey {
+  reachedCount: number;
+  /** Whether every reached peer holds the same version as this node. */
+  isSameVersion: boolean;
+}
+
+type GossipInit = MessageInitShape<typeof GossipRequestSchema>;
+
+const log = createLogger('gossip');
+
+const isSameBytes = (left: Uint8Array, right: Uint8Array): boolean =>
+  Buffer.compare(left, right) === 0;
+
+/** Push and pull with a bounded number of random peers per round. */
+export class PeerGossip {
+  readonly #parts: GossipParts;
+
+  readonly #options: GossipOptions;
+
+  readonly #payloads: PayloadCache;
+
+  readonly #recent = new Map<number, Configuration>();
+
+  readonly #fresh = new Set<string>();
+
+  readonly #wakeup = new Wakeup();
+
+  #digest: { revision: number; bytes: Uint8Array } | undefined;
+
+  constructor(parts: GossipParts, options: GossipOptions) {
+    this.#parts = parts;
+    this.#options = options;
+    this.#payloads = new PayloadCache((version) => this.#recent.get(version));
+    parts.holder.onInstalled(({ configuration }) => this.#noteInstalled(configuration));
+    parts.directory.onChanged((nodeId) => this.#noteChanged(nodeId));
+  }
+
+  /** Adds the service for peers to the router of the process. */
+  registerRoutes(router: ConnectRouter): void {
+    router.service(
+      PeerService,
+      { gossip: (request) => this.#answer(request) },
+      { acceptCompression: [], readMaxBytes: timing.MAX_MESSAGE_BYTES },
+    );
+  }
+
+  /**
+   * Gossips while no control VM is attached: at once after each change, and otherwise at the
+   * interval.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.#wakeup.set());
+    while (!signal.aborted) {
+      if (!this.#parts.isAttached()) await this.#runRound();
+      if (!signal.aborted) await this.#wakeup.wait(this.#options.intervalMs);
+    }
+  }
+
+  /** Asks every known peer of the data centre, a bounded number at a time. */
+  async survey(): Promise<PeerSurvey> {
+    const addresses = this.#listPeers();
+    const responses: GossipResponse[] = [];
+    let next = 0;
+    const ask = async (): Promise<void> => {
+      while (next < addresses.length) {
+        const address = addresses[next] as string;
+        next += 1;
+        const result = await this.#converse(address, []);
+        result.map((response) => responses.push(response));
+      }
+    };
+    await Promise.all(Array.from({ length: timing.SURVEY_CONCURRENCY }, ask));
+    const held = this.#readHeld();
+    return {
+      reachedCount: responses.length,
+      isSameVersion: responses.every(
+        (response) =>
+          response.version === held.version && isSameBytes(response.contentHash, held.contentHash),
+      ),
+    };
+  }
+
+  #noteInstalled(configuration: Configuration): void {
+    this.#recent.set(configuration.version, configuration);
+    const versions = [...this.#recent.keys()];
+    versions.slice(0, -timing.KEPT_VERSIONS).forEach((version) => this.#recent.delete(version));
+    if (!this.#parts.isAttached()) this.#wakeup.set();
+  }
+
+  #noteChanged(nodeId: string): void {
+    if (this.#parts.isAttached()) return;
+    this.#fresh.add(nodeId);
+    this.#wakeup.set();
+  }
+
+  #listPeers(): string[] {
+    const { directory, dataCentre, nodeId, seeds } = this.#parts;
+    const known = directory
+      .records()
+      .filter((record) => record.dataCentre === dataCentre && record.nodeId !== nodeId)
+      .map((record) => record.peerAddress)
+      .filter((address) => address !== '');
+    return known.length > 0 ? known : seeds;
+  }
+
+  async #runRound(): Promise<void> {
+    const fresh = [...this.#fresh];
+    this.#fresh.clear();
+    const { fanout, random } = this.#options;
+    const addresses = selectRandom(this.#listPeers(), fanout, random);
+    await Promise.all(addresses.map((address) => this.#converse(address, fresh)));
+  }
+
+  /** Exchanges state with one peer: up to two more calls follow when the states differ. */
+  async #converse(
+    address: string,
+    fresh: string[],
+  ): Promise<ResultAsync<GossipResponse, LinkError>> {
+    const tls = this.#options.tls();
+    const { transport, close } = openTransport(address, tls ? { tls } : {});
+    const client = createClient(PeerService, transport);
+    const call = async (init: GossipInit): Promise<GossipResponse> => {
+      const request = create(GossipRequestSchema, { ...this.#describe(), ...init });
+      this.#parts.meter.countSent(GossipRequestSchema, request, { case: 'gossip' });
+      const timeoutMs = this.#options.callTimeoutMs;
+      const response = await client.gossip(request, { timeoutMs });
+      this.#parts.meter.countReceived(GossipResponseSchema, response, { case: 'gossip' });
+      this.#takeResponse(response);
+      return response;
+    };
+    const conversation = this.#reconcile(call, fresh).finally(close);
+    return ResultAsync.fromPromise(conversation, (cause) => LinkError.from(cause)).mapErr(
+      (error) => {
+        log.debug({ address, code: error.code }, error.message);
+        return error;
+      },
+    );
+  }
+
+  async #reconcile(
+    call: (init: GossipInit) => Promise<GossipResponse>,
+    fresh: string[],
+  ): Promise<GossipResponse> {
+    const first = await call({ records: this.#findRecords(fresh) });
+    const configuration = this.#encodeFor(first);
+    const isDifferent = !isSameBytes(first.digest, this.#readDigest());
+    if (configuration === undefined && !isDifferent) return first;
+    const comparison = isDifferent ? { isComparing: true, held: this.#listStamps() } : {};
+    const second = await call({ ...comparison, configuration });
+    if (second.wantedNodeIds.length === 0) return second;
+    return call({ records: this.#findRecords(second.wantedNodeIds) });
+  }
+
+  #answer(request: GossipRequest): GossipResponse {
+    this.#parts.meter.countReceived(GossipRequestSchema, request, { case: 'gossip' });
+    const nowMs = this.#options.now();
+    this.#install(request.configuration, nowMs);
+    request.records.forEach((record) => this.#merge(record, request.nodeId, nowMs));
+    const response = create(GossipResponseSchema, {
+      ...this.#describe(),
+      configuration: this.#encodeFor(request),
+      ...(request.isComparing ? this.#compare(request.held) : {}),
+    });
+    this.#parts.meter.countSent(GossipResponseSchema, response, { case: 'gossip' });
+    return response;
+  }
+
+  #takeResponse(response: GossipResponse): void {
+    const nowMs = this.#options.now();
+    this.#install(response.configuration, nowMs);
+    response.records.forEach((record) => this.#merge(record, response.nodeId, nowMs));
+  }
+
+  #install(configuration: GossipRequest['configuration'], nowMs: number): void {
+    const { holder } = this.#parts;
+    if (configuration.case === undefined) return;
+    const install = configuration.case === 'delta' ? installDelta : installSnapshot;
+    install(holder, configuration.value, nowMs).mapErr((error) =>
+      log.warn({ version: error.version, code: error.code }, error.message),
+    );
+  }
+
+  // While a control VM vouches for the records, a peer can only renew what is known: it may still
+  // hold records that were removed.
+  #merge(record: NodeRecord, senderId: string, nowMs: number): void {
+    const { directory, nodeId, isAttached, onSuperseded } = this.#parts;
+    const known = directory.find(record.nodeId);
+    if (record.nodeId === nodeId) {
+      if (known !== undefined && compareStamps(record, known) > 0) onSuperseded(record.incarnation);
+    } else if (!isAttached() || known !== undefined || record.nodeId === senderId) {
+      directory.merge(record, nowMs);
+    }
+  }
+
+  #compare(held: RecordStamp[]): Pick<GossipResponse, 'records' | 'wantedNodeIds'> {
+    const { directory, isAttached } = this.#parts;
+    const stamps = new Map(held.map((stamp) => [stamp.nodeId, stamp]));
+    const records = directory.records().filter((record) => {
+      const stamp = stamps.get(record.nodeId);
+      return stamp === undefined || compareStamps(record, stamp) > 0;
+    });
+    const wanted = held.filter((stamp) => {
+      const own = directory.find(stamp.nodeId) ?? directory.findRemoved(stamp.nodeId);
+      if (own === undefined) return !isAttached();
+      return compareStamps(stamp, own) > 0;
+    });
+    return { records, wantedNodeIds: wanted.map((stamp) => stamp.nodeId) };
+  }
+
+  #encodeFor(other: HeldVersion): GossipRequest['configuration'] | undefined {
+    const held = this.#parts.holder.current()?.configuration;
+    if (held === undefined || held.version <= other.version) return undefined;
+    const { kind, bytes } = this.#payloads.encodeUpdate(other, held);
+    return { case: kind, value: bytes };
+  }
+
+  #readHeld(): HeldVersion {
+    const held = this.#parts.holder.current()?.configuration;
+    return { version: held?.version ?? 0, contentHash: held?.contentHash ?? new Uint8Array() };
+  }
+
+  #describe(): HeldVersion & { nodeId: string; digest: Uint8Array } {
+    return { nodeId: this.#parts.nodeId, ...this.#readHeld(), digest: this.#readDigest() };
+  }
+
+  #readDigest(): Uint8Array {
+    const { directory } = this.#parts;
+    if (this.#digest?.revision !== directory.revision) {
+      const { revision } = directory;
+      this.#digest = { revision, bytes: digestRecords(directory.records()) };
+    }
+    return this.#digest.bytes;
+  }
+
+  #listStamps(): RecordStamp[] {
+    return this.#parts.directory
+      .records()
+      .map(({ nodeId, incarnation, sequence }) =>
+        create(RecordStampSchema, { nodeId, incarnation, sequence }),
+      );
+  }
+
+  #findRecords(nodeIds: string[]): NodeRecord[] {
+    return nodeIds.flatMap((nodeId) => this.#parts.directory.find(nodeId) ?? []);
+  }
+}
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -140,7 +140,7 @@
     const { timing, tls } = this.#context;
     const { transport, close } = openTransport(this.target.address, tls ? { tls } : {});
     const client = createClient(DistributionService, transport);
-    const watchdog = setTimeout(() => this.#endSilent(), timing.silenceMs);
+    let watchdog = setTimeout(() => this.#endSilent(), timing.attachTimeoutMs);
     const renewals = setInterval(
       () => this.#send({ case: 'renewal', value: {} }),
       timing.heartbeatIntervalMs,
@@ -149,7 +149,8 @@
     try {
       const options = { signal: this.#abort.signal };
       for await (const message of client.attach(this.#queue.iterate(), options)) {
-        watchdog.refresh();
+        clearTimeout(watchdog);
+        watchdog = setTimeout(() => this.#endSilent(), timing.silenceMs);
         this.#handle(message, this.#context.now());
       }
       return ok(this.#retryAfterMs === undefined ? {} : { retryAfterMs: this.#retryAfterMs });
@@ -227,8 +228,7 @@
 
   #convert(cause: unknown): LinkError {
     if (!this.#isSilent) return LinkError.from(cause);
-    const message = `no message within ${this.#context.timing.silenceMs} ms`;
-    return new LinkError(LinkErrorCode.Silent, message);
+    return new LinkError(LinkErrorCode.Silent, 'the control VM sent nothing within the time limit');
   }
 
   #handle(message: AttachResponse, nowMs: number): void {
--- /dev/null
+++ b/src/connection/distribution/_lib/SourceSurvey.ts
@@ -0,0 +1,64 @@
+import { probeControl } from './probeControl.js';
+
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type { ControlTarget } from '../NodeLink/types.js';
+import type { PeerGossip, PeerSurvey } from '../PeerGossip/index.js';
+
+export interface SourceSurveyOptions {
+  controls: ControlTarget[];
+  gossip: PeerGossip;
+  callTimeoutMs: number;
+  tls: () => TlsMaterial | undefined;
+}
+
+/** What a starting node learns by asking every control VM, and its peers when it is cut off. */
+export default class SourceSurvey {
+  readonly #options: SourceSurveyOptions;
+
+  #majorityVersion: number | undefined;
+
+  #newestTarget: ControlTarget | undefined;
+
+  #peers: PeerSurvey | undefined;
+
+  constructor(options: SourceSurveyOptions) {
+    this.#options = options;
+  }
+
+  /** Newest version among the answers, when a majority of control VMs answered. */
+  get majorityVersion(): number | undefined {
+    return this.#majorityVersion;
+  }
+
+  /** A control VM that holds that version. */
+  get newestTarget(): ControlTarget | undefined {
+    return this.#newestTarget;
+  }
+
+  /** Answers of the peers of the last survey. */
+  get peers(): PeerSurvey | undefined {
+    return this.#peers;
+  }
+
+  /** Asks all control VMs; a committed version is known to a member of every majority. */
+  async askControls(signal: AbortSignal): Promise<void> {
+    const { controls, tls, callTimeoutMs } = this.#options;
+    const options = { tls: tls(), timeoutMs: callTimeoutMs, signal };
+    const answers = await Promise.all(
+      controls.map(async (target) => {
+        const answer = await probeControl(target.address, options);
+        return answer.map(({ version }) => ({ target, version })).unwrapOr(undefined);
+      }),
+    );
+    const reached = answers.flatMap((answer) => answer ?? []);
+    const hasMajority = reached.length * 2 > controls.length;
+    const [newest] = reached.toSorted((left, right) => right.version - left.version);
+    this.#majorityVersion = hasMajority ? newest?.version : undefined;
+    this.#newestTarget = newest?.target;
+  }
+
+  /** Asks all known peers. */
+  async askPeers(): Promise<void> {
+    this.#peers = await this.#options.gossip.survey();
+  }
+}
--- /dev/null
+++ b/src/connection/distribution/_lib/TargetSelector.ts
@@ -0,0 +1,61 @@
+import selectRandom from './selectRandom.js';
+
+import type { ControlTarget } from '../NodeLink/types.js';
+
+export interface TargetSelectorOptions {
+  controls: ControlTarget[];
+  dataCentre: string;
+  /** Time without a control VM of the own data centre after which others are tried. */
+  elsewhereDelayMs: number;
+  /** Uniform in [0, 1). */
+  random: () => number;
+}
+
+/** Orders the control VMs that a node tries: those of its own data centre first. */
+export class TargetSelector {
+  readonly #options: TargetSelectorOptions;
+
+  readonly own: ControlTarget[];
+
+  readonly elsewhere: ControlTarget[];
+
+  #preferred: ControlTarget | undefined;
+
+  #lostAtMs: number;
+
+  constructor(options: TargetSelectorOptions, nowMs: number) {
+    const { controls, dataCentre } = options;
+    this.#options = options;
+    this.#lostAtMs = nowMs;
+    this.own = controls.filter((target) => target.dataCentre === dataCentre);
+    this.elsewhere = controls.filter((target) => target.dataCentre !== dataCentre);
+  }
+
+  /** Has a control VM tried first the next time. */
+  prefer(target: ControlTarget): void {
+    this.#preferred = target;
+  }
+
+  /** Notes that the stream to a control VM was lost now. */
+  noteLost(nowMs: number): void {
+    this.#lostAtMs = nowMs;
+  }
+
+  /**
+   * Returns the control VMs to try, in order. The order within a data centre is random, which
+   * spreads the nodes over its control VMs.
+   */
+  select(nowMs: number): ControlTarget[] {
+    const { random, elsewhereDelayMs } = this.#options;
+    const isElsewhereDue = this.own.length === 0 || nowMs - this.#lostAtMs >= elsewhereDelayMs;
+    const ordered = [
+      ...selectRandom(this.own, this.own.length, random),
+      ...(isElsewhereDue ? selectRandom(this.elsewhere, this.elsewhere.length, random) : []),
+    ];
+    const preferred = this.#preferred;
+    this.#preferred = undefined;
+    return preferred === undefined
+      ? ordered
+      : [preferred, ...ordered.filter((target) => target !== preferred)];
+  }
+}
--- a/src/connection/distribution/_lib/Wakeup.ts
+++ b/src/connection/distribution/_lib/Wakeup.ts
@@ -10,14 +10,24 @@
     this.#resolve?.();
   }
 
-  /** Resolves at the next wake-up. */
-  async wait(): Promise<void> {
-    if (!this.#isSet) {
-      await new Promise<void>((resolve) => {
-        this.#resolve = resolve;
-      });
-    }
+  /**
+   * Resolves at the next wake-up.
+   *
+   * @param limitMs - longest wait; unlimited by default
+   */
+  async wait(limitMs?: number): Promise<void> {
+    if (!this.#isSet) await this.#waitForSet(limitMs);
     this.#isSet = false;
     this.#resolve = undefined;
   }
+
+  #waitForSet(limitMs: number | undefined): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = limitMs === undefined ? undefined : setTimeout(resolve, limitMs);
+      this.#resolve = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
 }
--- /dev/null
+++ b/src/connection/distribution/_lib/selectRandom.ts
@@ -0,0 +1,15 @@
+/**
+ * Selects some of the items without repetition.
+ *
+ * @param items - candidates
+ * @param count - how many at most
+ * @param random - uniform in [0, 1)
+ */
+const selectRandom = <Item>(items: Item[], count: number, random: () => number): Item[] =>
+  items
+    .map((item) => ({ item, key: random() }))
+    .toSorted((left, right) => left.key - right.key)
+    .slice(0, count)
+    .map(({ item }) => item);
+
+export default selectRandom;
--- a/src/connection/distribution/_lib/sleep.ts
+++ b/src/connection/distribution/_lib/sleep.ts
@@ -10,15 +10,15 @@
       resolve();
       return;
     }
-    const finish = (): void => {
-      signal.removeEventListener('abort', finish);
+    const finish = (timer: NodeJS.Timeout | undefined, listener: () => void): void => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', listener);
       resolve();
     };
-    const timer = setTimeout(finish, delayMs);
-    signal.addEventListener('abort', () => {
-      clearTimeout(timer);
-      finish();
-    });
+    let timer: NodeJS.Timeout | undefined;
+    const listener = (): void => finish(timer, listener);
+    timer = setTimeout(listener, delayMs);
+    signal.addEventListener('abort', listener);
   });
 
 export default sleep;
--- /dev/null
+++ b/src/connection/distribution/_lib/superviseStream.ts
@@ -0,0 +1,79 @@
+import { createLogger } from '../../../process/log/index.js';
+import { probeControl } from './probeControl.js';
+import selectRandom from './selectRandom.js';
+import sleep from './sleep.js';
+
+import type { TlsMaterial } from '../../openTransport/index.js';
+import type { ControlTarget, LinkTiming } from '../NodeLink/types.js';
+import type { ControlStream } from './ControlStream.js';
+import type { TargetSelector } from './TargetSelector.js';
+
+export interface SuperviseOptions {
+  stream: ControlStream;
+  selector: TargetSelector;
+  timing: LinkTiming;
+  random: () => number;
+  now: () => number;
+  tls: () => TlsMaterial | undefined;
+  signal: AbortSignal;
+}
+
+const log = createLogger('link');
+
+const findConfirmed = async (
+  candidates: ControlTarget[],
+  options: SuperviseOptions,
+): Promise<ControlTarget | undefined> => {
+  const [target, ...rest] = candidates;
+  if (target === undefined || options.signal.aborted) return undefined;
+  const { signal } = options;
+  const timeoutMs = options.timing.callTimeoutMs;
+  const answer = await probeControl(target.address, { tls: options.tls(), timeoutMs, signal });
+  const isConfirmed = answer.map((response) => response.isConfirmed).unwrapOr(false);
+  return isConfirmed ? target : findConfirmed(rest, options);
+};
+
+// A node attached elsewhere returns home; a node at a control VM that lost its leader moves on.
+const listBetterTargets = ({
+  stream,
+  selector,
+  timing,
+  random,
+  now,
+}: SuperviseOptions): ControlTarget[] => {
+  const isHome = selector.own.includes(stream.target);
+  const isUnconfirmed = now() - stream.confirmedAtMs > timing.unconfirmedPatienceMs;
+  const others = (targets: ControlTarget[]): ControlTarget[] =>
+    selectRandom(
+      targets.filter((target) => target !== stream.target),
+      targets.length,
+      random,
+    );
+  if (isUnconfirmed) return [...others(selector.own), ...others(selector.elsewhere)];
+  return isHome ? [] : others(selector.own);
+};
+
+/**
+ * Ends a stream as soon as a better control VM is confirmed, and has that one tried next.
+ *
+ * @returns when the signal is aborted or the stream was ended
+ */
+const superviseStream = async (options: SuperviseOptions): Promise<void> => {
+  const { stream, selector, timing, random, signal } = options;
+  while (!signal.aborted) {
+    // The jitter keeps the nodes of a data centre from returning at the same moment.
+    await sleep(timing.homeProbeIntervalMs * (0.5 + random()), signal);
+    const better = await findConfirmed(listBetterTargets(options), options);
+    if (better !== undefined && !signal.aborted) {
+      log.info(
+        { from: stream.target.address, to: better.address },
+        'moving to a better control VM',
+      );
+      selector.prefer(better);
+      stream.close();
+      return;
+    }
+  }
+};
+
+export default superviseStream;
--- a/src/connection/distribution/timing.ts
+++ b/src/connection/distribution/timing.ts
@@ -12,6 +12,9 @@
 /** Window in which endpoint changes are collected and coalesced into one update. */
 export const ENDPOINT_WINDOW_MS = 100;
 
+/** Time that a control VM may take to answer a new stream. */
+export const ATTACH_TIMEOUT_MS = 1_500;
+
 /**
  * Time for which a node keeps a record that its control VM does not list. It exceeds the time in which
  * every node returns to a control VM that lost its memory.
@@ -31,6 +34,21 @@
 /** Time for which a node stays at a control VM that is not confirmed before it looks for another. */
 export const UNCONFIRMED_PATIENCE_MS = 5_000;
 
+/** Interval of gossip rounds while a node has no control VM. */
+export const GOSSIP_INTERVAL_MS = 1_000;
+
+/** Peers per gossip round. */
+export const GOSSIP_FANOUT = 3;
+
+/** Peers asked at the same time by a node that starts while cut off. */
+export const SURVEY_CONCURRENCY = 16;
+
+/** Time without a confirmed control VM after which a starting node counts as cut off. */
+export const CUT_OFF_AFTER_MS = 3_000;
+
+/** Recent versions that a node keeps to send deltas to its peers; unchanged rows are shared. */
+export const KEPT_VERSIONS = 4;
+
 /** Time that one unary call to another process may take. */
 export const CALL_TIMEOUT_MS = 1_000;
 
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -1,4 +1,5 @@
 /** Control VMs and nodes in one process, on loopback ports chosen by the system. */
+import type { ConnectRouter } from '@connectrpc/connect';
 import { ControlExchange } from '../../src/connection/distribution/ControlExchange/index.js';
 import { DistributionHub } from '../../src/connection/distribution/DistributionHub/index.js';
 import { NodeLink } from '../../src/connection/distribution/NodeLink/index.js';
@@ -100,27 +101,70 @@
   holder: ConfigurationHolder;
   directory: EndpointDirectory;
   source: TestRecordSource;
+  /** host:port of the listener for peers; empty without one. */
+  peerAddress: string;
+  /** Ends the process as a crash does. */
+  stop: () => Promise<void>;
 }
 
 export interface TestNodeOptions extends NodeLinkOptions {
   dataCentre?: string;
   record?: NodeRecord;
+  peerSeeds?: string[];
+  /** Survives the process, as nothing does in production; only to prepare a state. */
+  holder?: ConfigurationHolder;
 }
 
-/** Starts one node. */
-export const startNode = (
+const createNode = (
   nodeId: string,
   controls: ControlTarget[],
-  options: TestNodeOptions = {},
+  options: TestNodeOptions,
 ): TestNode => {
   const dataCentre = options.dataCentre ?? 'dc1';
-  const holder = new ConfigurationHolder();
+  const holder = options.holder ?? new ConfigurationHolder();
   const directory = new EndpointDirectory({ leaseMs: UNLISTED_RECORD_MS, ownNodeId: nodeId });
   const source = new TestRecordSource(options.record ?? buildRecord(nodeId, { dataCentre }));
-  const parts = { nodeId, dataCentre, controls, holder, directory, recordSource: source };
+  const peerSeeds = options.peerSeeds ?? [];
+  const parts = {
+    nodeId,
+    dataCentre,
+    controls,
+    holder,
+    directory,
+    recordSource: source,
+    peerSeeds,
+  };
   const link = new NodeLink(parts, options);
-  link.start();
-  return { nodeId, link, holder, directory, source };
+  return { nodeId, link, holder, directory, source, peerAddress: '', stop: () => link.stop() };
+};
+
+/** Starts one node that peers cannot reach. */
+export const startNode = (
+  nodeId: string,
+  controls: ControlTarget[],
+  options: TestNodeOptions = {},
+): TestNode => {
+  const node = createNode(nodeId, controls, options);
+  node.link.start();
+  return node;
+};
+
+/** Starts one node with a listener for peers. */
+export const startPeerNode = async (
+  nodeId: string,
+  controls: ControlTarget[],
+  options: TestNodeOptions = {},
+): Promise<TestNode> => {
+  const node = createNode(nodeId, controls, options);
+  const routes = (router: ConnectRouter): void => node.link.registerRoutes(router);
+  const server = await startRpcServer('127.0.0.1:0', { routes });
+  node.source.change({ peerAddress: server.address });
+  node.link.start();
+  const stop = async (): Promise<void> => {
+    await node.link.stop();
+    await server.close();
+  };
+  return { ...node, peerAddress: server.address, stop };
 };
 
 const POLL_MS = 5;
