--- a/src/connection/distribution/ControlExchange/test.ts
+++ b/src/connection/distribution/ControlExchange/test.ts
@@ -5,7 +5,7 @@
   startControl,
   startNode,
   waitUntil,
-} from '../../../../stand-ins/controlCluster/index.js';
+} from '../../../../stand-ins/distributionCluster/index.js';
 
 import type { ExchangePeer } from './index.js';
 
--- a/src/connection/distribution/DistributionHub/test.ts
+++ b/src/connection/distribution/DistributionHub/test.ts
@@ -5,7 +5,7 @@
   startControl,
   startNode,
   waitUntil,
-} from '../../../../stand-ins/controlCluster/index.js';
+} from '../../../../stand-ins/distributionCluster/index.js';
 
 tap.test('a committed version reaches every node, and a change travels as a delta', async (t) => {
   const control = await startControl('control-1');
--- a/src/connection/distribution/NodeLink/test.ts
+++ b/src/connection/distribution/NodeLink/test.ts
@@ -13,14 +13,14 @@
   startNode,
   startPeerNode,
   waitUntil,
-} from '../../../../stand-ins/controlCluster/index.js';
+} from '../../../../stand-ins/distributionCluster/index.js';
 import { expectError, expectOk } from '../../../../stand-ins/results/index.js';
 import { startRpcServer } from '../../startRpcServer/index.js';
 import { ConfigurationHolder } from '../../../process/holder/ConfigurationHolder/index.js';
 import { NotReadyReason, ReadyBasis } from '../ReadinessError/index.js';
 
 import type { AttachRequest } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
-import type { TestNode } from '../../../../stand-ins/controlCluster/index.js';
+import type { TestNode } from '../../../../stand-ins/distributionCluster/index.js';
 
 /** A port that nothing listens on: reserved and never assigned by the system. */
 const NOBODY = { address: '127.0.0.1:1', dataCentre: 'dc1' };
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -1,189 +1,276 @@
-/** Control VMs and nodes in one process, on loopback ports chosen by the system. */
-import type { ConnectRouter } from '@connectrpc/connect';
-import { ControlExchange } from '../../src/connection/distribution/ControlExchange/index.js';
-import { DistributionHub } from '../../src/connection/distribution/DistributionHub/index.js';
-import { NodeLink } from '../../src/connection/distribution/NodeLink/index.js';
-import { UNLISTED_RECORD_MS } from '../../src/connection/distribution/timing.js';
-import { startRpcServer } from '../../src/connection/startRpcServer/index.js';
-import { EndpointDirectory } from '../../src/process/endpoints/EndpointDirectory/index.js';
-import { ConfigurationHolder } from '../../src/process/holder/ConfigurationHolder/index.js';
-import { buildRecord } from '../records/index.js';
-import FakeControlLog from './FakeControlLog.js';
-
-import type { NodeRecord } from '../../src/_generated/foxtailvane/v1/endpoints_pb.js';
-import type { ExchangePeer } from '../../src/connection/distribution/ControlExchange/index.js';
-import type { HubOptions } from '../../src/connection/distribution/DistributionHub/index.js';
+/** Control VMs within one process, each with a connect-es server on loopback and a data folder. */
+import { createServer } from 'node:http2';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import { mkdtemp, rm } from 'node:fs/promises';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { create } from '@bufbuild/protobuf';
+
+import {
+  ConfigurationSchema,
+  ServiceSchema,
+} from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+import ConnectPeerClient from '../../src/connection/replication/ConnectPeerClient/index.js';
+import type { ConfigurationChange } from '../../src/process/replication/ControlLog/index.js';
+import { MemberRole } from '../../src/process/replication/ControlLog/index.js';
+import { ReplicatedLog } from '../../src/process/replication/ReplicatedLog/index.js';
 import type {
-  ControlTarget,
-  NodeLinkOptions,
-} from '../../src/connection/distribution/NodeLink/index.js';
-import type { RpcServer } from '../../src/connection/startRpcServer/index.js';
+  InitialMember,
+  ReplicatedLogOptions,
+} from '../../src/process/replication/ReplicatedLog/index.js';
+import readMonotonicNowMs from '../../src/process/replication/readMonotonicNowMs/index.js';
+import NodeFiles from '../../src/process/storage/NodeFiles/index.js';
+import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
+import createRandom from '../createRandom/index.js';
+import FaultyFiles from '../FaultyFiles/index.js';
+import { FaultyPeerClient, LinkFault } from '../FaultyPeerClient/index.js';
+
+const POLL_MS = 10;
+
+/** Waits until a condition holds; rejects after the timeout. */
+export const waitUntil = async (
+  condition: () => boolean,
+  what: string,
+  timeoutMs = 30_000,
+): Promise<void> => {
+  const untilMs = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > untilMs) throw new Error(`timed out waiting until ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+};
 
-export { default as FakeControlLog } from './FakeControlLog.js';
-export * from '../configurations/index.js';
-export * from '../records/index.js';
+/** Builds a change whose content depends on the number of slots. */
+export const createChange = (
+  version: number,
+  slots: number,
+  options: { requestId?: string; operator?: string; serviceCount?: number } = {},
+): ConfigurationChange => {
+  const services = Array.from({ length: options.serviceCount ?? 1 }, (_, position) =>
+    create(ServiceSchema, { name: `order-desk-${position}`, timeoutMs: 500, slots }),
+  );
+  const contentHash = hashConfiguration({ services, routes: [] });
+  return {
+    requestId: options.requestId ?? `request-${version}-${slots}`,
+    operator: options.operator ?? 'operator-1',
+    configuration: create(ConfigurationSchema, { version, contentHash, services }),
+  };
+};
 
-/** One control VM under test. */
-export interface TestControl {
+interface Node {
   memberId: string;
-  address: string;
-  dataCentre: string;
-  log: FakeControlLog;
-  hub: DistributionHub;
-  exchange: ControlExchange;
-  /** Ends the process as a crash does. */
-  stop: () => Promise<void>;
+  port: number;
+  dataFolder: string;
+  files: FaultyFiles;
+  server: Http2Server | undefined;
+  sessions: Set<ServerHttp2Session>;
+  log: ReplicatedLog | undefined;
 }
 
-export interface TestControlOptions extends HubOptions {
-  dataCentre?: string;
-  /** Bound address; port 0 by default. */
-  address?: string;
-  log?: FakeControlLog;
-  listPeers?: () => ExchangePeer[];
+export interface ControlClusterOptions extends ReplicatedLogOptions {
+  seed: number;
+  memberCount: number;
 }
 
-/** Starts one control VM. */
-export const startControl = async (
-  memberId: string,
-  options: TestControlOptions = {},
-): Promise<TestControl> => {
-  const log = options.log ?? new FakeControlLog();
-  const hub = new DistributionHub(memberId, log, options);
-  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), options);
-  const server: RpcServer = await startRpcServer(options.address ?? '127.0.0.1:0', {
-    routes: (router) => {
-      hub.registerRoutes(router);
-      exchange.registerRoutes(router);
-    },
-  });
-  hub.start();
-  exchange.start();
-  const stop = async (): Promise<void> => {
-    hub.stop();
-    await exchange.stop();
-    await server.close();
-  };
-  const dataCentre = options.dataCentre ?? 'dc1';
-  return { memberId, address: server.address, dataCentre, log, hub, exchange, stop };
-};
+/** A number of control VMs that a test can stop, cut off and start again. */
+export class ControlCluster {
+  readonly #options: ControlClusterOptions;
+
+  readonly #nodes = new Map<string, Node>();
 
-/** What a node announces; a test replaces it. */
-export class TestRecordSource {
-  #record: NodeRecord;
+  readonly #random: () => number;
 
-  readonly #listeners = new Set<(record: NodeRecord) => void>();
+  #initialMembers: InitialMember[] = [];
 
-  constructor(record: NodeRecord) {
-    this.#record = record;
+  #folder = '';
+
+  /** Decides what happens to a request between two members. */
+  findFault: (from: string, to: string, kind: string) => LinkFault = () => LinkFault.None;
+
+  private constructor(options: ControlClusterOptions) {
+    this.#options = options;
+    this.#random = createRandom(options.seed);
   }
 
-  record(): NodeRecord {
-    return this.#record;
+  /** Prepares members named c1, c2 and so on, without starting them. */
+  static async create(options: ControlClusterOptions): Promise<ControlCluster> {
+    const cluster = new ControlCluster(options);
+    cluster.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-cluster-'));
+    const names = Array.from({ length: options.memberCount }, (_, position) => `c${position + 1}`);
+    await Promise.all(names.map((memberId) => cluster.#prepare(memberId)));
+    cluster.#initialMembers = names.map((memberId) => cluster.initialMember(memberId));
+    return cluster;
   }
 
-  onChanged(listener: (record: NodeRecord) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
+  /** Prepares and starts members and waits for a leader that is ready. */
+  static async start(options: ControlClusterOptions): Promise<ControlCluster> {
+    const cluster = await ControlCluster.create(options);
+    await Promise.all(cluster.memberIds().map((memberId) => cluster.startMember(memberId)));
+    await cluster.waitForLeader();
+    return cluster;
   }
 
-  /** Announces other content. */
-  change(fields: Partial<NodeRecord>): void {
-    this.#record = { ...this.#record, ...fields };
-    this.#listeners.forEach((listener) => listener(this.#record));
+  memberIds(): string[] {
+    return [...this.#nodes.keys()];
   }
-}
 
-/** One node under test. */
-export interface TestNode {
-  nodeId: string;
-  link: NodeLink;
-  holder: ConfigurationHolder;
-  directory: EndpointDirectory;
-  source: TestRecordSource;
-  /** host:port of the listener for peers; empty without one. */
-  peerAddress: string;
-  /** Ends the process as a crash does. */
-  stop: () => Promise<void>;
-}
+  initialMember(memberId: string): InitialMember {
+    return { memberId, address: `127.0.0.1:${this.#node(memberId).port}` };
+  }
 
-export interface TestNodeOptions extends NodeLinkOptions {
-  dataCentre?: string;
-  record?: NodeRecord;
-  peerSeeds?: string[];
-  /** Survives the process, as nothing does in production; only to prepare a state. */
-  holder?: ConfigurationHolder;
-}
+  log(memberId: string): ReplicatedLog {
+    const { log } = this.#node(memberId);
+    if (!log) throw new Error(`${memberId} is not running`);
+    return log;
+  }
 
-const createNode = (
-  nodeId: string,
-  controls: ControlTarget[],
-  options: TestNodeOptions,
-): TestNode => {
-  const dataCentre = options.dataCentre ?? 'dc1';
-  const holder = options.holder ?? new ConfigurationHolder();
-  const directory = new EndpointDirectory({ leaseMs: UNLISTED_RECORD_MS, ownNodeId: nodeId });
-  const source = new TestRecordSource(options.record ?? buildRecord(nodeId, { dataCentre }));
-  const peerSeeds = options.peerSeeds ?? [];
-  const parts = {
-    nodeId,
-    dataCentre,
-    controls,
-    holder,
-    directory,
-    recordSource: source,
-    peerSeeds,
-  };
-  const link = new NodeLink(parts, options);
-  return { nodeId, link, holder, directory, source, peerAddress: '', stop: () => link.stop() };
-};
+  files(memberId: string): FaultyFiles {
+    return this.#node(memberId).files;
+  }
 
-/** Starts one node that peers cannot reach. */
-export const startNode = (
-  nodeId: string,
-  controls: ControlTarget[],
-  options: TestNodeOptions = {},
-): TestNode => {
-  const node = createNode(nodeId, controls, options);
-  node.link.start();
-  return node;
-};
+  dataFolder(memberId: string): string {
+    return this.#node(memberId).dataFolder;
+  }
 
-/** Starts one node with a listener for peers. */
-export const startPeerNode = async (
-  nodeId: string,
-  controls: ControlTarget[],
-  options: TestNodeOptions = {},
-): Promise<TestNode> => {
-  const node = createNode(nodeId, controls, options);
-  const routes = (router: ConnectRouter): void => node.link.registerRoutes(router);
-  const server = await startRpcServer('127.0.0.1:0', { routes });
-  node.source.change({ peerAddress: server.address });
-  node.link.start();
-  const stop = async (): Promise<void> => {
-    await node.link.stop();
-    await server.close();
-  };
-  return { ...node, peerAddress: server.address, stop };
-};
+  isRunning(memberId: string): boolean {
+    return this.#node(memberId).log !== undefined;
+  }
 
-const POLL_MS = 5;
+  /** Prepares a member that is not among the initial ones. */
+  async prepareMember(memberId: string): Promise<void> {
+    await this.#prepare(memberId);
+  }
 
-/**
- * Waits until a condition holds.
- *
- * @param limitMs - far above the expected time; the wait fails after it
- */
-export const waitUntil = async (
-  description: string,
-  condition: () => boolean,
-  limitMs = 30_000,
-): Promise<void> => {
-  const deadlineMs = Date.now() + limitMs;
-  while (!condition()) {
-    if (Date.now() > deadlineMs) throw new Error(`not reached in ${limitMs} ms: ${description}`);
+  async startMember(memberId: string): Promise<ReplicatedLog> {
+    const node = this.#node(memberId);
+    const { seed, memberCount, ...options } = this.#options;
+    const isInitial = this.#initialMembers.some((member) => member.memberId === memberId);
+    const initialMembers = isInitial
+      ? this.#initialMembers
+      : [...this.#initialMembers, this.initialMember(memberId)];
+    const opened = await ReplicatedLog.open(
+      { memberId, dataFolder: node.dataFolder, initialMembers },
+      {
+        random: this.#random,
+        files: node.files,
+        createClient: (address) => this.#createClient(memberId, address),
+        ...options,
+      },
+    );
+    if (opened.isErr()) throw opened.error;
+    node.log = opened.value;
+    await this.#listen(node, opened.value);
+    opened.value.start();
+    return opened.value;
+  }
+
+  /** Ends a member abruptly: its connections break and nothing is sent any more. */
+  async stopMember(memberId: string): Promise<void> {
+    const node = this.#node(memberId);
+    const { log, server } = node;
+    node.log = undefined;
+    node.server = undefined;
+    const closed = new Promise<void>((resolve) => {
+      if (server) server.close(() => resolve());
+      else resolve();
+    });
+    node.sessions.forEach((session) => session.destroy());
+    await log?.stop();
+    await closed;
+  }
+
+  /** Ends a member and removes its data folder. */
+  async loseDisk(memberId: string): Promise<void> {
+    await this.stopMember(memberId);
+    await rm(this.#node(memberId).dataFolder, { recursive: true, force: true });
+  }
+
+  /** Returns the member that leads with a valid lease, if there is one. */
+  findLeader(): string | undefined {
+    return this.memberIds().find((memberId) => {
+      const { log } = this.#node(memberId);
+      const nowMs = readMonotonicNowMs();
+      if (!log?.isConfirmed(nowMs)) return false;
+      const self = log.members(nowMs).find((member) => member.memberId === memberId);
+      return self?.role === MemberRole.Leader;
+    });
+  }
+
+  async waitForLeader(except: string[] = []): Promise<string> {
+    let leader: string | undefined;
+    await waitUntil(() => {
+      leader = this.findLeader();
+      return leader !== undefined && !except.includes(leader);
+    }, 'there is a leader');
+    return leader ?? '';
+  }
+
+  /** Cuts all links between the members given and the others, in both directions. */
+  isolate(memberIds: string[]): void {
+    this.findFault = (from, to) =>
+      memberIds.includes(from) === memberIds.includes(to) ? LinkFault.None : LinkFault.DropRequest;
+  }
+
+  heal(): void {
+    this.findFault = () => LinkFault.None;
+  }
+
+  /** Stops all members and removes their data folders. */
+  async close(): Promise<void> {
+    this.heal();
+    await Promise.all(this.memberIds().map((memberId) => this.stopMember(memberId)));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  #node(memberId: string): Node {
+    const node = this.#nodes.get(memberId);
+    if (!node) throw new Error(`there is no member ${memberId}`);
+    return node;
+  }
+
+  async #prepare(memberId: string): Promise<void> {
+    // Lets the system choose a free port, which the member keeps over restarts.
+    const probe = createServer();
+    await new Promise<void>((resolve) => {
+      probe.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = probe.address() as AddressInfo;
     await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
+      probe.close(resolve);
+    });
+    this.#nodes.set(memberId, {
+      memberId,
+      port,
+      dataFolder: join(this.#folder, memberId),
+      files: new FaultyFiles(new NodeFiles()),
+      server: undefined,
+      sessions: new Set(),
+      log: undefined,
     });
   }
-};
+
+  async #listen(node: Node, log: ReplicatedLog): Promise<void> {
+    const server = createServer(connectNodeAdapter({ routes: (router) => log.register(router) }));
+    server.on('session', (session) => {
+      node.sessions.add(session);
+      session.on('close', () => node.sessions.delete(session));
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(node.port, '127.0.0.1', resolve);
+    });
+    Object.assign(node, { server });
+  }
+
+  #createClient(from: string, address: string): FaultyPeerClient {
+    const to = this.memberIds().find((id) => this.initialMember(id).address === address) ?? '';
+    return new FaultyPeerClient(new ConnectPeerClient(address), (kind) =>
+      this.findFault(from, to, kind),
+    );
+  }
+}
