Add priority, deadlines and an adaptive limit to the slots of a server

Slow routes cannot take a quarter of the slots, quick requests precede slow ones, first attempts precede retries, and what cannot meet its deadline is refused at once.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -34,6 +34,8 @@
 /** A response that was passed on completely. */
 export interface CallSummary {
   statusCode: number;
+  /** Time from writing the request to the end of the response, without pauses of the caller. */
+  upstreamMs: number;
 }
 
 export interface UpstreamCallOptions {
@@ -83,6 +85,10 @@
 
   #statusCode = 0;
 
+  #writtenAtMs = 0;
+
+  #pausedMs = 0;
+
   #cancelReason: string | undefined;
 
   #abort: ((error?: Error) => void) | undefined;
@@ -137,6 +143,7 @@
     }
     this.#abort = abort;
     this.#isWritten = true;
+    this.#writtenAtMs = performance.now();
   }
 
   /** Called by undici for each response head, including informational ones. */
@@ -164,8 +171,11 @@
     if (this.#isWithheld) return true;
     this.#hasBody = true;
     if (this.#response.write(chunk)) return true;
-    const resume = this.#resume;
-    this.#response.once('drain', () => resume?.());
+    const pausedAtMs = performance.now();
+    this.#response.once('drain', () => {
+      this.#pausedMs += performance.now() - pausedAtMs;
+      this.#resume?.();
+    });
     return false;
   }
 
@@ -176,7 +186,8 @@
       return;
     }
     if (!this.#isWithheld) this.#end(trailers as Buffer[] | null);
-    this.#finish(ok({ statusCode: this.#statusCode }));
+    const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
+    this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
   }
 
   /** Called by undici when the request failed. */
--- /dev/null
+++ b/src/process/localServers/ConcurrencyLimiter/AdaptiveLimiter.ts
@@ -0,0 +1,160 @@
+import { ConcurrencyLimiter } from './ConcurrencyLimiter.js';
+
+import type { LimiterSample } from './ConcurrencyLimiter.js';
+
+/** Samples per measurement: the mean of so many exponential latencies has an error of 10%. */
+const WINDOW_SAMPLES = 100;
+/** Measurements are valid only while this share of the limit is in use. */
+const LEAST_USE = 0.8;
+/** Limit of a trial downwards, relative to the present one. */
+const LOWER_FACTOR = 0.7;
+/** A lower limit is kept if it has at least this share of the throughput. */
+const LOWER_KEEPS_SHARE = 0.93;
+/** Limit of a trial upwards, relative to the present one. */
+const HIGHER_FACTOR = 1.3;
+/** A higher limit is kept if it has at least this multiple of the throughput. */
+const HIGHER_KEEPS_SHARE = 1.12;
+/** Factor after a window in which the server shed a request. */
+const OVERLOAD_FACTOR = 0.8;
+
+const LEAST_ELAPSED_MS = 1;
+/** A rejected trial doubles the number of measurements before the next, up to this. */
+const MAX_PAUSE_WINDOWS = 16;
+
+enum Phase {
+  Measure = 'MEASURE',
+  TryLower = 'TRY_LOWER',
+  TryHigher = 'TRY_HIGHER',
+}
+
+interface Window {
+  /** Requests sent before the window began, which are not counted. */
+  skipped: number;
+  count: number;
+  startedAtMs: number;
+  costSum: number;
+  inFlightSum: number;
+  overloads: number;
+}
+
+const createWindow = (): Window => ({
+  skipped: 0,
+  count: 0,
+  startedAtMs: 0,
+  costSum: 0,
+  inFlightSum: 0,
+  overloads: 0,
+});
+
+/**
+ * Searches for the lowest limit with full throughput, at most the announced slots.
+ *
+ * While the limit is fully used, it measures the throughput at the present limit, at a lower one and at a higher one, and moves to the better.
+ * A lower limit without loss of throughput means that the server queued inside. A baseline of
+ * latency would not do: a server that is overloaded from its start never shows one.
+ */
+export default class AdaptiveLimiter extends ConcurrencyLimiter {
+  #slots: number;
+
+  #limit: number;
+
+  /** Limit to which a rejected trial returns. */
+  #settledLimit: number;
+
+  #settledThroughput = 0;
+
+  #phase = Phase.Measure;
+
+  #lastTrial = Phase.TryHigher;
+
+  #pauseWindows = 1;
+
+  #pauseLeft = 1;
+
+  #window = createWindow();
+
+  constructor(slots: number) {
+    super();
+    this.#slots = slots;
+    this.#limit = slots;
+    this.#settledLimit = slots;
+  }
+
+  override get limit(): number {
+    return this.#limit;
+  }
+
+  override setSlots(slots: number): void {
+    const isFull = this.#settledLimit >= this.#slots;
+    this.#slots = slots;
+    this.#settle(isFull ? slots : Math.min(this.#settledLimit, slots));
+  }
+
+  override add(sample: LimiterSample, nowMs: number): void {
+    const window = this.#window;
+    if (sample.isOverload) {
+      window.overloads += 1;
+    } else if (window.skipped < this.#limit) {
+      // These were sent under the limit before.
+      window.skipped += 1;
+      window.startedAtMs = nowMs;
+      return;
+    } else {
+      window.costSum += sample.relativeCost;
+      window.inFlightSum += sample.inFlight;
+    }
+    window.count += 1;
+    if (window.count >= WINDOW_SAMPLES) this.#decide(window, nowMs);
+  }
+
+  #decide(window: Window, nowMs: number): void {
+    this.#window = createWindow();
+    const meanInFlight = window.inFlightSum / window.count;
+    if (window.overloads > 0) {
+      this.#settle(Math.floor(this.#limit * OVERLOAD_FACTOR));
+    } else if (meanInFlight < this.#limit * LEAST_USE) {
+      this.#settle(this.#settledLimit);
+    } else {
+      this.#compare(window.costSum / Math.max(LEAST_ELAPSED_MS, nowMs - window.startedAtMs));
+    }
+  }
+
+  #compare(throughput: number): void {
+    const ratio = throughput / this.#settledThroughput;
+    switch (this.#phase) {
+      case Phase.TryLower:
+        this.#endTrial(ratio >= LOWER_KEEPS_SHARE);
+        break;
+      case Phase.TryHigher:
+        this.#endTrial(ratio >= HIGHER_KEEPS_SHARE);
+        break;
+      default:
+        this.#settledThroughput = throughput;
+        this.#pauseLeft -= 1;
+        if (this.#pauseLeft <= 0) this.#startTrial();
+    }
+  }
+
+  #endTrial(isKept: boolean): void {
+    this.#pauseWindows = isKept ? 1 : Math.min(MAX_PAUSE_WINDOWS, this.#pauseWindows * 2);
+    this.#pauseLeft = this.#pauseWindows;
+    this.#settle(isKept ? this.#limit : this.#settledLimit);
+  }
+
+  #startTrial(): void {
+    const canRise = this.#settledLimit < this.#slots;
+    const isHigher = canRise && this.#lastTrial === Phase.TryLower;
+    this.#phase = isHigher ? Phase.TryHigher : Phase.TryLower;
+    this.#lastTrial = this.#phase;
+    this.#limit = isHigher
+      ? Math.min(this.#slots, Math.ceil(this.#settledLimit * HIGHER_FACTOR))
+      : Math.max(1, Math.floor(this.#settledLimit * LOWER_FACTOR));
+  }
+
+  #settle(limit: number): void {
+    this.#settledLimit = Math.min(this.#slots, Math.max(1, limit));
+    this.#limit = this.#settledLimit;
+    this.#phase = Phase.Measure;
+    this.#window = createWindow();
+  }
+}
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -9,10 +9,13 @@
 } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { createLogger } from '../../log/index.js';
 import { AnnouncementError, AnnouncementErrorCode } from '../AnnouncementError/index.js';
+import { AdaptiveLimiter } from '../ConcurrencyLimiter/index.js';
+import { RouteLatencies } from '../RouteLatencies/index.js';
 import { SlotGate } from '../SlotGate/index.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
 
 import type { NodeRecord, Server } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { ConcurrencyLimiter } from '../ConcurrencyLimiter/index.js';
 import type { Announcement } from '../_lib/parseAnnouncement.js';
 
 const DEFAULT_LEASE_MS = 3_000;
@@ -32,6 +35,7 @@
   server: Server;
   leaseEndsAtMs: number;
   readonly gate: SlotGate;
+  readonly latencies: RouteLatencies;
 }
 
 export interface LocalServersOptions {
@@ -39,6 +43,8 @@
   dataCentre: string;
   /** Start time of the node process in milliseconds since the epoch. */
   incarnation: bigint;
+  /** Creates the limiter of a server; adaptive unless given. */
+  createLimiter?: (slots: number) => ConcurrencyLimiter;
   /** Time without a renewal after which a server is removed. */
   leaseMs?: number;
 }
@@ -54,6 +60,12 @@
   left.state === right.state &&
   left.servingSinceMs === right.servingSinceMs;
 
+/** Only a serving server takes new requests; others refuse them, so that they run elsewhere. */
+const applyState = (gate: SlotGate, server: Server): void => {
+  if (server.state === ServerState.SERVING) gate.open();
+  else gate.close();
+};
+
 /**
  * The backend servers that announced themselves to this node, and the node record made of them.
  *
@@ -71,9 +83,12 @@
 
   readonly #listeners = new Set<RecordListener>();
 
+  readonly #createLimiter: (slots: number) => ConcurrencyLimiter;
+
   #record: NodeRecord;
 
   constructor(options: LocalServersOptions) {
+    this.#createLimiter = options.createLimiter ?? ((slots: number) => new AdaptiveLimiter(slots));
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
@@ -144,7 +159,13 @@
     const leaseEndsAtMs = nowMs + this.leaseMs;
     if (!known) {
       const gate = this.#takeGate(server, nowMs);
-      this.#servers.set(serverId, { server, leaseEndsAtMs, gate });
+      applyState(gate, server);
+      this.#servers.set(serverId, {
+        server,
+        leaseEndsAtMs,
+        gate,
+        latencies: new RouteLatencies(),
+      });
       this.#publish();
       return ok();
     }
@@ -152,6 +173,7 @@
     if (!isSameServer(known.server, server)) {
       const hasNewSlots = known.server.slots !== server.slots;
       known.server = server;
+      applyState(known.gate, server);
       if (hasNewSlots) known.gate.setSlots(server.slots, nowMs);
       this.#publish();
     }
@@ -208,13 +230,17 @@
       .filter(([, gate]) => gate.used === 0)
       .forEach(([address]) => this.#retiredGates.delete(address));
     const retired = this.#retiredGates.get(server.address);
-    if (!retired) return new SlotGate({ slots: server.slots });
+    if (!retired) return this.#createGate(server.slots);
     this.#retiredGates.delete(server.address);
     retired.open();
     retired.setSlots(server.slots, nowMs);
     return retired;
   }
 
+  #createGate(slots: number): SlotGate {
+    return new SlotGate({ slots, limiter: this.#createLimiter(slots) });
+  }
+
   #toServer(
     serverId: string,
     announcement: Announcement,
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -66,3 +66,15 @@
   const after = servers.find('desk-1');
   t.equal(after?.gate.used, 1);
 });
+
+tap.test('a draining server refuses new requests at once, before other nodes know', async (t) => {
+  const servers = open();
+  servers.announce('desk-1', desk, START_MS);
+  servers.announce('desk-1', { ...desk, state: AnnouncedState.Draining }, START_MS + 1);
+  const refusals: unknown[] = [];
+  servers.find('desk-1')?.gate.admit(demand, START_MS + 2, (refusal) => refusals.push(refusal));
+  t.strictSame(refusals, ['SERVER_CLOSED']);
+  servers.announce('desk-1', desk, START_MS + 3);
+  servers.find('desk-1')?.gate.admit(demand, START_MS + 4, (refusal) => refusals.push(refusal));
+  t.strictSame(refusals, ['SERVER_CLOSED', undefined]);
+});
--- /dev/null
+++ b/src/process/localServers/RouteLatencies/index.ts
@@ -0,0 +1,82 @@
+/** Latency of each route at one server, to tell slow routes from quick ones. */
+
+/** Weight of the newest sample once enough samples are known. */
+const SAMPLE_WEIGHT = 0.05;
+/** The floor rises by this factor with each sample, so that it follows a lasting change. */
+const FLOOR_GROWTH = 1.002;
+/** A route is slow if its mean is this many times that of the quickest route. */
+const SLOW_FACTOR = 4;
+/** Below this mean a request occupies a slot too briefly to starve others. */
+const SLOW_LEAST_MEAN_MS = 20;
+const LEAST_SAMPLES = 5;
+/** Weight of the newest sample in the mean over all routes. */
+const OVERALL_WEIGHT = 0.01;
+/** Routes beyond this number share one entry, so that memory stays bounded. */
+const MAX_ROUTES = 512;
+const LEAST_LATENCY_MS = 0.01;
+
+/** Latency of one route. */
+export interface RouteLatency {
+  meanMs: number;
+  /** Mean at its lowest recent level, that is without queueing inside the server. */
+  floorMs: number;
+  sampleCount: number;
+}
+
+export class RouteLatencies {
+  #overallMeanMs = 0;
+
+  readonly #byRoute = new Map<string, RouteLatency>();
+
+  /** Returns the latency of a route, if it has been observed. */
+  get(routeName: string): RouteLatency | undefined {
+    return this.#byRoute.get(routeName);
+  }
+
+  /**
+   * Adds one observation.
+   *
+   * @param routeName - route of the request
+   * @param latencyMs - time that the server took
+   */
+  add(routeName: string, latencyMs: number): void {
+    const sampleMs = Math.max(LEAST_LATENCY_MS, latencyMs);
+    this.#overallMeanMs +=
+      (this.#overallMeanMs === 0 ? 1 : OVERALL_WEIGHT) * (sampleMs - this.#overallMeanMs);
+    const known = this.#byRoute.get(routeName);
+    if (!known) {
+      const name = this.#byRoute.size < MAX_ROUTES ? routeName : '';
+      this.#byRoute.set(name, { meanMs: sampleMs, floorMs: sampleMs, sampleCount: 1 });
+      return;
+    }
+    known.sampleCount += 1;
+    const weight = Math.max(SAMPLE_WEIGHT, 1 / known.sampleCount);
+    known.meanMs += weight * (sampleMs - known.meanMs);
+    known.floorMs =
+      known.sampleCount <= 1 / SAMPLE_WEIGHT
+        ? known.meanMs
+        : Math.min(known.floorMs * FLOOR_GROWTH, known.meanMs);
+  }
+
+  /** Returns the mean latency of a route relative to that of all requests; 1 when unknown. */
+  getRelativeCost(routeName: string): number {
+    const route = this.#byRoute.get(routeName);
+    return route ? route.meanMs / this.#overallMeanMs : 1;
+  }
+
+  /**
+   * Tells whether requests of a route take much longer than those of the quickest route.
+   *
+   * @param routeName - route of the request
+   */
+  isSlow(routeName: string): boolean {
+    const route = this.#byRoute.get(routeName);
+    if (!route || route.sampleCount < LEAST_SAMPLES || route.meanMs < SLOW_LEAST_MEAN_MS) {
+      return false;
+    }
+    const quickestMs = [...this.#byRoute.values()]
+      .filter((other) => other.sampleCount >= LEAST_SAMPLES)
+      .reduce((least, other) => Math.min(least, other.floorMs), Infinity);
+    return route.floorMs > quickestMs * SLOW_FACTOR;
+  }
+}
--- /dev/null
+++ b/src/process/localServers/RouteLatencies/test.ts
@@ -0,0 +1,32 @@
+import tap from 'tap';
+
+import { RouteLatencies } from './index.js';
+
+const addMany = (latencies: RouteLatencies, routeName: string, latencyMs: number): void => {
+  Array.from({ length: 50 }).forEach(() => latencies.add(routeName, latencyMs));
+};
+
+tap.test('surveys are told from lookups, so that they cannot take every slot', async (t) => {
+  const latencies = new RouteLatencies();
+  addMany(latencies, 'lookups', 5);
+  addMany(latencies, 'surveys', 200);
+  addMany(latencies, 'reports', 15);
+  t.equal(latencies.isSlow('lookups'), false);
+  t.equal(latencies.isSlow('surveys'), true);
+  t.equal(latencies.isSlow('reports'), false, 'too short to starve others');
+  t.equal(latencies.isSlow('unseen'), false);
+});
+
+tap.test('an overloaded server does not turn its only route into a slow one', async (t) => {
+  const latencies = new RouteLatencies();
+  addMany(latencies, 'lookups', 5);
+  addMany(latencies, 'lookups', 500);
+  t.equal(latencies.isSlow('lookups'), false);
+});
+
+tap.test('any number of route names uses bounded memory', async (t) => {
+  const latencies = new RouteLatencies();
+  Array.from({ length: 2_000 }).forEach((_, index) => latencies.add(`route-${index}`, 1));
+  t.ok(latencies.get('route-0'));
+  t.equal(latencies.get('route-1999'), undefined);
+});
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -1,8 +1,13 @@
 /** Exact count of the slots of one backend server, with a short queue bounded by deadline. */
+import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
+
+import type { ConcurrencyLimiter, LimiterSample } from '../ConcurrencyLimiter/index.js';
 
 /** Why a server's gate refused a request. */
 export enum GateRefusal {
   QueueFull = 'QUEUE_FULL',
+  /** A more urgent request took its place in a full queue. */
+  Displaced = 'DISPLACED',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
   Closed = 'SERVER_CLOSED',
@@ -10,11 +15,13 @@
 
 /** What a request asks of a gate. */
 export interface SlotDemand {
-  /** Latest useful start, in milliseconds since the epoch. */
+  /** Time by which the response has to be complete, in milliseconds since the epoch. */
   deadlineMs: number;
   isRetry: boolean;
   /** Route whose requests take much longer than those of the quickest route of the server. */
   isSlow: boolean;
+  /** Least time that the server needs for such a request; 0 when unknown. */
+  leastServiceMs?: number;
 }
 
 /** Called once, possibly before `admit` returns; no refusal means a slot was taken. */
@@ -23,46 +30,95 @@
 interface Waiter {
   demand: SlotDemand;
   onDecided: AdmissionListener;
+  /** Smaller is served first. */
+  rank: number;
+  isSettled: boolean;
 }
 
 export interface SlotGateOptions {
   slots: number;
+  limiter?: ConcurrencyLimiter;
   /** Waiting requests per slot. */
   queuePerSlot?: number;
 }
 
 const DEFAULT_QUEUE_PER_SLOT = 2;
+/** Share of the slots that slow routes cannot take. */
+const RESERVED_SHARE = 0.25;
+/** Weight of the newest sample in the mean time that a slot is held. */
+const HOLD_WEIGHT = 0.1;
+/** Every so many admissions the oldest slow request goes first, so that it is not starved. */
+const SLOW_TURN = 8;
+
+const rankOf = (demand: SlotDemand): number => (demand.isSlow ? 2 : 0) + (demand.isRetry ? 1 : 0);
 
+/**
+ * Admits requests to one server within its slots.
+ *
+ * Quick requests precede slow ones and first attempts precede retries. Slow requests cannot take
+ * the reserved share. Lent slots count as used until they are taken back.
+ *
+ * @example
+ * const gate = new SlotGate({ slots: 20 });
+ * gate.admit(demand, Date.now(), (refusal) => { if (!refusal) callServer(); });
+ */
 export class SlotGate {
+  readonly limiter: ConcurrencyLimiter;
+
+  readonly #queuePerSlot: number;
+
+  #waiters: Waiter[] = [];
+
   #slots: number;
 
-  #used = 0;
+  #usedQuick = 0;
+
+  #usedSlow = 0;
+
+  #lent = 0;
 
   #isClosed = false;
 
-  readonly #queuePerSlot: number;
+  #meanHoldMs = 0;
 
-  readonly #waiters: Waiter[] = [];
+  #admittedCount = 0;
 
   constructor(options: SlotGateOptions) {
     this.#slots = options.slots;
+    this.limiter = options.limiter ?? new FixedLimiter(options.slots);
     this.#queuePerSlot = options.queuePerSlot ?? DEFAULT_QUEUE_PER_SLOT;
   }
 
+  /** Slots in use, lent ones included. */
   get used(): number {
-    return this.#used;
+    return this.#usedQuick + this.#usedSlow + this.#lent;
+  }
+
+  get lent(): number {
+    return this.#lent;
   }
 
   get waiting(): number {
     return this.#waiters.length;
   }
 
-  get slots(): number {
-    return this.#slots;
+  /** Slots that may be in use now: the announced ones, or fewer while the server is slow. */
+  get capacity(): number {
+    return Math.min(this.#slots, this.limiter.limit);
+  }
+
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  /** Slots that slow requests cannot take. */
+  get reserved(): number {
+    return this.capacity < 2 ? 0 : Math.max(1, Math.floor(this.capacity * RESERVED_SHARE));
   }
 
   setSlots(slots: number, nowMs: number): void {
     this.#slots = slots;
+    this.limiter.setSlots(slots);
     this.#admitWaiters(nowMs);
   }
 
@@ -74,7 +130,7 @@
   /** Refuses everything that waits and everything that comes. */
   close(): void {
     this.#isClosed = true;
-    this.#waiters.splice(0).forEach((waiter) => waiter.onDecided(GateRefusal.Closed));
+    this.#waiters.splice(0).forEach((waiter) => this.#settle(waiter, GateRefusal.Closed));
   }
 
   /**
@@ -86,48 +142,139 @@
    * @returns a function that withdraws a request that still waits
    */
   admit(demand: SlotDemand, nowMs: number, onDecided: AdmissionListener): () => void {
-    const noop = () => undefined;
-    if (this.#isClosed) {
-      onDecided(GateRefusal.Closed);
-      return noop;
+    const waiter: Waiter = { demand, onDecided, rank: rankOf(demand), isSettled: false };
+    const refusal = this.#findRefusal(waiter, nowMs);
+    if (refusal !== undefined) {
+      this.#settle(waiter, refusal);
+    } else if (this.#hasSlotFor(demand) && !this.#hasRival(waiter)) {
+      this.#take(waiter);
+    } else {
+      this.#enqueue(waiter, nowMs);
     }
-    if (demand.deadlineMs <= nowMs) {
-      onDecided(GateRefusal.DeadlinePassed);
-      return noop;
-    }
-    if (this.#used < this.#slots) {
-      this.#used += 1;
-      onDecided(undefined);
-      return noop;
+    return () => this.#withdraw(waiter, nowMs);
+  }
+
+  /**
+   * Gives a slot back.
+   *
+   * @param demand - the demand that took it
+   * @param heldMs - time that the slot was held
+   * @param nowMs - present time in milliseconds since the epoch
+   * @param sample - what the request says about the load of the server, if it was sent
+   */
+  release(demand: SlotDemand, heldMs: number, nowMs: number, sample?: LimiterSample): void {
+    if (demand.isSlow) this.#usedSlow -= 1;
+    else this.#usedQuick -= 1;
+    this.#meanHoldMs += HOLD_WEIGHT * (heldMs - this.#meanHoldMs);
+    if (sample) this.limiter.add(sample, nowMs);
+    this.#admitWaiters(nowMs);
+  }
+
+  /**
+   * Lends idle slots to another node, beyond the reserved share and only while nothing waits.
+   *
+   * @param wanted - slots that the other node could use
+   * @returns slots lent, possibly 0
+   */
+  lend(wanted: number): number {
+    if (this.#isClosed || this.#waiters.length > 0) return 0;
+    const idle = this.capacity - this.used - this.reserved;
+    const count = Math.max(0, Math.min(wanted, idle));
+    this.#lent += count;
+    return count;
+  }
+
+  /** Takes lent slots back after the other node returned them or their lease ended. */
+  takeBack(count: number, nowMs: number): void {
+    this.#lent -= count;
+    this.#admitWaiters(nowMs);
+  }
+
+  #findRefusal({ demand }: Waiter, nowMs: number): GateRefusal | undefined {
+    if (this.#isClosed) return GateRefusal.Closed;
+    return demand.deadlineMs <= nowMs ? GateRefusal.DeadlinePassed : undefined;
+  }
+
+  #hasSlotFor(demand: SlotDemand): boolean {
+    if (this.used >= this.capacity) return false;
+    return !demand.isSlow || this.#usedSlow < this.capacity - this.reserved;
+  }
+
+  /** Tells whether a waiting request of the same or a better rank could use the slot first. */
+  #hasRival({ rank }: Waiter): boolean {
+    return this.#waiters.some((other) => other.rank <= rank && this.#hasSlotFor(other.demand));
+  }
+
+  #take(waiter: Waiter): void {
+    if (waiter.demand.isSlow) this.#usedSlow += 1;
+    else this.#usedQuick += 1;
+    this.#admittedCount += 1;
+    this.#settle(waiter, undefined);
+  }
+
+  #settle(waiter: Waiter, refusal: GateRefusal | undefined): void {
+    const settled = waiter;
+    settled.isSettled = true;
+    settled.onDecided(refusal);
+  }
+
+  #enqueue(waiter: Waiter, nowMs: number): void {
+    const { demand, rank } = waiter;
+    const ahead = this.#waiters.filter((other) => other.rank <= rank).length;
+    const waitMs = ((ahead + 1) * this.#meanHoldMs) / this.capacity;
+    if (nowMs + waitMs + (demand.leastServiceMs ?? 0) > demand.deadlineMs) {
+      this.#settle(waiter, GateRefusal.DeadlineTooShort);
+      return;
     }
-    if (this.#waiters.length >= this.#slots * this.#queuePerSlot) {
-      onDecided(GateRefusal.QueueFull);
-      return noop;
+    if (this.#waiters.length >= this.#slots * this.#queuePerSlot && !this.#displace(rank)) {
+      this.#settle(waiter, GateRefusal.QueueFull);
+      return;
     }
-    const waiter: Waiter = { demand, onDecided };
     this.#waiters.push(waiter);
-    return () => {
-      const index = this.#waiters.indexOf(waiter);
-      if (index >= 0) this.#waiters.splice(index, 1);
-    };
   }
 
-  /** Gives a slot back. */
-  release(nowMs: number): void {
-    this.#used -= 1;
+  /** Makes room in a full queue by refusing the newest of the least urgent requests. */
+  #displace(rank: number): boolean {
+    const worst = this.#waiters.reduce((highest, other) => Math.max(highest, other.rank), 0);
+    if (worst <= rank) return false;
+    const index = this.#waiters.findLastIndex((other) => other.rank === worst);
+    const [displaced] = this.#waiters.splice(index, 1);
+    if (displaced) this.#settle(displaced, GateRefusal.Displaced);
+    return true;
+  }
+
+  #withdraw(waiter: Waiter, nowMs: number): void {
+    if (waiter.isSettled) return;
+    this.#waiters = this.#waiters.filter((other) => other !== waiter);
     this.#admitWaiters(nowMs);
   }
 
   #admitWaiters(nowMs: number): void {
-    while (this.#used < this.#slots) {
-      const waiter = this.#waiters.shift();
-      if (!waiter) return;
-      if (waiter.demand.deadlineMs <= nowMs) {
-        waiter.onDecided(GateRefusal.DeadlinePassed);
-      } else {
-        this.#used += 1;
-        waiter.onDecided(undefined);
-      }
+    let next = this.#shiftNext();
+    while (next) {
+      const { deadlineMs, leastServiceMs = 0 } = next.demand;
+      if (deadlineMs <= nowMs) this.#settle(next, GateRefusal.DeadlinePassed);
+      else if (deadlineMs < nowMs + leastServiceMs) {
+        this.#settle(next, GateRefusal.DeadlineTooShort);
+      } else this.#take(next);
+      next = this.#shiftNext();
     }
   }
+
+  /** Removes and returns the waiting request that is served next, if a slot suits it. */
+  #shiftNext(): Waiter | undefined {
+    const admissible = this.#waiters.filter((waiter) => this.#hasSlotFor(waiter.demand));
+    const isSlowTurn = this.#admittedCount % SLOW_TURN === SLOW_TURN - 1;
+    const oldestSlow = isSlowTurn
+      ? admissible.find((waiter) => waiter.demand.isSlow && !waiter.demand.isRetry)
+      : undefined;
+    const next =
+      oldestSlow ??
+      admissible.reduce<Waiter | undefined>(
+        (best, waiter) => (best && best.rank <= waiter.rank ? best : waiter),
+        undefined,
+      );
+    if (next) this.#waiters.splice(this.#waiters.indexOf(next), 1);
+    return next;
+  }
 }
--- /dev/null
+++ b/src/process/localServers/SlotGate/test.ts
@@ -0,0 +1,149 @@
+import tap from 'tap';
+
+import createRandom from '../../../../test/requestMesh/createRandom.js';
+import { GateRefusal, SlotGate } from './index.js';
+
+import type { SlotDemand } from './index.js';
+
+const START_MS = 1_000_000;
+
+const quick: SlotDemand = { deadlineMs: START_MS + 60_000, isRetry: false, isSlow: false };
+const slow: SlotDemand = { ...quick, isSlow: true };
+const retry: SlotDemand = { ...quick, isRetry: true };
+
+/** Asks for a slot and notes the decision under a name. */
+const ask = (gate: SlotGate, demand: SlotDemand, decisions: string[], name: string) =>
+  gate.admit(demand, START_MS, (refusal) => decisions.push(`${name}:${refusal ?? 'admitted'}`));
+
+tap.test('slots are never exceeded, whatever the order of events', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const gate = new SlotGate({ slots: 6 });
+  const held: SlotDemand[] = [];
+  let nowMs = START_MS;
+  let most = 0;
+  let admitted = 0;
+  const steps = [
+    () => {
+      const demand = {
+        deadlineMs: nowMs + 1 + random() * 200,
+        isRetry: random() < 0.3,
+        isSlow: random() < 0.5,
+      };
+      const withdraw = gate.admit(demand, nowMs, (refusal) => {
+        if (refusal === undefined) {
+          held.push(demand);
+          admitted += 1;
+        }
+      });
+      if (random() < 0.1) withdraw();
+    },
+    () => {
+      const [demand] = held.splice(Math.floor(random() * held.length), 1);
+      if (demand) gate.release(demand, 5, nowMs);
+    },
+    () => {
+      const lent = gate.lend(2);
+      if (random() < 0.5) gate.takeBack(lent, nowMs);
+      else gate.takeBack(gate.lent, nowMs);
+    },
+  ];
+  Array.from({ length: 20_000 }).forEach(() => {
+    nowMs += 1;
+    steps[Math.floor(random() * steps.length)]?.();
+    most = Math.max(most, held.length + gate.lent);
+    if (gate.used !== held.length + gate.lent) t.fail('count differs from what is held');
+  });
+  t.ok(most <= 6, `${most} at once`);
+  t.ok(admitted > 1_000, `${admitted} admitted`);
+});
+
+tap.test('slow requests leave the reserved share to quick ones', async (t) => {
+  const gate = new SlotGate({ slots: 4 });
+  const decisions: string[] = [];
+  ['s1', 's2', 's3', 's4'].forEach((name) => ask(gate, slow, decisions, name));
+  ask(gate, quick, decisions, 'q1');
+  t.strictSame(decisions, ['s1:admitted', 's2:admitted', 's3:admitted', 'q1:admitted']);
+  t.equal(gate.waiting, 1);
+});
+
+tap.test('first attempts are served before retries, quick before slow', async (t) => {
+  const gate = new SlotGate({ slots: 1 });
+  const decisions: string[] = [];
+  ask(gate, quick, decisions, 'first');
+  ask(gate, retry, decisions, 'retry');
+  ask(gate, quick, decisions, 'quick');
+  gate.release(quick, 1, START_MS);
+  gate.release(quick, 1, START_MS);
+  t.strictSame(decisions, ['first:admitted', 'quick:admitted', 'retry:admitted']);
+});
+
+tap.test('an urgent request displaces a less urgent one from a full queue', async (t) => {
+  const gate = new SlotGate({ slots: 1, queuePerSlot: 2 });
+  const decisions: string[] = [];
+  ask(gate, quick, decisions, 'first');
+  ask(gate, slow, decisions, 'slow');
+  ask(gate, retry, decisions, 'retry');
+  ask(gate, quick, decisions, 'quick');
+  ask(gate, retry, decisions, 'late');
+  t.strictSame(decisions, [
+    'first:admitted',
+    `slow:${GateRefusal.Displaced}`,
+    `late:${GateRefusal.QueueFull}`,
+  ]);
+});
+
+tap.test('a request that cannot meet its deadline is refused at once', async (t) => {
+  const gate = new SlotGate({ slots: 1 });
+  const decisions: string[] = [];
+  Array.from({ length: 60 }).forEach(() => {
+    gate.admit(quick, START_MS, () => undefined);
+    gate.release(quick, 100, START_MS);
+  });
+  ask(gate, quick, decisions, 'first');
+  ask(gate, { ...quick, deadlineMs: START_MS + 50 }, decisions, 'short');
+  ask(gate, { ...quick, deadlineMs: START_MS + 150 }, decisions, 'long');
+  ask(gate, { ...quick, deadlineMs: START_MS - 1 }, decisions, 'past');
+  t.strictSame(decisions, [
+    'first:admitted',
+    `short:${GateRefusal.DeadlineTooShort}`,
+    `past:${GateRefusal.DeadlinePassed}`,
+  ]);
+  gate.release(quick, 100, START_MS + 151);
+  t.equal(decisions.at(-1), `long:${GateRefusal.DeadlinePassed}`);
+});
+
+tap.test('slow requests are not starved by a constant stream of quick ones', async (t) => {
+  const gate = new SlotGate({ slots: 2 });
+  const decisions: string[] = [];
+  ask(gate, quick, decisions, 'q');
+  ask(gate, quick, decisions, 'q');
+  ask(gate, slow, decisions, 'slow');
+  Array.from({ length: 20 }).forEach(() => {
+    ask(gate, quick, decisions, 'q');
+    gate.release(quick, 1, START_MS);
+  });
+  t.ok(decisions.includes('slow:admitted'));
+});
+
+tap.test('lent slots count as used and are lent only while idle beyond the reserve', async (t) => {
+  const gate = new SlotGate({ slots: 4 });
+  t.equal(gate.lend(10), 3);
+  t.equal(gate.used, 3);
+  const decisions: string[] = [];
+  ask(gate, quick, decisions, 'a');
+  ask(gate, quick, decisions, 'b');
+  t.strictSame(decisions, ['a:admitted']);
+  t.equal(gate.lend(1), 0);
+  gate.takeBack(1, START_MS);
+  t.strictSame(decisions, ['a:admitted', 'b:admitted']);
+});
+
+tap.test('a closed gate refuses what waits, so that it can run elsewhere', async (t) => {
+  const gate = new SlotGate({ slots: 1 });
+  const decisions: string[] = [];
+  ask(gate, quick, decisions, 'first');
+  ask(gate, quick, decisions, 'waits');
+  gate.close();
+  ask(gate, quick, decisions, 'late');
+  t.strictSame(decisions.slice(1), [`waits:${GateRefusal.Closed}`, `late:${GateRefusal.Closed}`]);
+});
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -197,8 +197,13 @@
         ? this.#context.localServers.find(entry.server.serverId)
         : undefined;
     if (local) {
-      const demand = { deadlineMs: routed.deadlineMs, isRetry: attempt > 0, isSlow: false };
-      return this.#parts.localCaller.call(exchange, local, demand, { path, headers });
+      const work = {
+        routeName: route.name,
+        isIdempotent: route.idempotent,
+        isRetry: attempt > 0,
+        deadlineMs: routed.deadlineMs,
+      };
+      return this.#parts.localCaller.call(exchange, local, work, { path, headers });
     }
     const call = {
       serverId: entry.server.serverId,
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -13,6 +13,7 @@
 
 import type { LocalServer } from '../../process/localServers/index.js';
 import type LocalCaller from './LocalCaller.js';
+import type { ForwardedCall } from './callHeader.js';
 import type { RequestContext } from './RequestContext.js';
 
 const MAX_DEADLINE_MS = 600_000;
@@ -43,10 +44,15 @@
       this.#refuse(exchange, createNotRun(RefusalReason.UnknownServer, message));
       return;
     }
-    await this.#forward(exchange, local, request.url ?? '/');
+    await this.#forward(exchange, call, local, request.url ?? '/');
   }
 
-  async #forward(exchange: Exchange, local: LocalServer, path: string): Promise<void> {
+  async #forward(
+    exchange: Exchange,
+    call: ForwardedCall,
+    local: LocalServer,
+    path: string,
+  ): Promise<void> {
     const nowMs = this.#context.getNowMs();
     const remainingMs = parseCount(exchange.internal.get(DEADLINE_HEADER)) ?? MAX_DEADLINE_MS;
     const attempt = parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0;
@@ -56,7 +62,12 @@
       answerFailure(exchange, undefined);
       return;
     }
-    const demand = { deadlineMs: nowMs + remainingMs, isRetry: attempt > 0, isSlow: false };
+    const work = {
+      routeName: call.routeName,
+      isIdempotent: call.isIdempotent,
+      isRetry: attempt > 0,
+      deadlineMs: nowMs + remainingMs,
+    };
     const elapsedMs = this.#context.getNowMs() - nowMs;
     const headers = [
       ...exchange.headers,
@@ -64,7 +75,7 @@
       String(Math.max(0, remainingMs - elapsedMs)),
       ...(attempt > 0 ? [ATTEMPT_HEADER, String(attempt)] : []),
     ];
-    const result = await this.#caller.call(exchange, local, demand, { path, headers });
+    const result = await this.#caller.call(exchange, local, work, { path, headers });
     if (result.isErr()) {
       answerFailure(exchange, result.error);
       if (result.error.code === CallErrorCode.Refused) this.#countRefusal(result.error.message);
