Open the log destination of the settings and hide secrets

roarr returns loggers that drop everything unless ROARR_LOG is set, so a daemon logged nothing whatever its settings said. A slow or failing destination loses counted lines instead of memory or the process.

--- a/src/process/log/index.ts
+++ b/src/process/log/index.ts
@@ -1,5 +1,10 @@
 /** Structured logging through roarr, filtered by level before a line is built. */
-import { Roarr } from 'roarr';
+import { createWriteStream } from 'node:fs';
+
+import isRequested from './_lib/enableRoarr.js';
+import hideSecrets from './_lib/hideSecrets.js';
+import LogSink from './_lib/LogSink.js';
+import { ROARR, Roarr } from './_lib/roarr.js';
 
 /** Severity in the numbering of roarr; a larger number is more severe. */
 export enum LogLevel {
@@ -23,11 +28,28 @@
   error: (context: LogContext, message: string) => void;
 }
 
+/** Where lines go and which are written. */
+export interface LogOptions {
+  level: LogLevel;
+  /** `stdout`, `stderr` or the path of a file. */
+  destination: string;
+}
+
 interface LogState {
   level: LogLevel;
+  sink: LogSink | undefined;
+  /** Lines lost by sinks that have been closed. */
+  droppedLines: number;
 }
 
-const state: LogState = { level: LogLevel.Info };
+/** Without a sink no line is built: tests and short commands keep their output to themselves. */
+const state: LogState = {
+  level: LogLevel.Info,
+  sink: isRequested ? new LogSink(process.stdout, false) : undefined,
+  droppedLines: 0,
+};
+
+ROARR.write = (line) => state.sink?.write(line);
 
 /**
  * Sets the least severe level that is written by this process.
@@ -43,7 +65,45 @@
  *
  * @param level - level of the line
  */
-export const isLogged = (level: LogLevel): boolean => level >= state.level;
+export const isLogged = (level: LogLevel): boolean =>
+  level >= state.level && state.sink !== undefined;
+
+const openSink = (destination: string): LogSink => {
+  if (destination === 'stdout') return new LogSink(process.stdout, false);
+  if (destination === 'stderr') return new LogSink(process.stderr, false);
+  return new LogSink(createWriteStream(destination, { flags: 'a', mode: 0o640 }), true);
+};
+
+/** Writes what is buffered and stops logging. */
+export const closeLog = async (): Promise<void> => {
+  const { sink } = state;
+  state.sink = undefined;
+  if (!sink) return;
+  await sink.close();
+  state.droppedLines += sink.droppedLines;
+};
+
+/**
+ * Opens the destination of the log of this process; until then nothing is written,
+ * unless ROARR_LOG is set in the environment. Calling it again
+ * reopens the file, which is what a rotation needs on SIGHUP.
+ *
+ * @param options - level and destination, as in `[log]` of the settings
+ *
+ * @example
+ * await configureLog(settings.log);
+ */
+export const configureLog = async (options: LogOptions): Promise<void> => {
+  const previous = state.sink;
+  const sink = openSink(options.destination);
+  state.level = options.level;
+  state.sink = sink;
+  await Promise.all([sink.opened, previous?.close()]);
+  state.droppedLines += previous?.droppedLines ?? 0;
+};
+
+/** Returns how many lines were lost to a slow or failing destination, for a metric. */
+export const countDroppedLines = (): number => state.droppedLines + (state.sink?.droppedLines ?? 0);
 
 /**
  * Creates a logger whose lines carry the name of a component.
@@ -57,19 +117,19 @@
   const log = Roarr.child({ component });
   return {
     trace: (context, message) => {
-      if (isLogged(LogLevel.Trace)) log.trace(context, message);
+      if (isLogged(LogLevel.Trace)) log.trace(hideSecrets(context), message);
     },
     debug: (context, message) => {
-      if (isLogged(LogLevel.Debug)) log.debug(context, message);
+      if (isLogged(LogLevel.Debug)) log.debug(hideSecrets(context), message);
     },
     info: (context, message) => {
-      if (isLogged(LogLevel.Info)) log.info(context, message);
+      if (isLogged(LogLevel.Info)) log.info(hideSecrets(context), message);
     },
     warn: (context, message) => {
-      if (isLogged(LogLevel.Warn)) log.warn(context, message);
+      if (isLogged(LogLevel.Warn)) log.warn(hideSecrets(context), message);
     },
     error: (context, message) => {
-      if (isLogged(LogLevel.Error)) log.error(context, message);
+      if (isLogged(LogLevel.Error)) log.error(hideSecrets(context), message);
     },
   };
 };
