Put fault proxies in front of backend servers and count bytes per client

Link faults between a node and its server need an announced address apart from the listener, and control bytes per node need counts per client of a control VM.

--- a/stand-ins/backendServer/_lib/types.ts
+++ b/stand-ins/backendServer/_lib/types.ts
@@ -68,6 +68,8 @@
   recordFile: string;
   /** Whether the server offers its address for calls with a slot grant. */
   isDirect?: boolean;
+  /** `host:port` to announce instead of the listener, for a proxy in front of it. */
+  announcedAddress?: string;
   /** URL for nested calls, on the node's `listen`. */
   nestedUrl?: string;
   nestedHost?: string;
--- a/stand-ins/backendServer/index.ts
+++ b/stand-ins/backendServer/index.ts
@@ -160,7 +160,7 @@
 
   #describeAnnouncement() {
     const { service, host, slots, connections, isDirect } = this.#options;
-    const address = `${host}:${this.port}`;
+    const address = this.#options.announcedAddress ?? `${host}:${this.port}`;
     const direct = isDirect ? { directAddress: address } : {};
     return { service, address, ...direct, slots, connections, state: this.#state };
   }
--- a/stand-ins/backendServer/main.ts
+++ b/stand-ins/backendServer/main.ts
@@ -27,6 +27,8 @@
   .requiredOption('--service <name>')
   .requiredOption('--record-file <file>', 'file for the executed requests')
   .option('--node-url <url>', "base URL of the node's local_listen")
+  .option('--host <ip>', 'address to listen on')
+  .option('--announced-address <host:port>', 'address to announce instead of the listener')
   .option('--no-is-direct', 'does not offer its address for calls with a slot grant')
   .option('--nested-url <url>', "URL for nested calls on the node's listen")
   .option('--nested-host <host>', 'host header of nested calls');
--- a/stand-ins/cluster/_lib/members.ts
+++ b/stand-ins/cluster/_lib/members.ts
@@ -72,4 +72,5 @@
   recordFile: string;
   /** Base URL of the admin endpoint of the present run. */
   adminUrl: string;
+  proxy: FaultProxy | undefined;
 }
--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -51,6 +51,8 @@
   service: string;
   /** Further command line flags, for example `['--service-ms', '20']`. */
   flags?: string[];
+  /** Puts a fault proxy in front of the server. */
+  isProxied?: boolean;
 }
 
 /**
@@ -108,9 +110,8 @@
   async stop(): Promise<void> {
     const processes = [...this.backends, ...this.nodes, ...this.controls].map((one) => one.process);
     await Promise.all(processes.map((one) => one.kill()));
-    await Promise.all(
-      this.controls.flatMap((control) => [control.proxy?.stop(), control.operator.close()]),
-    );
+    await Promise.all([...this.controls, ...this.backends].map((one) => one.proxy?.stop()));
+    await Promise.all(this.controls.map((control) => control.operator.close()));
     if (process.env.KEEP === undefined) rmSync(this.folder, { recursive: true, force: true });
   }
 
@@ -180,14 +181,14 @@
     const recordFile = join(this.folder, `records-${options.serverId}`);
     const args = [BACKEND_ENTRY, '--server-id', options.serverId, '--service', options.service];
     args.push('--record-file', recordFile, '--node-url', node.localUrl, ...(options.flags ?? []));
+    const listen = await this.#addresses.allocate();
+    const [host, port] = listen.split(':') as [string, string];
+    args.push('--host', host, '--port', port);
+    const proxy = options.isProxied ? new FaultProxy(listen, { seed: this.seed }) : undefined;
+    if (proxy !== undefined) args.push('--announced-address', await proxy.start());
     const managed = this.#createProcess(options.serverId, args);
-    const backend = {
-      serverId: options.serverId,
-      node,
-      process: managed,
-      recordFile,
-      adminUrl: '',
-    };
+    const { serverId } = options;
+    const backend = { serverId, node, process: managed, recordFile, adminUrl: '', proxy };
     this.backends.push(backend);
     await this.restartBackend(backend);
     return backend;
--- a/stand-ins/faultProxy/index.ts
+++ b/stand-ins/faultProxy/index.ts
@@ -52,6 +52,8 @@
 
   readonly bytes: LinkBytes = { toTarget: 0, toClient: 0 };
 
+  readonly #clientBytes = new Map<string, LinkBytes>();
+
   readonly #random: Random;
 
   readonly #server: Server;
@@ -119,6 +121,11 @@
       .forEach((one) => this.#refresh(one));
   }
 
+  /** Returns the bytes of one client so far. */
+  readClientBytes(client: string): LinkBytes {
+    return this.#clientBytes.get(client) ?? { toTarget: 0, toClient: 0 };
+  }
+
   /** Closes all connections and stops listening. */
   async stop(): Promise<void> {
     this.setLink({ fault: LinkFault.Cut });
@@ -203,7 +210,11 @@
         return allowed;
       },
       countBytes: (bytes) => {
-        this.bytes[isToTarget ? 'toTarget' : 'toClient'] += bytes;
+        const key = isToTarget ? 'toTarget' : 'toClient';
+        const clientBytes = this.readClientBytes(link.clientName ?? '');
+        clientBytes[key] += bytes;
+        this.#clientBytes.set(link.clientName ?? '', clientBytes);
+        this.bytes[key] += bytes;
       },
     });
   }
