--- a/stand-ins/cluster/_lib/members.ts
+++ b/stand-ins/cluster/_lib/members.ts
@@ -60,8 +60,10 @@
   url: string;
   /** Base URL of `local_listen`. */
   localUrl: string;
-  forwardAddress: string;
-  peerAddress: string;
+  /** In front of `forward_listen`, for requests of other nodes. */
+  forwardProxy: FaultProxy | undefined;
+  /** In front of `peer_listen`. */
+  peerProxy: FaultProxy | undefined;
 }
 
 /** A backend server of a test cluster. */
--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -78,6 +78,8 @@
 
   readonly #addresses = new AddressPlan();
 
+  #proxyCount = 0;
+
   constructor(options: TestClusterOptions = {}) {
     this.seed = options.seed ?? chooseSeed();
     this.#options = {
@@ -110,7 +112,10 @@
   async stop(): Promise<void> {
     const processes = [...this.backends, ...this.nodes, ...this.controls].map((one) => one.process);
     await Promise.all(processes.map((one) => one.kill()));
-    await Promise.all([...this.controls, ...this.backends].map((one) => one.proxy?.stop()));
+    await Promise.all([
+      ...this.#listProxies().map(({ proxy }) => proxy.stop()),
+      ...this.backends.map((backend) => backend.proxy?.stop()),
+    ]);
     await Promise.all(this.controls.map((control) => control.operator.close()));
     if (process.env.KEEP === undefined) rmSync(this.folder, { recursive: true, force: true });
   }
@@ -239,21 +244,27 @@
     return this.backends.flatMap((backend) => readExecutions(backend.recordFile));
   }
 
-  /** Cuts a data centre off from the control VMs of all others, in both directions. */
+  /** Cuts a data centre off from all others, in both directions. */
   partition(dataCentre: string, fault = LinkFault.HalfOpen): void {
     const members = [...this.controls, ...this.nodes];
-    this.controls.forEach((control) => {
+    this.#listProxies().forEach(({ proxy, dataCentre: own }) => {
       members
-        .filter(
-          (member) => (member.dataCentre === dataCentre) !== (control.dataCentre === dataCentre),
-        )
-        .forEach((member) => control.proxy?.setLink({ fault }, { client: member.name }));
+        .filter((member) => (member.dataCentre === dataCentre) !== (own === dataCentre))
+        .forEach((member) => proxy.setLink({ fault }, { client: member.name }));
     });
   }
 
-  /** Ends all faults of the links to control VMs. */
+  /** Ends all faults of the links between control VMs and nodes. */
   heal(): void {
-    this.controls.forEach((control) => control.proxy?.setLink());
+    this.#listProxies().forEach(({ proxy }) => proxy.setLink());
+  }
+
+  #listProxies(): { proxy: FaultProxy; dataCentre: string }[] {
+    return [
+      ...this.controls.map(({ proxy, dataCentre }) => ({ proxy, dataCentre })),
+      ...this.nodes.map(({ forwardProxy, dataCentre }) => ({ proxy: forwardProxy, dataCentre })),
+      ...this.nodes.map(({ peerProxy, dataCentre }) => ({ proxy: peerProxy, dataCentre })),
+    ].flatMap(({ proxy, dataCentre }) => (proxy === undefined ? [] : [{ proxy, dataCentre }]));
   }
 
   #createProcess(name: string, args: string[]): ManagedProcess {
@@ -273,7 +284,7 @@
     const plans = await Promise.all(
       placements.map(async (dataCentre, index) => {
         const listen = await this.#addresses.allocate();
-        const proxy = await this.#startProxy(listen, index);
+        const proxy = await this.#startProxy(listen);
         const operatorListen = await this.#addresses.allocate();
         const name = `control-${index + 1}`;
         return {
@@ -292,10 +303,11 @@
     plans.forEach((plan) => this.#addControl(plan, members));
   }
 
-  async #startProxy(target: string, index: number): Promise<FaultProxy | undefined> {
+  async #startProxy(target: string): Promise<FaultProxy | undefined> {
     if (!this.#options.isProxied) return undefined;
+    this.#proxyCount += 1;
     const proxy = new FaultProxy(target, {
-      seed: this.seed + index,
+      seed: this.seed + this.#proxyCount,
       identifyClient: (port) => this.#identifyClient(port),
     });
     await proxy.start();
@@ -374,6 +386,8 @@
       Array.from({ length: 4 }, () => this.#addresses.allocate()),
     );
     const [listen, forward, peer, local] = allocated as [string, string, string, string];
+    const forwardProxy = await this.#startProxy(forward);
+    const peerProxy = await this.#startProxy(peer);
     const file = join(this.folder, `${name}.ini`);
     writeIni(file, {
       node: {
@@ -384,6 +398,8 @@
         forward_listen: forward,
         peer_listen: peer,
         local_listen: local,
+        ...(forwardProxy === undefined ? {} : { forward_address: forwardProxy.address }),
+        ...(peerProxy === undefined ? {} : { peer_address: peerProxy.address }),
       },
       control,
       log: { level: this.#options.logLevel },
@@ -396,8 +412,8 @@
       process: this.#createProcess(name, [...entry, '--settings', resolve(file)]),
       url: `http://${listen}`,
       localUrl: `http://${local}`,
-      forwardAddress: forward,
-      peerAddress: peer,
+      forwardProxy,
+      peerProxy,
     });
   }
 }
