--- /dev/null
+++ b/fuzz/_lib/runFuzz.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+
+import { chooseSeed } from '../../stand-ins/createSeededRandom/index.js';
+
+const DEFAULT_RUNS = 200;
+
+/** Number of inputs of a fuzz test; `FUZZ_RUNS` raises it for a long run. */
+export const FUZZ_RUNS = Number(process.env.FUZZ_RUNS ?? DEFAULT_RUNS);
+
+/**
+ * Checks a property for many generated inputs and prints the seed.
+ *
+ * @param name - for the line with the seed
+ * @param property - rejects or throws on an input that breaks the property
+ * @param options - number of inputs
+ */
+export const runFuzz = async <Input>(
+  name: string,
+  property: fc.IAsyncProperty<Input> | fc.IProperty<Input>,
+  options: { runs?: number } = {},
+): Promise<void> => {
+  const seed = chooseSeed();
+  const numRuns = options.runs ?? FUZZ_RUNS;
+  process.stderr.write(`fuzz ${name} seed=${seed} runs=${numRuns}\n`);
+  await fc.assert(property, { seed, numRuns, endOnFailure: true });
+};
+
+interface Edit {
+  position: number;
+  removed: number;
+  inserted: string;
+}
+
+const applyEdit = (text: string, edit: Edit): string => {
+  const at = Math.floor(edit.position * text.length);
+  return text.slice(0, at) + edit.inserted + text.slice(at + edit.removed);
+};
+
+const MAX_REMOVED = 20;
+
+/**
+ * Generates valid texts with a few random edits, which reach deeper than random texts.
+ *
+ * @param valid - valid texts
+ * @param tokens - texts with a meaning in the format
+ */
+export const createEditedText = (valid: string[], tokens: string[]): fc.Arbitrary<string> => {
+  const edit = fc.record({
+    position: fc.double({ min: 0, max: 1, noNaN: true, maxExcluded: true }),
+    removed: fc.nat(MAX_REMOVED),
+    inserted: fc.oneof(fc.constantFrom(...tokens), fc.string({ unit: 'binary', maxLength: 20 })),
+  });
+  return fc
+    .tuple(fc.constantFrom(...valid), fc.array(edit, { maxLength: 6 }))
+    .map(([text, edits]) => edits.reduce(applyEdit, text));
+};
