Serve only once ready, log from the settings and show who is reachable

Cause: a follower does not know whom the leader reaches, so status through a follower named reachable control VMs as unreachable. Status now takes reachability from the exchange between control VMs. A node refuses requests until its start-up rule is met.

--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -114,6 +114,13 @@
   const api = createOperatorApi({
     log,
     readFleet: () => exchange.readFleet(),
+    readReachable: () => [
+      settings.name,
+      ...exchange
+        .readStatus()
+        .filter(({ isReachable }) => isReachable)
+        .map(({ memberId }) => memberId),
+    ],
     records: () => hub.directory.records(),
     metrics,
     token: token.value,
--- a/src/process/daemon/runDaemon/index.ts
+++ b/src/process/daemon/runDaemon/index.ts
@@ -1,13 +1,15 @@
 import type { Result } from 'neverthrow';
 
 import ExitCode from '../../cli/ExitCode.js';
+import { closeLog, configureLog } from '../../log/index.js';
+import type { LogOptions } from '../../log/index.js';
 import type { SettingsError, SettingsFault } from '../../settings/index.js';
 import type { DaemonError } from '../DaemonError/index.js';
 import waitForStop from '../waitForStop/index.js';
 import type { Stoppable } from '../waitForStop/index.js';
 
 /** How one kind of daemon reads its settings and starts. */
-export interface DaemonKind<Settings> {
+export interface DaemonKind<Settings extends { log: LogOptions }> {
   readSettings: (path: string) => Promise<Result<Settings, SettingsError>>;
   /** `nowMs` is the start time of the process in milliseconds since the epoch. */
   start: (settings: Settings, nowMs: number) => Promise<Result<Stoppable, DaemonError>>;
@@ -27,7 +29,7 @@
  * @param kind - reads the settings and starts the daemon
  * @returns the exit code; errors are written to stderr, one line each
  */
-export const runDaemon = async <Settings>(
+export const runDaemon = async <Settings extends { log: LogOptions }>(
   settingsPath: string,
   kind: DaemonKind<Settings>,
 ): Promise<ExitCode> => {
@@ -36,11 +38,13 @@
     settings.error.faults.map(describeFault).forEach(printError);
     return ExitCode.BadInput;
   }
+  await configureLog(settings.value.log);
   const daemon = await kind.start(settings.value, Date.now());
   if (daemon.isErr()) {
     printError(daemon.error.message);
     return ExitCode.Refused;
   }
   await waitForStop(daemon.value);
+  await closeLog();
   return ExitCode.Done;
 };
--- a/src/process/node/_lib/createLocalApi.ts
+++ b/src/process/node/_lib/createLocalApi.ts
@@ -1,5 +1,6 @@
 import { Hono } from 'hono';
 
+import type { NodeLink } from '../../../connection/distribution/NodeLink/index.js';
 import type { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import type { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
 import { createLocalServerRoutes } from '../../localServers/index.js';
@@ -8,6 +9,7 @@
 import { explainRoute } from './explainRoute.js';
 
 export interface LocalApiParts {
+  link: NodeLink;
   holder: ConfigurationHolder;
   directory: EndpointDirectory;
   localServers: LocalServers;
@@ -22,8 +24,10 @@
   app.get('/metrics', (context) => context.text(metrics.render()));
   app.get('/healthz', (context) => {
     const version = holder.current()?.version ?? 0;
-    const isServing = version > 0 && !localServers.isDraining;
-    return context.json({ isServing, version }, isServing ? 200 : 503);
+    const readiness = parts.link.isReadyToServe(Date.now());
+    const isServing = readiness.isOk() && !localServers.isDraining;
+    const reason = readiness.isOk() ? readiness.value : readiness.error.message;
+    return context.json({ isServing, version, reason }, isServing ? 200 : 503);
   });
   app.get('/explain', (context) => {
     const { host = '*', path = '/', method = 'GET' } = context.req.query();
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -45,21 +45,21 @@
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
 };
 
+/** Listeners that other processes connect to. */
+interface BoundListeners extends Pick<NodeAddresses, 'listen' | 'forwardListen' | 'peerListen'> {
+  closePeer: () => Promise<void>;
+}
+
 const bindListeners = async (
   settings: NodeSettings,
   server: RequestServer,
-): Promise<
-  Result<
-    { peerListen: string; closePeer: () => Promise<void> } & Pick<
-      NodeAddresses,
-      'listen' | 'forwardListen'
-    >,
-    DaemonError
-  >
-> => {
+  link: NodeLink,
+): Promise<Result<BoundListeners, DaemonError>> => {
   try {
     const { listen, forwardListen } = await server.start();
-    const peer = await startRpcServer(settings.peerListen, { routes: () => undefined });
+    const peer = await startRpcServer(settings.peerListen, {
+      routes: (router) => link.registerRoutes(router),
+    });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
   } catch (error) {
     await server.stop();
@@ -100,7 +100,7 @@
   const server = new RequestServer({
     nodeId,
     dataCentre,
-    current: () => holder.current(),
+    current: () => (link.isReadyToServe(Date.now()).isOk() ? holder.current() : undefined),
     directory: {
       serversOf: (service) => [...directory.serversOf(service)],
       records: () => directory.records(),
@@ -110,11 +110,14 @@
     listen: settings.listen,
     forwardListen: settings.forwardListen,
   });
-  const bound = await bindListeners(settings, server);
+  const bound = await bindListeners(settings, server, link);
   if (bound.isErr()) return err(bound.error);
   const { listen, forwardListen, peerListen, closePeer } = bound.value;
-  localServers.setAddresses({ forwardAddress: forwardListen, peerAddress: peerListen });
-  const api = createLocalApi({ holder, directory, localServers, metrics });
+  localServers.setAddresses({
+    forwardAddress: settings.forwardAddress,
+    peerAddress: settings.peerAddress,
+  });
+  const api = createLocalApi({ link, holder, directory, localServers, metrics });
   const local = await serveHttp(api, settings.localListen);
   if (local.isErr()) {
     await closePeer();
--- a/src/process/operatorApi/_lib/buildStatus.ts
+++ b/src/process/operatorApi/_lib/buildStatus.ts
@@ -34,10 +34,19 @@
  * @param log - replicated log of the answering control VM
  * @param fleet - all nodes known to any control VM
  * @param nowMs - present time in milliseconds since the epoch
+ * @param reachable - names of the control VMs that the answering one reaches, if it knows them
  */
-const buildStatus = (log: ControlLog, fleet: NodeStatus[], nowMs: number): StatusAnswer => {
+const buildStatus = (
+  log: ControlLog,
+  fleet: NodeStatus[],
+  nowMs: number,
+  reachable?: string[],
+): StatusAnswer => {
   const accepted = log.committed()?.holder;
-  const members = log.members(nowMs);
+  const members = log.members(nowMs).map((member) => ({
+    ...member,
+    isReachable: reachable?.includes(member.memberId) ?? member.isReachable,
+  }));
   const leader = members.find((member) => member.role === MemberRole.Leader)?.memberId;
   return {
     nowMs,
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -54,6 +54,11 @@
   log: ControlLog;
   /** Reads the nodes known to any reachable control VM. */
   readFleet: () => Promise<NodeStatus[]>;
+  /**
+   * Names of the control VMs that this one can reach, itself included; without it the replicated log
+   * is asked, of which only the leader knows whom it reaches.
+   */
+  readReachable?: () => string[];
   /** The endpoint directory of this control VM. */
   records: () => NodeRecord[];
   metrics: MetricsRegistry;
@@ -227,7 +232,7 @@
 const addReadRoutes = (app: Hono, options: OperatorApiOptions): void => {
   const { log, metrics, nowMs } = options;
   app.get('/v1/status', async (context) =>
-    context.json(buildStatus(log, await options.readFleet(), nowMs())),
+    context.json(buildStatus(log, await options.readFleet(), nowMs(), options.readReachable?.())),
   );
   app.get('/v1/servers', (context) => context.json(listServers(options.records())));
   app.get('/v1/history', (context) => context.json(log.history()));
