Authenticate processes with mutual TLS and roles

A certificate names its process (CN) and its role (OU control or node).

Each service lists the roles that may call it, and a node may speak only for itself. Whether callers are authenticated depends on the settings alone: the socket of an HTTP/2 request hides its methods, and a first attempt that decided by their presence let every caller pass.

--- /dev/null
+++ b/src/connection/checkAccess/index.ts
@@ -0,0 +1,51 @@
+/** Which processes may call which service. */
+import { Code, ConnectError, createContextKey } from '@connectrpc/connect';
+
+import type { ContextKey, ContextValues, Interceptor } from '@connectrpc/connect';
+import { ProcessRole } from '../../process/tls/readIdentity/index.js';
+
+import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
+
+/** Caller of a request by its certificate; undefined when TLS is not configured. */
+export const callerKey: ContextKey<ProcessIdentity | undefined> = createContextKey<
+  ProcessIdentity | undefined
+>(undefined, { description: 'caller' });
+
+/** Whether the listener authenticates its callers. */
+export const isTlsKey: ContextKey<boolean> = createContextKey(false, { description: 'isTls' });
+
+// A service that is not listed here may not be called over TLS at all.
+const ALLOWED_ROLES: Record<string, ProcessRole[]> = {
+  'foxtailvane.v1.DistributionService': [ProcessRole.Node],
+  'foxtailvane.v1.ExchangeService': [ProcessRole.Control],
+  'foxtailvane.v1.PeerService': [ProcessRole.Node],
+  'foxtailvane.v1.ReplicationService': [ProcessRole.Control],
+};
+
+/** Refuses calls of processes whose certificate does not have a role that the service needs. */
+export const checkAccess: Interceptor = (next) => (request) => {
+  if (request.contextValues.get(isTlsKey)) {
+    const caller = request.contextValues.get(callerKey);
+    const allowed = ALLOWED_ROLES[request.service.typeName] ?? [];
+    if (caller?.role === undefined || !allowed.includes(caller.role)) {
+      const message = `role ${caller?.role ?? 'none'} may not call ${request.service.typeName}`;
+      throw new ConnectError(message, Code.PermissionDenied);
+    }
+  }
+  return next(request);
+};
+
+/**
+ * Refuses a caller that speaks for another process.
+ *
+ * @param values - context values of the request
+ * @param name - process that the caller claims to be
+ * @throws ConnectError with PermissionDenied when its certificate names another process
+ */
+export const requireCaller = (values: ContextValues, name: string): void => {
+  if (!values.get(isTlsKey)) return;
+  const caller = values.get(callerKey);
+  if (caller?.name === name) return;
+  const message = `certificate of ${caller?.name ?? 'nobody'} does not allow speaking for ${name}`;
+  throw new ConnectError(message, Code.PermissionDenied);
+};
--- a/src/connection/distribution/ControlExchange/index.ts
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -9,6 +9,7 @@
   RecordStampSchema,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { createLogger } from '../../../process/log/index.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
@@ -234,7 +235,10 @@
 
   async #followOnce(followed: Followed): Promise<boolean> {
     const tls = this.#options.tls?.();
-    const { transport, close } = openTransport(followed.peer.address, tls ? { tls } : {});
+    const { transport, close } = openTransport(
+      followed.peer.address,
+      tls ? { tls, peerRole: ProcessRole.Control } : {},
+    );
     const client = createClient(ExchangeService, transport);
     const ended = new AbortController();
     const end = (): void => ended.abort();
--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
 
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
 import {
   AttachRequestSchema,
   AttachResponseSchema,
@@ -12,6 +12,7 @@
 import { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
 import { FleetTable } from '../../../process/fleet/FleetTable/index.js';
 import { createLogger } from '../../../process/log/index.js';
+import { requireCaller } from '../../checkAccess/index.js';
 import ByteMeter from '../_lib/ByteMeter.js';
 import { EndpointBroadcast } from '../_lib/EndpointBroadcast.js';
 import { NodeSession } from '../_lib/NodeSession.js';
@@ -100,7 +101,7 @@
     router.service(
       DistributionService,
       {
-        attach: (requests, context) => this.#serve(requests, context.signal),
+        attach: (requests, context) => this.#serve(requests, context),
         readVersion: () => this.#readVersion(),
       },
       limits,
@@ -208,12 +209,12 @@
 
   async *#serve(
     requests: AsyncIterable<AttachRequest>,
-    signal: AbortSignal,
+    context: HandlerContext,
   ): AsyncGenerator<AttachResponse> {
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
-    const { session, record } = this.#open(first.done === true ? undefined : first.value);
-    signal.addEventListener('abort', () => session.close());
+    const { session, record } = this.#open(first.done === true ? undefined : first.value, context);
+    context.signal.addEventListener('abort', () => session.close());
     const reading = this.#read({ [Symbol.asyncIterator]: () => iterator }, session);
     try {
       yield* this.#write(session, record);
@@ -254,13 +255,17 @@
     session.close();
   }
 
-  #open(request: AttachRequest | undefined): { session: NodeSession; record: NodeRecord } {
+  #open(
+    request: AttachRequest | undefined,
+    context: HandlerContext,
+  ): { session: NodeSession; record: NodeRecord } {
     const hello = request?.kind.case === 'hello' ? request.kind.value : undefined;
     const record = hello?.record;
     if (request === undefined || hello === undefined || record?.nodeId !== hello.nodeId) {
       const message = 'the first message must be Hello with the record of the node';
       throw new ConnectError(message, Code.InvalidArgument);
     }
+    requireCaller(context.values, hello.nodeId);
     this.#meter.countReceived(AttachRequestSchema, request, request.kind);
     const nowMs = this.#now();
     const report = this.#createReport(hello, record, nowMs);
--- a/src/connection/distribution/LinkError/index.ts
+++ b/src/connection/distribution/LinkError/index.ts
@@ -6,10 +6,21 @@
   Ended = 'ENDED',
   Silent = 'SILENT',
   Forbidden = 'FORBIDDEN',
+  /** The certificate of the other process was not accepted. */
+  Untrusted = 'UNTRUSTED',
 }
 
 const FORBIDDEN_CODES = new Set([Code.PermissionDenied, Code.Unauthenticated]);
 
+// Names that OpenSSL and node:tls give to a refused certificate; a refused role has no name.
+const CERTIFICATE_FAULT = /CERT|SIGNATURE|ISSUER|certificate/;
+
+const isCertificateError = (cause: unknown): boolean => {
+  if (!(cause instanceof Error)) return false;
+  const name = 'code' in cause ? String(cause.code) : cause.message;
+  return CERTIFICATE_FAULT.test(name) || isCertificateError(cause.cause);
+};
+
 /** The end of a stream or call between two processes. */
 export class LinkError extends Error {
   override readonly name = 'LinkError';
@@ -27,6 +38,9 @@
     if (FORBIDDEN_CODES.has(error.code)) {
       return new LinkError(LinkErrorCode.Forbidden, error.rawMessage);
     }
+    if (isCertificateError(error.cause)) {
+      return new LinkError(LinkErrorCode.Untrusted, error.rawMessage);
+    }
     const isUnreachable = error.code === Code.Unavailable;
     const code = isUnreachable ? LinkErrorCode.Unreachable : LinkErrorCode.Ended;
     return new LinkError(code, error.rawMessage);
--- a/src/connection/distribution/PeerGossip/index.ts
+++ b/src/connection/distribution/PeerGossip/index.ts
@@ -3,7 +3,7 @@
 import { createClient } from '@connectrpc/connect';
 import { ResultAsync } from 'neverthrow';
 
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import {
   GossipRequestSchema,
@@ -13,6 +13,8 @@
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
 import { createLogger } from '../../../process/log/index.js';
+import { requireCaller } from '../../checkAccess/index.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import digestRecords from '../_lib/digestRecords.js';
 import { installDelta, installSnapshot } from '../_lib/installEncoded.js';
@@ -101,7 +103,7 @@
   registerRoutes(router: ConnectRouter): void {
     router.service(
       PeerService,
-      { gossip: (request) => this.#answer(request) },
+      { gossip: (request, context) => this.#answer(request, context) },
       { acceptCompression: [], readMaxBytes: timing.MAX_MESSAGE_BYTES },
     );
   }
@@ -179,7 +181,10 @@
     fresh: string[],
   ): Promise<ResultAsync<GossipResponse, LinkError>> {
     const tls = this.#options.tls();
-    const { transport, close } = openTransport(address, tls ? { tls } : {});
+    const { transport, close } = openTransport(
+      address,
+      tls ? { tls, peerRole: ProcessRole.Node } : {},
+    );
     const client = createClient(PeerService, transport);
     const call = async (init: GossipInit): Promise<GossipResponse> => {
       const request = create(GossipRequestSchema, { ...this.#describe(), ...init });
@@ -213,7 +218,8 @@
     return call({ records: this.#findRecords(second.wantedNodeIds) });
   }
 
-  #answer(request: GossipRequest): GossipResponse {
+  #answer(request: GossipRequest, context: HandlerContext): GossipResponse {
+    requireCaller(context.values, request.nodeId);
     this.#parts.meter.countReceived(GossipRequestSchema, request, { case: 'gossip' });
     const nowMs = this.#options.now();
     this.#install(request.configuration, nowMs);
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -14,6 +14,7 @@
 import { InstallErrorCode } from '../../../process/holder/InstallError/index.js';
 import { createLogger } from '../../../process/log/index.js';
 import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import { LinkError, LinkErrorCode } from '../LinkError/index.js';
 import { installDelta, installSnapshot } from './installEncoded.js';
@@ -138,7 +139,10 @@
    */
   async run(): Promise<Result<StreamEnd, LinkError>> {
     const { timing, tls } = this.#context;
-    const { transport, close } = openTransport(this.target.address, tls ? { tls } : {});
+    const { transport, close } = openTransport(
+      this.target.address,
+      tls ? { tls, peerRole: ProcessRole.Control } : {},
+    );
     const client = createClient(DistributionService, transport);
     let watchdog = setTimeout(() => this.#endSilent(), timing.attachTimeoutMs);
     const renewals = setInterval(
--- a/src/connection/distribution/_lib/probeControl.ts
+++ b/src/connection/distribution/_lib/probeControl.ts
@@ -2,6 +2,7 @@
 import { ResultAsync } from 'neverthrow';
 
 import { DistributionService } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import { LinkError } from '../LinkError/index.js';
 
@@ -25,7 +26,10 @@
   options: ProbeOptions,
 ): ResultAsync<ReadVersionResponse, LinkError> => {
   const { tls, timeoutMs, signal } = options;
-  const { transport, close } = openTransport(address, tls ? { tls } : {});
+  const { transport, close } = openTransport(
+    address,
+    tls ? { tls, peerRole: ProcessRole.Control } : {},
+  );
   const call = createClient(DistributionService, transport)
     .readVersion({}, { timeoutMs, signal })
     .finally(close);
--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -1,6 +1,12 @@
+import { checkServerIdentity } from 'node:tls';
+
 import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
 
+import type { SecureClientSessionOptions } from 'node:http2';
+import type { PeerCertificate } from 'node:tls';
 import type { Transport } from '@connectrpc/connect';
+import { readIdentity } from '../../process/tls/readIdentity/index.js';
+import type { ProcessRole } from '../../process/tls/readIdentity/index.js';
 
 /** PEM material for mutual TLS between processes. */
 export interface TlsMaterial {
@@ -12,6 +18,8 @@
 export interface OpenTransportOptions {
   /** Set when `[tls]` is configured; plain HTTP/2 otherwise. */
   tls?: TlsMaterial;
+  /** With TLS, the role that the certificate of the other process must name. */
+  peerRole?: ProcessRole;
   /** Interval of HTTP/2 pings that detect a half-open connection. */
   pingIntervalMs?: number;
   /** Time without a ping response after which the connection is closed. */
@@ -27,6 +35,28 @@
 const DEFAULT_PING_INTERVAL_MS = 2_000;
 const DEFAULT_PING_TIMEOUT_MS = 1_000;
 
+// Besides the address, the role is checked: the certificate of a node must not pass for a control VM.
+const checkIdentity = (
+  host: string,
+  certificate: PeerCertificate,
+  peerRole: ProcessRole | undefined,
+): Error | undefined => {
+  const error = checkServerIdentity(host, certificate);
+  if (error !== undefined || peerRole === undefined) return error;
+  const { name, role } = readIdentity(certificate.subject);
+  if (role === peerRole) return undefined;
+  return new Error(`certificate of ${name} has the role ${role ?? 'none'}, not ${peerRole}`);
+};
+
+const createTlsOptions = (
+  tls: TlsMaterial,
+  peerRole: ProcessRole | undefined,
+): SecureClientSessionOptions => ({
+  ...tls,
+  minVersion: 'TLSv1.3',
+  checkServerIdentity: (host, certificate) => checkIdentity(host, certificate, peerRole),
+});
+
 /**
  * Opens a connect-es transport over HTTP/2 to one process; connects on first use.
  *
@@ -49,7 +79,7 @@
       pingIntervalMs: options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS,
       pingTimeoutMs: options.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS,
     },
-    tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : undefined,
+    tls ? createTlsOptions(tls, options.peerRole) : undefined,
   );
   const transport = createConnectTransport({ httpVersion: '2', baseUrl, sessionManager });
   return { transport, close: () => sessionManager.abort() };
--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -1,11 +1,19 @@
 /** The connect-es listener of a process. */
-import { createServer } from 'node:http2';
+import { createSecureServer, createServer } from 'node:http2';
 
+import { createContextValues } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
 import type { AddressInfo } from 'node:net';
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { TLSSocket } from 'node:tls';
+import type { ConnectRouter, ContextValues } from '@connectrpc/connect';
+import type { ConnectNodeAdapterOptions } from '@connectrpc/connect-node';
+import { callerKey, checkAccess, isTlsKey } from '../checkAccess/index.js';
+import { readIdentity } from '../../process/tls/readIdentity/index.js';
+import { createLogger } from '../../process/log/index.js';
+import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
+import type { TlsMaterial, TlsStore } from '../../process/tls/TlsStore/index.js';
 
 /** Largest message accepted from another process. */
 const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
@@ -28,8 +36,18 @@
 export interface RpcServerOptions {
   /** Adds the services of the process. */
   routes: (router: ConnectRouter) => void;
+  /** With it, callers must present a certificate of the CA; a reload takes effect at once. */
+  tls?: TlsStore | undefined;
 }
 
+type NodeServerRequest = Parameters<NonNullable<ConnectNodeAdapterOptions['contextValues']>>[0];
+
+type AnyServer = Http2Server | Http2SecureServer;
+
+const SETTINGS = { maxConcurrentStreams: MAX_STREAMS_PER_SESSION };
+
+const log = createLogger('rpc-server');
+
 const splitAddress = (address: string): { host: string; port: number } => {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
@@ -52,7 +70,45 @@
   session.on('error', () => session.destroy());
 };
 
-const listen = (server: Http2Server, address: string): Promise<string> =>
+const createTlsOptions = (material: TlsMaterial) => ({
+  ...material,
+  minVersion: 'TLSv1.3' as const,
+  requestCert: true,
+  rejectUnauthorized: true,
+});
+
+const readCaller = (request: NodeServerRequest): ProcessIdentity | undefined => {
+  // An HTTP/2 request hides the methods of its socket; the session gives access to the certificate.
+  const socket = 'stream' in request ? request.stream.session?.socket : request.socket;
+  const certificate = (socket as TLSSocket | undefined)?.getPeerCertificate?.();
+  return certificate?.subject === undefined ? undefined : readIdentity(certificate.subject);
+};
+
+// Whether callers are authenticated depends on the settings alone, so that a certificate that cannot
+// be read leads to a refusal.
+const createContext = (request: NodeServerRequest, isTls: boolean): ContextValues => {
+  const values = createContextValues().set(isTlsKey, isTls);
+  return isTls ? values.set(callerKey, readCaller(request)) : values;
+};
+
+const createListener = (
+  tls: TlsStore | undefined,
+  handler: ReturnType<typeof connectNodeAdapter>,
+): AnyServer => {
+  if (tls === undefined) return createServer({ settings: SETTINGS }, handler);
+  const options = { settings: SETTINGS, ...createTlsOptions(tls.current()) };
+  const server = createSecureServer(options, handler);
+  const unsubscribe = tls.onReloaded((material) =>
+    server.setSecureContext(createTlsOptions(material)),
+  );
+  server.once('close', unsubscribe);
+  server.on('tlsClientError', (error) =>
+    log.warn({ cause: error.message }, 'TLS handshake failed'),
+  );
+  return server;
+};
+
+const listen = (server: AnyServer, address: string): Promise<string> =>
   new Promise((resolve, reject) => {
     const { host, port } = splitAddress(address);
     server.once('error', reject);
@@ -66,7 +122,7 @@
  * Starts an HTTP/2 listener for the services of this process.
  *
  * @param address - `host:port`; port 0 lets the system choose
- * @param options - the services
+ * @param options - the services and, for mutual TLS, the material
  * @returns the bound listener
  * @throws the system error when the address cannot be bound
  *
@@ -83,12 +139,11 @@
     grpcWeb: false,
     acceptCompression: [],
     readMaxBytes: MAX_MESSAGE_BYTES,
+    contextValues: (request) => createContext(request, options.tls !== undefined),
+    interceptors: [checkAccess],
   });
   const sessions = new Set<ServerHttp2Session>();
-  const server = createServer(
-    { settings: { maxConcurrentStreams: MAX_STREAMS_PER_SESSION } },
-    handler,
-  );
+  const server = createListener(options.tls, handler);
   server.on('session', (session) => {
     sessions.add(session);
     session.once('close', () => sessions.delete(session));
--- a/stand-ins/distributionCluster/index.ts
+++ b/stand-ins/distributionCluster/index.ts
@@ -17,6 +17,7 @@
   ControlTarget,
   NodeLinkOptions,
 } from '../../src/connection/distribution/NodeLink/index.js';
+import type { TlsStore } from '../../src/process/tls/TlsStore/index.js';
 import type { RpcServer } from '../../src/connection/startRpcServer/index.js';
 
 export { default as FakeControlLog } from './FakeControlLog.js';
@@ -41,6 +42,7 @@
   address?: string;
   log?: FakeControlLog;
   listPeers?: () => ExchangePeer[];
+  tlsStore?: TlsStore;
 }
 
 /** Starts one control VM. */
@@ -50,12 +52,17 @@
 ): Promise<TestControl> => {
   const log = options.log ?? new FakeControlLog();
   const hub = new DistributionHub(memberId, log, options);
-  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), options);
+  const { tlsStore } = options;
+  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), {
+    ...options,
+    tls: () => tlsStore?.current(),
+  });
   const server: RpcServer = await startRpcServer(options.address ?? '127.0.0.1:0', {
     routes: (router) => {
       hub.registerRoutes(router);
       exchange.registerRoutes(router);
     },
+    tls: tlsStore,
   });
   hub.start();
   exchange.start();
@@ -113,6 +120,7 @@
   peerSeeds?: string[];
   /** Survives the process, as nothing does in production; only to prepare a state. */
   holder?: ConfigurationHolder;
+  tlsStore?: TlsStore;
 }
 
 const createNode = (
@@ -134,7 +142,8 @@
     recordSource: source,
     peerSeeds,
   };
-  const link = new NodeLink(parts, options);
+  const { tlsStore } = options;
+  const link = new NodeLink(parts, { ...options, tls: () => tlsStore?.current() });
   return { nodeId, link, holder, directory, source, peerAddress: '', stop: () => link.stop() };
 };
 
@@ -157,7 +166,7 @@
 ): Promise<TestNode> => {
   const node = createNode(nodeId, controls, options);
   const routes = (router: ConnectRouter): void => node.link.registerRoutes(router);
-  const server = await startRpcServer('127.0.0.1:0', { routes });
+  const server = await startRpcServer('127.0.0.1:0', { routes, tls: options.tlsStore });
   node.source.change({ peerAddress: server.address });
   node.link.start();
   const stop = async (): Promise<void> => {
