Lend slots to entry nodes, retry within a budget, choose by two choices

Grants are single slots with ids, so that renewals and returns may cross or be lost; a lost grant ends after its lease and the longest call made with it, so that the count of slots stays exact. Grants are renewed in the background while they are used, because with a renewal on responses only, each lease would begin with a two-hop call. The selector compares two random servers, in the same data centre first, with slow start, ejection by failure rate and a panic mode; retries take from a budget of a tenth of the requests. Failed connections need no budget: they put no load on a server.

--- a/src/connection/CallError/index.ts
+++ b/src/connection/CallError/index.ts
@@ -8,6 +8,8 @@
   NoResponse = 'NO_RESPONSE',
   /** The upstream node reported that its deadline passed; the request may have run. */
   TimedOut = 'TIMED_OUT',
+  /** The server shed the request; its response was withheld because a retry is allowed. */
+  Shed = 'SHED',
   /** The response ended before it was complete. */
   Truncated = 'TRUNCATED',
   /** This node gave the call up: the caller left or the deadline passed. */
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -41,10 +41,10 @@
 export interface UpstreamCallOptions {
   /**
    * Called with the head of a response before it is passed on; may add headers to it.
-   *
-   * @returns false to withhold the response from the caller
    */
-  onHead?: (head: ResponseHead) => boolean;
+  onHead?: (head: ResponseHead) => void;
+  /** Tells whether a response is withheld from the caller because the request is retried. */
+  shouldWithhold?: (head: ResponseHead) => boolean;
   /** True when the upstream is a node, whose internal headers are trusted. */
   isNode: boolean;
 }
@@ -77,8 +77,6 @@
 
   #isHeadPassed = false;
 
-  #isWithheld = false;
-
   #hasBody = false;
 
   #withheld: CallError | undefined;
@@ -157,9 +155,9 @@
     const copied = copyHeaders(decodeHeaders(raw), { isRequest: false });
     const internal = this.#options.isNode ? copied.internal : undefined;
     const head: ResponseHead = { statusCode, headers: copied.headers, internal };
-    this.#withheld = this.#findOwnAnswer(head);
-    this.#isWithheld = this.#withheld !== undefined || !(this.#options.onHead?.(head) ?? true);
-    if (this.#isWithheld) return true;
+    this.#options.onHead?.(head);
+    this.#withheld = this.#findOwnAnswer(head) ?? this.#findShed(head);
+    if (this.#withheld) return true;
     this.#isHeadPassed = true;
     this.#response.writeHead(statusCode, head.headers);
     queueMicrotask(() => this.#flushHead());
@@ -168,7 +166,7 @@
 
   /** Called by undici for each part of the body; false pauses the upstream. */
   onData(chunk: Buffer): boolean {
-    if (this.#isWithheld) return true;
+    if (this.#withheld) return true;
     this.#hasBody = true;
     if (this.#response.write(chunk)) return true;
     const pausedAtMs = performance.now();
@@ -185,7 +183,7 @@
       this.#finish(err(this.#withheld));
       return;
     }
-    if (!this.#isWithheld) this.#end(trailers as Buffer[] | null);
+    this.#end(trailers as Buffer[] | null);
     const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
   }
@@ -235,6 +233,12 @@
     return new CallError(code, reason, options);
   }
 
+  #findShed(head: ResponseHead): CallError | undefined {
+    if (!this.#options.shouldWithhold?.(head)) return undefined;
+    const message = `the server answered ${head.statusCode}`;
+    return new CallError(CallErrorCode.Shed, message, { isWritten: true });
+  }
+
   #passInformation(statusCode: number, raw: Buffer[]): void {
     if (statusCode !== EARLY_HINTS) return;
     const headers = decodeHeaders(raw);
--- a/src/request/RequestServer/failures.test.ts
+++ b/src/request/RequestServer/failures.test.ts
@@ -70,8 +70,12 @@
   await mesh.startBackend(owner, (request, response) => {
     response.end(request.headers['foxtailvane-attempt'] ?? 'first');
   });
-  const bodies = await Promise.all([0, 1].map(async () => (await send(entry.address)).body));
-  t.ok(bodies.includes('1'), 'the retried request is marked');
+  const replies = await Promise.all(Array.from({ length: 30 }, () => send(entry.address)));
+  t.strictSame(new Set(replies.map((reply) => reply.status)), new Set([200]));
+  t.ok(
+    replies.some((reply) => reply.body === '1'),
+    'the retried request is marked',
+  );
 });
 
 tap.test('a request that an outer layer retried is not retried again', async (t) => {
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -7,10 +7,19 @@
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
-import { RoundRobinSelector } from '../selectServer/index.js';
+import LoanClient from '../_lib/LoanClient.js';
+import ServerCaller from '../_lib/ServerCaller.js';
+import { FailureRateBreaker } from '../breakCircuit/index.js';
+import { RatioRetryBudget } from '../budgetRetries/index.js';
+import { SlotBorrower } from '../borrowSlots/index.js';
+import { SlotLender } from '../lendSlots/index.js';
+import { ServerObservations } from '../observeServers/index.js';
+import { TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
+import type { CircuitBreaker } from '../breakCircuit/index.js';
+import type { RetryBudget } from '../budgetRetries/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
@@ -20,7 +29,8 @@
 const DRAIN_POLL_MS = 10;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
-const MAINTENANCE_INTERVAL_MS = 250;
+/** Borrowed slots are renewed in time if this is well below half of their lease. */
+const MAINTENANCE_INTERVAL_MS = 100;
 
 export interface RequestServerOptions
   extends
@@ -32,7 +42,12 @@
   forwardListen: string;
   /** Set when `[tls]` is configured: mutual TLS on `forwardListen`. */
   tls?: TlsMaterial;
+  /** Two choices unless given. */
   selector?: ServerSelector;
+  /** By failure rate unless given. */
+  breaker?: CircuitBreaker;
+  /** By share of requests unless given. */
+  budget?: RetryBudget;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
 }
@@ -87,6 +102,14 @@
 
   readonly #nodePools: UpstreamPools;
 
+  readonly #observations = new ServerObservations();
+
+  readonly #borrower = new SlotBorrower();
+
+  readonly #lender: SlotLender;
+
+  readonly #loans: LoanClient;
+
   #inFlight = 0;
 
   #isDraining = false;
@@ -101,13 +124,31 @@
       getNowMs: options.getNowMs ?? Date.now,
     };
     this.#nodePools = new UpstreamPools({ tls: options.tls });
+    this.#lender = new SlotLender(options.localServers.record().incarnation);
+    this.#loans = new LoanClient(this.#borrower, this.#nodePools);
     const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
+    const learners = {
+      observations: this.#observations,
+      breaker: options.breaker ?? new FailureRateBreaker(),
+    };
     const entry = new EntryHandler(this.#context, {
-      localCaller,
-      nodePools: this.#nodePools,
-      selector: options.selector ?? new RoundRobinSelector(),
+      ...learners,
+      caller: new ServerCaller(this.#context, {
+        localCaller,
+        nodePools: this.#nodePools,
+        serverPools: this.#serverPools,
+        borrower: this.#borrower,
+      }),
+      selector:
+        options.selector ??
+        new TwoChoicesSelector({
+          ...learners,
+          dataCentre: options.dataCentre,
+          isGranted: (key) => this.#borrower.has(key, performance.now()),
+        }),
+      budget: options.budget ?? new RatioRetryBudget(),
     });
-    const owner = new OwnerHandler(this.#context, localCaller);
+    const owner = new OwnerHandler(this.#context, localCaller, this.#lender);
     this.#entry = this.#createServer((request, response) => entry.handle(request, response));
     this.#owner = this.#createServer(
       (request, response) => owner.handle(request, response),
@@ -137,11 +178,13 @@
   async drain(): Promise<void> {
     this.#isDraining = true;
     this.#context.localServers.drain();
+    this.#lender.stop();
     await delay(this.#options.drainGraceMs ?? DEFAULT_DRAIN_GRACE_MS);
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     while (this.#inFlight > 0) await delay(DRAIN_POLL_MS);
     this.#entry.closeIdleConnections();
     this.#owner.closeIdleConnections();
+    await this.#loans.close(performance.now());
     await Promise.all(closed);
   }
 
@@ -177,6 +220,10 @@
   }
 
   #maintain(): void {
-    this.#context.localServers.expire(this.#context.getNowMs());
+    const nowMs = this.#context.getNowMs();
+    this.#context.localServers.expire(nowMs);
+    this.#observations.forget(nowMs);
+    this.#lender.expire(performance.now());
+    this.#loans.maintain(performance.now());
   }
 }
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -6,53 +6,41 @@
 import { formatServerKey } from '../observeServers/index.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
-import {
-  ATTEMPT_HEADER,
-  CALL_HEADER,
-  DEADLINE_HEADER,
-  formatCallHeader,
-  parseCount,
-} from './callHeader.js';
-import { parseTarget } from './parseTarget.js';
-import pickTarget from './pickTarget.js';
+import { learnOutcome } from './learnOutcome.js';
+import { routeRequest } from './routeRequest.js';
 import { RefusalReason, createNotRun, writeRefusal } from './writeRefusal.js';
 
-import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { CallError } from '../../connection/CallError/index.js';
 import type { CallSummary } from '../../connection/UpstreamCall/index.js';
-import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
+import type { RetryBudget } from '../budgetRetries/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
-import type LocalCaller from './LocalCaller.js';
 import type { RequestContext } from './RequestContext.js';
+import type ServerCaller from './ServerCaller.js';
+import type { Learners } from './learnOutcome.js';
+import type { RoutedRequest } from './routeRequest.js';
 import type { Refusal } from './writeRefusal.js';
 
 const log = createLogger('routing');
 
-/** Attempts that certainly did not run may be placed on this many servers in all. */
+/** A request that certainly did not run may be placed on this many servers in all. */
 const MAX_PLACEMENTS = 3;
-/** Connections to one other node. */
-const MAX_NODE_CONNECTIONS = 256;
-const DEFAULT_TIMEOUT_MS = 30_000;
-
-/** One request on its way to a server. */
-interface RoutedRequest {
-  exchange: Exchange;
-  requestId: string;
-  version: number;
-  route: Route;
-  service: string;
-  /** Path with query. */
-  path: string;
-  deadlineMs: number;
-  /** Attempts that outer layers already made. */
-  outerAttempt: number;
-}
+const SERVICE_UNAVAILABLE = 503;
+const US_PER_MS = 1_000;
+const ID_RADIX = 36;
 
-export interface EntryHandlerParts {
-  localCaller: LocalCaller;
-  nodePools: UpstreamPools;
+export interface EntryHandlerParts extends Learners {
+  caller: ServerCaller;
   selector: ServerSelector;
+  budget: RetryBudget;
+}
+
+/** The attempts of one request so far. */
+interface Progress {
+  tried: Set<string>;
+  /** Attempts that may have run. */
+  runs: number;
+  lastError: CallError | undefined;
 }
 
 const isLive = ({ server, node }: ServerEntry): boolean =>
@@ -67,112 +55,126 @@
 
   readonly #parts: EntryHandlerParts;
 
+  readonly #addedUs;
+
+  readonly #requests;
+
   #requestCount = 0;
 
   constructor(context: RequestContext, parts: EntryHandlerParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#addedUs = context.metrics.histogram('request_added_us');
+    this.#requests = context.metrics.counter('requests_received', { at: 'entry' });
   }
 
   /** Handles one request; never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#requests.value += 1;
+    this.#requestCount += 1;
     const exchange = new Exchange(request, response);
-    const routed = this.#route(exchange, request);
+    const requestId = `${this.#context.nodeId}-${this.#requestCount.toString(ID_RADIX)}`;
+    const routed = routeRequest(exchange, request, { context: this.#context, requestId });
     if ('reason' in routed) {
       this.#refuse(exchange, routed);
       return;
     }
     exchange.startDeadline(routed.deadlineMs - this.#context.getNowMs());
     const body = await exchange.readBody();
-    if (body === BodyState.Incomplete) {
-      answerFailure(exchange, undefined);
-      return;
-    }
-    await this.#serve(routed);
-  }
-
-  #route(exchange: Exchange, request: IncomingMessage): RoutedRequest | Refusal {
-    const compiled = this.#context.current();
-    if (!compiled) {
-      return createNotRun(RefusalReason.NoConfiguration, 'this node holds no configuration yet');
-    }
-    const target = parseTarget(request);
-    if (!target) {
-      const message = 'request target or host is malformed';
-      return createNotRun(RefusalReason.BadRequest, message, { statusCode: 400 });
-    }
-    const route = compiled.matchRoute(target.host, target.path, exchange.method);
-    if (!route) {
-      const message = `no route for ${exchange.method} ${target.host} ${target.path}`;
-      return createNotRun(RefusalReason.NoRoute, message, { statusCode: 404 });
-    }
-    const service = pickTarget(route, this.#context.random());
-    const timeoutMs =
-      route.timeoutMs || compiled.findService(service)?.timeoutMs || DEFAULT_TIMEOUT_MS;
-    const callerMs = parseCount(exchange.internal.get(DEADLINE_HEADER)) ?? timeoutMs;
-    this.#requestCount += 1;
-    return {
-      exchange,
-      requestId: `${this.#context.nodeId}-${this.#requestCount.toString(36)}`,
-      version: compiled.version,
-      route,
-      service,
-      path: target.pathWithQuery,
-      deadlineMs: this.#context.getNowMs() + Math.min(timeoutMs, callerMs),
-      outerAttempt: parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0,
-    };
+    if (body === BodyState.Incomplete) answerFailure(exchange, undefined);
+    else await this.#serve(routed);
   }
 
   async #serve(routed: RoutedRequest): Promise<void> {
-    const tried = new Set<string>();
-    let lastError: CallError | undefined;
-    let runs = 0;
-    while (tried.size < Math.max(MAX_PLACEMENTS, routed.route.maxAttempts)) {
-      const entry = this.#select(routed, tried);
+    const progress: Progress = { tried: new Set(), runs: 0, lastError: undefined };
+    this.#parts.budget.addRequest(routed.service, this.#context.getNowMs());
+    let mayContinue = true;
+    while (mayContinue) {
+      const entry = this.#select(routed, progress);
       if (!entry) break;
-      const attempt = routed.outerAttempt + tried.size;
-      tried.add(formatServerKey(entry));
-      const result = await this.#attempt(routed, entry, attempt);
-      if (result.isOk()) return;
-      lastError = result.error;
-      if (!isCertainlyNotRun(lastError)) runs += 1;
-      if (!this.#mayRetry(routed, lastError, runs)) break;
+      const result = await this.#attempt(routed, entry, progress);
+      if (result.isOk()) {
+        this.#recordAdded(routed, result.value);
+        return;
+      }
+      progress.lastError = result.error;
+      mayContinue = this.#takeRetry(routed, progress, result.error);
     }
-    this.#fail(routed, lastError);
+    this.#fail(routed, progress.lastError);
+  }
+
+  async #attempt(
+    routed: RoutedRequest,
+    entry: ServerEntry,
+    progress: Progress,
+  ): Promise<Result<CallSummary, CallError>> {
+    const { observations, breaker, caller } = this.#parts;
+    const nowMs = this.#context.getNowMs();
+    const key = formatServerKey(entry);
+    const observation = observations.get(key, nowMs);
+    const attempt = {
+      routed,
+      entry,
+      key,
+      observation,
+      number: routed.outerAttempt + progress.tried.size,
+      shouldWithhold: ({ statusCode }: { statusCode: number }) =>
+        statusCode === SERVICE_UNAVAILABLE && this.#mayRunAgain(routed, progress.runs + 1),
+    };
+    progress.tried.add(key);
+    observation.inFlight += 1;
+    observation.lastUsedAtMs = nowMs;
+    breaker.addRequest(key, nowMs);
+    const result = await caller.call(attempt);
+    observation.inFlight -= 1;
+    learnOutcome(attempt, result, this.#parts, this.#context.getNowMs());
+    return result;
   }
 
-  #mayRetry(routed: RoutedRequest, error: CallError, runs: number): boolean {
-    const { exchange, route } = routed;
-    if (exchange.isOver || routed.outerAttempt > 0 || !exchange.canSendBody) return false;
-    if (isCertainlyNotRun(error)) return true;
-    return error.code === CallErrorCode.NoResponse && route.idempotent && runs < route.maxAttempts;
+  /** Tells whether a request that may have run could be sent to another server. */
+  #mayRunAgain({ exchange, route, outerAttempt }: RoutedRequest, runs: number): boolean {
+    const isAllowed = route.idempotent && runs < route.maxAttempts && outerAttempt === 0;
+    return isAllowed && exchange.canSendBody && !exchange.isOver;
   }
 
-  #fail(routed: RoutedRequest, lastError: CallError | undefined): void {
-    if (!lastError && !routed.exchange.isOver) {
-      const message = `no live server of service "${routed.service}"`;
-      this.#refuse(routed.exchange, createNotRun(RefusalReason.NoServer, message));
-      return;
-    }
-    const refusal = answerFailure(routed.exchange, lastError);
-    if (refusal) this.#count(refusal);
+  /** Decides whether the request is tried again, and takes that retry from the budget. */
+  #takeRetry(routed: RoutedRequest, progress: Progress, error: CallError): boolean {
+    const target = progress;
+    if (!isCertainlyNotRun(error)) target.runs += 1;
+    const { exchange } = routed;
+    const mayRetry = isCertainlyNotRun(error)
+      ? routed.outerAttempt === 0 &&
+        exchange.canSendBody &&
+        !exchange.isOver &&
+        progress.tried.size < Math.max(MAX_PLACEMENTS, routed.route.maxAttempts)
+      : error.code !== CallErrorCode.Truncated && this.#mayRunAgain(routed, progress.runs);
+    if (!mayRetry) return false;
+    // A failed connection puts no load on any server, so it needs no budget.
+    const hasBudget =
+      error.code === CallErrorCode.NotWritten ||
+      this.#parts.budget.take(routed.service, this.#context.getNowMs());
+    const { metrics } = this.#context;
+    const name = hasBudget ? 'requests_retried' : 'retries_over_budget';
+    metrics.counter(name, { reason: error.code }).value += 1;
+    return hasBudget;
   }
 
-  #select(routed: RoutedRequest, tried: Set<string>): ServerEntry | undefined {
+  #select(routed: RoutedRequest, { tried }: Progress): ServerEntry | undefined {
     const candidates = this.#context.directory
       .serversOf(routed.service)
-      .filter((entry) => isLive(entry) && !tried.has(formatServerKey(entry)));
+      .filter((entry) => isLive(entry) && (tried.size === 0 || !tried.has(formatServerKey(entry))));
     const selection = this.#parts.selector.select(candidates, {
       service: routed.service,
       nowMs: this.#context.getNowMs(),
       random: this.#context.random,
     });
+    const { requestId, version, route, service } = routed;
     log.debug(
       {
-        requestId: routed.requestId,
-        version: routed.version,
-        route: routed.route.name,
-        service: routed.service,
+        requestId,
+        version,
+        route: route.name,
+        service,
         server: selection && formatServerKey(selection.entry),
         considered: selection?.considered,
         reason: selection?.reason ?? RefusalReason.NoServer,
@@ -183,39 +185,19 @@
     return selection?.entry;
   }
 
-  #attempt(
-    routed: RoutedRequest,
-    entry: ServerEntry,
-    attempt: number,
-  ): Promise<Result<CallSummary, CallError>> {
-    const { exchange, path, route } = routed;
-    const remainingMs = Math.max(0, routed.deadlineMs - this.#context.getNowMs());
-    const headers = [...exchange.headers, DEADLINE_HEADER, String(remainingMs)];
-    if (attempt > 0) headers.push(ATTEMPT_HEADER, String(attempt));
-    const local =
-      entry.node.nodeId === this.#context.nodeId
-        ? this.#context.localServers.find(entry.server.serverId)
-        : undefined;
-    if (local) {
-      const work = {
-        routeName: route.name,
-        isIdempotent: route.idempotent,
-        isRetry: attempt > 0,
-        deadlineMs: routed.deadlineMs,
-      };
-      return this.#parts.localCaller.call(exchange, local, work, { path, headers });
+  #fail({ exchange, service }: RoutedRequest, lastError: CallError | undefined): void {
+    if (!lastError && !exchange.isOver) {
+      const message = `no live server of service "${service}"`;
+      this.#refuse(exchange, createNotRun(RefusalReason.NoServer, message));
+      return;
     }
-    const call = {
-      serverId: entry.server.serverId,
-      routeName: route.name,
-      isIdempotent: route.idempotent,
-      requestId: routed.requestId,
-      version: routed.version,
-      entryNodeId: this.#context.nodeId,
-    };
-    headers.push(CALL_HEADER, formatCallHeader(call));
-    const pool = this.#parts.nodePools.get(entry.node.forwardAddress, MAX_NODE_CONNECTIONS);
-    return exchange.call(pool, { path, headers }, { isNode: true });
+    const refusal = answerFailure(exchange, lastError);
+    if (refusal) this.#count(refusal);
+  }
+
+  #recordAdded({ exchange }: RoutedRequest, { upstreamMs }: CallSummary): void {
+    const addedMs = performance.now() - exchange.startedAtMs - upstreamMs;
+    this.#addedUs.recordValue(Math.max(0, Math.round(addedMs * US_PER_MS)));
   }
 
   #refuse(exchange: Exchange, refusal: Refusal): void {
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -35,6 +35,9 @@
 export class Exchange {
   readonly method: string;
 
+  /** On the clock of `performance.now()`. */
+  readonly startedAtMs = performance.now();
+
   /** Names and values in turn for the next hop. */
   readonly headers: string[];
 
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -4,8 +4,14 @@
   ATTEMPT_HEADER,
   CALL_HEADER,
   DEADLINE_HEADER,
+  GRANT_HEADER,
+  GRANT_WANTED_HEADER,
+  LOAD_HEADER,
+  LOANS_HEADER,
+  formatLoad,
   parseCallHeader,
   parseCount,
+  parseLoans,
 } from './callHeader.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
@@ -14,6 +20,7 @@
 import type { LocalServer } from '../../process/localServers/index.js';
 import type LocalCaller from './LocalCaller.js';
 import type { ForwardedCall } from './callHeader.js';
+import type { SlotLender } from '../lendSlots/index.js';
 import type { RequestContext } from './RequestContext.js';
 
 const MAX_DEADLINE_MS = 600_000;
@@ -24,14 +31,22 @@
 
   readonly #caller: LocalCaller;
 
-  constructor(context: RequestContext, caller: LocalCaller) {
+  readonly #lender: SlotLender;
+
+  constructor(context: RequestContext, caller: LocalCaller, lender: SlotLender) {
     this.#context = context;
+    this.#lender = lender;
     this.#caller = caller;
   }
 
   /** Handles one forwarded request; never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange = new Exchange(request, response);
+    const loans = exchange.internal.get(LOANS_HEADER);
+    if (loans !== undefined) {
+      this.#answerLoans(response, loans);
+      return;
+    }
     const call = parseCallHeader(exchange.internal.get(CALL_HEADER));
     if (!call) {
       const message = `header ${CALL_HEADER} is missing or malformed`;
@@ -75,13 +90,33 @@
       String(Math.max(0, remainingMs - elapsedMs)),
       ...(attempt > 0 ? [ATTEMPT_HEADER, String(attempt)] : []),
     ];
-    const result = await this.#caller.call(exchange, local, work, { path, headers });
+    const target = { path, headers };
+    const result = await this.#caller.call(exchange, local, work, target, {
+      onHead: (head) => {
+        head.headers.push(LOAD_HEADER, formatLoad(local.gate));
+        if (exchange.internal.has(GRANT_WANTED_HEADER)) this.#lend(local, head.headers);
+      },
+    });
     if (result.isErr()) {
       answerFailure(exchange, result.error);
       if (result.error.code === CallErrorCode.Refused) this.#countRefusal(result.error.message);
     }
   }
 
+  /** The slot of the answered request is still in use, so what is lent here is another one. */
+  #lend(local: LocalServer, headers: string[]): void {
+    const id = this.#lender.lend(local.gate, performance.now());
+    if (id !== undefined) headers.push(GRANT_HEADER, id);
+  }
+
+  #answerLoans(response: ServerResponse, value: string): void {
+    const { renewed, returned } = parseLoans(value);
+    this.#lender.takeBack(returned, this.#context.getNowMs());
+    const ids = this.#lender.renew(renewed, performance.now());
+    response.writeHead(204, [LOANS_HEADER, ids.join(',')]);
+    response.end();
+  }
+
   #refuse(exchange: Exchange, refusal: ReturnType<typeof createNotRun>): void {
     this.#countRefusal(refusal.reason);
     writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody });
--- /dev/null
+++ b/src/request/_lib/ServerCaller.ts
@@ -0,0 +1,151 @@
+import type { Result } from 'neverthrow';
+import {
+  ATTEMPT_HEADER,
+  CALL_HEADER,
+  DEADLINE_HEADER,
+  GRANT_HEADER,
+  GRANT_WANTED_HEADER,
+  LOAD_HEADER,
+  formatCallHeader,
+  parseLoad,
+} from './callHeader.js';
+
+import type { CallError } from '../../connection/CallError/index.js';
+import type { CallSummary, ResponseHead } from '../../connection/UpstreamCall/index.js';
+import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
+import type { ServerEntry } from '../../process/endpoints/types.js';
+import type { LocalServer } from '../../process/localServers/index.js';
+import type { BorrowedSlot, SlotBorrower } from '../borrowSlots/index.js';
+import type { ServerObservation } from '../observeServers/index.js';
+import type LocalCaller from './LocalCaller.js';
+import type { RequestContext } from './RequestContext.js';
+import type { RoutedRequest } from './routeRequest.js';
+
+/** Connections to one other node. */
+const MAX_NODE_CONNECTIONS = 256;
+
+/** One attempt of a request at one server. */
+export interface Attempt {
+  routed: RoutedRequest;
+  entry: ServerEntry;
+  key: string;
+  observation: ServerObservation;
+  /** 0 for a first attempt, outer layers included. */
+  number: number;
+  /** Tells whether a response is withheld from the caller because the request is retried. */
+  shouldWithhold: (head: ResponseHead) => boolean;
+}
+
+export interface ServerCallerParts {
+  localCaller: LocalCaller;
+  nodePools: UpstreamPools;
+  /** Direct connections to servers beside other nodes. */
+  serverPools: UpstreamPools;
+  borrower: SlotBorrower;
+}
+
+/** Sends a request to a chosen server, directly or through the node beside it. */
+export default class ServerCaller {
+  readonly #context: RequestContext;
+
+  readonly #parts: ServerCallerParts;
+
+  readonly #directCalls;
+
+  constructor(context: RequestContext, parts: ServerCallerParts) {
+    this.#context = context;
+    this.#parts = parts;
+    this.#directCalls = context.metrics.counter('requests_direct');
+  }
+
+  /** Makes one attempt. */
+  call(attempt: Attempt): Promise<Result<CallSummary, CallError>> {
+    const { entry } = attempt;
+    const isBeside = entry.node.nodeId === this.#context.nodeId;
+    const local = isBeside ? this.#context.localServers.find(entry.server.serverId) : undefined;
+    if (local) return this.#callBeside(attempt, local);
+    const slot = this.#takeBorrowed(attempt);
+    return slot ? this.#callDirectly(attempt, slot) : this.#forward(attempt);
+  }
+
+  #callBeside(attempt: Attempt, local: LocalServer): Promise<Result<CallSummary, CallError>> {
+    const { routed, observation, number, shouldWithhold } = attempt;
+    const { gate } = local;
+    observation.reportedLoad = gate.used / gate.capacity;
+    observation.reportedLoadAtMs = this.#context.getNowMs();
+    const work = {
+      routeName: routed.route.name,
+      isIdempotent: routed.route.idempotent,
+      isRetry: number > 0,
+      deadlineMs: routed.deadlineMs,
+    };
+    const target = { path: routed.path, headers: this.#createHeaders(attempt) };
+    return this.#parts.localCaller.call(routed.exchange, local, work, target, { shouldWithhold });
+  }
+
+  #takeBorrowed({ routed, entry, key }: Attempt): BorrowedSlot | undefined {
+    if (entry.server.directAddress === '') return undefined;
+    const remainingMs = routed.deadlineMs - this.#context.getNowMs();
+    return this.#parts.borrower.take(key, remainingMs, performance.now());
+  }
+
+  async #callDirectly(
+    attempt: Attempt,
+    slot: BorrowedSlot,
+  ): Promise<Result<CallSummary, CallError>> {
+    const { routed, entry, shouldWithhold } = attempt;
+    const { directAddress, connections } = entry.server;
+    this.#directCalls.value += 1;
+    const pool = this.#parts.serverPools.get(directAddress, connections);
+    const target = { path: routed.path, headers: this.#createHeaders(attempt) };
+    const result = await routed.exchange.call(pool, target, { isNode: false, shouldWithhold });
+    this.#parts.borrower.release(slot);
+    return result;
+  }
+
+  #forward(attempt: Attempt): Promise<Result<CallSummary, CallError>> {
+    const { routed, entry } = attempt;
+    const headers = this.#createHeaders(attempt);
+    const call = {
+      serverId: entry.server.serverId,
+      routeName: routed.route.name,
+      isIdempotent: routed.route.idempotent,
+      requestId: routed.requestId,
+      version: routed.version,
+      entryNodeId: this.#context.nodeId,
+    };
+    headers.push(CALL_HEADER, formatCallHeader(call));
+    if (entry.server.directAddress !== '') headers.push(GRANT_WANTED_HEADER, '1');
+    const askedAtMs = performance.now();
+    const pool = this.#parts.nodePools.get(entry.node.forwardAddress, MAX_NODE_CONNECTIONS);
+    return routed.exchange.call(
+      pool,
+      { path: routed.path, headers },
+      {
+        isNode: true,
+        shouldWithhold: attempt.shouldWithhold,
+        onHead: (head) => this.#readReports(attempt, head, askedAtMs),
+      },
+    );
+  }
+
+  #readReports(attempt: Attempt, head: ResponseHead, askedAtMs: number): void {
+    const grantId = head.internal?.get(GRANT_HEADER);
+    if (grantId !== undefined) {
+      const lenderAddress = attempt.entry.node.forwardAddress;
+      this.#parts.borrower.add({ id: grantId, key: attempt.key, lenderAddress }, askedAtMs);
+    }
+    const { observation } = attempt;
+    const load = parseLoad(head.internal?.get(LOAD_HEADER));
+    if (load === undefined) return;
+    observation.reportedLoad = load;
+    observation.reportedLoadAtMs = this.#context.getNowMs();
+  }
+
+  #createHeaders({ routed, number }: Attempt): string[] {
+    const remainingMs = Math.max(0, routed.deadlineMs - this.#context.getNowMs());
+    const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
+    if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
+    return headers;
+  }
+}
--- a/src/request/_lib/answerFailure.ts
+++ b/src/request/_lib/answerFailure.ts
@@ -33,6 +33,7 @@
       return createNotRun(RefusalReason.NoSlot, error.message, {
         retryAfterMs: error.options.retryAfterMs,
       });
+    case CallErrorCode.Shed:
     case CallErrorCode.NoResponse:
       return createUnknown(RefusalReason.NoResponse, error.message);
     case CallErrorCode.TimedOut:
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -2,6 +2,14 @@
 
 export const CALL_HEADER = 'foxtailvane-call';
 export const DEADLINE_HEADER = 'foxtailvane-deadline-ms';
+/** Id of a slot that the node beside the server lends with its response. */
+export const GRANT_HEADER = 'foxtailvane-grant';
+/** Asks for a grant; sent when the entry node could use one. */
+export const GRANT_WANTED_HEADER = 'foxtailvane-grant-wanted';
+/** Grants to renew and to return; in the answer, the renewed ones. */
+export const LOANS_HEADER = 'foxtailvane-loans';
+/** Slots in use and slots allowed at the server, as its node counts them. */
+export const LOAD_HEADER = 'foxtailvane-load';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
 
 const FIELD_COUNT = 6;
@@ -60,6 +68,33 @@
   };
 };
 
+/** Grants by id, as a borrower reports them. */
+export interface Loans {
+  renewed: string[];
+  returned: string[];
+}
+
+export const formatLoans = ({ renewed, returned }: Loans): string =>
+  `${renewed.join(',')};${returned.join(',')}`;
+
+export const parseIds = (value: string): string[] => value.split(',').filter((id) => id !== '');
+
+export const parseLoans = (value: string): Loans => {
+  const [renewed = '', returned = ''] = value.split(';');
+  return { renewed: parseIds(renewed), returned: parseIds(returned) };
+};
+
+export const formatLoad = (gate: { used: number; capacity: number }): string =>
+  `${gate.used}/${gate.capacity}`;
+
+/** Returns the share of slots in use, or undefined when the header is absent or malformed. */
+export const parseLoad = (value: string | undefined): number | undefined => {
+  const match = value === undefined ? undefined : /^(\d{1,6})\/(\d{1,6})$/.exec(value);
+  if (!match) return undefined;
+  const load = Number(match[1]) / Number(match[2]);
+  return Number.isFinite(load) ? load : undefined;
+};
+
 /**
  * Reads a header that holds a whole number.
  *
--- /dev/null
+++ b/src/request/budgetRetries/index.ts
@@ -0,0 +1,5 @@
+/** Bounds on retries. */
+export { default as FixedRetryBudget } from './FixedRetryBudget.js';
+export { default as RatioRetryBudget } from './RatioRetryBudget.js';
+export { RetryBudget } from './RetryBudget.js';
+export type { RetryBudgetOptions } from './RetryBudget.js';
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -1,4 +1,5 @@
 /** What this node observed of each backend server: in-flight requests, speed and failures. */
+import type { Server } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 
 /** Weight of the newest sample in the moving averages. */
@@ -12,6 +13,7 @@
   /** Latency relative to the mean of the same route over all servers; 1 is average. */
   relativeLatency: number;
   sampleCount: number;
+  firstSeenAtMs: number;
   lastUsedAtMs: number;
   lastSuccessAtMs: number;
   /** Share of slots in use, as its node reported with a response. */
@@ -21,14 +23,23 @@
   lastRefusalAtMs: number;
 }
 
+/** A server message belongs to one record, so its key can be kept beside it. */
+const keys = new WeakMap<Server, string>();
+
 /** Returns the name of a server that is unique among all nodes. */
-export const formatServerKey = (entry: ServerEntry): string =>
-  `${entry.node.nodeId}/${entry.server.serverId}`;
+export const formatServerKey = (entry: ServerEntry): string => {
+  const known = keys.get(entry.server);
+  if (known !== undefined) return known;
+  const key = `${entry.node.nodeId}/${entry.server.serverId}`;
+  keys.set(entry.server, key);
+  return key;
+};
 
 const createObservation = (nowMs: number): ServerObservation => ({
   inFlight: 0,
   relativeLatency: 1,
   sampleCount: 0,
+  firstSeenAtMs: nowMs,
   lastUsedAtMs: nowMs,
   lastSuccessAtMs: 0,
   reportedLoad: 0,
--- a/src/request/selectServer/index.ts
+++ b/src/request/selectServer/index.ts
@@ -1,4 +1,6 @@
 /** Choice of the backend server of a request. */
 export { default as RoundRobinSelector } from './RoundRobinSelector.js';
 export { SelectionReason, ServerSelector } from './ServerSelector.js';
+export { default as TwoChoicesSelector } from './TwoChoicesSelector.js';
+export type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
 export type { Selection, SelectionContext } from './ServerSelector.js';
--- a/test/requestMesh/TestDirectory.ts
+++ b/test/requestMesh/TestDirectory.ts
@@ -6,7 +6,15 @@
 export default class TestDirectory {
   readonly nodes = new Map<string, LocalServers>();
 
+  #frozen: NodeRecord[] | undefined;
+
+  /** Keeps the present records, as a node does that updates do not reach. */
+  freeze(): void {
+    this.#frozen = this.records();
+  }
+
   records(): NodeRecord[] {
+    if (this.#frozen) return this.#frozen;
     return [...this.nodes.values()].map((servers) => servers.record());
   }
 
