Add an open-loop benchmark of the forwarding paths

Direct path, one hop with a grant, two hops and round robin run interleaved in one process of callers against separate node processes; latency counts from the scheduled time. Figures on a busy machine are noisy, so processor time per request is reported too.

--- /dev/null
+++ b/bench/forwarding/_lib/startWorker.ts
@@ -0,0 +1,30 @@
+import { fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+import type { Reply, StartMessage, StartedMessage, UsageMessage } from './messages.js';
+
+/** A process of the benchmark. */
+export interface Worker extends StartedMessage {
+  readUsage: () => Promise<UsageMessage>;
+  stop: () => void;
+}
+
+/** Starts a process in one role and waits until it is ready. */
+export const startWorker = async (message: StartMessage): Promise<Worker> => {
+  const child = fork(fileURLToPath(new URL('../worker.js', import.meta.url)));
+  const ask = (question: StartMessage | 'usage'): Promise<Reply> =>
+    new Promise((resolve, reject) => {
+      child.once('message', (reply) => resolve(reply as Reply));
+      child.once('exit', (code) => reject(new Error(`worker exited with code ${code}`)));
+      child.send(question);
+    });
+  const first = await ask(message);
+  return {
+    ...('started' in first ? first.started : {}),
+    readUsage: async () => {
+      const reply = await ask('usage');
+      return 'usage' in reply ? reply.usage : { cpuUs: 0, directCount: 0, residentBytes: 0 };
+    },
+    stop: () => child.disconnect(),
+  };
+};
--- /dev/null
+++ b/bench/forwarding/index.ts
@@ -0,0 +1,109 @@
+/**
+ * Measures what a node adds to a request: the direct path, one hop with a grant, two hops, and
+ * round robin, interleaved in one run.
+ *
+ * Usage: `node dist/bench/forwarding/index.js [--per-second N] [--seconds N] [--json]`
+ */
+import { parseArgs } from 'node:util';
+
+import createRandom from '../../test/requestMesh/createRandom.js';
+import { Role } from './_lib/messages.js';
+import { runOpenLoop } from './_lib/runOpenLoop.js';
+import { startWorker } from './_lib/startWorker.js';
+
+import type { PathResult } from './_lib/runOpenLoop.js';
+import type { Worker } from './_lib/startWorker.js';
+
+const WARM_UP_MS = 4_000;
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+const BYTES_PER_MEBIBYTE = 1_048_576;
+
+const { values } = parseArgs({
+  options: {
+    'per-second': { type: 'string', default: '1000' },
+    seconds: { type: 'string', default: '20' },
+    json: { type: 'boolean', default: false },
+  },
+});
+
+const random = createRandom((line) => process.stderr.write(`${line}\n`));
+
+const backends = await startWorker({ role: Role.Backends });
+const addresses = backends.addresses ?? [];
+const owners = await startWorker({
+  role: Role.Owners,
+  backends: [
+    ...addresses.map((address) => ({ service: 'granted', address, isDirect: true })),
+    ...addresses.map((address) => ({ service: 'forwarded', address, isDirect: false })),
+    ...addresses.map((address) => ({ service: 'rotated', address, isDirect: false })),
+  ],
+});
+const startEntry = (service: string, isRoundRobin: boolean): Promise<Worker> =>
+  startWorker({ role: Role.Entry, records: owners.records, service, isRoundRobin });
+const workers: Record<string, Worker> = {
+  'one hop, grant': await startEntry('granted', false),
+  'two hops': await startEntry('forwarded', false),
+  'two hops, round robin': await startEntry('rotated', true),
+};
+const paths = [
+  { name: 'direct', address: addresses[0] ?? '' },
+  ...Object.entries(workers).map(([name, worker]) => ({
+    name,
+    address: worker.addresses?.[0] ?? '',
+  })),
+];
+
+const perSecond = Number(values['per-second']);
+await runOpenLoop(paths, { perSecond, durationMs: WARM_UP_MS, random });
+const readAll = () =>
+  Promise.all(Object.values({ ...workers, owners }).map((worker) => worker.readUsage()));
+const before = await readAll();
+const durationMs = Number(values.seconds) * MS_PER_SECOND;
+const results = await runOpenLoop(paths, { perSecond, durationMs, random });
+const after = await readAll();
+
+const at = (result: PathResult | undefined, percentile: number): number =>
+  (result?.histogram.getValueAtPercentile(percentile) ?? 0) / US_PER_MS;
+const [direct] = results;
+const names = Object.keys(workers);
+const rows = results.map((result) => {
+  const index = names.indexOf(result.name);
+  const cpuUs = (after[index]?.cpuUs ?? 0) - (before[index]?.cpuUs ?? 0);
+  return {
+    path: result.name,
+    count: result.count,
+    errors: result.errors,
+    p50Ms: at(result, 50),
+    p90Ms: at(result, 90),
+    p99Ms: at(result, 99),
+    p999Ms: at(result, 99.9),
+    addedP50Ms: at(result, 50) - at(direct, 50),
+    addedP99Ms: at(result, 99) - at(direct, 99),
+    entryCpuUsPerRequest: index < 0 ? 0 : cpuUs / result.count,
+    directShare:
+      index < 0
+        ? 0
+        : ((after[index]?.directCount ?? 0) - (before[index]?.directCount ?? 0)) / result.count,
+    residentMebibytes: (after[index]?.residentBytes ?? 0) / BYTES_PER_MEBIBYTE,
+  };
+});
+const ownerIndex = names.length;
+const forwardedCount = rows.reduce(
+  (sum, row) => sum + (row.path === 'direct' ? 0 : row.count * (1 - row.directShare)),
+  0,
+);
+const ownerCpuUs = (after[ownerIndex]?.cpuUs ?? 0) - (before[ownerIndex]?.cpuUs ?? 0);
+const summary = { perSecond, rows, ownerCpuUsPerRequest: ownerCpuUs / forwardedCount };
+if (values.json) {
+  process.stdout.write(`${JSON.stringify(summary, undefined, 2)}\n`);
+} else {
+  rows.forEach((row) => {
+    const figures = Object.entries(row)
+      .filter(([name]) => name !== 'path')
+      .map(([name, value]) => `${name} ${Number(value).toFixed(2)}`);
+    process.stdout.write(`${row.path}: ${figures.join(', ')}\n`);
+  });
+  process.stdout.write(`ownerCpuUsPerRequest ${summary.ownerCpuUsPerRequest.toFixed(2)}\n`);
+}
+[backends, owners, ...Object.values(workers)].forEach((worker) => worker.stop());
