--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -7,6 +7,7 @@
 import addMembersCommand from './commands/members.js';
 import addServersCommand from './commands/servers.js';
 import addSheetCommand from './commands/sheet.js';
+import addDaemonCommands from './commands/daemons.js';
 import addStatusCommand from './commands/status.js';
 import CommandError from './CommandError.js';
 import ExitCode from './ExitCode.js';
@@ -17,6 +18,7 @@
 export type { default as Terminal } from './_lib/Terminal.js';
 
 const COMMANDS = [
+  addDaemonCommands,
   addCheckSettingsCommand,
   addSheetCommand,
   addApplyCommand,
