--- a/src/process/cli/commands/checkSettings.ts
+++ b/src/process/cli/commands/checkSettings.ts
@@ -1,8 +1,11 @@
 import { readFile } from 'node:fs/promises';
 
 import type { Command } from 'commander';
-import { readControlSettings, readNodeSettings } from '../../settings/index.js';
-import listSettingsFaults from '../_lib/listSettingsFaults.js';
+import {
+  describeSettingsFault,
+  readControlSettings,
+  readNodeSettings,
+} from '../../settings/index.js';
 import CommandError from '../CommandError.js';
 import ExitCode from '../ExitCode.js';
 
@@ -39,7 +42,8 @@
   const faults = settings.isErr() ? settings.error.faults : [];
   if (options.json) terminal.print(JSON.stringify({ program, valid: settings.isOk(), faults }));
   if (settings.isErr()) {
-    throw new CommandError(ExitCode.BadInput, listSettingsFaults(path, settings.error));
+    const lines = settings.error.faults.map((fault) => `${path}: ${describeSettingsFault(fault)}`);
+    throw new CommandError(ExitCode.BadInput, lines);
   }
   if (!options.json) terminal.print(`${path}: valid settings of foxtailvane ${program}`);
 };
--- a/src/process/settings/index.ts
+++ b/src/process/settings/index.ts
@@ -14,6 +14,7 @@
 import type { ParseSettingsOptions } from './_lib/parseControlSettings.js';
 import type { ControlSettings, NodeSettings } from './types.js';
 
+export { default as describeSettingsFault } from './_lib/describeSettingsFault.js';
 export { parseAddress } from './_lib/fields.js';
 export { parseControlSettings } from './_lib/parseControlSettings.js';
 export { default as parseNodeSettings } from './_lib/parseNodeSettings.js';
