--- a/stand-ins/backendServer/test.ts
+++ b/stand-ins/backendServer/test.ts
@@ -110,3 +110,28 @@
     t.match(calls.slice(-2), ['PUT /v1/servers/s1 draining', 'DELETE /v1/servers/s1']);
   },
 );
+
+tap.test(
+  'a nested call carries its own id and the remaining time, and its failure is seen',
+  async (t) => {
+    const inner = await startServer(t, { serviceMs: 0 });
+    const nestedUrl = `${inner.url}/inner`;
+    const outer = await startServer(t, { serverId: 's2', serviceMs: 0, nestedUrl });
+    const headers = { 'x-call-depth': '1', 'foxtailvane-deadline-ms': '20000' };
+    const sent = await outer.client.send(outer.url, { ...QUERY, headers });
+    t.equal(sent.outcome, RequestOutcome.Answered);
+    const nested = readExecutions(inner.recordFile).map(({ requestId, path }) => [requestId, path]);
+    t.strictSame(nested[0], [`${sent.requestId}.1`, '/inner']);
+    inner.server.setFaults({ fault: BackendFault.FailAll });
+    t.equal((await outer.client.send(outer.url, { ...QUERY, headers })).status, 502);
+  },
+);
+
+tap.test('a cold server is slower than a warm one', async (t) => {
+  const { client, url } = await startServer(t, {
+    serviceMs: 10,
+    coldStartMs: 60_000,
+    coldFactor: 20,
+  });
+  t.ok((await client.send(url, QUERY)).latencyMs >= 150);
+});
--- a/stand-ins/cluster/_lib/members.ts
+++ b/stand-ins/cluster/_lib/members.ts
@@ -27,6 +27,9 @@
 
   readonly address: string;
 
+  /** Base URL of `operator_listen`. */
+  readonly operatorUrl: string;
+
   readonly operator: OperatorClient;
 
   readonly proxy: FaultProxy | undefined;
@@ -38,6 +41,7 @@
     this.dataCentre = parts.dataCentre;
     this.process = parts.process;
     this.address = parts.address;
+    this.operatorUrl = parts.operatorUrl;
     this.operator = new OperatorClient(parts.operatorUrl, parts.token);
     this.proxy = parts.proxy;
     this.#dataFolder = parts.dataFolder;
@@ -60,6 +64,8 @@
   url: string;
   /** Base URL of `local_listen`. */
   localUrl: string;
+  forwardListen: string;
+  peerListen: string;
   /** In front of `forward_listen`, for requests of other nodes. */
   forwardProxy: FaultProxy | undefined;
   /** In front of `peer_listen`. */
--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -412,6 +412,8 @@
       process: this.#createProcess(name, [...entry, '--settings', resolve(file)]),
       url: `http://${listen}`,
       localUrl: `http://${local}`,
+      forwardListen: forward,
+      peerListen: peer,
       forwardProxy,
       peerProxy,
     });
