--- a/src/connection/distribution/ControlExchange/index.ts
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -9,6 +9,7 @@
   RecordStampSchema,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { createLogger } from '../../../process/log/index.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
@@ -234,12 +235,17 @@
 
   async #followOnce(followed: Followed): Promise<boolean> {
     const tls = this.#options.tls?.();
-    const { transport, close } = openTransport(followed.peer.address, tls ? { tls } : {});
+    const { transport, close } = openTransport(
+      followed.peer.address,
+      tls ? { tls, peerRole: ProcessRole.Control } : {},
+    );
     const client = createClient(ExchangeService, transport);
-    const silence = new AbortController();
+    const ended = new AbortController();
+    const end = (): void => ended.abort();
+    followed.stopping.signal.addEventListener('abort', end);
     const silenceMs = this.#options.silenceMs ?? timing.STREAM_SILENCE_MS;
-    const watchdog = setTimeout(() => silence.abort(), silenceMs);
-    const signal = AbortSignal.any([silence.signal, followed.stopping.signal]);
+    const watchdog = setTimeout(end, silenceMs);
+    const { signal } = ended;
     try {
       for await (const update of client.follow({ memberId: this.#memberId }, { signal })) {
         watchdog.refresh();
@@ -250,6 +256,7 @@
       log.debug({ memberId: followed.peer.memberId, code }, message);
     }
     clearTimeout(watchdog);
+    followed.stopping.signal.removeEventListener('abort', end);
     close();
     return this.#noteLost(followed);
   }
--- a/stand-ins/cluster/_lib/members.ts
+++ b/stand-ins/cluster/_lib/members.ts
@@ -27,6 +27,9 @@
 
   readonly address: string;
 
+  /** Base URL of `operator_listen`. */
+  readonly operatorUrl: string;
+
   readonly operator: OperatorClient;
 
   readonly proxy: FaultProxy | undefined;
@@ -38,6 +41,7 @@
     this.dataCentre = parts.dataCentre;
     this.process = parts.process;
     this.address = parts.address;
+    this.operatorUrl = parts.operatorUrl;
     this.operator = new OperatorClient(parts.operatorUrl, parts.token);
     this.proxy = parts.proxy;
     this.#dataFolder = parts.dataFolder;
@@ -60,8 +64,12 @@
   url: string;
   /** Base URL of `local_listen`. */
   localUrl: string;
-  forwardAddress: string;
-  peerAddress: string;
+  forwardListen: string;
+  peerListen: string;
+  /** In front of `forward_listen`, for requests of other nodes. */
+  forwardProxy: FaultProxy | undefined;
+  /** In front of `peer_listen`. */
+  peerProxy: FaultProxy | undefined;
 }
 
 /** A backend server of a test cluster. */
@@ -72,4 +80,5 @@
   recordFile: string;
   /** Base URL of the admin endpoint of the present run. */
   adminUrl: string;
+  proxy: FaultProxy | undefined;
 }
