--- a/src/process/replication/ReplicatedLog/faults.test.ts
+++ b/src/process/replication/ReplicatedLog/faults.test.ts
@@ -183,6 +183,20 @@
   loseOneDisk,
 ];
 
+/** Returns one line per member, to explain a failure. */
+const describeState = (run: Run): string[] =>
+  running(run).map((id) => {
+    const log = run.cluster.log(id);
+    const versions = log.history().map(({ version }) => version);
+    const members = log
+      .members(readMonotonicNowMs())
+      .map(({ memberId, role, isVoter, matchIndex, isReachable, diskIdentity }) =>
+        [memberId, role, isVoter, matchIndex, isReachable, diskIdentity.slice(0, 4)].join(' '),
+      );
+    const identity = log.diskIdentity.slice(0, 4);
+    return `${id} ${identity}: ${versions.length} versions to ${versions.at(-1)}; ${members.join('; ')}`;
+  });
+
 const injectFaults = async (run: Run): Promise<void> => {
   const rounds = Array.from({ length: FAULT_COUNT });
   await rounds.reduce(async (previous: Promise<void>) => {
@@ -308,7 +322,10 @@
     () => new Set(histories()).size === 1 && (histories()[0] ?? '') !== '',
     'all members hold the same history',
     CATCH_UP_MS,
-  );
+  ).catch((error: unknown) => {
+    describeState(run).forEach((line) => t.comment(line));
+    throw error;
+  });
   const leader = await cluster.waitForLeader();
   const holders = new Map(
     cluster
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -22,6 +22,7 @@
 import { PeerError, PeerErrorCode } from '../../../connection/replication/PeerError/index.js';
 import registerReplication from '../../../connection/replication/registerReplication/index.js';
 import type { OpenTransportOptions } from '../../../connection/openTransport/index.js';
+import { MetricsRegistry } from '../../metrics/index.js';
 import { DurableStorage } from '../../storage/DurableStorage/index.js';
 import type FileOperations from '../../storage/FileOperations/index.js';
 import { ApplyOutcome, ControlLog } from '../ControlLog/index.js';
@@ -63,6 +64,8 @@
   /** Clock of leases; `isConfirmed` and `members` compare their `nowMs` with it. */
   readNowMs?: () => number;
   files?: FileOperations;
+  /** Registry of the process; the metrics of replication start with `replication_`. */
+  metrics?: MetricsRegistry;
   /** TLS material and ping settings of connections to peers. */
   transport?: OpenTransportOptions;
   /** Replaces the connect-es client, for tests. */
@@ -77,6 +80,8 @@
   initialMembers: InitialMember[];
 }
 
+const US_PER_MS = 1_000;
+
 const refuse = (message: string): Result<never, PeerError> =>
   err(new PeerError(PeerErrorCode.NotRun, message));
 
@@ -138,6 +143,7 @@
       limits: { ...DEFAULT_LIMITS, ...options.limits },
       readNowMs: options.readNowMs ?? readMonotonicNowMs,
       random: options.random ?? Math.random,
+      metrics: options.metrics ?? new MetricsRegistry(),
     });
     const createClient =
       options.createClient ?? ((address) => new ConnectPeerClient(address, options.transport));
@@ -188,7 +194,8 @@
     const { limits, timings } = replica.options;
     const validated = validateChange(change, nowMs, limits.maxConfigurationBytes);
     if (validated.isErr()) return { outcome: ApplyOutcome.Invalid, message: validated.error };
-    return proposeChange(
+    const startedAtMs = performance.now();
+    const result = await proposeChange(
       {
         replica,
         findClient: (address) => this.#clients.find(address),
@@ -198,6 +205,8 @@
       validated.value,
       replica.readNowMs() + timings.proposalTimeoutMs,
     );
+    this.#recordOutcome(result, performance.now() - startedAtMs);
+    return result;
   }
 
   committed(): CommittedConfiguration | undefined {
@@ -259,6 +268,12 @@
     });
   }
 
+  #recordOutcome({ outcome }: ApplyResult, elapsedMs: number): void {
+    const { metrics } = this.#replica.options;
+    metrics.counter('replication_proposals_total', { outcome }).value += 1;
+    metrics.histogram('replication_propose_us').recordValue(Math.round(elapsedMs * US_PER_MS));
+  }
+
   #activeLeadership(): Leadership | undefined {
     return this.#leadership?.isActive ? this.#leadership : undefined;
   }
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -12,6 +12,7 @@
   PeerHeader,
 } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import { createLogger } from '../../../log/index.js';
+import type { MetricsRegistry } from '../../../metrics/index.js';
 import SerialQueue from '../../../storage/SerialQueue/index.js';
 import type {
   DurableStorage,
@@ -33,12 +34,15 @@
 // The leader sends one request at a time; a few more cover responses that it did not get.
 const REMEMBERED_ANSWERS = 8;
 
+const US_PER_MS = 1_000;
+
 export interface ReplicaOptions {
   memberId: string;
   timings: ReplicationTimings;
   limits: ReplicationLimits;
   readNowMs: () => number;
   random: () => number;
+  metrics: MetricsRegistry;
 }
 
 /** A snapshot that is being received in chunks. */
@@ -128,6 +132,7 @@
     this.guardUntilMs = options.readNowMs() + options.timings.electionTimeoutMinMs;
     this.resetElectionDeadline();
     if (!this.isVoter) this.role = MemberRole.NonVoter;
+    this.#registerGauges();
   }
 
   get memberId(): string {
@@ -264,11 +269,14 @@
     const [first] = entries;
     const last = entries.at(-1);
     if (!first || !last) return ok(undefined);
+    const startedAtMs = performance.now();
     const appended = await this.storage.append(entries);
     if (appended.isErr()) {
       this.fail(appended.error);
       return appended;
     }
+    const elapsedUs = Math.round((performance.now() - startedAtMs) * US_PER_MS);
+    this.options.metrics.histogram('replication_append_us').recordValue(elapsedUs);
     // Some of them may have been replaced meanwhile.
     const isCurrent = this.log.termAt(last.index) === last.term;
     if (isCurrent && this.#durableIndex >= first.index - 1) {
@@ -375,6 +383,7 @@
       this.fail(saved.error);
       return saved;
     }
+    this.count('replication_snapshots_installed_total');
     const previousVersion = this.versions.newest?.version ?? 0;
     this.log.reset(lastIndex, lastTerm);
     this.#durableIndex = lastIndex;
@@ -405,6 +414,21 @@
     };
   }
 
+  /** Adds one to a counter. */
+  count(name: string): void {
+    this.options.metrics.counter(name).value += 1;
+  }
+
+  #registerGauges(): void {
+    const { metrics } = this.options;
+    metrics.gauge('replication_term', () => this.term);
+    metrics.gauge('replication_commit_index', () => this.#commitIndex);
+    metrics.gauge('replication_is_leader', () => Number(this.role === MemberRole.Leader));
+    metrics.gauge('replication_has_failed', () => Number(this.#failure !== undefined));
+    metrics.gauge('replication_log_bytes', () => this.storage.logBytes);
+    metrics.gauge('replication_log_entries', () => this.log.length);
+  }
+
   #loadSnapshot(snapshot: StoredSnapshot): void {
     const decoded = fromBinary(LogSnapshotSchema, snapshot.payload);
     this.versions.replace(decoded.accepted);
--- a/src/process/replication/_lib/campaign/index.ts
+++ b/src/process/replication/_lib/campaign/index.ts
@@ -101,6 +101,7 @@
   const term = await startTerm(replica);
   if (term === undefined) return undefined;
   log.info({ memberId: replica.memberId, term }, 'standing for election');
+  replica.count('replication_elections_total');
   const vote = await collectVotes(replica, findClient, { term, isPreVote: false });
   const isWon = vote.isWon && replica.term === term && replica.role === MemberRole.Candidate;
   return isWon ? term : giveUp(replica, vote.highestTerm);
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -68,6 +68,7 @@
   let offsetBytes = 0;
   let isAccepted = true;
   log.info({ peerId: peer.memberId, lastIndex, totalBytes }, 'sending a snapshot');
+  replica.count('replication_snapshots_sent_total');
   do {
     const chunk = payload.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
     const header = replica.createHeader(peer.diskIdentity);
