Replace a session manager whose session check never ends

When a peer closed an idle connection while connect-es checked it, every later request on that link timed out for good, so a leader could not reach that follower any more. The stuck manager is now replaced after two ping timeouts.

--- a/src/connection/openTransport/_lib/GuardedSessionManager/index.ts
+++ b/src/connection/openTransport/_lib/GuardedSessionManager/index.ts
@@ -3,40 +3,83 @@
   ClientSessionRequestOptions,
   OutgoingHttpHeaders,
 } from 'node:http2';
+import { constants } from 'node:http2';
 
+import { Code, ConnectError } from '@connectrpc/connect';
 import { Http2SessionManager } from '@connectrpc/connect-node';
 
+type SessionManagerArguments = ConstructorParameters<typeof Http2SessionManager>;
+
+/** Times of a session manager, in milliseconds. */
+type PingOptions = NonNullable<SessionManagerArguments[1]>;
+
+const DEFAULT_PING_TIMEOUT_MS = 1_000;
+
+// Checking an idle session takes up to one ping timeout, and connecting anew comes after it.
+const OPEN_TIMEOUT_FACTOR = 2;
+
 const ignoreError = (): void => undefined;
 
+const guardSession = (stream: ClientHttp2Stream): void => {
+  const { session } = stream;
+  if (session && !session.listeners('error').includes(ignoreError)) {
+    session.on('error', ignoreError);
+  }
+};
+
 /**
- * A session manager whose sessions always have an error listener. The one of connect-es 2.1 removes
- * its listener from a session that it has just destroyed; the error that the session then emits
- * ends the process.
+ * A session manager that makes up for two faults of the one of connect-es 2.1. That one removes its
+ * error listener from a session that it has just destroyed, and the error that the session then
+ * emits ends the process. And when a session closes without an error while it is being checked
+ * after idling, the check never ends, and every later request waits for it.
  */
 export default class GuardedSessionManager {
-  readonly #manager: Http2SessionManager;
+  readonly #arguments: [string, PingOptions, SessionManagerArguments[2]];
+
+  readonly #openTimeoutMs: number;
+
+  #manager: Http2SessionManager;
 
   /** Takes the arguments of the session manager of connect-es. */
-  constructor(...options: ConstructorParameters<typeof Http2SessionManager>) {
-    this.#manager = new Http2SessionManager(...options);
+  constructor(url: string, pingOptions: PingOptions, sessionOptions: SessionManagerArguments[2]) {
+    this.#arguments = [url, pingOptions, sessionOptions];
+    this.#manager = new Http2SessionManager(...this.#arguments);
+    const pingTimeoutMs = pingOptions.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS;
+    this.#openTimeoutMs = pingTimeoutMs * OPEN_TIMEOUT_FACTOR;
   }
 
   get authority(): string {
     return this.#manager.authority;
   }
 
-  async request(
+  /** Opens a stream; rejects with Unavailable, before anything is sent, when that takes too long. */
+  request(
     method: string,
     path: string,
     headers: OutgoingHttpHeaders,
     options: Omit<ClientSessionRequestOptions, 'signal'>,
   ): Promise<ClientHttp2Stream> {
-    const stream = await this.#manager.request(method, path, headers, options);
-    const { session } = stream;
-    if (session && !session.listeners('error').includes(ignoreError)) {
-      session.on('error', ignoreError);
-    }
-    return stream;
+    const manager = this.#manager;
+    return new Promise((resolve, reject) => {
+      let isLate = false;
+      const timer = setTimeout(() => {
+        isLate = true;
+        this.#replace(manager);
+        reject(new ConnectError(`no connection to ${this.authority} in time`, Code.Unavailable));
+      }, this.#openTimeoutMs);
+      manager.request(method, path, headers, options).then(
+        (stream) => {
+          clearTimeout(timer);
+          guardSession(stream);
+          if (isLate) stream.close(constants.NGHTTP2_CANCEL);
+          resolve(stream);
+        },
+        (error: Error) => {
+          clearTimeout(timer);
+          reject(error);
+        },
+      );
+    });
   }
 
   notifyResponseByteRead(stream: ClientHttp2Stream): void {
@@ -47,4 +90,10 @@
   abort(): void {
     this.#manager.abort();
   }
+
+  #replace(stuck: Http2SessionManager): void {
+    if (this.#manager !== stuck) return;
+    this.#manager = new Http2SessionManager(...this.#arguments);
+    stuck.abort();
+  }
 }
--- a/src/connection/openTransport/test.ts
+++ b/src/connection/openTransport/test.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http2';
 import type { Http2Server, ServerHttp2Session } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import { connect, createServer as createTcpServer } from 'node:net';
+import type { AddressInfo, Server as TcpServer, Socket } from 'node:net';
 
 import { createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
@@ -19,11 +20,20 @@
   client: Client<typeof ReplicationService>;
 }
 
-const listen = (server: Http2Server): Promise<number> =>
+const listen = (server: Http2Server | TcpServer): Promise<number> =>
   new Promise((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port));
   });
 
+const createPeerServer = (): Http2Server =>
+  createServer(
+    connectNodeAdapter({
+      routes: (router) => {
+        router.service(ReplicationService, { describe: () => ({ memberId: 'c1' }) });
+      },
+    }),
+  );
+
 /** Waits for a number of turns of the event loop. */
 const waitTurns = async (count: number): Promise<void> => {
   if (count === 0) return;
@@ -48,12 +58,7 @@
 // destroyed, before the session reports the error; the process then ended with an uncaught error.
 tap.test('a session that ends during a request or a close raises no uncaught error', async (t) => {
   const sessions = new Set<ServerHttp2Session>();
-  const adapter = connectNodeAdapter({
-    routes: (router) => {
-      router.service(ReplicationService, { describe: () => ({ memberId: 'c1' }) });
-    },
-  });
-  const server = createServer(adapter);
+  const server = createPeerServer();
   server.on('session', (session) => {
     sessions.add(session);
     session.on('close', () => sessions.delete(session));
@@ -79,3 +84,58 @@
   }, Promise.resolve([]));
   t.ok(outcomes.every(Boolean), 'a later request opens a new session');
 });
+
+/** A TCP proxy that can stop forwarding and end its connections. */
+const createProxy = (targetPort: number) => {
+  const state = { isFrozen: false, sockets: new Set<Socket>() };
+  const server = createTcpServer((client) => {
+    const target = connect(targetPort, '127.0.0.1');
+    const pass = (to: Socket) => (chunk: Buffer) => {
+      if (!state.isFrozen) to.write(chunk);
+    };
+    client.on('data', pass(target)).on('error', () => target.destroy());
+    target.on('data', pass(client)).on('error', () => client.destroy());
+    client.on('close', () => target.destroy());
+    state.sockets.add(client);
+  });
+  return { server, state };
+};
+
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+// The check of an idle session by connect-es does not end when the session closes without an error.
+tap.test('a session closed while it is checked does not block later requests', async (t) => {
+  const server = createPeerServer();
+  const proxy = createProxy(await listen(server));
+  const port = await listen(proxy.server);
+  const pingIntervalMs = 100;
+  const opened = openTransport(`127.0.0.1:${port}`, { pingIntervalMs, pingTimeoutMs: 500 });
+  const client = createClient(ReplicationService, opened.transport);
+  t.teardown(() => {
+    opened.close();
+    proxy.state.sockets.forEach((socket) => socket.destroy());
+    proxy.server.close();
+    server.close();
+  });
+  await client.describe({});
+  await pause(pingIntervalMs * 3);
+  proxy.state.isFrozen = true;
+  const checked = client.describe({}).catch(() => undefined);
+  await pause(pingIntervalMs);
+  proxy.state.sockets.forEach((socket) => socket.end());
+  proxy.state.isFrozen = false;
+  await checked;
+  const outcomes = await Array.from({ length: 5 }).reduce(async (previous: Promise<string[]>) => {
+    const earlier = await previous;
+    await pause(pingIntervalMs * 3);
+    const outcome = await client.describe({}).then(
+      ({ memberId }) => memberId,
+      () => 'failed',
+    );
+    return [...earlier, outcome];
+  }, Promise.resolve([]));
+  t.strictSame(outcomes.slice(1), ['c1', 'c1', 'c1', 'c1'], 'the link works again');
+});
