Use the TLS settings in both daemons and reload them on SIGHUP

Clients read the material for each connection, so a reload needs no restart. The forward listener of a node still keeps the material it started with.

--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -18,8 +18,11 @@
 }
 
 export interface OpenTransportOptions {
-  /** Set when `[tls]` is configured; plain HTTP/2 otherwise. */
-  tls?: TlsMaterial;
+  /**
+   * Set when `[tls]` is configured; plain HTTP/2 otherwise. A function is read for each connection, so
+   * that reloaded material is used from the next one on.
+   */
+  tls?: TlsMaterial | (() => TlsMaterial) | undefined;
   /** With TLS, the role that the certificate of the other process must name. */
   peerRole?: ProcessRole;
   /** Interval of HTTP/2 pings that detect a half-open connection. */
@@ -51,10 +54,18 @@
 };
 
 const createTlsOptions = (
-  tls: TlsMaterial,
+  readTls: () => TlsMaterial,
   peerRole: ProcessRole | undefined,
 ): SecureClientSessionOptions => ({
-  ...tls,
+  get key() {
+    return readTls().key;
+  },
+  get cert() {
+    return readTls().cert;
+  },
+  get ca() {
+    return readTls().ca;
+  },
   minVersion: 'TLSv1.3',
   checkServerIdentity: (host, certificate) => checkIdentity(host, certificate, peerRole),
 });
@@ -73,15 +84,17 @@
   address: string,
   options: OpenTransportOptions = {},
 ): OpenedTransport => {
-  const { tls } = options;
-  const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
+  const { tls, peerRole } = options;
+  const readTls = typeof tls === 'function' ? tls : () => tls;
+  const material = readTls();
+  const baseUrl = `${material ? 'https' : 'http'}://${address}`;
   const sessionManager = new GuardedSessionManager(
     baseUrl,
     {
       pingIntervalMs: options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS,
       pingTimeoutMs: options.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS,
     },
-    tls ? createTlsOptions(tls, options.peerRole) : undefined,
+    material ? createTlsOptions(() => readTls() ?? material, peerRole) : undefined,
   );
   const transport = createConnectTransport({ httpVersion: '2', baseUrl, sessionManager });
   return { transport, close: () => sessionManager.abort() };
--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -1,7 +1,6 @@
 /** The daemon of a control VM: replicated log, distribution and operator API. */
 import { readFile } from 'node:fs/promises';
 
-import type { ConnectRouter } from '@connectrpc/connect';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -9,15 +8,18 @@
 import type { ExchangePeer } from '../../../connection/distribution/ControlExchange/index.js';
 import { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
-import type { RpcServer } from '../../../connection/startRpcServer/index.js';
+import type { RpcServer, RpcServerOptions } from '../../../connection/startRpcServer/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import { createOperatorApi } from '../../operatorApi/index.js';
 import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
 import type { ControlSettings } from '../../settings/index.js';
+import { ProcessRole } from '../../tls/readIdentity/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
 import createMembershipActions from '../_lib/createMembershipActions.js';
 
 const logger = createLogger('control');
@@ -32,14 +34,20 @@
   drain: () => Promise<void>;
 }
 
-const openLog = async (settings: ControlSettings): Promise<Result<ReplicatedLog, DaemonError>> => {
+const openLog = async (
+  settings: ControlSettings,
+  tls: TlsStore | undefined,
+): Promise<Result<ReplicatedLog, DaemonError>> => {
   const opened = await ReplicatedLog.open(
     {
       memberId: settings.name,
       dataFolder: settings.dataFolder,
       initialMembers: settings.members.map(({ name, address }) => ({ memberId: name, address })),
     },
-    { timings: settings.timing },
+    {
+      timings: settings.timing,
+      ...(tls && { transport: { tls: () => tls.current(), peerRole: ProcessRole.Control } }),
+    },
   );
   return opened.mapErr(
     (error) => new DaemonError(DaemonErrorCode.StorageFailed, error.message, error),
@@ -57,10 +65,10 @@
 
 const listen = async (
   address: string,
-  routes: (router: ConnectRouter) => void,
+  options: RpcServerOptions,
 ): Promise<Result<RpcServer, DaemonError>> => {
   try {
-    return ok(await startRpcServer(address, { routes }));
+    return ok(await startRpcServer(address, options));
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     const message = `cannot listen on ${address}: ${reason}`;
@@ -84,28 +92,36 @@
  * Starts the daemon of a control VM.
  *
  * @param settings - checked settings
+ * @param nowMs - start time of the process in milliseconds since the epoch
  * @returns the running daemon; the error says which part could not start
  *
  * @example
- * const daemon = await startControl(settings);
+ * const daemon = await startControl(settings, Date.now());
  */
 export const startControl = async (
   settings: ControlSettings,
+  nowMs: number,
 ): Promise<Result<ControlDaemon, DaemonError>> => {
   const token = await readToken(settings.operator.tokenFile);
   if (token.isErr()) return err(token.error);
-  const opened = await openLog(settings);
+  const openedTls = await openTls(settings, ProcessRole.Control, nowMs);
+  if (openedTls.isErr()) return err(openedTls.error);
+  const tls = openedTls.value;
+  const opened = await openLog(settings, tls);
   if (opened.isErr()) return err(opened.error);
   const log = opened.value;
   const metrics = new MetricsRegistry();
-  const options = { metrics, now: readMonotonicNowMs };
+  const options = { metrics, now: readMonotonicNowMs, tls: () => tls?.current() };
   const hub = new DistributionHub(settings.name, log, options);
   const exchange = new ControlExchange(settings.name, hub, () => listPeers(settings, log), options);
 
-  const rpc = await listen(settings.listen, (router) => {
-    log.register(router);
-    hub.registerRoutes(router);
-    exchange.registerRoutes(router);
+  const rpc = await listen(settings.listen, {
+    tls,
+    routes: (router) => {
+      log.register(router);
+      hub.registerRoutes(router);
+      exchange.registerRoutes(router);
+    },
   });
   if (rpc.isErr()) {
     await log.stop();
@@ -133,6 +149,7 @@
     await log.stop();
     return err(operator.error);
   }
+  const stopReloading = reloadOnHangup(tls);
   log.start();
   hub.start();
   exchange.start();
@@ -141,6 +158,7 @@
     'control daemon started',
   );
   const drain = async (): Promise<void> => {
+    stopReloading();
     await operator.value.close();
     hub.stop();
     await exchange.stop();
--- /dev/null
+++ b/src/process/daemon/openTls/index.ts
@@ -0,0 +1,45 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import type { TlsSettings } from '../../settings/index.js';
+import { TlsStore } from '../../tls/TlsStore/index.js';
+import type { ProcessRole } from '../../tls/readIdentity/index.js';
+import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
+
+/** The settings that name a process and its TLS files. */
+export interface TlsOwner {
+  name: string;
+  tls?: TlsSettings;
+}
+
+/**
+ * Loads the TLS material of a daemon, if `[tls]` is set.
+ *
+ * @param settings - name of the process and its TLS files
+ * @param role - role that the certificate must name
+ * @param nowMs - present time in milliseconds since the epoch
+ * @returns the store, or undefined without `[tls]`; TlsInvalid when the material can't be used
+ */
+export const openTls = async (
+  settings: TlsOwner,
+  role: ProcessRole,
+  nowMs: number,
+): Promise<Result<TlsStore | undefined, DaemonError>> => {
+  const { name, tls } = settings;
+  if (!tls) return ok(undefined);
+  const opened = await TlsStore.open(tls, { name, role }, nowMs);
+  return opened.isErr()
+    ? err(new DaemonError(DaemonErrorCode.TlsInvalid, opened.error.message, opened.error))
+    : ok(opened.value);
+};
+
+/** Reloads the material on SIGHUP; returns the function that stops doing so. */
+export const reloadOnHangup = (tls: TlsStore | undefined): (() => void) => {
+  if (!tls) return () => undefined;
+  // A failed reload is logged by the store, which keeps the former material.
+  const reload = (): void => {
+    tls.reload(Date.now()).unwrapOr(undefined);
+  };
+  process.on('SIGHUP', reload);
+  return () => process.off('SIGHUP', reload);
+};
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -9,12 +9,15 @@
 import { RequestServer } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import type { NodeSettings } from '../../settings/index.js';
+import { ProcessRole } from '../../tls/readIdentity/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
 import { createLocalApi } from '../_lib/createLocalApi.js';
 
 const logger = createLogger('node');
@@ -58,10 +61,12 @@
   settings: NodeSettings,
   server: RequestServer,
   link: NodeLink,
+  tls: TlsStore | undefined,
 ): Promise<Result<BoundListeners, DaemonError>> => {
   try {
     const { listen, forwardListen } = await server.start();
     const peer = await startRpcServer(settings.peerListen, {
+      tls,
       routes: (router) => link.registerRoutes(router),
     });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
@@ -86,6 +91,9 @@
   nowMs: number,
 ): Promise<Result<NodeDaemon, DaemonError>> => {
   const { name: nodeId, dataCentre } = settings;
+  const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
+  if (openedTls.isErr()) return err(openedTls.error);
+  const tls = openedTls.value;
   const metrics = new MetricsRegistry();
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
@@ -99,7 +107,7 @@
       directory,
       recordSource: localServers,
     },
-    { metrics },
+    { metrics, tls: () => tls?.current() },
   );
   const server = new RequestServer({
     nodeId,
@@ -113,8 +121,9 @@
     metrics,
     listen: settings.listen,
     forwardListen: settings.forwardListen,
+    ...(tls && { tls: tls.current() }),
   });
-  const bound = await bindListeners(settings, server, link);
+  const bound = await bindListeners(settings, server, link, tls);
   if (bound.isErr()) return err(bound.error);
   const { listen, forwardListen, peerListen, closePeer } = bound.value;
   localServers.setAddresses({
@@ -128,11 +137,13 @@
     await server.stop();
     return err(local.error);
   }
+  const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
   logger.info({ nodeId, listen, forwardListen, peerListen, localListen }, 'node daemon started');
 
   const stop = async (): Promise<void> => {
+    stopReloading();
     await link.stop();
     await closePeer();
     await local.value.close();
