Wait for the promotion of a member to be committed before the next change in a test

Cause: the test removed a member as soon as another was seen as a voter, which is visible before the entry is committed; on a busy machine the removal was then refused, as it must be. The checks are unchanged.

--- a/src/process/replication/ReplicatedLog/membership.test.ts
+++ b/src/process/replication/ReplicatedLog/membership.test.ts
@@ -181,12 +181,14 @@
   t.equal(unwrapError(second).code, ReplicationErrorCode.Refused, 'one change at a time');
   await waitForVoter(cluster, 'c4');
   await waitForHistory(cluster, 'c4', [1]);
+  // A later entry is committed after the promotion, which is seen before it is committed.
+  await apply(cluster, leader, 2);
   const repeated = await cluster.log(leader).addMember(cluster.initialMember('c4'));
   t.equal(unwrapError(repeated).code, ReplicationErrorCode.Refused);
   unwrapResult(await cluster.log(leader).removeMember(follower));
   await cluster.stopMember(follower);
   t.equal(membersOf(cluster, leader).length, 3);
-  await apply(cluster, 'c4', 2);
+  await apply(cluster, 'c4', 3);
 });
 
 tap.test('a leader that is removed hands over to the remaining members', async (t) => {
