--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -1,6 +1,6 @@
 import { checkServerIdentity } from 'node:tls';
 
-import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 
 import type { SecureClientSessionOptions } from 'node:http2';
 import type { PeerCertificate } from 'node:tls';
@@ -8,6 +8,8 @@
 import { readIdentity } from '../../process/tls/readIdentity/index.js';
 import type { ProcessRole } from '../../process/tls/readIdentity/index.js';
 
+import GuardedSessionManager from './_lib/GuardedSessionManager/index.js';
+
 /** PEM material for mutual TLS between processes. */
 export interface TlsMaterial {
   key: string;
@@ -73,7 +75,7 @@
 ): OpenedTransport => {
   const { tls } = options;
   const baseUrl = `${tls ? 'https' : 'http'}://${address}`;
-  const sessionManager = new Http2SessionManager(
+  const sessionManager = new GuardedSessionManager(
     baseUrl,
     {
       pingIntervalMs: options.pingIntervalMs ?? DEFAULT_PING_INTERVAL_MS,
--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -14,6 +14,7 @@
 import { createLogger } from '../../process/log/index.js';
 import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
 import type { TlsMaterial, TlsStore } from '../../process/tls/TlsStore/index.js';
+import { splitAddress } from '../splitAddress/index.js';
 
 /** Largest message accepted from another process. */
 const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
@@ -48,12 +49,6 @@
 
 const log = createLogger('rpc-server');
 
-const splitAddress = (address: string): { host: string; port: number } => {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(separator + 1)) };
-};
-
 // A peer that vanished without closing its connection leaves writes waiting until TCP gives up, which
 // takes minutes; a ping ends them within seconds.
 const watchSession = (session: ServerHttp2Session): void => {
