--- a/stand-ins/distributionCluster/index.ts
+++ b/stand-ins/distributionCluster/index.ts
@@ -118,6 +118,8 @@
   dataCentre?: string;
   record?: NodeRecord;
   peerSeeds?: string[];
+  /** Lease of records that the control VM does not list. */
+  unlistedRecordMs?: number;
   /** Survives the process, as nothing does in production; only to prepare a state. */
   holder?: ConfigurationHolder;
   tlsStore?: TlsStore;
@@ -130,7 +132,8 @@
 ): TestNode => {
   const dataCentre = options.dataCentre ?? 'dc1';
   const holder = options.holder ?? new ConfigurationHolder();
-  const directory = new EndpointDirectory({ leaseMs: UNLISTED_RECORD_MS, ownNodeId: nodeId });
+  const leaseMs = options.unlistedRecordMs ?? UNLISTED_RECORD_MS;
+  const directory = new EndpointDirectory({ leaseMs, ownNodeId: nodeId });
   const source = new TestRecordSource(options.record ?? buildRecord(nodeId, { dataCentre }));
   const peerSeeds = options.peerSeeds ?? [];
   const parts = {
