Run a request with an Idempotency-Key at most once in a data centre

The key is reserved at the two highest nodes by rendezvous hash, one after the other, before the request runs. A holder vouches for a key only if it was up, and among the two highest, for the whole retention window, counting the nodes that left within it: a node that became a holder because others left lacks their records. A holder that is listed but cannot be reached makes the request refused as not run, since two entry nodes could otherwise each reserve at a different holder.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -38,7 +38,16 @@
   upstreamMs: number;
 }
 
+/** Observes a response that is passed on. */
+export interface ResponseTap {
+  addHead: (head: ResponseHead) => void;
+  addChunk: (chunk: Buffer) => void;
+  /** The end of the response waits for this. */
+  finish: () => Promise<void>;
+}
+
 export interface UpstreamCallOptions {
+  tap?: ResponseTap;
   /**
    * Called with the head of a response before it is passed on; may add headers to it.
    */
@@ -158,6 +167,7 @@
     this.#options.onHead?.(head);
     this.#withheld = this.#findOwnAnswer(head) ?? this.#findShed(head);
     if (this.#withheld) return true;
+    this.#options.tap?.addHead(head);
     this.#isHeadPassed = true;
     this.#response.writeHead(statusCode, head.headers);
     queueMicrotask(() => this.#flushHead());
@@ -168,6 +178,7 @@
   onData(chunk: Buffer): boolean {
     if (this.#withheld) return true;
     this.#hasBody = true;
+    this.#options.tap?.addChunk(chunk);
     if (this.#response.write(chunk)) return true;
     const pausedAtMs = performance.now();
     this.#response.once('drain', () => {
@@ -183,9 +194,14 @@
       this.#finish(err(this.#withheld));
       return;
     }
-    this.#end(trailers as Buffer[] | null);
     const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
-    this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+    const pass = (): void => {
+      this.#end(trailers as Buffer[] | null);
+      this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+    };
+    const { tap } = this.#options;
+    if (tap) tap.finish().then(pass, pass);
+    else pass();
   }
 
   /** Called by undici when the request failed. */
--- a/src/request/RequestServer/failures.test.ts
+++ b/src/request/RequestServer/failures.test.ts
@@ -156,7 +156,7 @@
     socket.once('data', () => socket.end('not http at all\r\n\r\n'));
   });
   t.teardown(() => garbage.close());
-  const address = await listenOnLoopback(garbage as never);
+  const address = await listenOnLoopback(garbage);
   mesh.announce(owner, createServer(), address);
   const reply = await send(entry.address, { method: 'POST', path: '/orders', body: 'x' });
   t.equal(reply.status, 502);
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -3,6 +3,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { ConnectRouter } from '@connectrpc/connect';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
@@ -12,6 +13,12 @@
 import { FailureRateBreaker } from '../breakCircuit/index.js';
 import { RatioRetryBudget } from '../budgetRetries/index.js';
 import { SlotBorrower } from '../borrowSlots/index.js';
+import {
+  HolderWarmth,
+  IdempotencyGuard,
+  IdempotencyStore,
+  createIdempotencyRoutes,
+} from '../idempotency/index.js';
 import { SlotLender } from '../lendSlots/index.js';
 import { ServerObservations } from '../observeServers/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
@@ -20,10 +27,13 @@
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
+import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
 
+/** Covers resends after a timeout, and lets a restarted data centre take keyed requests soon. */
+const DEFAULT_RETENTION_MS = 300_000;
 const MAX_HEADER_BYTES = 32_768;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const DRAIN_POLL_MS = 10;
@@ -48,6 +58,13 @@
   breaker?: CircuitBreaker;
   /** By share of requests unless given. */
   budget?: RetryBudget;
+  /**
+   * Time for which a repeat with the same Idempotency-Key is recognized. For this time after its
+   * start a node vouches for no key, so a longer retention delays the first keyed requests.
+   */
+  idempotencyRetentionMs?: number;
+  /** When this node started, in milliseconds since the epoch; the present time unless given. */
+  startedAtMs?: number;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
 }
@@ -104,6 +121,12 @@
 
   readonly #observations = new ServerObservations();
 
+  readonly #warmth: HolderWarmth;
+
+  readonly #keys: IdempotencyRoutesOptions;
+
+  readonly #guard: IdempotencyGuard;
+
   readonly #borrower = new SlotBorrower();
 
   readonly #lender: SlotLender;
@@ -126,6 +149,25 @@
     this.#nodePools = new UpstreamPools({ tls: options.tls });
     this.#lender = new SlotLender(options.localServers.record().incarnation);
     this.#loans = new LoanClient(this.#borrower, this.#nodePools);
+    const retentionMs = options.idempotencyRetentionMs ?? DEFAULT_RETENTION_MS;
+    this.#warmth = new HolderWarmth({
+      nodeId: options.nodeId,
+      dataCentre: options.dataCentre,
+      retentionMs,
+      startedAtMs: options.startedAtMs ?? this.#context.getNowMs(),
+    });
+    this.#keys = {
+      store: new IdempotencyStore({ retentionMs }),
+      warmth: this.#warmth,
+      getNowMs: this.#context.getNowMs,
+    };
+    this.#guard = new IdempotencyGuard({
+      ...this.#keys,
+      nodeId: options.nodeId,
+      dataCentre: options.dataCentre,
+      getRecords: () => options.directory.records(),
+      tls: options.tls,
+    });
     const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
     const learners = {
       observations: this.#observations,
@@ -147,6 +189,7 @@
           isGranted: (key) => this.#borrower.has(key, performance.now()),
         }),
       budget: options.budget ?? new RatioRetryBudget(),
+      guard: this.#guard,
     });
     const owner = new OwnerHandler(this.#context, localCaller, this.#lender);
     this.#entry = this.#createServer((request, response) => entry.handle(request, response));
@@ -161,6 +204,11 @@
     return this.#inFlight;
   }
 
+  /** Adds the services of this part to the connect-es listener for other nodes. */
+  registerPeerServices(router: ConnectRouter): void {
+    createIdempotencyRoutes(this.#keys)(router);
+  }
+
   /**
    * Binds both listeners.
    *
@@ -191,6 +239,7 @@
   /** Closes everything at once; requests in flight fail. */
   async stop(): Promise<void> {
     clearInterval(this.#maintenance);
+    this.#guard.close();
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     this.#entry.closeAllConnections();
     this.#owner.closeAllConnections();
@@ -225,5 +274,7 @@
     this.#observations.forget(nowMs);
     this.#lender.expire(performance.now());
     this.#loans.maintain(performance.now());
+    this.#keys.store.expire(nowMs);
+    this.#warmth.observe(this.#context.directory.records(), nowMs);
   }
 }
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -1,19 +1,26 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Result } from 'neverthrow';
+import { createHash } from 'node:crypto';
+
+import { err } from 'neverthrow';
+
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
+import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
+import describeKeyError from './describeKeyError.js';
 import { learnOutcome } from './learnOutcome.js';
 import { routeRequest } from './routeRequest.js';
 import { RefusalReason, createNotRun, writeRefusal } from './writeRefusal.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
-import type { CallSummary } from '../../connection/UpstreamCall/index.js';
+import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
+import type { IdempotencyGuard } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
@@ -28,11 +35,14 @@
 const SERVICE_UNAVAILABLE = 503;
 const US_PER_MS = 1_000;
 const ID_RADIX = 36;
+const MAX_KEY_LENGTH = 255;
+const BAD_REQUEST = 400;
 
 export interface EntryHandlerParts extends Learners {
   caller: ServerCaller;
   selector: ServerSelector;
   budget: RetryBudget;
+  guard: IdempotencyGuard;
 }
 
 /** The attempts of one request so far. */
@@ -49,6 +59,12 @@
 const isCertainlyNotRun = (error: CallError): boolean =>
   error.code === CallErrorCode.NotWritten || error.code === CallErrorCode.Refused;
 
+/** Tells whether a request that is given up certainly did not run; one without error found no server. */
+const isNotRun = (error: CallError | undefined): boolean =>
+  !error || isCertainlyNotRun(error) || !error.options.isWritten;
+
+const hash = (content: string | Buffer): Buffer => createHash('sha256').update(content).digest();
+
 /** Answers the requests of callers. */
 export class EntryHandler {
   readonly #context: RequestContext;
@@ -59,11 +75,15 @@
 
   readonly #requests;
 
+  /** Makes request ids unique over restarts of this node. */
+  readonly #incarnation: string;
+
   #requestCount = 0;
 
   constructor(context: RequestContext, parts: EntryHandlerParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#incarnation = context.localServers.record().incarnation.toString(ID_RADIX);
     this.#addedUs = context.metrics.histogram('request_added_us');
     this.#requests = context.metrics.counter('requests_received', { at: 'entry' });
   }
@@ -81,32 +101,75 @@
     }
     exchange.startDeadline(routed.deadlineMs - this.#context.getNowMs());
     const body = await exchange.readBody();
+    const key = request.headers['idempotency-key'];
     if (body === BodyState.Incomplete) answerFailure(exchange, undefined);
-    else await this.#serve(routed);
+    else if (typeof key === 'string' && !routed.route.idempotent) {
+      await this.#serveKeyed(routed, key);
+    } else {
+      this.#finish(routed, await this.#serve(routed));
+    }
+  }
+
+  /** Runs the request if its key is free, or answers it as the first one with that key was. */
+  async #serveKeyed(routed: RoutedRequest, key: string): Promise<void> {
+    const { exchange, requestId, host, path } = routed;
+    const { guard } = this.#parts;
+    if (key.length === 0 || key.length > MAX_KEY_LENGTH) {
+      const message = `Idempotency-Key must have 1 to ${MAX_KEY_LENGTH} characters`;
+      const refusal = createNotRun(RefusalReason.BadRequest, message, { statusCode: BAD_REQUEST });
+      this.#refuse(exchange, refusal);
+      return;
+    }
+    const reserved = await guard.reserve({
+      key: hash([host, exchange.method, path, key].join('\n')).toString('hex'),
+      owner: `${this.#incarnation}/${requestId}`,
+      bodyHash: exchange.heldBody ? hash(exchange.heldBody) : new Uint8Array(),
+    });
+    if (reserved.isErr()) {
+      this.#refuse(exchange, describeKeyError(reserved.error));
+      return;
+    }
+    if (!('holders' in reserved.value)) {
+      replayResponse(exchange.response, reserved.value);
+      return;
+    }
+    const reservation = reserved.value;
+    const tap = new ResponseRecorder((response) => guard.complete(reservation, response));
+    const result = await this.#serve(routed, tap);
+    // The key is free before the caller learns so, or its next attempt would find it in use.
+    if (result.isErr() && isNotRun(result.error)) await guard.release(reservation);
+    this.#finish(routed, result);
   }
 
-  async #serve(routed: RoutedRequest): Promise<void> {
+  /** Places the request on servers until one responds; undefined as error means no server. */
+  async #serve(
+    routed: RoutedRequest,
+    tap?: ResponseTap,
+  ): Promise<Result<CallSummary, CallError | undefined>> {
     const progress: Progress = { tried: new Set(), runs: 0, lastError: undefined };
     this.#parts.budget.addRequest(routed.service, this.#context.getNowMs());
     let mayContinue = true;
     while (mayContinue) {
       const entry = this.#select(routed, progress);
       if (!entry) break;
-      const result = await this.#attempt(routed, entry, progress);
-      if (result.isOk()) {
-        this.#recordAdded(routed, result.value);
-        return;
-      }
+      const result = await this.#attempt(routed, entry, progress, tap);
+      if (result.isOk()) return result;
       progress.lastError = result.error;
       mayContinue = this.#takeRetry(routed, progress, result.error);
     }
-    this.#fail(routed, progress.lastError);
+    return err(progress.lastError);
+  }
+
+  #finish(routed: RoutedRequest, result: Result<CallSummary, CallError | undefined>): void {
+    if (result.isOk()) this.#recordAdded(routed, result.value);
+    else this.#fail(routed, result.error);
   }
 
   async #attempt(
     routed: RoutedRequest,
     entry: ServerEntry,
     progress: Progress,
+    tap: ResponseTap | undefined,
   ): Promise<Result<CallSummary, CallError>> {
     const { observations, breaker, caller } = this.#parts;
     const nowMs = this.#context.getNowMs();
@@ -117,6 +180,7 @@
       entry,
       key,
       observation,
+      tap,
       number: routed.outerAttempt + progress.tried.size,
       shouldWithhold: ({ statusCode }: { statusCode: number }) =>
         statusCode === SERVICE_UNAVAILABLE && this.#mayRunAgain(routed, progress.runs + 1),
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -11,7 +11,11 @@
 } from './callHeader.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
-import type { CallSummary, ResponseHead } from '../../connection/UpstreamCall/index.js';
+import type {
+  CallSummary,
+  ResponseHead,
+  ResponseTap,
+} from '../../connection/UpstreamCall/index.js';
 import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { LocalServer } from '../../process/localServers/index.js';
@@ -34,6 +38,8 @@
   number: number;
   /** Tells whether a response is withheld from the caller because the request is retried. */
   shouldWithhold: (head: ResponseHead) => boolean;
+  /** Copies the response, for requests with an Idempotency-Key. */
+  tap?: ResponseTap;
 }
 
 export interface ServerCallerParts {
@@ -69,7 +75,7 @@
   }
 
   #callBeside(attempt: Attempt, local: LocalServer): Promise<Result<CallSummary, CallError>> {
-    const { routed, observation, number, shouldWithhold } = attempt;
+    const { routed, observation, number, shouldWithhold, tap } = attempt;
     const { gate } = local;
     observation.reportedLoad = gate.used / gate.capacity;
     observation.reportedLoadAtMs = this.#context.getNowMs();
@@ -80,7 +86,10 @@
       deadlineMs: routed.deadlineMs,
     };
     const target = { path: routed.path, headers: this.#createHeaders(attempt) };
-    return this.#parts.localCaller.call(routed.exchange, local, work, target, { shouldWithhold });
+    return this.#parts.localCaller.call(routed.exchange, local, work, target, {
+      shouldWithhold,
+      tap,
+    });
   }
 
   #takeBorrowed({ routed, entry, key }: Attempt): BorrowedSlot | undefined {
@@ -93,12 +102,12 @@
     attempt: Attempt,
     slot: BorrowedSlot,
   ): Promise<Result<CallSummary, CallError>> {
-    const { routed, entry, shouldWithhold } = attempt;
+    const { routed, entry, shouldWithhold, tap } = attempt;
     const { directAddress, connections } = entry.server;
     this.#directCalls.value += 1;
     const pool = this.#parts.serverPools.get(directAddress, connections);
     const target = { path: routed.path, headers: this.#createHeaders(attempt) };
-    const result = await routed.exchange.call(pool, target, { isNode: false, shouldWithhold });
+    const result = await routed.exchange.call(pool, target, { isNode: false, shouldWithhold, tap });
     this.#parts.borrower.release(slot);
     return result;
   }
@@ -124,6 +133,7 @@
       {
         isNode: true,
         shouldWithhold: attempt.shouldWithhold,
+        tap: attempt.tap,
         onHead: (head) => this.#readReports(attempt, head, askedAtMs),
       },
     );
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -25,6 +25,7 @@
   KeyInUse = 'IDEMPOTENCY_KEY_IN_USE',
   KeyUnknown = 'IDEMPOTENCY_KEY_UNKNOWN',
   KeyMismatch = 'IDEMPOTENCY_KEY_MISMATCH',
+  KeyHolderUnreachable = 'IDEMPOTENCY_HOLDER_UNREACHABLE',
   KeyHoldersCold = 'IDEMPOTENCY_HOLDERS_COLD',
   KeyStoreFull = 'IDEMPOTENCY_STORE_FULL',
 }
--- /dev/null
+++ b/src/request/idempotency/IdempotencyStore/index.ts
@@ -0,0 +1,145 @@
+import { create } from '@bufbuild/protobuf';
+
+import {
+  ReservationState,
+  ReserveResponseSchema,
+} from '../../../_generated/foxtailvane/v1/idempotency_pb.js';
+
+import type {
+  ReserveRequest,
+  ReserveResponse,
+  StoredResponse,
+} from '../../../_generated/foxtailvane/v1/idempotency_pb.js';
+
+export interface IdempotencyStoreOptions {
+  /** Time that a record is kept after its last change. */
+  retentionMs: number;
+  maxRecords?: number;
+  /** Bound on the bodies and headers of all kept responses. */
+  maxBytes?: number;
+}
+
+/** At 200 bytes each without a response, these take 4 MB. */
+const DEFAULT_MAX_RECORDS = 20_000;
+const DEFAULT_MAX_BYTES = 8_388_608;
+
+interface StoredRecord {
+  owner: string;
+  bodyHash: Buffer;
+  isDone: boolean;
+  response: StoredResponse | undefined;
+  sizeBytes: number;
+  expiresAtMs: number;
+}
+
+const measureBytes = (response: StoredResponse | undefined): number =>
+  response ? response.headers.reduce((sum, text) => sum + text.length, response.body.length) : 0;
+
+const isOtherBody = (left: Buffer, right: Buffer): boolean =>
+  left.length > 0 && right.length > 0 && !left.equals(right);
+
+/**
+ * Records of keyed requests that this node holds for its data centre.
+ *
+ * A record is never dropped before its time, since that would let a repeat run: a full store
+ * refuses new keys instead. Kept responses may be dropped; their repeats are refused then.
+ */
+export class IdempotencyStore {
+  readonly #options: Required<IdempotencyStoreOptions>;
+
+  /** In the order of their last change, so that the oldest come first. */
+  readonly #records = new Map<string, StoredRecord>();
+
+  #sizeBytes = 0;
+
+  constructor(options: IdempotencyStoreOptions) {
+    this.#options = {
+      maxRecords: DEFAULT_MAX_RECORDS,
+      maxBytes: DEFAULT_MAX_BYTES,
+      ...options,
+    };
+  }
+
+  get size(): number {
+    return this.#records.size;
+  }
+
+  get sizeBytes(): number {
+    return this.#sizeBytes;
+  }
+
+  /**
+   * Reserves a key, or tells what is known of the request that holds it.
+   *
+   * @param request - key, asking request and hash of its body
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  reserve(request: ReserveRequest, nowMs: number): ReserveResponse {
+    this.expire(nowMs);
+    const known = this.#records.get(request.key);
+    const bodyHash = Buffer.from(request.bodyHash);
+    if (known) return this.#describe(known, request.owner, bodyHash);
+    if (this.#records.size >= this.#options.maxRecords) {
+      return create(ReserveResponseSchema, { state: ReservationState.FULL });
+    }
+    this.#records.set(request.key, {
+      owner: request.owner,
+      bodyHash,
+      isDone: false,
+      response: undefined,
+      sizeBytes: 0,
+      expiresAtMs: nowMs + this.#options.retentionMs,
+    });
+    return create(ReserveResponseSchema, { state: ReservationState.RESERVED });
+  }
+
+  /**
+   * Keeps the response of the request that holds a key.
+   *
+   * @param key - the key
+   * @param owner - the request that reserved it
+   * @param response - undefined when it is too large to keep
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  complete(key: string, owner: string, response: StoredResponse | undefined, nowMs: number): void {
+    const record = this.#records.get(key);
+    if (!record || record.owner !== owner) return;
+    const sizeBytes = measureBytes(response);
+    const isKept = this.#sizeBytes + sizeBytes <= this.#options.maxBytes;
+    record.isDone = true;
+    record.response = isKept ? response : undefined;
+    record.sizeBytes = isKept ? sizeBytes : 0;
+    record.expiresAtMs = nowMs + this.#options.retentionMs;
+    this.#sizeBytes += record.sizeBytes;
+    this.#records.delete(key);
+    this.#records.set(key, record);
+  }
+
+  /** Frees the key of a request that certainly did not run. */
+  release(key: string, owner: string): void {
+    const record = this.#records.get(key);
+    if (record && record.owner === owner && !record.isDone) this.#records.delete(key);
+  }
+
+  /** Drops records whose retention is over. */
+  expire(nowMs: number): void {
+    let next = this.#records.entries().next();
+    while (!next.done && next.value[1].expiresAtMs <= nowMs) {
+      const [key, record] = next.value;
+      this.#sizeBytes -= record.sizeBytes;
+      this.#records.delete(key);
+      next = this.#records.entries().next();
+    }
+  }
+
+  #describe(known: StoredRecord, owner: string, bodyHash: Buffer): ReserveResponse {
+    if (known.owner === owner && !known.isDone) {
+      return create(ReserveResponseSchema, { state: ReservationState.RESERVED });
+    }
+    if (isOtherBody(known.bodyHash, bodyHash)) {
+      return create(ReserveResponseSchema, { state: ReservationState.MISMATCH });
+    }
+    const state = known.isDone ? ReservationState.DONE : ReservationState.IN_USE;
+    return create(ReserveResponseSchema, { state, response: known.response });
+  }
+}
--- /dev/null
+++ b/src/request/idempotency/createIdempotencyRoutes/index.ts
@@ -0,0 +1,47 @@
+import { create } from '@bufbuild/protobuf';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import {
+  CompleteResponseSchema,
+  IdempotencyService,
+  ReleaseResponseSchema,
+} from '../../../_generated/foxtailvane/v1/idempotency_pb.js';
+
+import type { HolderWarmth } from '../HolderWarmth/index.js';
+import type { IdempotencyStore } from '../IdempotencyStore/index.js';
+
+export interface IdempotencyRoutesOptions {
+  store: IdempotencyStore;
+  warmth: HolderWarmth;
+  /** Reads the clock, in milliseconds since the epoch. */
+  getNowMs: () => number;
+}
+
+/**
+ * Creates the registration of `IdempotencyService` on the listener for other nodes.
+ *
+ * @param options - the records that this node holds
+ *
+ * @example
+ * connectNodeAdapter({ routes: createIdempotencyRoutes(options) });
+ */
+export const createIdempotencyRoutes =
+  ({ store, warmth, getNowMs }: IdempotencyRoutesOptions) =>
+  (router: ConnectRouter): void => {
+    router.service(IdempotencyService, {
+      reserve: (request) => {
+        const nowMs = getNowMs();
+        const response = store.reserve(request, nowMs);
+        response.warm = warmth.isWarm(request.key, nowMs);
+        return response;
+      },
+      complete: (request) => {
+        store.complete(request.key, request.owner, request.response, getNowMs());
+        return create(CompleteResponseSchema);
+      },
+      release: (request) => {
+        store.release(request.key, request.owner);
+        return create(ReleaseResponseSchema);
+      },
+    });
+  };
--- /dev/null
+++ b/src/request/idempotency/rankHolders/index.ts
@@ -0,0 +1,25 @@
+import { createHash } from 'node:crypto';
+
+/** Nodes that hold the records of one key. */
+export const HOLDER_COUNT = 2;
+
+const scoreNode = (key: string, nodeId: string): string =>
+  createHash('sha256').update(`${key}\n${nodeId}`).digest('hex');
+
+/**
+ * Chooses the nodes that hold the records of a key, by rendezvous hash: a node that joins or
+ * leaves changes only the keys that it gains or had.
+ *
+ * @param key - the key
+ * @param nodeIds - nodes of one data centre
+ * @returns the two highest, highest first
+ *
+ * @example
+ * rankHolders('k1', ['n1', 'n2', 'n3']).length; // 2
+ */
+export const rankHolders = (key: string, nodeIds: string[]): string[] =>
+  nodeIds
+    .map((nodeId) => ({ nodeId, score: scoreNode(key, nodeId) }))
+    .sort((left, right) => (left.score < right.score ? 1 : -1))
+    .slice(0, HOLDER_COUNT)
+    .map(({ nodeId }) => nodeId);
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -1,10 +1,15 @@
 /** Nodes and backend servers on loopback with a shared in-memory directory, for request tests. */
 import { createServer, request as sendRequest } from 'node:http';
 
+import { createServer as createHttp2Server } from 'node:http2';
+
 import { create } from '@bufbuild/protobuf';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
 
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, RequestListener, Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { ServerHttp2Session } from 'node:http2';
+import type { AddressInfo, Server as Listener } from 'node:net';
+import type { ConnectRouter } from '@connectrpc/connect';
 import {
   ConfigurationSchema,
   RouteSchema,
@@ -68,6 +73,8 @@
   localServers: LocalServers;
   requestServer: RequestServer;
   metrics: MetricsRegistry;
+  /** Ends the listener for other nodes, as if the process were gone. */
+  stopPeer: () => void;
 }
 
 export interface TestBackend {
@@ -96,7 +103,7 @@
 }
 
 /** Listens on a port of loopback that the system chooses. */
-export const listenOnLoopback = async (server: Server): Promise<string> => {
+export const listenOnLoopback = async (server: Listener): Promise<string> => {
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -164,9 +171,18 @@
       ...options,
     });
     const { listen, forwardListen } = await requestServer.start();
-    localServers.setAddresses({ forwardAddress: forwardListen, peerAddress: '' });
+    const routes = (router: ConnectRouter) => requestServer.registerPeerServices(router);
+    const peer = createHttp2Server(connectNodeAdapter({ routes }));
+    const sessions = new Set<ServerHttp2Session>();
+    peer.on('session', (session) => sessions.add(session));
+    const peerAddress = await listenOnLoopback(peer);
+    const stopPeer = (): void => {
+      sessions.forEach((session) => session.destroy());
+      peer.close();
+    };
+    localServers.setAddresses({ forwardAddress: forwardListen, peerAddress });
     this.directory.nodes.set(nodeId, localServers);
-    const node = { nodeId, address: listen, localServers, requestServer, metrics };
+    const node = { nodeId, address: listen, localServers, requestServer, metrics, stopPeer };
     this.#nodes.push(node);
     return node;
   }
@@ -204,6 +220,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#nodes.forEach((node) => node.stopPeer());
     await Promise.all(this.#nodes.map((node) => node.requestServer.stop()));
     await Promise.all(
       this.#backends.map(
