--- /dev/null
+++ b/src/request/RequestServer/idempotency.test.ts
@@ -0,0 +1,170 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import tap from 'tap';
+
+import type { RequestListener } from 'node:http';
+import type { Test } from 'tap';
+import createRandom from '../../../test/requestMesh/createRandom.js';
+import { TestMesh, send } from '../../../test/requestMesh/index.js';
+
+import type { TestNode } from '../../../test/requestMesh/index.js';
+
+const RETENTION_MS = 300_000;
+const NODE_IDS = ['n1', 'n2', 'n3', 'n4', 'n5'];
+
+const post = (node: TestNode | undefined, key: string, body = 'bundle') =>
+  send(node?.address ?? '', {
+    method: 'POST',
+    path: '/orders',
+    // The host is part of the key, so that the holders are the same in each run.
+    headers: { 'idempotency-key': key, host: 'desk' },
+    body,
+  });
+
+/** Starts nodes that have been up for longer than the retention window, with one server. */
+const open = async (t: Test, listener?: RequestListener) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const startedAtMs = Date.now() - 2 * RETENTION_MS;
+  const nodes = await Promise.all(
+    NODE_IDS.map((id) => mesh.startNode(id, { startedAtMs, idempotencyRetentionMs: RETENTION_MS })),
+  );
+  const [beside] = nodes;
+  if (!beside) throw new Error('no node');
+  const seen = { runs: 0 };
+  const run: RequestListener = (request, response) => {
+    seen.runs += 1;
+    if (listener) listener(request, response);
+    else response.end(`order ${seen.runs}`);
+  };
+  const startBackend = () => mesh.startBackend(beside, run);
+  // Nodes vouch for keys once they have seen each other.
+  while ((await post(beside, 'warm-up')).headers['foxtailvane-reason'] !== 'NO_SERVER') {
+    await delay(20);
+  }
+  await startBackend();
+  const remove = (node: TestNode | undefined): void => {
+    node?.stopPeer();
+    mesh.directory.nodes.delete(node?.nodeId ?? '');
+  };
+  return { mesh, nodes, seen, remove };
+};
+
+tap.test('repeats through any node get the first response; the order runs once', async (t) => {
+  const { nodes, seen } = await open(t);
+  const first = await post(nodes[0], 'k1');
+  t.equal(first.body, 'order 1');
+  const repeats = await Promise.all(nodes.map((node) => post(node, 'k1')));
+  repeats.forEach((reply) => {
+    t.equal(reply.status, 200);
+    t.equal(reply.body, 'order 1');
+    t.equal(reply.headers['idempotent-replayed'], 'true');
+  });
+  t.equal(seen.runs, 1);
+  t.equal((await post(nodes[1], 'k2')).body, 'order 2');
+});
+
+tap.test('simultaneous repeats run once; the others are refused or replayed', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const { nodes, seen } = await open(t, (_, response) => {
+    setTimeout(() => response.end('done'), Math.floor(random() * 20));
+  });
+  const keys = Array.from({ length: 20 }, (_, index) => `key-${index}`);
+  const replies = await Promise.all(
+    keys.flatMap((key) => nodes.flatMap((node) => [post(node, key), post(node, key)])),
+  );
+  t.ok(seen.runs <= keys.length, `${seen.runs} runs`);
+  t.equal(seen.runs, keys.length);
+  replies.forEach((reply) => {
+    const isRefused = reply.status === 409 || reply.status === 503;
+    if (reply.status !== 200 && !isRefused) t.fail(`status ${reply.status}`);
+  });
+});
+
+tap.test('nodes that started lately refuse keyed orders, because a repeat could run', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const node = await mesh.startNode('n1');
+  let runs = 0;
+  await mesh.startBackend(node, (_, response) => {
+    runs += 1;
+    response.end();
+  });
+  await delay(200);
+  const reply = await post(node, 'k1');
+  t.equal(reply.status, 503);
+  t.equal(reply.headers['foxtailvane-outcome'], 'not-run');
+  t.equal(reply.headers['foxtailvane-reason'], 'IDEMPOTENCY_HOLDERS_COLD');
+  t.equal(runs, 0);
+});
+
+tap.test('an order is not repeated after the loss of one or both of its holders', async (t) => {
+  const { nodes, seen, remove } = await open(t);
+  const keys = Array.from({ length: 60 }, (_, index) => `key-${index}`);
+  await Promise.all(keys.map((key) => post(nodes[0], key)));
+  t.equal(seen.runs, keys.length);
+  remove(nodes[1]);
+  const afterOne = await Promise.all(keys.map((key) => post(nodes[0], key)));
+  t.strictSame(new Set(afterOne.map((reply) => reply.status)), new Set([200]));
+  remove(nodes[2]);
+  const afterTwo = await Promise.all(keys.map((key) => post(nodes[0], key)));
+  const refused = afterTwo.filter((reply) => reply.status !== 200);
+  t.ok(refused.length > 0, `${refused.length} of ${keys.length} refused after both are lost`);
+  refused.forEach((reply) => t.equal(reply.headers['foxtailvane-outcome'], 'not-run'));
+  t.equal(seen.runs, keys.length);
+});
+
+tap.test('a holder that is listed but unreachable refuses the order as not run', async (t) => {
+  const { nodes, seen } = await open(t);
+  nodes[1]?.stopPeer();
+  const keys = Array.from({ length: 20 }, (_, index) => `key-${index}`);
+  const replies = await Promise.all(keys.map((key) => post(nodes[0], key)));
+  const refused = replies.filter((reply) => reply.status !== 200);
+  t.ok(refused.length > 0);
+  refused.forEach((reply) => t.equal(reply.headers['foxtailvane-outcome'], 'not-run'));
+  t.equal(seen.runs, keys.length - refused.length);
+});
+
+tap.test('after an unknown outcome, repeats are refused and never called not run', async (t) => {
+  const { nodes, seen } = await open(t, (request) => request.socket.resetAndDestroy());
+  const first = await post(nodes[0], 'k1');
+  t.equal(first.status, 502);
+  const repeat = await post(nodes[3], 'k1');
+  t.equal(repeat.status, 409);
+  t.equal(repeat.headers['foxtailvane-outcome'], 'unknown');
+  t.equal(seen.runs, 1);
+});
+
+tap.test('a key whose request did not run is free again', async (t) => {
+  const { mesh, nodes, seen } = await open(t);
+  const [beside] = nodes;
+  const announced = beside?.localServers.list()[0];
+  const serverId = announced?.server.serverId ?? '';
+  beside?.localServers.withdraw(serverId);
+  t.equal((await post(nodes[2], 'k1')).headers['foxtailvane-outcome'], 'not-run');
+  t.equal(seen.runs, 0);
+  if (!beside) throw new Error('no node');
+  await mesh.startBackend(beside, (_, response) => {
+    response.end('late');
+  });
+  t.equal((await post(nodes[2], 'k1')).body, 'late');
+});
+
+tap.test('a key is bound to its body', async (t) => {
+  const { nodes, seen } = await open(t);
+  await post(nodes[0], 'k1', 'two bundles');
+  const other = await post(nodes[1], 'k1', 'three bundles');
+  t.equal(other.status, 422);
+  t.equal(other.headers['foxtailvane-outcome'], 'not-run');
+  t.equal(seen.runs, 1);
+});
+
+tap.test('a response too large to keep is passed on; its repeats are refused', async (t) => {
+  const large = 'x'.repeat(200_000);
+  const { nodes, seen } = await open(t, (_, response) => {
+    response.end(large);
+  });
+  t.equal((await post(nodes[0], 'k1')).body.length, large.length);
+  t.equal((await post(nodes[1], 'k1')).status, 409);
+  t.equal(seen.runs, 1);
+});
