--- /dev/null
+++ b/src/connection/startRpcServer/index.ts
@@ -0,0 +1,154 @@
+/** The connect-es listener of a process. */
+import { createSecureServer, createServer } from 'node:http2';
+
+import { createContextValues } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+import type { TLSSocket } from 'node:tls';
+import type { ConnectRouter, ContextValues } from '@connectrpc/connect';
+import type { ConnectNodeAdapterOptions } from '@connectrpc/connect-node';
+import { callerKey, checkAccess, isTlsKey } from '../checkAccess/index.js';
+import { readIdentity } from '../../process/tls/readIdentity/index.js';
+import { createLogger } from '../../process/log/index.js';
+import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
+import type { TlsMaterial, TlsStore } from '../../process/tls/TlsStore/index.js';
+import { splitAddress } from '../splitAddress/index.js';
+
+/** Largest message accepted from another process. */
+const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
+
+/** Streams of one peer at the same time; a peer needs one stream and a few calls. */
+const MAX_STREAMS_PER_SESSION = 64;
+
+/** Interval of pings and time without an answer after which a session is half-open. */
+const PING_INTERVAL_MS = 2_000;
+const PING_TIMEOUT_MS = 3_000;
+
+/** A listener that accepts calls of other processes. */
+export interface RpcServer {
+  /** host:port that was bound. */
+  address: string;
+  /** Ends all sessions and resolves when the port is free. */
+  close: () => Promise<void>;
+}
+
+export interface RpcServerOptions {
+  /** Adds the services of the process. */
+  routes: (router: ConnectRouter) => void;
+  /** With it, callers must present a certificate of the CA; a reload takes effect at once. */
+  tls?: TlsStore | undefined;
+}
+
+type NodeServerRequest = Parameters<NonNullable<ConnectNodeAdapterOptions['contextValues']>>[0];
+
+type AnyServer = Http2Server | Http2SecureServer;
+
+const SETTINGS = { maxConcurrentStreams: MAX_STREAMS_PER_SESSION };
+
+const log = createLogger('rpc-server');
+
+// A peer that vanished without closing its connection leaves writes waiting until TCP gives up, which
+// takes minutes; a ping ends them within seconds.
+const watchSession = (session: ServerHttp2Session): void => {
+  let answeredAtMs = Date.now();
+  const timer = setInterval(() => {
+    if (Date.now() - answeredAtMs > PING_INTERVAL_MS + PING_TIMEOUT_MS) session.destroy();
+    else if (!session.destroyed) {
+      session.ping((error) => {
+        if (error === null) answeredAtMs = Date.now();
+      });
+    }
+  }, PING_INTERVAL_MS);
+  session.once('close', () => clearInterval(timer));
+  session.on('error', () => session.destroy());
+};
+
+const createTlsOptions = (material: TlsMaterial) => ({
+  ...material,
+  minVersion: 'TLSv1.3' as const,
+  requestCert: true,
+  rejectUnauthorized: true,
+});
+
+const readCaller = (request: NodeServerRequest): ProcessIdentity | undefined => {
+  // An HTTP/2 request hides the methods of its socket; the session gives access to the certificate.
+  const socket = 'stream' in request ? request.stream.session?.socket : request.socket;
+  const certificate = (socket as TLSSocket | undefined)?.getPeerCertificate?.();
+  return certificate?.subject === undefined ? undefined : readIdentity(certificate.subject);
+};
+
+// Whether callers are authenticated depends on the settings alone, so that a certificate that cannot
+// be read leads to a refusal.
+const createContext = (request: NodeServerRequest, isTls: boolean): ContextValues => {
+  const values = createContextValues().set(isTlsKey, isTls);
+  return isTls ? values.set(callerKey, readCaller(request)) : values;
+};
+
+const createListener = (
+  tls: TlsStore | undefined,
+  handler: ReturnType<typeof connectNodeAdapter>,
+): AnyServer => {
+  if (tls === undefined) return createServer({ settings: SETTINGS }, handler);
+  const options = { settings: SETTINGS, ...createTlsOptions(tls.current()) };
+  const server = createSecureServer(options, handler);
+  const unsubscribe = tls.onReloaded((material) =>
+    server.setSecureContext(createTlsOptions(material)),
+  );
+  server.once('close', unsubscribe);
+  server.on('tlsClientError', (error) =>
+    log.warn({ cause: error.message }, 'TLS handshake failed'),
+  );
+  return server;
+};
+
+const listen = (server: AnyServer, address: string): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const { host, port } = splitAddress(address);
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve(`${host}:${(server.address() as AddressInfo).port}`);
+    });
+  });
+
+/**
+ * Starts an HTTP/2 listener for the services of this process.
+ *
+ * @param address - `host:port`; port 0 lets the system choose
+ * @param options - the services and, for mutual TLS, the material
+ * @returns the bound listener
+ * @throws the system error when the address cannot be bound
+ *
+ * @example
+ * const server = await startRpcServer('127.0.0.1:0', { routes: (router) => hub.registerRoutes(router) });
+ */
+export const startRpcServer = async (
+  address: string,
+  options: RpcServerOptions,
+): Promise<RpcServer> => {
+  const handler = connectNodeAdapter({
+    routes: options.routes,
+    grpc: false,
+    grpcWeb: false,
+    acceptCompression: [],
+    readMaxBytes: MAX_MESSAGE_BYTES,
+    contextValues: (request) => createContext(request, options.tls !== undefined),
+    interceptors: [checkAccess],
+  });
+  const sessions = new Set<ServerHttp2Session>();
+  const server = createListener(options.tls, handler);
+  server.on('session', (session) => {
+    sessions.add(session);
+    session.once('close', () => sessions.delete(session));
+    watchSession(session);
+  });
+  const bound = await listen(server, address);
+  const close = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      sessions.forEach((session) => session.destroy());
+    });
+  return { address: bound, close };
+};
--- /dev/null
+++ b/src/process/cli/index.ts
@@ -0,0 +1,82 @@
+/** The command line of foxtailvane. */
+import { Command, CommanderError } from 'commander';
+
+import addApplyCommand from './commands/apply.js';
+import addCheckSettingsCommand from './commands/checkSettings.js';
+import addDaemonCommands from './commands/daemons.js';
+import addHistoryCommand from './commands/history.js';
+import addMembersCommand from './commands/members.js';
+import addServersCommand from './commands/servers.js';
+import addSheetCommand from './commands/sheet.js';
+import addStatusCommand from './commands/status.js';
+import CommandError from './CommandError.js';
+import ExitCode from './ExitCode.js';
+
+import type Terminal from './_lib/Terminal.js';
+
+export { default as ExitCode } from './ExitCode.js';
+export type { default as Terminal } from './_lib/Terminal.js';
+
+const COMMANDS = [
+  addDaemonCommands,
+  addCheckSettingsCommand,
+  addSheetCommand,
+  addApplyCommand,
+  addStatusCommand,
+  addServersCommand,
+  addHistoryCommand,
+  addMembersCommand,
+];
+
+/** Usage is printed whole when a command is missing; any other message has one line. */
+const selectErrorText = (text: string): string => {
+  const trimmed = text.trim();
+  return trimmed.startsWith('Usage:') ? trimmed : (trimmed.split('\n')[0] ?? '');
+};
+
+/** Subcommands copy these settings, so they precede the commands. */
+const createProgram = (terminal: Terminal): Command => {
+  const program = new Command('foxtailvane')
+    .description('configuration distribution and request routing for a service mesh')
+    .exitOverride()
+    .configureOutput({
+      writeOut: (text) => terminal.print(text.trimEnd()),
+      writeErr: (text) => terminal.printError(selectErrorText(text)),
+    });
+  COMMANDS.forEach((addCommand) => addCommand(program, terminal));
+  return program;
+};
+
+const reportFailure = (error: unknown, terminal: Terminal): ExitCode => {
+  if (error instanceof CommandError) {
+    error.lines.forEach((line) => terminal.printError(`foxtailvane: ${line}`));
+    return error.exitCode;
+  }
+  // Commander has printed its own message; help and version are no failure.
+  if (error instanceof CommanderError) {
+    return error.exitCode === 0 ? ExitCode.Done : ExitCode.BadInput;
+  }
+  // An unexpected failure says nothing about what the request did.
+  const reason = error instanceof Error ? error.message : String(error);
+  terminal.printError(`foxtailvane: unexpected failure: ${reason.replaceAll('\n', ' ')}`);
+  return ExitCode.Unknown;
+};
+
+/**
+ * Runs a command line.
+ *
+ * @param args - arguments after the name of the program
+ * @param terminal - where to print
+ * @returns the exit code
+ *
+ * @example
+ * process.exitCode = await runCommandLine(process.argv.slice(2), terminal);
+ */
+export const runCommandLine = async (args: string[], terminal: Terminal): Promise<ExitCode> => {
+  try {
+    await createProgram(terminal).parseAsync(args, { from: 'user' });
+    return ExitCode.Done;
+  } catch (error) {
+    return reportFailure(error, terminal);
+  }
+};
--- /dev/null
+++ b/src/process/settings/_lib/describeSettingsFault.ts
@@ -0,0 +1,20 @@
+import type { SettingsFault } from '../SettingsError.js';
+
+/**
+ * Describes a fault of a settings file in one line.
+ *
+ * @param fault - the fault
+ *
+ * @example
+ * describeSettingsFault(fault); // '[control] listen "7400": expected IP:port'
+ */
+const describeSettingsFault = ({ section, key, value, expected }: SettingsFault): string => {
+  const parts = [
+    ...(section === '' ? [] : [`[${section}]`]),
+    ...(key === '' ? [] : [key]),
+    ...(value === '' ? [] : [JSON.stringify(value)]),
+  ];
+  return `${parts.join(' ')}: expected ${expected}`;
+};
+
+export default describeSettingsFault;
