--- /dev/null
+++ b/src/request/RequestServer/drain.test.ts
@@ -0,0 +1,102 @@
+import { Agent } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import tap from 'tap';
+
+import { TestMesh, send } from '../../../test/requestMesh/index.js';
+
+import type { TestNode } from '../../../test/requestMesh/index.js';
+
+const GRACE_MS = 500;
+
+const isReachable = (node: TestNode): Promise<boolean> =>
+  send(node.address).then(
+    () => true,
+    () => false,
+  );
+
+tap.test('a drain finishes what is in flight on both hops, then closes', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = await mesh.startNode('owner');
+  const held: (() => void)[] = [];
+  await mesh.startBackend(owner, (_, response) => {
+    response.write('first ');
+    held.push(() => response.end('last'));
+  });
+  const reply = send(entry.address);
+  while (held.length === 0) await delay(5);
+  let drained = 0;
+  const drains = [entry, owner].map(async (node) => {
+    await node.requestServer.drain();
+    drained += 1;
+  });
+  await delay(300);
+  t.equal(drained, 0, 'the drain waits');
+  held.forEach((finish) => finish());
+  const { status, body, isComplete } = await reply;
+  t.strictSame({ status, body, isComplete }, { status: 200, body: 'first last', isComplete: true });
+  await Promise.all(drains);
+  t.equal(await isReachable(entry), false);
+});
+
+tap.test('idle connections of callers do not hold up a drain', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  await mesh.startBackend(entry, (_, response) => {
+    response.end('ok');
+  });
+  const agent = new Agent({ keepAlive: true });
+  t.teardown(() => agent.destroy());
+  const before = await send(entry.address, { agent });
+  t.equal(before.headers.connection, 'keep-alive');
+  const drained = entry.requestServer.drain();
+  const during = await send(entry.address, { agent });
+  t.equal(during.headers.connection, 'close', 'callers are asked to leave');
+  await drained;
+  t.equal(await isReachable(entry), false);
+});
+
+tap.test('no request fails while a node drains under load, and no order runs twice', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owners = [
+    await mesh.startNode('owner-1', { drainGraceMs: GRACE_MS }),
+    await mesh.startNode('owner-2', { drainGraceMs: GRACE_MS }),
+  ];
+  const runs = new Map<string, number>();
+  await Promise.all(
+    owners.map((owner) =>
+      mesh.startBackend(owner, (request, response) => {
+        const order = String(request.headers['x-order']);
+        runs.set(order, (runs.get(order) ?? 0) + 1);
+        setTimeout(() => response.end('ok'), 2);
+      }),
+    ),
+  );
+  const agent = new Agent({ keepAlive: true, maxSockets: 8 });
+  t.teardown(() => agent.destroy());
+  let isOver = false;
+  const statuses: number[] = [];
+  const load = async (name: string) => {
+    let count = 0;
+    while (!isOver) {
+      count += 1;
+      const headers = { 'x-order': `${name}-${count}` };
+      const options = { agent, headers, path: '/orders', method: 'POST', body: 'bundle' };
+      statuses.push((await send(entry.address, options)).status);
+    }
+  };
+  const loads = ['a', 'b', 'c', 'd', 'e', 'f'].map(load);
+  await delay(300);
+  await owners[0]?.requestServer.drain();
+  isOver = true;
+  await Promise.all(loads);
+  t.ok(statuses.length > 50, `${statuses.length} requests`);
+  t.strictSame(new Set(statuses), new Set([200]));
+  t.equal(runs.size, statuses.length);
+  t.equal(Math.max(...runs.values()), 1);
+});
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -6,8 +6,9 @@
 
 /** The part of the endpoint directory that requests need. */
 export interface RequestDirectory {
-  serversOf: (service: string) => ServerEntry[];
-  records: () => NodeRecord[];
+  /** The array is not changed, and a new one is returned after each change. */
+  serversOf: (service: string) => readonly ServerEntry[];
+  records: () => readonly NodeRecord[];
 }
 
 /** What the handlers of a node share. */
--- a/src/request/idempotency/HolderWarmth/index.ts
+++ b/src/request/idempotency/HolderWarmth/index.ts
@@ -32,7 +32,7 @@
    * @param records - records of all known nodes
    * @param nowMs - present time in milliseconds since the epoch
    */
-  observe(records: NodeRecord[], nowMs: number): void {
+  observe(records: readonly NodeRecord[], nowMs: number): void {
     const { dataCentre, retentionMs } = this.#options;
     records
       .filter((record) => record.dataCentre === dataCentre)
--- a/src/request/idempotency/IdempotencyGuard/index.ts
+++ b/src/request/idempotency/IdempotencyGuard/index.ts
@@ -45,7 +45,7 @@
   nodeId: string;
   dataCentre: string;
   /** Returns the records of all live nodes. */
-  getRecords: () => NodeRecord[];
+  getRecords: () => readonly NodeRecord[];
   tls?: TlsMaterial;
 }
 
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -6,7 +6,13 @@
 import { create } from '@bufbuild/protobuf';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import type { IncomingHttpHeaders, OutgoingHttpHeaders, RequestListener, Server } from 'node:http';
+import type {
+  Agent,
+  IncomingHttpHeaders,
+  OutgoingHttpHeaders,
+  RequestListener,
+  Server,
+} from 'node:http';
 import type { ServerHttp2Session } from 'node:http2';
 import type { AddressInfo, Server as Listener } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
@@ -100,6 +106,8 @@
   headers?: OutgoingHttpHeaders;
   body?: string | Buffer;
   signal?: AbortSignal;
+  /** A connection of its own unless given. */
+  agent?: Agent;
 }
 
 /** Listens on a port of loopback that the system chooses. */
