--- a/src/process/cli/_lib/connectionOptions.ts
+++ b/src/process/cli/_lib/connectionOptions.ts
@@ -19,13 +19,17 @@
 const DEFAULT_TIMEOUT_MS = 7_000;
 const CONTROL_PATTERN = /^(\[[0-9a-f:]+\]|[A-Za-z0-9.-]+):[1-9][0-9]{0,4}$/i;
 
-const collectControl = (value: string, previous: string[] | undefined): string[] => {
-  if (!CONTROL_PATTERN.test(value)) {
-    throw new CommandError(ExitCode.BadInput, [`--control ${value}: expected host:port`]);
-  }
-  return [...(previous ?? []), value];
+/** Reads `host:port`. */
+export const parseHostPort = (value: string): string => {
+  if (CONTROL_PATTERN.test(value)) return value;
+  throw new CommandError(ExitCode.BadInput, [`${value}: expected host:port`]);
 };
 
+const collectControl = (value: string, previous: string[] | undefined): string[] => [
+  ...(previous ?? []),
+  parseHostPort(value),
+];
+
 /** Reads a number of milliseconds. */
 export const parseDurationMs = (value: string): number => {
   if (!/^[1-9][0-9]{0,8}$/.test(value)) {
@@ -39,8 +43,12 @@
  * Adds `--control`, `--token-file` and `--timeout-ms` to a command.
  *
  * @param command - an operator command
+ * @param options - whether the command needs control VMs at all; it does unless stated
  */
-export const addConnectionOptions = (command: Command): Command =>
+export const addConnectionOptions = (
+  command: Command,
+  options: { isMandatory: boolean } = { isMandatory: true },
+): Command =>
   command
     .addOption(
       new Option(
@@ -48,9 +56,13 @@
         'operator_listen of a control VM; repeat it to name others to try next',
       )
         .argParser(collectControl)
-        .makeOptionMandatory(),
+        .makeOptionMandatory(options.isMandatory),
+    )
+    .addOption(
+      new Option('--token-file <file>', 'file with the bearer token').makeOptionMandatory(
+        options.isMandatory,
+      ),
     )
-    .requiredOption('--token-file <file>', 'file with the bearer token')
     .option(
       '--timeout-ms <ms>',
       'time to wait for the answer of one control VM',
--- /dev/null
+++ b/src/process/cli/_lib/createServerIndex.ts
@@ -0,0 +1,40 @@
+import { create } from '@bufbuild/protobuf';
+
+import type { ServerEntry } from '../../endpoints/types.js';
+import type { ServerAnswer } from '../../operatorApi/types.js';
+import {
+  NodeRecordSchema,
+  ServerSchema,
+  ServerState,
+} from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+
+const STATES: Record<string, ServerState> = {
+  starting: ServerState.STARTING,
+  serving: ServerState.SERVING,
+  draining: ServerState.DRAINING,
+};
+
+const createEntry = (answer: ServerAnswer): ServerEntry => ({
+  server: create(ServerSchema, {
+    serverId: answer.serverId,
+    service: answer.service,
+    state: STATES[answer.state] ?? ServerState.UNSPECIFIED,
+  }),
+  node: create(NodeRecordSchema, {
+    nodeId: answer.node,
+    dataCentre: answer.dataCentre,
+    draining: answer.isNodeDraining,
+  }),
+});
+
+/**
+ * Makes the servers that a control VM listed searchable by service.
+ *
+ * @param answers - answer to `GET /v1/servers`
+ */
+const createServerIndex = (answers: ServerAnswer[]) => ({
+  serversOf: (service: string): ServerEntry[] =>
+    answers.filter((answer) => answer.service === service).map(createEntry),
+});
+
+export default createServerIndex;
--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -3,6 +3,7 @@
 
 import addApplyCommand from './commands/apply.js';
 import addCheckSettingsCommand from './commands/checkSettings.js';
+import addExplainCommand from './commands/explain.js';
 import addHistoryCommand from './commands/history.js';
 import addMembersCommand from './commands/members.js';
 import addServersCommand from './commands/servers.js';
@@ -24,6 +25,7 @@
   addApplyCommand,
   addStatusCommand,
   addServersCommand,
+  addExplainCommand,
   addHistoryCommand,
   addMembersCommand,
 ];
--- a/src/process/node/_lib/explainRoute.ts
+++ b/src/process/node/_lib/explainRoute.ts
@@ -58,7 +58,7 @@
  */
 export const explainRoute = (
   compiled: CompiledConfiguration | undefined,
-  directory: EndpointDirectory,
+  directory: Pick<EndpointDirectory, 'serversOf'>,
   query: ExplainQuery,
 ): Explanation => {
   const host = query.host.toLowerCase();
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -75,7 +75,7 @@
 const RETRY_AFTER_SECONDS = '1';
 
 /** A dashboard and a few operators stay far below this; a guessing client does not. */
-const DEFAULT_RATE_LIMIT: RateLimiterOptions = { requestsPerSecond: 50, burst: 100 };
+const DEFAULT_RATE_LIMIT: RateLimiterOptions = { requestsPerSecond: 200, burst: 400 };
 
 const STATUS_OF_OUTCOME = {
   [ApplyOutcome.Accepted]: 200,
--- a/stand-ins/cluster/_lib/members.ts
+++ b/stand-ins/cluster/_lib/members.ts
@@ -29,6 +29,9 @@
 
   readonly operator: OperatorClient;
 
+  /** `host:port` of the operator API. */
+  readonly operatorAddress: string;
+
   readonly proxy: FaultProxy | undefined;
 
   readonly #dataFolder: string;
@@ -38,6 +41,7 @@
     this.dataCentre = parts.dataCentre;
     this.process = parts.process;
     this.address = parts.address;
+    this.operatorAddress = new URL(parts.operatorUrl).host;
     this.operator = new OperatorClient(parts.operatorUrl, parts.token);
     this.proxy = parts.proxy;
     this.#dataFolder = parts.dataFolder;
