--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -34,15 +34,17 @@
 /** A response that was passed on completely. */
 export interface CallSummary {
   statusCode: number;
+  /** Time from writing the request to the end of the response, without pauses of the caller. */
+  upstreamMs: number;
 }
 
 export interface UpstreamCallOptions {
   /**
    * Called with the head of a response before it is passed on; may add headers to it.
-   *
-   * @returns false to withhold the response from the caller
    */
-  onHead?: (head: ResponseHead) => boolean;
+  onHead?: (head: ResponseHead) => void;
+  /** Tells whether a response is withheld from the caller because the request is retried. */
+  shouldWithhold?: (head: ResponseHead) => boolean;
   /** True when the upstream is a node, whose internal headers are trusted. */
   isNode: boolean;
 }
@@ -75,14 +77,16 @@
 
   #isHeadPassed = false;
 
-  #isWithheld = false;
-
   #hasBody = false;
 
   #withheld: CallError | undefined;
 
   #statusCode = 0;
 
+  #writtenAtMs = 0;
+
+  #pausedMs = 0;
+
   #cancelReason: string | undefined;
 
   #abort: ((error?: Error) => void) | undefined;
@@ -137,6 +141,7 @@
     }
     this.#abort = abort;
     this.#isWritten = true;
+    this.#writtenAtMs = performance.now();
   }
 
   /** Called by undici for each response head, including informational ones. */
@@ -150,9 +155,9 @@
     const copied = copyHeaders(decodeHeaders(raw), { isRequest: false });
     const internal = this.#options.isNode ? copied.internal : undefined;
     const head: ResponseHead = { statusCode, headers: copied.headers, internal };
-    this.#withheld = this.#findOwnAnswer(head);
-    this.#isWithheld = this.#withheld !== undefined || !(this.#options.onHead?.(head) ?? true);
-    if (this.#isWithheld) return true;
+    this.#options.onHead?.(head);
+    this.#withheld = this.#findOwnAnswer(head) ?? this.#findShed(head);
+    if (this.#withheld) return true;
     this.#isHeadPassed = true;
     this.#response.writeHead(statusCode, head.headers);
     queueMicrotask(() => this.#flushHead());
@@ -161,11 +166,14 @@
 
   /** Called by undici for each part of the body; false pauses the upstream. */
   onData(chunk: Buffer): boolean {
-    if (this.#isWithheld) return true;
+    if (this.#withheld) return true;
     this.#hasBody = true;
     if (this.#response.write(chunk)) return true;
-    const resume = this.#resume;
-    this.#response.once('drain', () => resume?.());
+    const pausedAtMs = performance.now();
+    this.#response.once('drain', () => {
+      this.#pausedMs += performance.now() - pausedAtMs;
+      this.#resume?.();
+    });
     return false;
   }
 
@@ -175,8 +183,9 @@
       this.#finish(err(this.#withheld));
       return;
     }
-    if (!this.#isWithheld) this.#end(trailers as Buffer[] | null);
-    this.#finish(ok({ statusCode: this.#statusCode }));
+    this.#end(trailers as Buffer[] | null);
+    const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
+    this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
   }
 
   /** Called by undici when the request failed. */
@@ -224,6 +233,12 @@
     return new CallError(code, reason, options);
   }
 
+  #findShed(head: ResponseHead): CallError | undefined {
+    if (!this.#options.shouldWithhold?.(head)) return undefined;
+    const message = `the server answered ${head.statusCode}`;
+    return new CallError(CallErrorCode.Shed, message, { isWritten: true });
+  }
+
   #passInformation(statusCode: number, raw: Buffer[]): void {
     if (statusCode !== EARLY_HINTS) return;
     const headers = decodeHeaders(raw);
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -14,6 +14,7 @@
 import { InstallErrorCode } from '../../../process/holder/InstallError/index.js';
 import { createLogger } from '../../../process/log/index.js';
 import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
+import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
 import { LinkError, LinkErrorCode } from '../LinkError/index.js';
 import { installDelta, installSnapshot } from './installEncoded.js';
@@ -138,9 +139,12 @@
    */
   async run(): Promise<Result<StreamEnd, LinkError>> {
     const { timing, tls } = this.#context;
-    const { transport, close } = openTransport(this.target.address, tls ? { tls } : {});
+    const { transport, close } = openTransport(
+      this.target.address,
+      tls ? { tls, peerRole: ProcessRole.Control } : {},
+    );
     const client = createClient(DistributionService, transport);
-    const watchdog = setTimeout(() => this.#endSilent(), timing.silenceMs);
+    let watchdog = setTimeout(() => this.#endSilent(), timing.attachTimeoutMs);
     const renewals = setInterval(
       () => this.#send({ case: 'renewal', value: {} }),
       timing.heartbeatIntervalMs,
@@ -149,7 +153,8 @@
     try {
       const options = { signal: this.#abort.signal };
       for await (const message of client.attach(this.#queue.iterate(), options)) {
-        watchdog.refresh();
+        clearTimeout(watchdog);
+        watchdog = setTimeout(() => this.#endSilent(), timing.silenceMs);
         this.#handle(message, this.#context.now());
       }
       return ok(this.#retryAfterMs === undefined ? {} : { retryAfterMs: this.#retryAfterMs });
@@ -227,8 +232,7 @@
 
   #convert(cause: unknown): LinkError {
     if (!this.#isSilent) return LinkError.from(cause);
-    const message = `no message within ${this.#context.timing.silenceMs} ms`;
-    return new LinkError(LinkErrorCode.Silent, message);
+    return new LinkError(LinkErrorCode.Silent, 'the control VM sent nothing within the time limit');
   }
 
   #handle(message: AttachResponse, nowMs: number): void {
--- a/src/process/_lib/slim/hdrHistogram.ts
+++ b/src/process/_lib/slim/hdrHistogram.ts
@@ -10,7 +10,11 @@
 
 export type { Histogram };
 
-const { default: Int32Histogram } = int32Module;
+// Node.js gives the module object of a CommonJS package, esbuild its default export when the importer
+// was resolved by a plugin. Without the difference, the bundled node failed at its first histogram.
+const Int32Histogram = (int32Module.default as typeof int32Module.default | undefined)
+  ? int32Module.default
+  : (int32Module as unknown as typeof int32Module.default);
 
 const DEFAULT_LOWEST_VALUE = 1;
 const DEFAULT_HIGHEST_VALUE = 2;
--- a/src/process/daemon/runDaemon/index.ts
+++ b/src/process/daemon/runDaemon/index.ts
@@ -9,7 +9,7 @@
 import type { Stoppable } from '../waitForStop/index.js';
 
 /** How one kind of daemon reads its settings and starts. */
-export interface DaemonKind<Settings> {
+export interface DaemonKind<Settings extends { log: LogSettings }> {
   readSettings: (path: string) => Promise<Result<Settings, SettingsError>>;
   /** `nowMs` is the start time of the process in milliseconds since the epoch. */
   start: (settings: Settings, nowMs: number) => Promise<Result<Stoppable, DaemonError>>;
