--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -43,10 +43,6 @@
     addresses.map((address) => ({ address, dataCentre })),
   );
 
-/** The written address of a listener, or the bound one when none differs from the listener. */
-const selectAddress = (written: string, listener: string, bound: string): string =>
-  written === listener ? bound : written;
-
 const toListenError = (error: unknown): DaemonError => {
   const reason = error instanceof Error ? error.message : String(error);
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
@@ -127,8 +123,8 @@
   if (bound.isErr()) return err(bound.error);
   const { listen, forwardListen, peerListen, closePeer } = bound.value;
   localServers.setAddresses({
-    forwardAddress: selectAddress(settings.forwardAddress, settings.forwardListen, forwardListen),
-    peerAddress: selectAddress(settings.peerAddress, settings.peerListen, peerListen),
+    forwardAddress: settings.forwardAddress,
+    peerAddress: settings.peerAddress,
   });
   const api = createLocalApi({ link, holder, directory, localServers, metrics });
   const local = await serveHttp(api, settings.localListen);
