Probe servers for hints that rank below exact counts

Health and load endpoints may be stale or misleading, so a hint raises the reported load of a server to at most 0.9: it is avoided while others are free, never excluded, and never causes a spill to another data centre.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -36,8 +36,36 @@
   leaseEndsAtMs: number;
   readonly gate: SlotGate;
   readonly latencies: RouteLatencies;
+  /** What the server last said of itself. */
+  hint: LoadHint | undefined;
 }
 
+/** What a server says of itself; it lags behind and may mislead. */
+export interface LoadHint {
+  isHealthy: boolean;
+  /** Share of its slots in use; undefined when it does not say. */
+  load: number | undefined;
+  /** In milliseconds since the epoch. */
+  atMs: number;
+}
+
+const HINT_LIFE_MS = 5_000;
+/** Hints never count as full load, so that a misleading server is avoided, but not given up. */
+const MAX_HINTED_LOAD = 0.9;
+
+/**
+ * Returns the share of a server's slots in use: the exact count, or the hint if that is higher.
+ *
+ * @param local - the server
+ * @param nowMs - present time in milliseconds since the epoch
+ */
+export const readLoad = ({ gate, hint }: LocalServer, nowMs: number): number => {
+  const exact = gate.used / gate.capacity;
+  if (!hint || nowMs - hint.atMs > HINT_LIFE_MS) return exact;
+  const hinted = hint.isHealthy ? (hint.load ?? 0) : MAX_HINTED_LOAD;
+  return Math.max(exact, Math.min(MAX_HINTED_LOAD, hinted));
+};
+
 export interface LocalServersOptions {
   nodeId: string;
   dataCentre: string;
@@ -165,6 +193,7 @@
         leaseEndsAtMs,
         gate,
         latencies: new RouteLatencies(),
+        hint: undefined,
       });
       this.#publish();
       return ok();
@@ -212,6 +241,12 @@
     return expired;
   }
 
+  /** Notes what a server says of itself. */
+  noteHint(serverId: string, hint: LoadHint): void {
+    const entry = this.#servers.get(serverId);
+    if (entry) entry.hint = hint;
+  }
+
   /** Marks the node as draining; no server beside it is chosen any more. */
   drain(): void {
     if (!this.isDraining) this.#publish({ draining: true });
--- /dev/null
+++ b/src/process/localServers/ServerProbes/index.ts
@@ -0,0 +1,125 @@
+/** Probes of `GET /health` and `GET /load`: hints that lag behind and may mislead. */
+import { Pool } from 'undici';
+import * as v from 'valibot';
+
+import type { LocalServer, LocalServers } from '../LocalServers/index.js';
+
+export interface ServerProbesOptions {
+  localServers: LocalServers;
+  /** Pause between two rounds. */
+  intervalMs?: number;
+  /** Reads the clock, in milliseconds since the epoch. */
+  getNowMs?: () => number;
+}
+
+const DEFAULT_INTERVAL_MS = 2_000;
+/** A probe takes about 6 ms; a server that needs this long is in trouble. */
+const PROBE_TIMEOUT_MS = 1_000;
+const MAX_ANSWER_BYTES = 4_096;
+const FIRST_SERVER_ERROR = 500;
+const NOT_IMPLEMENTED = 501;
+
+const loadSchema = v.object({
+  inFlight: v.pipe(v.number(), v.minValue(0)),
+  slots: v.pipe(v.number(), v.minValue(1)),
+});
+
+const parseLoad = (text: string): number | undefined => {
+  try {
+    const parsed = v.safeParse(loadSchema, JSON.parse(text));
+    return parsed.success ? parsed.output.inFlight / parsed.output.slots : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Probes every announced server in turn of the interval. */
+export class ServerProbes {
+  readonly #options: Required<ServerProbesOptions>;
+
+  /** Apart from the pools for requests, which may be in full use. */
+  readonly #pools = new Map<string, Pool>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: ServerProbesOptions) {
+    this.#options = {
+      localServers: options.localServers,
+      intervalMs: options.intervalMs ?? DEFAULT_INTERVAL_MS,
+      getNowMs: options.getNowMs ?? Date.now,
+    };
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => {
+      this.probe().catch(() => undefined);
+    }, this.#options.intervalMs);
+    this.#timer.unref();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  /** Probes each server once and notes the hints. */
+  async probe(): Promise<void> {
+    const servers = this.#options.localServers.list();
+    this.#closeUnused(new Set(servers.map(({ server }) => server.address)));
+    await Promise.all(servers.map((local) => this.#probeServer(local)));
+  }
+
+  async #probeServer({ server }: LocalServer): Promise<void> {
+    const [health, load] = await Promise.all([
+      this.#get(server.address, '/health'),
+      this.#get(server.address, '/load'),
+    ]);
+    // A server without a health endpoint is taken as healthy.
+    const isHealthy =
+      health !== undefined &&
+      (health.statusCode < FIRST_SERVER_ERROR || health.statusCode === NOT_IMPLEMENTED);
+    this.#options.localServers.noteHint(server.serverId, {
+      isHealthy,
+      load: load === undefined ? undefined : parseLoad(load.text),
+      atMs: this.#options.getNowMs(),
+    });
+  }
+
+  #closeUnused(used: Set<string>): void {
+    [...this.#pools]
+      .filter(([address]) => !used.has(address))
+      .forEach(([address, pool]) => {
+        this.#pools.delete(address);
+        pool.destroy().catch(() => undefined);
+      });
+  }
+
+  #open(address: string): Pool {
+    const known = this.#pools.get(address);
+    if (known) return known;
+    const pool = new Pool(`http://${address}`, {
+      connections: 1,
+      maxResponseSize: MAX_ANSWER_BYTES,
+    });
+    this.#pools.set(address, pool);
+    return pool;
+  }
+
+  async #get(
+    address: string,
+    path: string,
+  ): Promise<{ statusCode: number; text: string } | undefined> {
+    try {
+      const { statusCode, body } = await this.#open(address).request({
+        method: 'GET',
+        path,
+        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+      });
+      return { statusCode, text: await body.text() };
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/process/localServers/ServerProbes/test.ts
@@ -0,0 +1,63 @@
+import { createServer } from 'node:http';
+
+import tap from 'tap';
+
+import type { RequestListener } from 'node:http';
+import type { Test } from 'tap';
+import { listenOnLoopback } from '../../../../test/requestMesh/index.js';
+import { LocalServers, readLoad } from '../LocalServers/index.js';
+import { AnnouncedState } from '../_lib/parseAnnouncement.js';
+import { ServerProbes } from './index.js';
+
+const START_MS = 1_000_000;
+
+const probeOnce = async (t: Test, listener: RequestListener) => {
+  const server = createServer(listener);
+  const address = await listenOnLoopback(server);
+  const localServers = new LocalServers({ nodeId: 'n1', dataCentre: 'a', incarnation: 1n });
+  const announcement = {
+    service: 'desk',
+    address,
+    slots: 10,
+    connections: 20,
+    state: AnnouncedState.Serving,
+  };
+  localServers.announce('desk-1', announcement, START_MS);
+  const probes = new ServerProbes({ localServers, getNowMs: () => START_MS });
+  t.teardown(async () => {
+    await probes.stop();
+    server.closeAllConnections();
+    server.close();
+  });
+  await probes.probe();
+  const local = localServers.find('desk-1');
+  if (!local) throw new Error('not announced');
+  return local;
+};
+
+const answer =
+  (status: number, load: unknown): RequestListener =>
+  (request, response) => {
+    response.statusCode = request.url === '/health' ? status : 200;
+    response.end(JSON.stringify(load));
+  };
+
+tap.test('reported load counts if it is higher than the exact count, never as full', async (t) => {
+  const busy = await probeOnce(t, answer(200, { inFlight: 5, slots: 10 }));
+  t.equal(readLoad(busy, START_MS), 0.5);
+  const lying = await probeOnce(t, answer(200, { inFlight: 1_000, slots: 10 }));
+  t.equal(readLoad(lying, START_MS), 0.9);
+  const sick = await probeOnce(t, answer(503, { inFlight: 0, slots: 10 }));
+  t.equal(readLoad(sick, START_MS), 0.9);
+});
+
+tap.test('a stale hint and an endpoint without sense count for nothing', async (t) => {
+  const busy = await probeOnce(t, answer(200, { inFlight: 5, slots: 10 }));
+  t.equal(readLoad(busy, START_MS + 5_001), 0);
+  const odd = await probeOnce(t, answer(404, { inFlight: 'many' }));
+  t.equal(readLoad(odd, START_MS), 0);
+  const idleClaim = await probeOnce(t, answer(200, { inFlight: 0, slots: 10 }));
+  const demand = { deadlineMs: START_MS + 1_000, isRetry: false, isSlow: false };
+  Array.from({ length: 8 }).forEach(() => idleClaim.gate.admit(demand, START_MS, () => undefined));
+  t.equal(readLoad(idleClaim, START_MS), 0.8, 'the exact count takes precedence');
+});
--- a/src/process/localServers/index.ts
+++ b/src/process/localServers/index.ts
@@ -1,12 +1,13 @@
 /** The backend servers beside a node: announcements, leases, probes and slots. */
 export { AnnouncementError, AnnouncementErrorCode } from './AnnouncementError/index.js';
 export { AdaptiveLimiter, ConcurrencyLimiter, FixedLimiter } from './ConcurrencyLimiter/index.js';
-export { LocalServers } from './LocalServers/index.js';
+export { LocalServers, readLoad } from './LocalServers/index.js';
 export { RouteLatencies } from './RouteLatencies/index.js';
+export { ServerProbes } from './ServerProbes/index.js';
 export { GateRefusal, SlotGate } from './SlotGate/index.js';
 export { AnnouncedState } from './_lib/parseAnnouncement.js';
 export { createLocalServerRoutes } from './createLocalServerRoutes/index.js';
-export type { LocalServer, LocalServersOptions } from './LocalServers/index.js';
+export type { LoadHint, LocalServer, LocalServersOptions } from './LocalServers/index.js';
 export type { LimiterSample } from './ConcurrencyLimiter/index.js';
 export type { SlotDemand } from './SlotGate/index.js';
 export type { Announcement } from './_lib/parseAnnouncement.js';
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -8,6 +8,7 @@
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
+import { ServerProbes } from '../../process/localServers/index.js';
 import LoanClient from '../_lib/LoanClient.js';
 import ServerCaller from '../_lib/ServerCaller.js';
 import { FailureRateBreaker } from '../breakCircuit/index.js';
@@ -65,6 +66,8 @@
   idempotencyRetentionMs?: number;
   /** When this node started, in milliseconds since the epoch; the present time unless given. */
   startedAtMs?: number;
+  /** Pause between two probes of the servers beside this node. */
+  probeIntervalMs?: number;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
 }
@@ -127,6 +130,8 @@
 
   readonly #guard: IdempotencyGuard;
 
+  readonly #probes: ServerProbes;
+
   readonly #borrower = new SlotBorrower();
 
   readonly #lender: SlotLender;
@@ -149,6 +154,11 @@
     this.#nodePools = new UpstreamPools({ tls: options.tls });
     this.#lender = new SlotLender(options.localServers.record().incarnation);
     this.#loans = new LoanClient(this.#borrower, this.#nodePools);
+    this.#probes = new ServerProbes({
+      localServers: options.localServers,
+      intervalMs: options.probeIntervalMs,
+      getNowMs: this.#context.getNowMs,
+    });
     const retentionMs = options.idempotencyRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#warmth = new HolderWarmth({
       nodeId: options.nodeId,
@@ -219,6 +229,7 @@
     const listen = await listenOn(this.#entry, this.#options.listen);
     this.#maintenance = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
     this.#maintenance.unref();
+    this.#probes.start();
     return { listen, forwardListen };
   }
 
@@ -240,6 +251,7 @@
   async stop(): Promise<void> {
     clearInterval(this.#maintenance);
     this.#guard.close();
+    await this.#probes.stop();
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     this.#entry.closeAllConnections();
     this.#owner.closeAllConnections();
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { readLoad } from '../../process/localServers/index.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import {
   ATTEMPT_HEADER,
@@ -93,7 +94,7 @@
     const target = { path, headers };
     const result = await this.#caller.call(exchange, local, work, target, {
       onHead: (head) => {
-        head.headers.push(LOAD_HEADER, formatLoad(local.gate));
+        head.headers.push(LOAD_HEADER, formatLoad(readLoad(local, this.#context.getNowMs())));
         if (exchange.internal.has(GRANT_WANTED_HEADER)) this.#lend(local, head.headers);
       },
     });
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow';
+import { readLoad } from '../../process/localServers/index.js';
 import {
   ATTEMPT_HEADER,
   CALL_HEADER,
@@ -76,9 +77,9 @@
 
   #callBeside(attempt: Attempt, local: LocalServer): Promise<Result<CallSummary, CallError>> {
     const { routed, observation, number, shouldWithhold, tap } = attempt;
-    const { gate } = local;
-    observation.reportedLoad = gate.used / gate.capacity;
-    observation.reportedLoadAtMs = this.#context.getNowMs();
+    const nowMs = this.#context.getNowMs();
+    observation.reportedLoad = readLoad(local, nowMs);
+    observation.reportedLoadAtMs = nowMs;
     const work = {
       routeName: routed.route.name,
       isIdempotent: routed.route.idempotent,
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -8,7 +8,7 @@
 export const GRANT_WANTED_HEADER = 'foxtailvane-grant-wanted';
 /** Grants to renew and to return; in the answer, the renewed ones. */
 export const LOANS_HEADER = 'foxtailvane-loans';
-/** Slots in use and slots allowed at the server, as its node counts them. */
+/** Share of the slots of the server in use, as its node counts them. */
 export const LOAD_HEADER = 'foxtailvane-load';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
 
@@ -84,16 +84,13 @@
   return { renewed: parseIds(renewed), returned: parseIds(returned) };
 };
 
-export const formatLoad = (gate: { used: number; capacity: number }): string =>
-  `${gate.used}/${gate.capacity}`;
+const LOAD_DIGITS = 2;
+
+export const formatLoad = (load: number): string => load.toFixed(LOAD_DIGITS);
 
 /** Returns the share of slots in use, or undefined when the header is absent or malformed. */
-export const parseLoad = (value: string | undefined): number | undefined => {
-  const match = value === undefined ? undefined : /^(\d{1,6})\/(\d{1,6})$/.exec(value);
-  if (!match) return undefined;
-  const load = Number(match[1]) / Number(match[2]);
-  return Number.isFinite(load) ? load : undefined;
-};
+export const parseLoad = (value: string | undefined): number | undefined =>
+  value !== undefined && /^\d{1,3}\.\d{1,4}$/.test(value) ? Number(value) : undefined;
 
 /**
  * Reads a header that holds a whole number.
