Promote a member that held what was committed when its request was sent

The check compared its progress with the commit index of the moment of a commit, when a slow member is always behind, so steady load could delay a promotion without end.

--- a/src/process/replication/ReplicatedLog/faults.test.ts
+++ b/src/process/replication/ReplicatedLog/faults.test.ts
@@ -139,6 +139,29 @@
   running(run).forEach((id) => Object.assign(run.cluster.files(id), { before: () => undefined }));
 };
 
+/** Returns one line per member, to explain a failure. */
+const describeState = (run: Run): string[] =>
+  running(run).map((id) => {
+    const log = run.cluster.log(id);
+    const versions = log.history().map(({ version }) => version);
+    const members = log
+      .members(readMonotonicNowMs())
+      .map(({ memberId, role, isVoter, matchIndex, isReachable, diskIdentity }) =>
+        [memberId, role, isVoter, matchIndex, isReachable, diskIdentity.slice(0, 4)].join(' '),
+      );
+    const identity = log.diskIdentity.slice(0, 4);
+    return `${id} ${identity}: ${versions.length} versions to ${versions.at(-1)}; ${members.join('; ')}`;
+  });
+
+/** Waits for a condition; an error tells the state of all members. */
+const waitOrExplain = async (run: Run, condition: () => boolean, what: string): Promise<void> => {
+  try {
+    await waitUntil(condition, what, CATCH_UP_MS);
+  } catch (error) {
+    throw new Error([what, ...describeState(run)].join('\n'), { cause: error });
+  }
+};
+
 /** Loses a disk while all members agree, and waits until the new one has its vote. */
 const loseOneDisk = async (run: Run): Promise<void> => {
   const { cluster } = run;
@@ -148,7 +171,8 @@
   await replaceFailed(run);
   const memberId = pick(run, cluster.memberIds()) ?? '';
   await cluster.waitForLeader();
-  await waitUntil(
+  await waitOrExplain(
+    run,
     () => {
       const leader = cluster.findLeader();
       const members = leader ? cluster.log(leader).members(readMonotonicNowMs()) : [];
@@ -161,7 +185,6 @@
       return members.length === MEMBER_COUNT && isCurrent;
     },
     'every disk has its vote',
-    CATCH_UP_MS,
   );
   await cluster.loseDisk(memberId);
   await startMember(run, memberId);
@@ -183,20 +206,6 @@
   loseOneDisk,
 ];
 
-/** Returns one line per member, to explain a failure. */
-const describeState = (run: Run): string[] =>
-  running(run).map((id) => {
-    const log = run.cluster.log(id);
-    const versions = log.history().map(({ version }) => version);
-    const members = log
-      .members(readMonotonicNowMs())
-      .map(({ memberId, role, isVoter, matchIndex, isReachable, diskIdentity }) =>
-        [memberId, role, isVoter, matchIndex, isReachable, diskIdentity.slice(0, 4)].join(' '),
-      );
-    const identity = log.diskIdentity.slice(0, 4);
-    return `${id} ${identity}: ${versions.length} versions to ${versions.at(-1)}; ${members.join('; ')}`;
-  });
-
 const injectFaults = async (run: Run): Promise<void> => {
   const rounds = Array.from({ length: FAULT_COUNT });
   await rounds.reduce(async (previous: Promise<void>) => {
@@ -318,14 +327,11 @@
         .map(({ version, requestId }) => `${version}=${requestId}`)
         .join(),
     );
-  await waitUntil(
+  await waitOrExplain(
+    run,
     () => new Set(histories()).size === 1 && (histories()[0] ?? '') !== '',
     'all members hold the same history',
-    CATCH_UP_MS,
-  ).catch((error: unknown) => {
-    describeState(run).forEach((line) => t.comment(line));
-    throw error;
-  });
+  );
   const leader = await cluster.waitForLeader();
   const holders = new Map(
     cluster
--- a/src/process/replication/_lib/PeerProgress/index.ts
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -31,6 +31,9 @@
 
   isReachable = false;
 
+  /** Whether the peer held all that was committed when the last accepted request was sent. */
+  isCaughtUp = false;
+
   isRemoved = false;
 
   constructor(memberId: string, address: string, client: PeerClient, nextIndex: number) {
@@ -45,6 +48,7 @@
     this.diskIdentity = diskIdentity;
     this.matchIndex = 0;
     this.sentCommitIndex = 0;
+    this.isCaughtUp = false;
     this.contactMs = -Infinity;
     this.sequence = 0;
     this.answeredSequence = 0;
--- a/src/process/replication/_lib/findNextMembership/index.ts
+++ b/src/process/replication/_lib/findNextMembership/index.ts
@@ -43,8 +43,7 @@
   const changed = membership.members
     .map((member) => {
       const peer = peers.get(member.memberId);
-      const holdsCommitted = peer?.isReachable && peer.matchIndex >= replica.commitIndex;
-      return peer && holdsCommitted ? findNextMember(member, peer) : undefined;
+      return peer?.isReachable && peer.isCaughtUp ? findNextMember(member, peer) : undefined;
     })
     .find((member) => member !== undefined);
   return changed && replaceMember(membership, changed);
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -132,8 +132,13 @@
   const { isAccepted, matchIndex } = response.value;
   Object.assign(peer, { answeredSequence: sequence, nextIndex: matchIndex + 1 });
   if (isAccepted) {
-    Object.assign(peer, { matchIndex, sentCommitIndex: Math.min(commitIndex, matchIndex) });
+    const isCaughtUp = matchIndex >= commitIndex;
+    const isNewlyCaughtUp = isCaughtUp && !peer.isCaughtUp;
+    const sentCommitIndex = Math.min(commitIndex, matchIndex);
+    Object.assign(peer, { matchIndex, sentCommitIndex, isCaughtUp });
     leadership.advanceCommit();
+    // Under steady load the peer is behind again at each commit, so its promotion is checked here.
+    if (isNewlyCaughtUp) replica.changed.notify();
   }
   return true;
 };
