--- a/src/process/replication/ReplicatedLog/faults.test.ts
+++ b/src/process/replication/ReplicatedLog/faults.test.ts
@@ -125,12 +125,7 @@
 
 /** Restarts members whose disk has failed, so that later faults find a majority. */
 const replaceFailed = async (run: Run): Promise<void> => {
-  const failed = running(run).filter((id) =>
-    run.cluster
-      .log(id)
-      .members(readMonotonicNowMs())
-      .some(({ memberId, role }) => memberId === id && role === MemberRole.SteppedDown),
-  );
+  const failed = running(run).filter((id) => run.cluster.log(id).role === MemberRole.SteppedDown);
   await Promise.all(failed.map((id) => run.cluster.stopMember(id)));
   await Promise.all(failed.map((id) => startMember(run, id)));
 };
@@ -241,10 +236,7 @@
 };
 
 const isLeader = (run: Run, memberId: string): boolean =>
-  run.cluster
-    .log(memberId)
-    .members(readMonotonicNowMs())
-    .some((member) => member.memberId === memberId && member.role === MemberRole.Leader);
+  run.cluster.log(memberId).role === MemberRole.Leader;
 
 /** Returns what is wrong with the confirmation of a member; undefined when it gives none. */
 const checkConfirmed = (run: Run, memberId: string): string[] | undefined => {
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -30,6 +30,7 @@
   ApplyResult,
   CommittedConfiguration,
   ConfigurationChange,
+  MemberRole,
   MemberStatus,
   VersionHolder,
 } from '../ControlLog/index.js';
@@ -155,6 +156,11 @@
     return this.#replica.diskIdentity;
   }
 
+  /** Role of this member, also before it belongs to a cluster. */
+  get role(): MemberRole {
+    return this.#replica.role;
+  }
+
   /** Registers the replication service on the router of the `listen` listener. */
   register(router: ConnectRouter): void {
     const replica = this.#replica;
--- a/src/process/replication/ReplicatedLog/membership.test.ts
+++ b/src/process/replication/ReplicatedLog/membership.test.ts
@@ -149,6 +149,34 @@
   await waitForHistory(cluster, 'c3', [1, 2, 3, 4]);
 });
 
+tap.test('steady load does not keep a new disk from getting its vote', async (t) => {
+  const cluster = await createCluster(t, {
+    limits: { compactAfterEntries: 50, retainedEntries: 5 },
+  });
+  const leader = await startAll(cluster);
+  const [first = ''] = cluster.memberIds().filter((id) => id !== leader);
+  let isPromoted = false;
+  let version = 0;
+  const load = async (): Promise<void> => {
+    while (!isPromoted) {
+      version += 1;
+      await apply(cluster, leader, version);
+    }
+  };
+  const loading = load();
+  await waitUntil(() => version > 100, 'the log was compacted');
+  await cluster.loseDisk(first);
+  await cluster.startMember(first);
+  await waitForVoter(cluster, first);
+  isPromoted = true;
+  await loading;
+  await waitUntil(
+    () => versionsOf(cluster, first).length === version,
+    'the new disk holds every version',
+  );
+  t.equal(versionsOf(cluster, leader).length, version);
+});
+
 tap.test('a member without a vote takes part but does not make a majority', async (t) => {
   const cluster = await createCluster(t, { timings: { proposalTimeoutMs: 2_000 } });
   const leader = await startAll(cluster);
--- /dev/null
+++ b/src/process/replication/_lib/AcceptedVersions/test.ts
@@ -0,0 +1,65 @@
+import { create } from '@bufbuild/protobuf';
+import tap from 'tap';
+
+import { createChange } from '../../../../../stand-ins/controlCluster/index.js';
+import { unwrapResult } from '../../../../../stand-ins/unwrapResult/index.js';
+import { AcceptedVersionSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { AcceptedVersion } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { ApplyOutcome } from '../../ControlLog/index.js';
+import { settleChange } from '../settleChange/index.js';
+import validateChange from '../validateChange/index.js';
+import { AcceptedVersions } from './index.js';
+
+const MAX_BYTES = 1_000_000;
+
+const createAccepted = (version: number, slots = 20): AcceptedVersion =>
+  validateChange(createChange(version, slots), 1_000, MAX_BYTES).unwrapOr(
+    create(AcceptedVersionSchema),
+  );
+
+const createVersions = (numbers: number[], maxConfigurations = 600): AcceptedVersions => {
+  const versions = new AcceptedVersions(maxConfigurations);
+  numbers.forEach((version, position) => versions.apply(createAccepted(version), position + 1));
+  return versions;
+};
+
+tap.test('a number that is not above the newest is never applied', async (t) => {
+  const versions = createVersions([3, 5]);
+  t.notOk(versions.apply(createAccepted(5, 21), 9));
+  t.notOk(versions.apply(createAccepted(4), 10));
+  t.strictSame(
+    versions.list().map(({ version, logIndex }) => [version, logIndex]),
+    [
+      [3, 1],
+      [5, 2],
+    ],
+  );
+});
+
+tap.test('beyond the limit configurations are dropped and holders stay known', async (t) => {
+  const versions = createVersions([1, 2, 3, 4], 2);
+  t.equal(versions.committedVersion(2), undefined);
+  t.equal(versions.committedVersion(3)?.configuration.version, 3);
+  t.equal(versions.list().length, 4);
+  const restored = new AcceptedVersions(2);
+  restored.replace(versions.list());
+  t.strictSame(restored.list(), versions.list());
+  t.equal(settleChange(restored, createAccepted(1))?.outcome, ApplyOutcome.AlreadyAccepted);
+  t.equal(settleChange(restored, createAccepted(1, 21))?.outcome, ApplyOutcome.Conflict);
+});
+
+tap.test('what is committed decides a change, and a higher number stays open', async (t) => {
+  const versions = createVersions([3, 5]);
+  t.equal(settleChange(versions, createAccepted(6)), undefined);
+  t.equal(settleChange(versions, createAccepted(4))?.outcome, ApplyOutcome.Stale);
+  t.equal(settleChange(versions, createAccepted(4))?.holder?.version, 5);
+  t.equal(settleChange(versions, createAccepted(3))?.outcome, ApplyOutcome.AlreadyAccepted);
+  t.equal(settleChange(versions, createAccepted(3, 21))?.outcome, ApplyOutcome.Conflict);
+  t.equal(settleChange(createVersions([]), createAccepted(1)), undefined);
+});
+
+tap.test('a configuration that is too large is refused before it is appended', async (t) => {
+  const change = createChange(1, 20, { serviceCount: 10 });
+  t.ok(validateChange(change, 0, 50).isErr());
+  t.equal(unwrapResult(validateChange(change, 0, MAX_BYTES).mapErr(Error)).version, 1);
+});
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -58,6 +58,9 @@
   leadership.noteContact();
 };
 
+const needsSnapshot = (replica: Replica, peer: PeerProgress): boolean =>
+  peer.nextIndex <= replica.log.baseIndex;
+
 const sendSnapshot = async (
   leadership: Leadership,
   replica: Replica,
@@ -105,7 +108,9 @@
   replica: Replica,
   peer: PeerProgress,
 ): Promise<boolean> => {
-  const previousIndex = peer.nextIndex - 1;
+  // Without the entries before it, a request only asks what the peer holds.
+  const isProbe = needsSnapshot(replica, peer);
+  const previousIndex = isProbe ? replica.log.lastIndex : peer.nextIndex - 1;
   const sequence = peer.sequence + 1;
   const sentAtMs = replica.readNowMs();
   const { commitIndex } = replica;
@@ -114,7 +119,7 @@
     header: replica.createHeader(peer.diskIdentity),
     previousIndex,
     previousTerm: replica.log.termAt(previousIndex) ?? 0,
-    entries: replica.log.batchFrom(peer.nextIndex, MAX_BATCH_BYTES),
+    entries: isProbe ? [] : replica.log.batchFrom(peer.nextIndex, MAX_BATCH_BYTES),
     commitIndex,
     sequence,
     answeredSequence: peer.answeredSequence,
@@ -162,8 +167,9 @@
   const { heartbeatMs } = replica.options.timings;
   while (leadership.isActive && !peer.isRemoved) {
     const startedAtMs = replica.readNowMs();
-    const needsSnapshot = peer.nextIndex <= replica.log.baseIndex;
-    const isDone = needsSnapshot
+    // A peer that did not answer is asked first, since a snapshot is costly to encode.
+    const isSnapshotDue = needsSnapshot(replica, peer) && peer.isReachable;
+    const isDone = isSnapshotDue
       ? await sendSnapshot(leadership, replica, peer)
       : await sendAppend(leadership, replica, peer);
     if (leadership.isActive && !(isDone && hasNews(replica, peer))) {
