--- a/src/process/cli/test.ts
+++ b/src/process/cli/test.ts
@@ -8,12 +8,14 @@
 import { fileURLToPath } from 'node:url';
 
 import { getRequestListener } from '@hono/node-server';
+import { create } from '@bufbuild/protobuf';
 import tap from 'tap';
 
 import type { Test } from 'tap';
 
 import type { AddressInfo } from 'node:net';
 import type { RequestListener, Server } from 'node:http';
+import { NodeRecordSchema, ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { FAKE_HOLDER, FakeControlLog } from '../../../stand-ins/FakeControlLog/index.js';
 import { SheetColumn, parseSheet } from '../../version/parseSheet/index.js';
 import { LogLevel, setLogLevel } from '../log/index.js';
@@ -72,6 +74,12 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 };
 
+const RECORD = create(NodeRecordSchema, {
+  nodeId: 'n1',
+  dataCentre: 'dc-east',
+  servers: [{ serverId: 'desk-1', service: 'order-desk', state: ServerState.SERVING }],
+});
+
 const createListener = (log: FakeControlLog): RequestListener => {
   const app = createOperatorApi({
     log,
@@ -85,7 +93,7 @@
           isConnected: true,
         },
       ]),
-    records: () => [],
+    records: () => [RECORD],
     metrics: new MetricsRegistry(),
     token: TOKEN,
     nowMs: Date.now,
@@ -260,6 +268,27 @@
   },
 );
 
+tap.test('explain shows the route of a request and the servers that can answer it', async (t) => {
+  const log = new FakeControlLog();
+  const rows = 'route,stock,*,/stock,GET,order-desk,100,yes,500,2,,';
+  const parsed = parseSheet(`${SHEET}${rows}\n`, { version: 4 });
+  if (parsed.isOk()) log.configuration = parsed.value;
+  const control = await listen(t, createListener(log));
+  const connection = ['--control', control, '--token-file', tokenFile];
+  const matched = await runInside(
+    ...['explain', '--host', 'a.example', '--path', '/stock/7', ...connection],
+  );
+  t.match(matched, { exitCode: ExitCode.Done, stdout: /route: stock .*prefix \/stock/ });
+  t.match(matched.stdout, /service order-desk, 100% of requests, 1 servers\n.*\n ?desk-1 .* yes /);
+  const other = await runInside(
+    ...['explain', '--host', 'a.example', '--path', '/none', '--json', ...connection],
+  );
+  t.match(JSON.parse(other.stdout), { version: 4, route: undefined, targets: [] });
+  const query = ['explain', '--host', 'a', '--path', '/'];
+  t.equal((await runInside(...query)).exitCode, ExitCode.BadInput);
+  t.equal((await runInside(...query, '--node', CLOSED_PORT)).exitCode, ExitCode.Refused);
+});
+
 tap.test('wrong arguments and settings end with 2 and one line for each fault', async (t) => {
   const connection = ['--control', CLOSED_PORT, '--token-file', tokenFile];
   const wrong = [
@@ -291,7 +320,10 @@
     ['apply'],
     ['status'],
     ['servers'],
+    ['explain'],
     ['history'],
+    ['control'],
+    ['node'],
     ['members', 'add'],
     ['members', 'remove'],
   ];
--- a/stand-ins/FakeControlLog/index.ts
+++ b/stand-ins/FakeControlLog/index.ts
@@ -8,7 +8,9 @@
   MemberStatus,
   VersionHolder,
 } from '../../src/process/replication/ControlLog/index.js';
+import type { Configuration } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
 import { ConfigurationSchema } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
+import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
 import {
   ApplyOutcome,
   ControlLog,
@@ -43,6 +45,11 @@
 
   holder: VersionHolder | undefined = FAKE_HOLDER;
 
+  configuration: Configuration = create(ConfigurationSchema, {
+    version: FAKE_HOLDER.version,
+    contentHash: hashConfiguration({ services: [], routes: [] }),
+  });
+
   holders: VersionHolder[] = [FAKE_HOLDER];
 
   propose(change: ConfigurationChange): Promise<ApplyResult> {
@@ -53,8 +60,7 @@
   }
 
   committed(): CommittedConfiguration | undefined {
-    const configuration = create(ConfigurationSchema, { version: 4 });
-    return this.holder && { configuration, holder: this.holder, logIndex: 9 };
+    return this.holder && { configuration: this.configuration, holder: this.holder, logIndex: 9 };
   }
 
   committedVersion(): undefined {}
