Serve keyed requests through peers and bound the queue by settings

The settings queue_limit and queue_timeout_ms had no effect: the queue of a server is bounded per slot, and each waiting request by its deadline. They are replaced by queue_per_slot and probe_interval_ms, which are passed on.

--- a/src/connection/checkAccess/index.ts
+++ b/src/connection/checkAccess/index.ts
@@ -18,6 +18,7 @@
 const ALLOWED_ROLES: Record<string, ProcessRole[]> = {
   'foxtailvane.v1.DistributionService': [ProcessRole.Node],
   'foxtailvane.v1.ExchangeService': [ProcessRole.Control],
+  'foxtailvane.v1.IdempotencyService': [ProcessRole.Node],
   'foxtailvane.v1.PeerService': [ProcessRole.Node],
   'foxtailvane.v1.ReplicationService': [ProcessRole.Control],
 };
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -75,6 +75,8 @@
   createLimiter?: (slots: number) => ConcurrencyLimiter;
   /** Time without a renewal after which a server is removed. */
   leaseMs?: number;
+  /** Requests that may wait per slot of a server. */
+  queuePerSlot?: number | undefined;
 }
 
 type RecordListener = (record: NodeRecord) => void;
@@ -104,6 +106,8 @@
 export class LocalServers {
   readonly leaseMs: number;
 
+  readonly #queuePerSlot: number | undefined;
+
   readonly #servers = new Map<string, LocalServer>();
 
   /** Gates of removed servers whose requests still run, so that their slots stay counted. */
@@ -118,6 +122,7 @@
   constructor(options: LocalServersOptions) {
     this.#createLimiter = options.createLimiter ?? ((slots: number) => new AdaptiveLimiter(slots));
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
+    this.#queuePerSlot = options.queuePerSlot;
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
       dataCentre: options.dataCentre,
@@ -273,7 +278,9 @@
   }
 
   #createGate(slots: number): SlotGate {
-    return new SlotGate({ slots, limiter: this.#createLimiter(slots) });
+    const limiter = this.#createLimiter(slots);
+    const queuePerSlot = this.#queuePerSlot;
+    return new SlotGate({ slots, limiter, ...(queuePerSlot !== undefined && { queuePerSlot }) });
   }
 
   #toServer(
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -63,7 +63,10 @@
     const { listen, forwardListen } = await server.start();
     const peer = await startRpcServer(settings.peerListen, {
       tls,
-      routes: (router) => link.registerRoutes(router),
+      routes: (router) => {
+        link.registerRoutes(router);
+        server.registerPeerServices(router);
+      },
     });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
   } catch (error) {
@@ -93,7 +96,12 @@
   const metrics = new MetricsRegistry();
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
-  const localServers = new LocalServers({ nodeId, dataCentre, incarnation: BigInt(nowMs) });
+  const localServers = new LocalServers({
+    nodeId,
+    dataCentre,
+    incarnation: BigInt(nowMs),
+    queuePerSlot: settings.requests.queuePerSlot,
+  });
   const link = new NodeLink(
     {
       nodeId,
@@ -117,6 +125,8 @@
     metrics,
     listen: settings.listen,
     forwardListen: settings.forwardListen,
+    startedAtMs: nowMs,
+    ...settings.requests,
     ...(tls && { tls: tls.current() }),
   });
   const bound = await bindListeners(settings, server, link, tls);
--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -7,7 +7,7 @@
 
 const MAX_PORT = 65_535;
 const MAX_DURATION_MS = 86_400_000;
-const MAX_QUEUE_LIMIT = 100_000;
+const MAX_QUEUE_PER_SLOT = 100;
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
 const ADDRESS_PATTERN = /^(?:\[([^\]]+)\]|([^:]+)):([1-9][0-9]{0,4})$/;
@@ -98,7 +98,7 @@
 export const durationField = createIntegerField(1, MAX_DURATION_MS, 'milliseconds');
 
 /** Length of a queue. */
-export const queueLimitField = createIntegerField(0, MAX_QUEUE_LIMIT, 'requests');
+export const queuePerSlotField = createIntegerField(0, MAX_QUEUE_PER_SLOT, 'requests');
 
 const YES_EXPECTED = '"yes" or "no"';
 
--- a/src/process/settings/_lib/parseNodeSettings.ts
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -81,8 +81,8 @@
   ...(value?.idempotency_retention_ms === undefined
     ? {}
     : { idempotencyRetentionMs: value.idempotency_retention_ms }),
-  ...(value?.queue_limit === undefined ? {} : { queueLimit: value.queue_limit }),
-  ...(value?.queue_timeout_ms === undefined ? {} : { queueTimeoutMs: value.queue_timeout_ms }),
+  ...(value?.queue_per_slot === undefined ? {} : { queuePerSlot: value.queue_per_slot }),
+  ...(value?.probe_interval_ms === undefined ? {} : { probeIntervalMs: value.probe_interval_ms }),
 });
 
 /**
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -10,7 +10,7 @@
   memberField,
   nameField,
   pathField,
-  queueLimitField,
+  queuePerSlotField,
   reachableField,
   switchField,
 } from './fields.js';
@@ -61,6 +61,6 @@
 
 export const requestsSchema = v.object({
   idempotency_retention_ms: v.optional(durationField),
-  queue_limit: v.optional(queueLimitField),
-  queue_timeout_ms: v.optional(durationField),
+  queue_per_slot: v.optional(queuePerSlotField),
+  probe_interval_ms: v.optional(durationField),
 });
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -46,7 +46,7 @@
 dc-east = 127.0.0.1:7400, 127.0.0.1:7410
 dc-west = [::1]:7400
 [requests]
-queue_limit = 40
+queue_per_slot = 4
 `;
 
 const OPTIONS = { baseFolder: '/etc/foxtailvane' };
@@ -82,7 +82,7 @@
       { dataCentre: 'dc-west', addresses: ['[::1]:7400'] },
     ],
     log: { level: LogLevel.Info, destination: 'stdout' },
-    requests: { queueLimit: 40 },
+    requests: { queuePerSlot: 4 },
   });
 });
 
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -58,9 +58,12 @@
 
 /** Overrides of request handling defaults. */
 export interface RequestSettings {
+  /** Time for which a repeat with the same Idempotency-Key is recognized. */
   idempotencyRetentionMs?: number;
-  queueLimit?: number;
-  queueTimeoutMs?: number;
+  /** Requests that may wait per slot of a server. */
+  queuePerSlot?: number;
+  /** Pause between two probes of a server. */
+  probeIntervalMs?: number;
 }
 
 /** Settings of `foxtailvane node`. */
