--- a/src/version/applyDelta/index.ts
+++ b/src/version/applyDelta/index.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'neverthrow';
 import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import { ConfigurationError, ConfigurationErrorCode } from '../ConfigurationError/index.js';
-import { hashConfiguration } from '../hashConfiguration/index.js';
+import { verifyHash } from '../verifyHash/index.js';
 
 import type {
   Configuration,
@@ -53,7 +53,7 @@
     services: mergeRows(base.services, delta.upsertedServices, delta.removedServices),
     routes: mergeRows(base.routes, delta.upsertedRoutes, delta.removedRoutes),
   });
-  if (Buffer.compare(hashConfiguration(next), delta.contentHash) !== 0) {
+  if (!verifyHash(next)) {
     const message = `content of version ${delta.version} does not match its hash after the delta`;
     return err(new ConfigurationError(ConfigurationErrorCode.HashMismatch, message));
   }
--- a/src/version/compileConfiguration/_lib/checkConfiguration.ts
+++ b/src/version/compileConfiguration/_lib/checkConfiguration.ts
@@ -2,7 +2,7 @@
 
 import type { Result } from 'neverthrow';
 import { ConfigurationError, ConfigurationErrorCode } from '../../ConfigurationError/index.js';
-import { hashConfiguration } from '../../hashConfiguration/index.js';
+import { verifyHash } from '../../verifyHash/index.js';
 
 import type { Configuration, Route } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
 
@@ -41,9 +41,7 @@
 };
 
 const findHashError = (configuration: Configuration): Violation => {
-  if (Buffer.compare(hashConfiguration(configuration), configuration.contentHash) === 0) {
-    return undefined;
-  }
+  if (verifyHash(configuration)) return undefined;
   const message = `content of version ${configuration.version} does not match its hash`;
   return new ConfigurationError(ConfigurationErrorCode.HashMismatch, message);
 };
