--- a/src/connection/distribution/_lib/NodeSession.ts
+++ b/src/connection/distribution/_lib/NodeSession.ts
@@ -62,6 +62,8 @@
 
   #isHeartbeatDue = true;
 
+  #isAdmitted = false;
+
   #isClosed = false;
 
   /** What the fleet shows of the node. */
@@ -135,6 +137,7 @@
     if (this.#isClosed) return [];
     const configuration = this.#collectConfiguration(nowMs);
     if (this.#isClosed) return configuration;
+    this.#isAdmitted = true;
     // Endpoints come first, so that a version never takes effect before its servers are known.
     return [
       ...this.#pending.splice(0),
@@ -162,7 +165,7 @@
     if (target === undefined || !this.#isOffered(target)) return [];
     const payload = this.#source.payloads.encodeUpdate(this.#held, target);
     if (payload.kind === 'snapshot' && !this.#source.admission.admit(this.nodeId, nowMs)) {
-      return [this.#refuseSnapshot()];
+      return this.#postponeSnapshot();
     }
     return [this.#offer(target, payload)];
   }
@@ -181,6 +184,13 @@
     return create(AttachResponseSchema, { kind: { case: payload.kind, value: payload.bytes } });
   }
 
+  // Ending the stream of an attached node would renumber its record at every other node.
+  #postponeSnapshot(): AttachResponse[] {
+    if (!this.#isAdmitted) return [this.#refuseSnapshot()];
+    this.#source.admission.wait(this.nodeId, () => this.wakeup.set());
+    return [];
+  }
+
   #refuseSnapshot(): AttachResponse {
     const afterMs = this.#source.admission.chooseRetryAfterMs();
     log.info({ nodeId: this.nodeId, afterMs }, 'all snapshot slots are in use; node told to retry');
--- a/src/connection/distribution/_lib/SnapshotAdmission.ts
+++ b/src/connection/distribution/_lib/SnapshotAdmission.ts
@@ -15,6 +15,8 @@
 
   readonly #endsAtMs = new Map<string, number>();
 
+  readonly #waiting = new Map<string, () => void>();
+
   constructor(options: SnapshotAdmissionOptions) {
     this.#options = options;
   }
@@ -38,9 +40,24 @@
     return true;
   }
 
+  /**
+   * Has an attached node called when a slot is free; it then asks again.
+   *
+   * @param onFree - called once
+   */
+  wait(nodeId: string, onFree: () => void): void {
+    this.#waiting.set(nodeId, onFree);
+  }
+
   /** Frees the slot of a node, when it reported or left. */
   release(nodeId: string): void {
-    this.#endsAtMs.delete(nodeId);
+    this.#waiting.delete(nodeId);
+    if (!this.#endsAtMs.delete(nodeId)) return;
+    const [next] = this.#waiting;
+    if (next === undefined) return;
+    const [waitingId, onFree] = next;
+    this.#waiting.delete(waitingId);
+    onFree();
   }
 
   /** Chooses when a refused node comes back: one to two times the shortest time. */
