--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,6 +1,11 @@
 /** The request path of a node. */
 export { RequestServer } from './RequestServer/index.js';
-export { RoundRobinSelector, SelectionReason, ServerSelector } from './selectServer/index.js';
+export {
+  RoundRobinSelector,
+  SelectionReason,
+  ServerSelector,
+  TwoChoicesSelector,
+} from './selectServer/index.js';
 export type {
   RequestAddresses,
   RequestDirectory,
--- /dev/null
+++ b/src/request/selectServer/test.ts
@@ -0,0 +1,124 @@
+import { create } from '@bufbuild/protobuf';
+import tap from 'tap';
+
+import { simulateSelection } from '../../../bench/selectServers/_lib/simulateSelection.js';
+import createRandom from '../../../test/requestMesh/createRandom.js';
+import {
+  NodeRecordSchema,
+  ServerSchema,
+  ServerState,
+} from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { FailureRateBreaker } from '../breakCircuit/index.js';
+import { ServerObservations, formatServerKey } from '../observeServers/index.js';
+import { RoundRobinSelector, SelectionReason, TwoChoicesSelector } from './index.js';
+
+import type { ServerEntry } from '../../process/endpoints/types.js';
+
+const NOW_MS = 1_000_000;
+const DRAWS = 2_000;
+
+const createEntry = (nodeId: string, dataCentre: string, servingSinceMs = 0): ServerEntry => ({
+  server: create(ServerSchema, {
+    serverId: 's',
+    service: 'desk',
+    slots: 6,
+    state: ServerState.SERVING,
+    servingSinceMs: BigInt(servingSinceMs),
+  }),
+  node: create(NodeRecordSchema, { nodeId, dataCentre }),
+});
+
+const open = (random: () => number) => {
+  const observations = new ServerObservations();
+  const breaker = new FailureRateBreaker();
+  const selector = new TwoChoicesSelector({ dataCentre: 'a', observations, breaker });
+  const draw = (entries: ServerEntry[]) => {
+    const counts = new Map<string, number>();
+    const reasons = new Set<SelectionReason>();
+    Array.from({ length: DRAWS }).forEach(() => {
+      const selection = selector.select(entries, { service: 'desk', nowMs: NOW_MS, random });
+      const nodeId = selection?.entry.node.nodeId ?? '';
+      counts.set(nodeId, (counts.get(nodeId) ?? 0) + 1);
+      if (selection) reasons.add(selection.reason);
+    });
+    return { shareOf: (nodeId: string) => (counts.get(nodeId) ?? 0) / DRAWS, reasons };
+  };
+  const report = (entry: ServerEntry, load: number): void => {
+    const observation = observations.get(formatServerKey(entry), NOW_MS);
+    observation.reportedLoad = load;
+    observation.reportedLoadAtMs = NOW_MS;
+  };
+  const fail = (entry: ServerEntry): void =>
+    Array.from({ length: 6 }).forEach(() => breaker.addFailure(formatServerKey(entry), NOW_MS));
+  return { draw, report, fail };
+};
+
+tap.test('servers of different speed are loaded by what they can do', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const servers = Array.from({ length: 10 }, (_, index) => ({ slowness: 1 + index / 3 }));
+  const options = { servers, load: 0.7, requests: 20_000, random };
+  const rotated = simulateSelection({ ...options, createSelector: () => new RoundRobinSelector() });
+  const chosen = simulateSelection({
+    ...options,
+    createSelector: (parts) => new TwoChoicesSelector({ ...parts, dataCentre: 'a' }),
+  });
+  t.comment(JSON.stringify({ rotated, chosen }));
+  t.ok(chosen.p99Ms < rotated.p99Ms / 2, 'the slow servers are not overloaded');
+  t.ok((chosen.shares[0] ?? 0) > 2 * (chosen.shares[9] ?? 1), 'the fast server does more');
+});
+
+tap.test('a server that fails quickly does not attract requests', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const servers = Array.from({ length: 10 }, (_, index) => ({
+    slowness: 1,
+    failureShare: index === 0 ? 1 : 0,
+  }));
+  const result = simulateSelection({
+    servers,
+    load: 0.5,
+    requests: 20_000,
+    random,
+    createSelector: (parts) => new TwoChoicesSelector({ ...parts, dataCentre: 'a' }),
+  });
+  t.ok(result.failedShare < 0.02, `${result.failedShare} failed`);
+});
+
+tap.test('requests stay in their data centre while it has room, then spill', async (t) => {
+  const { draw, report } = open(createRandom((line) => t.comment(line)));
+  const local = [createEntry('a1', 'a'), createEntry('a2', 'a')];
+  const remote = [createEntry('b1', 'b'), createEntry('b2', 'b')];
+  const before = draw([...local, ...remote]);
+  t.equal(before.shareOf('a1') + before.shareOf('a2'), 1);
+  local.forEach((entry) => report(entry, 1));
+  const after = draw([...local, ...remote]);
+  t.equal(after.shareOf('b1') + after.shareOf('b2'), 1);
+  t.ok(after.reasons.has(SelectionReason.Spill));
+  remote.forEach((entry) => report(entry, 1));
+  const full = draw([...local, ...remote]);
+  t.equal(full.shareOf('a1') + full.shareOf('a2'), 1, 'no spill to a full data centre');
+  t.strictSame(draw(remote).reasons, new Set([SelectionReason.RemoteOnly]));
+});
+
+tap.test('a server that has just started gets few requests', async (t) => {
+  const { draw } = open(createRandom((line) => t.comment(line)));
+  const entries = [createEntry('old', 'a'), createEntry('new', 'a', NOW_MS)];
+  const { shareOf } = draw(entries);
+  t.ok(shareOf('new') < 0.1, `${shareOf('new')}`);
+});
+
+tap.test('a failing server is ejected, but never more than half of them', async (t) => {
+  const { draw, fail } = open(createRandom((line) => t.comment(line)));
+  const entries = ['n1', 'n2', 'n3', 'n4'].map((nodeId) => createEntry(nodeId, 'a'));
+  entries.slice(0, 2).forEach(fail);
+  const half = draw(entries);
+  t.equal(half.shareOf('n1') + half.shareOf('n2'), 0);
+  entries.slice(2, 3).forEach(fail);
+  const panic = draw(entries);
+  t.strictSame(panic.reasons, new Set([SelectionReason.Panic]));
+  t.ok(panic.shareOf('n1') > 0.1, 'all live servers are used');
+});
+
+tap.test('without a candidate there is no choice', async (t) => {
+  const { draw } = open(createRandom((line) => t.comment(line)));
+  t.equal(draw([]).reasons.size, 0);
+});
