--- /dev/null
+++ b/bench/forwarding/_lib/startFleet.ts
@@ -0,0 +1,46 @@
+import { Role } from './messages.js';
+import { startWorker } from './startWorker.js';
+
+import type { Path } from './runOpenLoop.js';
+import type { Worker } from './startWorker.js';
+
+/** Processes of the benchmark and the paths through them. */
+export interface Fleet {
+  /** Entry nodes by name of their path. */
+  workers: Record<string, Worker>;
+  owners: Worker;
+  /** The direct path comes first. */
+  paths: Path[];
+  stop: () => void;
+}
+
+/** Starts servers, the nodes beside them, and one entry node for each path. */
+export const startFleet = async (): Promise<Fleet> => {
+  const backends = await startWorker({ role: Role.Backends });
+  const addresses = backends.addresses ?? [];
+  const owners = await startWorker({
+    role: Role.Owners,
+    backends: [
+      ...addresses.map((address) => ({ service: 'granted', address, isDirect: true })),
+      ...addresses.map((address) => ({ service: 'forwarded', address, isDirect: false })),
+      ...addresses.map((address) => ({ service: 'rotated', address, isDirect: false })),
+    ],
+  });
+  const startEntry = (service: string, isRoundRobin: boolean): Promise<Worker> =>
+    startWorker({ role: Role.Entry, records: owners.records, service, isRoundRobin });
+  const workers = {
+    'one hop, grant': await startEntry('granted', false),
+    'two hops': await startEntry('forwarded', false),
+    'two hops, round robin': await startEntry('rotated', true),
+  };
+  const paths = [
+    { name: 'direct', address: addresses[0] ?? '' },
+    ...Object.entries(workers).map(([name, worker]) => ({
+      name,
+      address: worker.addresses?.[0] ?? '',
+    })),
+  ];
+  const stop = (): void =>
+    [backends, owners, ...Object.values(workers)].forEach((worker) => worker.stop());
+  return { workers, owners, paths, stop };
+};
--- a/bench/forwarding/index.ts
+++ b/bench/forwarding/index.ts
@@ -7,12 +7,10 @@
 import { parseArgs } from 'node:util';
 
 import createRandom from '../../test/requestMesh/createRandom.js';
-import { Role } from './_lib/messages.js';
 import { runOpenLoop } from './_lib/runOpenLoop.js';
-import { startWorker } from './_lib/startWorker.js';
+import { startFleet } from './_lib/startFleet.js';
 
 import type { PathResult } from './_lib/runOpenLoop.js';
-import type { Worker } from './_lib/startWorker.js';
 
 const WARM_UP_MS = 4_000;
 const MS_PER_SECOND = 1_000;
@@ -29,30 +27,7 @@
 
 const random = createRandom((line) => process.stderr.write(`${line}\n`));
 
-const backends = await startWorker({ role: Role.Backends });
-const addresses = backends.addresses ?? [];
-const owners = await startWorker({
-  role: Role.Owners,
-  backends: [
-    ...addresses.map((address) => ({ service: 'granted', address, isDirect: true })),
-    ...addresses.map((address) => ({ service: 'forwarded', address, isDirect: false })),
-    ...addresses.map((address) => ({ service: 'rotated', address, isDirect: false })),
-  ],
-});
-const startEntry = (service: string, isRoundRobin: boolean): Promise<Worker> =>
-  startWorker({ role: Role.Entry, records: owners.records, service, isRoundRobin });
-const workers: Record<string, Worker> = {
-  'one hop, grant': await startEntry('granted', false),
-  'two hops': await startEntry('forwarded', false),
-  'two hops, round robin': await startEntry('rotated', true),
-};
-const paths = [
-  { name: 'direct', address: addresses[0] ?? '' },
-  ...Object.entries(workers).map(([name, worker]) => ({
-    name,
-    address: worker.addresses?.[0] ?? '',
-  })),
-];
+const { workers, owners, paths, stop } = await startFleet();
 
 const perSecond = Number(values['per-second']);
 await runOpenLoop(paths, { perSecond, durationMs: WARM_UP_MS, random });
@@ -106,4 +81,4 @@
   });
   process.stdout.write(`ownerCpuUsPerRequest ${summary.ownerCpuUsPerRequest.toFixed(2)}\n`);
 }
-[backends, owners, ...Object.values(workers)].forEach((worker) => worker.stop());
+stop();
