--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -36,8 +36,36 @@
   leaseEndsAtMs: number;
   readonly gate: SlotGate;
   readonly latencies: RouteLatencies;
+  /** What the server last said of itself. */
+  hint: LoadHint | undefined;
 }
 
+/** What a server says of itself; it lags behind and may mislead. */
+export interface LoadHint {
+  isHealthy: boolean;
+  /** Share of its slots in use; undefined when it does not say. */
+  load: number | undefined;
+  /** In milliseconds since the epoch. */
+  atMs: number;
+}
+
+const HINT_LIFE_MS = 5_000;
+/** Hints never count as full load, so that a misleading server is avoided, but not given up. */
+const MAX_HINTED_LOAD = 0.9;
+
+/**
+ * Returns the share of a server's slots in use: the exact count, or the hint if that is higher.
+ *
+ * @param local - the server
+ * @param nowMs - present time in milliseconds since the epoch
+ */
+export const readLoad = ({ gate, hint }: LocalServer, nowMs: number): number => {
+  const exact = gate.used / gate.capacity;
+  if (!hint || nowMs - hint.atMs > HINT_LIFE_MS) return exact;
+  const hinted = hint.isHealthy ? (hint.load ?? 0) : MAX_HINTED_LOAD;
+  return Math.max(exact, Math.min(MAX_HINTED_LOAD, hinted));
+};
+
 export interface LocalServersOptions {
   nodeId: string;
   dataCentre: string;
@@ -47,6 +75,8 @@
   createLimiter?: (slots: number) => ConcurrencyLimiter;
   /** Time without a renewal after which a server is removed. */
   leaseMs?: number;
+  /** Requests that may wait per slot of a server. */
+  queuePerSlot?: number | undefined;
 }
 
 type RecordListener = (record: NodeRecord) => void;
@@ -76,6 +106,8 @@
 export class LocalServers {
   readonly leaseMs: number;
 
+  readonly #queuePerSlot: number | undefined;
+
   readonly #servers = new Map<string, LocalServer>();
 
   /** Gates of removed servers whose requests still run, so that their slots stay counted. */
@@ -90,6 +122,7 @@
   constructor(options: LocalServersOptions) {
     this.#createLimiter = options.createLimiter ?? ((slots: number) => new AdaptiveLimiter(slots));
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
+    this.#queuePerSlot = options.queuePerSlot;
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
       dataCentre: options.dataCentre,
@@ -165,6 +198,7 @@
         leaseEndsAtMs,
         gate,
         latencies: new RouteLatencies(),
+        hint: undefined,
       });
       this.#publish();
       return ok();
@@ -212,6 +246,12 @@
     return expired;
   }
 
+  /** Notes what a server says of itself. */
+  noteHint(serverId: string, hint: LoadHint): void {
+    const entry = this.#servers.get(serverId);
+    if (entry) entry.hint = hint;
+  }
+
   /** Marks the node as draining; no server beside it is chosen any more. */
   drain(): void {
     if (!this.isDraining) this.#publish({ draining: true });
@@ -238,7 +278,9 @@
   }
 
   #createGate(slots: number): SlotGate {
-    return new SlotGate({ slots, limiter: this.#createLimiter(slots) });
+    const limiter = this.#createLimiter(slots);
+    const queuePerSlot = this.#queuePerSlot;
+    return new SlotGate({ slots, limiter, ...(queuePerSlot !== undefined && { queuePerSlot }) });
   }
 
   #toServer(
