--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -233,7 +233,7 @@
       random: this.#context.random,
     });
     const { requestId, version, route, service } = routed;
-    log.debug(
+    log.info(
       {
         requestId,
         version,
