Limit the slots of a server by its service in the sheet

Cause: slots and connections of a service row were parsed and distributed, but the node beside a server counted only what the server announced. The lower of the two now applies, read again at each renewal of an announcement.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -14,6 +14,7 @@
 import { SlotGate } from '../SlotGate/index.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
 
+import type { Service } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { NodeRecord, Server } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { ConcurrencyLimiter } from '../ConcurrencyLimiter/index.js';
 import type { Announcement } from '../_lib/parseAnnouncement.js';
@@ -75,6 +76,8 @@
   createLimiter?: (slots: number) => ConcurrencyLimiter;
   /** Time without a renewal after which a server is removed. */
   leaseMs?: number;
+  /** Returns the declared service, whose slots and connections limit those of its servers. */
+  findService?: (name: string) => Service | undefined;
   /** Requests that may wait per slot of a server. */
   queuePerSlot?: number | undefined;
 }
@@ -96,6 +99,10 @@
   else gate.close();
 };
 
+/** Returns what a server announced, or the limit of its service if that is lower. */
+const limitTo = (announced: number, limit: number | undefined): number =>
+  limit === undefined || limit === 0 ? announced : Math.min(announced, limit);
+
 /**
  * The backend servers that announced themselves to this node, and the node record made of them.
  *
@@ -108,6 +115,8 @@
 
   readonly #queuePerSlot: number | undefined;
 
+  readonly #findService: (name: string) => Service | undefined;
+
   readonly #servers = new Map<string, LocalServer>();
 
   /** Gates of removed servers whose requests still run, so that their slots stay counted. */
@@ -123,6 +132,7 @@
     this.#createLimiter = options.createLimiter ?? ((slots: number) => new AdaptiveLimiter(slots));
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.#queuePerSlot = options.queuePerSlot;
+    this.#findService = options.findService ?? (() => undefined);
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
       dataCentre: options.dataCentre,
@@ -293,13 +303,15 @@
     const keepsServing =
       previous?.state === ServerState.SERVING && previous.address === announcement.address;
     const servingSinceMs = keepsServing ? previous.servingSinceMs : BigInt(nowMs);
+    // Read at each renewal, so that a new configuration takes effect within one lease.
+    const service = this.#findService(announcement.service);
     return create(ServerSchema, {
       serverId,
       service: announcement.service,
       address: announcement.address,
       directAddress: announcement.directAddress ?? '',
-      slots: announcement.slots,
-      connections: announcement.connections,
+      slots: limitTo(announcement.slots, service?.slots),
+      connections: limitTo(announcement.connections, service?.connections),
       state,
       servingSinceMs: state === ServerState.SERVING ? servingSinceMs : 0n,
     });
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -1,5 +1,8 @@
 import tap from 'tap';
 
+import { create } from '@bufbuild/protobuf';
+
+import { ServiceSchema } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
 import { ServerState } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
 import { LocalServers } from './index.js';
@@ -78,3 +81,19 @@
   servers.find('desk-1')?.gate.admit(demand, START_MS + 4, (refusal) => refusals.push(refusal));
   t.strictSame(refusals, ['SERVER_CLOSED', undefined]);
 });
+
+tap.test('the sheet limits the slots that a server announces, so it is not overrun', async (t) => {
+  const service = create(ServiceSchema, { name: 'order-desk', slots: 2, connections: 10 });
+  const servers = new LocalServers({
+    nodeId: 'n1',
+    dataCentre: 'a',
+    incarnation: 1n,
+    findService: (name) => (name === service.name ? service : undefined),
+  });
+  servers.announce('desk-1', { ...desk, slots: 20 }, START_MS);
+  t.match(servers.record().servers[0], { slots: 2, connections: 10 });
+  service.slots = 30;
+  servers.announce('desk-1', { ...desk, slots: 20 }, START_MS + 1_000);
+  t.match(servers.record().servers[0], { slots: 20 }, 'the lower of the two applies');
+  t.equal(servers.find('desk-1')?.gate.capacity, 20);
+});
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -101,6 +101,7 @@
     dataCentre,
     incarnation: BigInt(nowMs),
     queuePerSlot: settings.requests.queuePerSlot,
+    findService: (name) => holder.current()?.findService(name),
   });
   const link = new NodeLink(
     {
