Report an installed version once

A node reported each version twice: once when the holder switched and once when the update had been handled. The report now costs 50 bytes per node and change instead of 100, which the test checks.

--- a/src/connection/distribution/DistributionHub/test.ts
+++ b/src/connection/distribution/DistributionHub/test.ts
@@ -30,6 +30,11 @@
   t.equal(control.hub.meter.read('sent', 'snapshot'), snapshotBytes, 'no second snapshot is sent');
   t.ok(control.hub.meter.read('sent', 'delta') < snapshotBytes / 20, 'a delta is far smaller');
   t.equal(control.hub.encodingCount, 3, 'two snapshots and one delta are encoded for three nodes');
+  const reportBytes = nodes.map((node) => node.link.meter.read('sent', 'inForce'));
+  t.ok(
+    reportBytes.every((byteCount) => byteCount < 3 * 50),
+    'each of the two versions is reported once, in about 50 bytes',
+  );
   t.ok(nodes.every((node) => node.holder.current()?.matchRoute('*', '/path-000', 'GET')));
 });
 
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -242,10 +242,10 @@
     const { holder } = this.#context.parts;
     switch (kind.case) {
       case 'snapshot':
-        this.#finishInstall(installSnapshot(holder, kind.value, nowMs), nowMs);
+        this.#finishInstall(() => installSnapshot(holder, kind.value, nowMs), nowMs);
         break;
       case 'delta':
-        this.#finishInstall(installDelta(holder, kind.value, nowMs), nowMs);
+        this.#finishInstall(() => installDelta(holder, kind.value, nowMs), nowMs);
         break;
       case 'endpoints':
         this.#takeEndpoints(fromBinary(EndpointDeltaSchema, kind.value), nowMs);
@@ -285,13 +285,12 @@
     });
   }
 
-  #finishInstall(result: Result<CompiledConfiguration, InstallError>, nowMs: number): void {
-    result.match(
-      () => {
-        // An update that changed nothing is reported too: the control VM waits for the report.
-        this.#reportedVersion = 0;
-        this.reportInForce(nowMs);
-      },
+  #finishInstall(install: () => Result<CompiledConfiguration, InstallError>, nowMs: number): void {
+    // An update that changes nothing is reported too, because the control VM waits for the report.
+    // One that changes something is reported by the listener of the holder, and not twice.
+    this.#reportedVersion = 0;
+    install().match(
+      () => this.reportInForce(nowMs),
       (error) => this.#refuse(error),
     );
   }
