Match both ends of a connection when a proxy identifies its client

Connections to other targets may use the same local port, so a partition could hit the wrong process and leave no majority. A backend server that ends at its start is now reported with its log.

--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -28,6 +28,7 @@
 const BACKEND_ENTRY = 'dist/stand-ins/backendServer/main.js';
 const TOKEN = 'test-operator-token-0123456789abcdef';
 const START_TIMEOUT_MS = 60_000;
+const LOG_TAIL_LENGTH = 600;
 
 export interface TestClusterOptions {
   /** Names of the data centres. */
@@ -210,6 +211,9 @@
     backend.process.start();
     const starts = await waitFor(`start of ${backend.serverId}`, () => {
       const found = countStarts();
+      if (found.length <= earlier && !backend.process.isRunning) {
+        throw new Error(`it ended: ${backend.process.readLog().slice(-LOG_TAIL_LENGTH)}`);
+      }
       return found.length > earlier && found;
     });
     changed.adminUrl = `http://127.0.0.1:${starts.at(-1)![1]}`;
@@ -271,9 +275,9 @@
     return new ManagedProcess(name, args, join(this.folder, `${name}.log`));
   }
 
-  #identifyClient(port: number): string | undefined {
+  #identifyClient(clientPort: number, proxyPort: number): string | undefined {
     const candidates = [...this.controls, ...this.nodes].map((member) => member.process);
-    return findClient(port, candidates)?.name;
+    return findClient(clientPort, proxyPort, candidates)?.name;
   }
 
   async #planControls(): Promise<void> {
@@ -308,7 +312,7 @@
     this.#proxyCount += 1;
     const proxy = new FaultProxy(target, {
       seed: this.seed + this.#proxyCount,
-      identifyClient: (port) => this.#identifyClient(port),
+      identifyClient: (clientPort, proxyPort) => this.#identifyClient(clientPort, proxyPort),
     });
     await proxy.start();
     return proxy;
--- a/stand-ins/faultProxy/index.ts
+++ b/stand-ins/faultProxy/index.ts
@@ -27,8 +27,8 @@
   port?: number;
   /** Receives the line that names the seed. */
   print?: (line: string) => void;
-  /** Names the process behind a client port, for faults of single clients. */
-  identifyClient?: (port: number) => string | undefined;
+  /** Names the process behind a connection by its two ports, for faults of single clients. */
+  identifyClient?: (clientPort: number, proxyPort: number) => string | undefined;
 }
 
 interface Link {
@@ -68,7 +68,7 @@
 
   readonly #clientSettings = new Map<string, LinkSettings>();
 
-  readonly #identifyClient: (port: number) => string | undefined;
+  readonly #identifyClient: (clientPort: number, proxyPort: number) => string | undefined;
 
   /**
    * @param target - `host:port` that connections are forwarded to
@@ -168,7 +168,7 @@
   #accept(client: Socket): void {
     const [host, port] = this.#target.split(':');
     const target = connect({ host: host!, port: Number(port), allowHalfOpen: true });
-    const clientName = this.#identifyClient(client.remotePort ?? 0);
+    const clientName = this.#identifyClient(client.remotePort ?? 0, client.localPort ?? 0);
     const allowanceBytes = this.#drawAllowance(clientName);
     const link: Link = { clientName, client, target, pipes: [], allowanceBytes };
     [client, target].forEach((socket) => {
