--- /dev/null
+++ b/test/_lib/proof.ts
@@ -0,0 +1,180 @@
+/** Shared parts of the proofs with real processes. */
+import tap from 'tap';
+
+import type { Test } from 'tap';
+import { RecordingClient, RequestOutcome } from '../../stand-ins/recordingClient/index.js';
+import { TestCluster } from '../../stand-ins/cluster/index.js';
+import { countOutcomes, verifyOutcomes } from '../../stand-ins/verifyOutcomes/index.js';
+import waitFor from '../../stand-ins/waitFor/index.js';
+import { createDeskSheet } from '../../stand-ins/createSheet/index.js';
+
+import type {
+  BackendOptions,
+  NodeMember,
+  TestClusterOptions,
+} from '../../stand-ins/cluster/index.js';
+import type { RequestSpec, SentRequest } from '../../stand-ins/recordingClient/index.js';
+
+const isFull = process.env.FULL === '1';
+const FULL_TIMEOUT_MS = 3_600_000;
+const CI_TIMEOUT_MS = 240_000;
+
+tap.setTimeout(isFull ? FULL_TIMEOUT_MS : CI_TIMEOUT_MS);
+
+/**
+ * Chooses between the count for CI and the full count of a proof (`FULL=1`).
+ *
+ * @param ci - keeps all of CI under 5 minutes
+ * @param full - the count that the proof asks for
+ */
+export const chooseCount = (ci: number, full: number): number => (isFull ? full : ci);
+
+const print = (line: string): boolean => process.stderr.write(`${line}\n`);
+
+/**
+ * Starts a cluster that ends with the test; prints its seed.
+ *
+ * @param t - the test
+ * @param options - layout of the cluster
+ */
+export const startCluster = async (
+  t: Test,
+  options: TestClusterOptions = {},
+): Promise<TestCluster> => {
+  const cluster = new TestCluster({ print, ...options });
+  t.teardown(() => cluster.stop());
+  await cluster.start();
+  return cluster;
+};
+
+let clientCount = 0;
+
+/** Describes the n-th request of the usual mix: a lookup, then a bundle order. */
+export const describeDeskRequest = (index: number): RequestSpec =>
+  index % 2 === 0
+    ? { method: 'GET', path: `/stock/${index}`, isIdempotent: true }
+    : { method: 'POST', path: '/orders', body: `bundle ${index}`, isIdempotent: false };
+
+export interface LoadDuring {
+  ratePerSecond?: number;
+  entries?: NodeMember[];
+  describeRequest?: (index: number) => RequestSpec;
+  timeoutMs?: number;
+}
+
+const SLICE_MS = 100;
+
+/**
+ * Sends an open-loop load for as long as an action takes.
+ *
+ * @param cluster - receives the load at its running nodes
+ * @param action - what happens under load
+ * @param options - rate, entries and mix of the load
+ * @returns the records of the client
+ */
+export const sendDuring = async (
+  cluster: TestCluster,
+  action: () => Promise<void>,
+  options: LoadDuring = {},
+): Promise<SentRequest[]> => {
+  clientCount += 1;
+  const { timeoutMs = 8_000, ratePerSecond = 200 } = options;
+  const client = new RecordingClient({ name: `c${process.pid}-${clientCount}`, timeoutMs });
+  const describeRequest = options.describeRequest ?? describeDeskRequest;
+  const entries = (options.entries ?? cluster.nodes).map((node) => node.url);
+  const ending = { isOver: false };
+  const slices: Promise<SentRequest[]>[] = [];
+  const load = async (): Promise<void> => {
+    const perSlice = (ratePerSecond * SLICE_MS) / 1_000;
+    while (!ending.isOver) {
+      const offset = slices.length * perSlice;
+      slices.push(
+        client.runOpenLoop({
+          ratePerSecond,
+          durationMs: SLICE_MS,
+          entries,
+          describeRequest: (index) => describeRequest(offset + index),
+        }),
+      );
+      await new Promise((resolve) => {
+        setTimeout(resolve, SLICE_MS);
+      });
+    }
+  };
+  const loading = load();
+  try {
+    await action();
+  } finally {
+    ending.isOver = true;
+    await loading;
+    await Promise.all(slices);
+    await client.close();
+  }
+  return client.sent;
+};
+
+/**
+ * Asserts invariants 4 to 6 for a load.
+ *
+ * @param t - the test
+ * @param cluster - its servers hold what was executed
+ * @param sent - what the callers saw
+ */
+export const assertInvariants = (t: Test, cluster: TestCluster, sent: SentRequest[]): void => {
+  const outcomes = countOutcomes(sent);
+  t.comment(`outcomes ${JSON.stringify(outcomes)}`);
+  const violations = verifyOutcomes(sent, cluster.readExecutions());
+  t.strictSame(violations.slice(0, 5), [], `violations: ${violations.length}`);
+  t.ok((outcomes[RequestOutcome.Answered] ?? 0) > 0, 'some requests were answered');
+};
+
+/** Waits until a lookup and an order are answered at each of the nodes. */
+export const waitUntilAnswered = async (
+  nodes: NodeMember[],
+  options: { timeoutMs?: number; paths?: string[] } = {},
+): Promise<void> => {
+  clientCount += 1;
+  const client = new RecordingClient({ name: `w${process.pid}-${clientCount}`, timeoutMs: 2_000 });
+  const paths = options.paths ?? ['/stock'];
+  const isAnswered = async (node: NodeMember): Promise<boolean> => {
+    const sent = await Promise.all(
+      paths.map((path) => client.send(node.url, { method: 'GET', path, isIdempotent: true })),
+    );
+    return sent.every((one) => one.outcome === RequestOutcome.Answered);
+  };
+  try {
+    await Promise.all(
+      nodes.map((node) => waitFor(`answer at ${node.name}`, () => isAnswered(node), options)),
+    );
+  } finally {
+    await client.close();
+  }
+};
+
+/**
+ * Starts servers of the order desk and of the harvest ledger beside every node and applies version
+ * 1 of the desk sheet.
+ *
+ * @param cluster - a started cluster
+ * @param options - for each server
+ */
+export const startDesk = async (
+  cluster: TestCluster,
+  options: Pick<BackendOptions, 'flags' | 'isProxied'> = {},
+): Promise<void> => {
+  await cluster.applyUntilAccepted(1, createDeskSheet());
+  await Promise.all(
+    cluster.nodes.flatMap((node) =>
+      ['order-desk', 'harvest-ledger'].map((service) =>
+        cluster.startBackend(node, { serverId: `${service}-${node.name}`, service, ...options }),
+      ),
+    ),
+  );
+  await cluster.waitForVersion(1);
+  await waitUntilAnswered(cluster.nodes, { paths: ['/stock', '/ledger'] });
+  await Promise.all(
+    ['order-desk', 'harvest-ledger'].map((service) =>
+      cluster.waitForServers(service, cluster.nodes.length),
+    ),
+  );
+};
--- /dev/null
+++ b/test/_lib/watchVersions.ts
@@ -0,0 +1,92 @@
+import { request } from 'undici';
+
+import type { Test } from 'tap';
+import type { TestCluster } from '../../stand-ins/cluster/index.js';
+
+const POLL_MS = 50;
+
+/** A node that reported an older version than before. */
+export interface Reversal {
+  /** Who was asked: the node itself or a control VM. */
+  source: string;
+  nodeId: string;
+  from: number;
+  to: number;
+}
+
+export interface VersionWatch {
+  /** Reports so far, so that a watch that saw nothing fails. */
+  count: number;
+  /** Reversals seen so far. */
+  reversals: Reversal[];
+  /** Versions that any node reported. */
+  reported: Set<number>;
+  stop: () => Promise<void>;
+}
+
+const readOwnVersion = async (localUrl: string): Promise<number> => {
+  const response = await request(`${localUrl}/healthz`, { signal: AbortSignal.timeout(1_000) });
+  return ((await response.body.json()) as { version: number }).version;
+};
+
+/**
+ * Watches the versions in force that each node reports itself and to each control VM.
+ *
+ * Version 0 stands for a node that restarted and serves nothing yet. Reports after a restart are
+ * compared with the earlier ones too, because no node may ever go back.
+ */
+export const watchVersions = (cluster: TestCluster): VersionWatch => {
+  const newest = new Map<string, number>();
+  const watch: VersionWatch = {
+    count: 0,
+    reversals: [],
+    reported: new Set(),
+    stop: async () => undefined,
+  };
+  const ending = { isOver: false };
+  const note = (source: string, nodeId: string, version: number): void => {
+    if (version === 0) return;
+    const key = `${source} ${nodeId}`;
+    const from = newest.get(key) ?? 0;
+    if (version < from) watch.reversals.push({ source, nodeId, from, to: version });
+    newest.set(key, version);
+    watch.count += 1;
+    watch.reported.add(version);
+  };
+  const poll = async (): Promise<void> => {
+    while (!ending.isOver) {
+      await Promise.allSettled([
+        ...cluster.runningNodes.map(async (node) =>
+          note(node.name, node.name, await readOwnVersion(node.localUrl)),
+        ),
+        ...cluster.runningControls.map(async (control) => {
+          const status = await control.operator.readStatus();
+          status.nodes.list
+            .filter((node) => node.isConnected)
+            .forEach((node) => note(control.name, node.nodeId, node.version));
+        }),
+      ]);
+      await new Promise((resolve) => {
+        setTimeout(resolve, POLL_MS);
+      });
+    }
+  };
+  const polling = poll();
+  watch.stop = async () => {
+    ending.isOver = true;
+    await polling;
+  };
+  return watch;
+};
+
+/**
+ * Asserts invariant 1 for everything that was watched.
+ *
+ * @param t - the test
+ * @param watch - stopped by this call
+ */
+export const assertMonotonic = async (t: Test, watch: VersionWatch): Promise<void> => {
+  await watch.stop();
+  t.ok(watch.count > 0, `${watch.count} reports`);
+  t.strictSame(watch.reversals, [], 'no node went back to an older version');
+};
