--- /dev/null
+++ b/test/proofs/changesUnderLoad.test.ts
@@ -0,0 +1,103 @@
+/** Configuration changes under load: nothing dropped, doubled, or sent to an absent service. */
+import tap from 'tap';
+
+import { ExecutionEvent } from '../../stand-ins/backendServer/index.js';
+import { createSheet } from '../../stand-ins/createSheet/index.js';
+import { RequestOutcome } from '../../stand-ins/recordingClient/index.js';
+import { countOutcomes } from '../../stand-ins/verifyOutcomes/index.js';
+import {
+  assertInvariants,
+  chooseCount,
+  sendDuring,
+  startCluster,
+  startDesk,
+  waitUntilAnswered,
+} from '../_lib/proof.js';
+
+import type { RequestSpec } from '../../stand-ins/recordingClient/index.js';
+
+const CHANGES = chooseCount(10, 50);
+const FIRST_VERSION = 2;
+
+/** Even versions route /flip to the order desk, odd ones to the ledger; even ones have /extra. */
+const createChange = (version: number): string => {
+  const isEven = version % 2 === 0;
+  const extra = isEven ? [{ name: 'extra-service' }] : [];
+  return createSheet(
+    [{ name: 'order-desk' }, { name: 'harvest-ledger' }, ...extra],
+    [
+      { name: 'stock', pathPrefix: '/stock', targets: { 'order-desk': 100 } },
+      {
+        name: 'orders',
+        pathPrefix: '/orders',
+        methods: ['POST'],
+        targets: { 'order-desk': 100 },
+        isIdempotent: false,
+      },
+      {
+        name: 'flip',
+        pathPrefix: '/flip',
+        targets: { [isEven ? 'order-desk' : 'harvest-ledger']: 100 },
+      },
+      ...(isEven
+        ? [{ name: 'extra', pathPrefix: '/extra', targets: { 'extra-service': 100 } }]
+        : []),
+    ],
+  );
+};
+
+const ALLOWED_SERVICES: Record<string, string[]> = {
+  '/stock': ['order-desk'],
+  '/orders': ['order-desk'],
+  '/flip': ['order-desk', 'harvest-ledger'],
+  '/extra': ['extra-service'],
+};
+
+const PATHS = Object.keys(ALLOWED_SERVICES);
+
+const describeRequest = (index: number): RequestSpec => {
+  const path = PATHS[index % PATHS.length]!;
+  return path === '/orders'
+    ? { method: 'POST', path, body: `bundle ${index}`, isIdempotent: false }
+    : { method: 'GET', path, isIdempotent: true };
+};
+
+tap.test('a configuration changed under load drops, doubles and misroutes nothing', async (t) => {
+  const cluster = await startCluster(t, { nodesPerDataCentre: 1 });
+  await startDesk(cluster, { flags: ['--service-ms', '10'] });
+  await cluster.startBackend(cluster.nodes[0]!, { serverId: 'extra', service: 'extra-service' });
+  await cluster.applyUntilAccepted(FIRST_VERSION, createChange(FIRST_VERSION));
+  await cluster.waitForVersion(FIRST_VERSION);
+  await cluster.waitForServers('extra-service', 1);
+  await waitUntilAnswered(cluster.nodes, { paths: PATHS.filter((path) => path !== '/orders') });
+  const sent = await sendDuring(
+    cluster,
+    async () => {
+      for (let change = 1; change <= CHANGES; change += 1) {
+        const version = FIRST_VERSION + change;
+        const answer = await cluster.apply(version, createChange(version));
+        t.equal(answer.outcome, 'ACCEPTED', `version ${version}`);
+        await cluster.waitForVersion(version);
+      }
+    },
+    { describeRequest },
+  );
+  assertInvariants(t, cluster, sent);
+  const ids = new Map(sent.map((one) => [one.requestId, one]));
+  const records = cluster
+    .readExecutions()
+    .filter((record) => record.event === ExecutionEvent.Start && ids.has(record.requestId));
+  const misrouted = records.filter(
+    (record) => !ALLOWED_SERVICES[record.path]?.includes(record.service),
+  );
+  t.strictSame(misrouted.slice(0, 3), [], 'no request reached a service its route never named');
+  const path = (index: number) => PATHS[index % PATHS.length];
+  const stable = sent.filter(
+    (one) => path(Number(one.requestId.split('-').at(-1)) - 1) !== '/extra',
+  );
+  const outcomes = countOutcomes(stable);
+  t.strictSame(Object.keys(outcomes), [RequestOutcome.Answered], JSON.stringify(outcomes));
+  const extra = countOutcomes(sent.filter((one) => !stable.includes(one)));
+  t.ok((extra[RequestOutcome.NotRun] ?? 0) > 0, 'the removed route was refused');
+  t.equal(extra[RequestOutcome.Unknown] ?? 0, 0);
+});
