--- /dev/null
+++ b/test/proofs/randomSheets.test.ts
@@ -0,0 +1,85 @@
+/** Random sheets, some of them bad: nothing is installed in part, and nothing goes back. */
+import tap from 'tap';
+import { request } from 'undici';
+
+import type { Test } from 'tap';
+import { createSeededRandom, drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import { chooseCount, startCluster } from '../_lib/proof.js';
+import { createRandomSheet, spoilSheet } from '../_lib/randomSheet.js';
+import { assertMonotonic, watchVersions } from '../_lib/watchVersions.js';
+
+import type { NodeMember, TestCluster } from '../../stand-ins/cluster/index.js';
+
+const SHEETS = chooseCount(40, 200);
+const BAD_EVERY = 5;
+const CHECK_EVERY = 10;
+
+interface Explanation {
+  version: number;
+  route?: string;
+  targets: { service: string; weightPercent: number }[];
+}
+
+const explain = async (node: NodeMember, path: string): Promise<Explanation> => {
+  const response = await request(`${node.localUrl}/explain?path=${path}&method=GET`);
+  return (await response.body.json()) as Explanation;
+};
+
+/** Asks every node for every route of a sheet, and for one that the sheet lacks. */
+const assertInstalledWhole = async (
+  t: Test,
+  cluster: TestCluster,
+  version: number,
+  sheet: string,
+): Promise<void> => {
+  const rows = sheet.split('\n').map((line) => line.split(','));
+  const routes = rows.filter(([kind]) => kind === 'route');
+  const expected = routes.map((row) => `${version} ${row[1]} ${row[5]} ${row[6]}`);
+  const lists = await Promise.all(
+    cluster.nodes.map(async (node) => {
+      const paths = [...new Set(routes.map((row) => row[3]!))];
+      const found = await Promise.all(paths.map((path) => explain(node, path)));
+      const missing = await explain(node, '/absent');
+      t.equal(missing.route, undefined);
+      return found.flatMap((one) =>
+        one.targets.map(
+          (target) => `${one.version} ${one.route} ${target.service} ${target.weightPercent}`,
+        ),
+      );
+    }),
+  );
+  lists.forEach((list) =>
+    t.strictSame(list.sort(), expected.sort(), `version ${version} is whole`),
+  );
+};
+
+tap.test('bad sheets change nothing and good ones are installed whole, in order', async (t) => {
+  const cluster = await startCluster(t, { nodesPerDataCentre: 1 });
+  const random = createSeededRandom(cluster.seed);
+  const watch = watchVersions(cluster);
+  const badVersions: number[] = [];
+  for (let version = 1; version <= SHEETS; version += 1) {
+    const isBad = version % BAD_EVERY === 0;
+    const sheet = createRandomSheet(random);
+    const control = cluster.controls[drawInteger(random, 0, cluster.controls.length - 1)]!;
+    const answer = await control.operator.apply(version, isBad ? spoilSheet(random, sheet) : sheet);
+    t.equal(answer.outcome, isBad ? 'INVALID' : 'ACCEPTED', `version ${version}`);
+    if (isBad) badVersions.push(version);
+    if (!isBad && version % CHECK_EVERY === 1) {
+      await cluster.waitForVersion(version);
+      await assertInstalledWhole(t, cluster, version, sheet);
+    }
+  }
+  const newest = SHEETS % BAD_EVERY === 0 ? SHEETS - 1 : SHEETS;
+  const status = await cluster.waitForVersion(newest);
+  await assertMonotonic(t, watch);
+  t.notOk(
+    badVersions.some((version) => watch.reported.has(version)),
+    'no node reported a bad one',
+  );
+  t.strictSame(
+    status.nodes.list.filter((node) => node.refusedVersion),
+    [],
+    'nothing was refused',
+  );
+});
