--- a/src/process/daemon/runDaemon/index.ts
+++ b/src/process/daemon/runDaemon/index.ts
@@ -1,13 +1,15 @@
 import type { Result } from 'neverthrow';
 
 import ExitCode from '../../cli/ExitCode.js';
-import type { SettingsError, SettingsFault } from '../../settings/index.js';
+import { closeLog, configureLog } from '../../log/index.js';
+import { describeSettingsFault } from '../../settings/index.js';
+import type { LogSettings, SettingsError } from '../../settings/index.js';
 import type { DaemonError } from '../DaemonError/index.js';
 import waitForStop from '../waitForStop/index.js';
 import type { Stoppable } from '../waitForStop/index.js';
 
 /** How one kind of daemon reads its settings and starts. */
-export interface DaemonKind<Settings> {
+export interface DaemonKind<Settings extends { log: LogSettings }> {
   readSettings: (path: string) => Promise<Result<Settings, SettingsError>>;
   /** `nowMs` is the start time of the process in milliseconds since the epoch. */
   start: (settings: Settings, nowMs: number) => Promise<Result<Stoppable, DaemonError>>;
@@ -17,8 +19,14 @@
   process.stderr.write(`foxtailvane: ${line}\n`);
 };
 
-const describeFault = ({ section, key, value, expected }: SettingsFault): string =>
-  `[${section}] ${key} = ${JSON.stringify(value)}: expected ${expected}`;
+/** Reopens the log on SIGHUP, after a rotation; returns the function that stops doing so. */
+const reopenOnHangup = (log: LogSettings): (() => void) => {
+  const reopen = (): void => {
+    configureLog(log).catch((error: unknown) => printError(`cannot reopen the log: ${error}`));
+  };
+  process.on('SIGHUP', reopen);
+  return () => process.off('SIGHUP', reopen);
+};
 
 /**
  * Runs a daemon until it is told to stop.
@@ -27,20 +35,30 @@
  * @param kind - reads the settings and starts the daemon
  * @returns the exit code; errors are written to stderr, one line each
  */
-export const runDaemon = async <Settings>(
+export const runDaemon = async <Settings extends { log: LogSettings }>(
   settingsPath: string,
   kind: DaemonKind<Settings>,
 ): Promise<ExitCode> => {
   const settings = await kind.readSettings(settingsPath);
   if (settings.isErr()) {
-    settings.error.faults.map(describeFault).forEach(printError);
+    settings.error.faults
+      .map((fault) => `${settingsPath}: ${describeSettingsFault(fault)}`)
+      .forEach(printError);
     return ExitCode.BadInput;
   }
-  const daemon = await kind.start(settings.value, Date.now());
-  if (daemon.isErr()) {
-    printError(daemon.error.message);
-    return ExitCode.Refused;
+  const { log } = settings.value;
+  await configureLog(log);
+  const stopReopening = reopenOnHangup(log);
+  try {
+    const daemon = await kind.start(settings.value, Date.now());
+    if (daemon.isErr()) {
+      printError(daemon.error.message);
+      return ExitCode.Refused;
+    }
+    await waitForStop(daemon.value);
+    return ExitCode.Done;
+  } finally {
+    stopReopening();
+    await closeLog();
   }
-  await waitForStop(daemon.value);
-  return ExitCode.Done;
 };
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -9,12 +9,15 @@
 import { RequestServer } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import type { NodeSettings } from '../../settings/index.js';
+import { ProcessRole } from '../../tls/readIdentity/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
 import { createLocalApi } from '../_lib/createLocalApi.js';
 
 const logger = createLogger('node');
@@ -45,21 +48,26 @@
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
 };
 
+/** Listeners that other processes connect to. */
+interface BoundListeners extends Pick<NodeAddresses, 'listen' | 'forwardListen' | 'peerListen'> {
+  closePeer: () => Promise<void>;
+}
+
 const bindListeners = async (
   settings: NodeSettings,
   server: RequestServer,
-): Promise<
-  Result<
-    { peerListen: string; closePeer: () => Promise<void> } & Pick<
-      NodeAddresses,
-      'listen' | 'forwardListen'
-    >,
-    DaemonError
-  >
-> => {
+  link: NodeLink,
+  tls: TlsStore | undefined,
+): Promise<Result<BoundListeners, DaemonError>> => {
   try {
     const { listen, forwardListen } = await server.start();
-    const peer = await startRpcServer(settings.peerListen, { routes: () => undefined });
+    const peer = await startRpcServer(settings.peerListen, {
+      tls,
+      routes: (router) => {
+        link.registerRoutes(router);
+        server.registerPeerServices(router);
+      },
+    });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
   } catch (error) {
     await server.stop();
@@ -82,10 +90,18 @@
   nowMs: number,
 ): Promise<Result<NodeDaemon, DaemonError>> => {
   const { name: nodeId, dataCentre } = settings;
+  const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
+  if (openedTls.isErr()) return err(openedTls.error);
+  const tls = openedTls.value;
   const metrics = new MetricsRegistry();
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
-  const localServers = new LocalServers({ nodeId, dataCentre, incarnation: BigInt(nowMs) });
+  const localServers = new LocalServers({
+    nodeId,
+    dataCentre,
+    incarnation: BigInt(nowMs),
+    queuePerSlot: settings.requests.queuePerSlot,
+  });
   const link = new NodeLink(
     {
       nodeId,
@@ -95,12 +111,12 @@
       directory,
       recordSource: localServers,
     },
-    { metrics },
+    { metrics, tls: () => tls?.current() },
   );
   const server = new RequestServer({
     nodeId,
     dataCentre,
-    current: () => holder.current(),
+    current: () => (link.isReadyToServe(Date.now()).isOk() ? holder.current() : undefined),
     directory: {
       serversOf: (service) => [...directory.serversOf(service)],
       records: () => directory.records(),
@@ -109,23 +125,31 @@
     metrics,
     listen: settings.listen,
     forwardListen: settings.forwardListen,
+    startedAtMs: nowMs,
+    ...settings.requests,
+    ...(tls && { tls: tls.current() }),
   });
-  const bound = await bindListeners(settings, server);
+  const bound = await bindListeners(settings, server, link, tls);
   if (bound.isErr()) return err(bound.error);
   const { listen, forwardListen, peerListen, closePeer } = bound.value;
-  localServers.setAddresses({ forwardAddress: forwardListen, peerAddress: peerListen });
-  const api = createLocalApi({ holder, directory, localServers, metrics });
+  localServers.setAddresses({
+    forwardAddress: settings.forwardAddress,
+    peerAddress: settings.peerAddress,
+  });
+  const api = createLocalApi({ link, holder, directory, localServers, metrics });
   const local = await serveHttp(api, settings.localListen);
   if (local.isErr()) {
     await closePeer();
     await server.stop();
     return err(local.error);
   }
+  const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
   logger.info({ nodeId, listen, forwardListen, peerListen, localListen }, 'node daemon started');
 
   const stop = async (): Promise<void> => {
+    stopReloading();
     await link.stop();
     await closePeer();
     await local.value.close();
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -3,24 +3,45 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { ConnectRouter } from '@connectrpc/connect';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
-import { RoundRobinSelector } from '../selectServer/index.js';
+import { ServerProbes } from '../../process/localServers/index.js';
+import LoanClient from '../_lib/LoanClient.js';
+import ServerCaller from '../_lib/ServerCaller.js';
+import { FailureRateBreaker } from '../breakCircuit/index.js';
+import { RatioRetryBudget } from '../budgetRetries/index.js';
+import { SlotBorrower } from '../borrowSlots/index.js';
+import {
+  HolderWarmth,
+  IdempotencyGuard,
+  IdempotencyStore,
+  createIdempotencyRoutes,
+} from '../idempotency/index.js';
+import { SlotLender } from '../lendSlots/index.js';
+import { ServerObservations } from '../observeServers/index.js';
+import { TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
+import type { CircuitBreaker } from '../breakCircuit/index.js';
+import type { RetryBudget } from '../budgetRetries/index.js';
+import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
 
+/** Covers resends after a timeout, and lets a restarted data centre take keyed requests soon. */
+const DEFAULT_RETENTION_MS = 300_000;
 const MAX_HEADER_BYTES = 32_768;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const DRAIN_POLL_MS = 10;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
-const MAINTENANCE_INTERVAL_MS = 250;
+/** Borrowed slots are renewed in time if this is well below half of their lease. */
+const MAINTENANCE_INTERVAL_MS = 100;
 
 export interface RequestServerOptions
   extends
@@ -32,7 +53,21 @@
   forwardListen: string;
   /** Set when `[tls]` is configured: mutual TLS on `forwardListen`. */
   tls?: TlsMaterial;
+  /** Two choices unless given. */
   selector?: ServerSelector;
+  /** By failure rate unless given. */
+  breaker?: CircuitBreaker;
+  /** By share of requests unless given. */
+  budget?: RetryBudget;
+  /**
+   * Time for which a repeat with the same Idempotency-Key is recognized. For this time after its
+   * start a node vouches for no key, so a longer retention delays the first keyed requests.
+   */
+  idempotencyRetentionMs?: number;
+  /** When this node started, in milliseconds since the epoch; the present time unless given. */
+  startedAtMs?: number;
+  /** Pause between two probes of the servers beside this node. */
+  probeIntervalMs?: number;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
 }
@@ -87,6 +122,22 @@
 
   readonly #nodePools: UpstreamPools;
 
+  readonly #observations = new ServerObservations();
+
+  readonly #warmth: HolderWarmth;
+
+  readonly #keys: IdempotencyRoutesOptions;
+
+  readonly #guard: IdempotencyGuard;
+
+  readonly #probes: ServerProbes;
+
+  readonly #borrower = new SlotBorrower();
+
+  readonly #lender: SlotLender;
+
+  readonly #loans: LoanClient;
+
   #inFlight = 0;
 
   #isDraining = false;
@@ -101,13 +152,56 @@
       getNowMs: options.getNowMs ?? Date.now,
     };
     this.#nodePools = new UpstreamPools({ tls: options.tls });
+    this.#lender = new SlotLender(options.localServers.record().incarnation);
+    this.#loans = new LoanClient(this.#borrower, this.#nodePools);
+    this.#probes = new ServerProbes({
+      localServers: options.localServers,
+      intervalMs: options.probeIntervalMs,
+      getNowMs: this.#context.getNowMs,
+    });
+    const retentionMs = options.idempotencyRetentionMs ?? DEFAULT_RETENTION_MS;
+    this.#warmth = new HolderWarmth({
+      nodeId: options.nodeId,
+      dataCentre: options.dataCentre,
+      retentionMs,
+      startedAtMs: options.startedAtMs ?? this.#context.getNowMs(),
+    });
+    this.#keys = {
+      store: new IdempotencyStore({ retentionMs }),
+      warmth: this.#warmth,
+      getNowMs: this.#context.getNowMs,
+    };
+    this.#guard = new IdempotencyGuard({
+      ...this.#keys,
+      nodeId: options.nodeId,
+      dataCentre: options.dataCentre,
+      getRecords: () => options.directory.records(),
+      tls: options.tls,
+    });
     const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
+    const learners = {
+      observations: this.#observations,
+      breaker: options.breaker ?? new FailureRateBreaker(),
+    };
     const entry = new EntryHandler(this.#context, {
-      localCaller,
-      nodePools: this.#nodePools,
-      selector: options.selector ?? new RoundRobinSelector(),
+      ...learners,
+      caller: new ServerCaller(this.#context, {
+        localCaller,
+        nodePools: this.#nodePools,
+        serverPools: this.#serverPools,
+        borrower: this.#borrower,
+      }),
+      selector:
+        options.selector ??
+        new TwoChoicesSelector({
+          ...learners,
+          dataCentre: options.dataCentre,
+          isGranted: (key) => this.#borrower.has(key, performance.now()),
+        }),
+      budget: options.budget ?? new RatioRetryBudget(),
+      guard: this.#guard,
     });
-    const owner = new OwnerHandler(this.#context, localCaller);
+    const owner = new OwnerHandler(this.#context, localCaller, this.#lender);
     this.#entry = this.#createServer((request, response) => entry.handle(request, response));
     this.#owner = this.#createServer(
       (request, response) => owner.handle(request, response),
@@ -120,6 +214,11 @@
     return this.#inFlight;
   }
 
+  /** Adds the services of this part to the connect-es listener for other nodes. */
+  registerPeerServices(router: ConnectRouter): void {
+    createIdempotencyRoutes(this.#keys)(router);
+  }
+
   /**
    * Binds both listeners.
    *
@@ -130,6 +229,7 @@
     const listen = await listenOn(this.#entry, this.#options.listen);
     this.#maintenance = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
     this.#maintenance.unref();
+    this.#probes.start();
     return { listen, forwardListen };
   }
 
@@ -137,17 +237,21 @@
   async drain(): Promise<void> {
     this.#isDraining = true;
     this.#context.localServers.drain();
+    this.#lender.stop();
     await delay(this.#options.drainGraceMs ?? DEFAULT_DRAIN_GRACE_MS);
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     while (this.#inFlight > 0) await delay(DRAIN_POLL_MS);
     this.#entry.closeIdleConnections();
     this.#owner.closeIdleConnections();
+    await this.#loans.close(performance.now());
     await Promise.all(closed);
   }
 
   /** Closes everything at once; requests in flight fail. */
   async stop(): Promise<void> {
     clearInterval(this.#maintenance);
+    this.#guard.close();
+    await this.#probes.stop();
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     this.#entry.closeAllConnections();
     this.#owner.closeAllConnections();
@@ -177,6 +281,12 @@
   }
 
   #maintain(): void {
-    this.#context.localServers.expire(this.#context.getNowMs());
+    const nowMs = this.#context.getNowMs();
+    this.#context.localServers.expire(nowMs);
+    this.#observations.forget(nowMs);
+    this.#lender.expire(performance.now());
+    this.#loans.maintain(performance.now());
+    this.#keys.store.expire(nowMs);
+    this.#warmth.observe(this.#context.directory.records(), nowMs);
   }
 }
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -2,6 +2,14 @@
 
 export const CALL_HEADER = 'foxtailvane-call';
 export const DEADLINE_HEADER = 'foxtailvane-deadline-ms';
+/** Id of a slot that the node beside the server lends with its response. */
+export const GRANT_HEADER = 'foxtailvane-grant';
+/** Asks for a grant; sent when the entry node could use one. */
+export const GRANT_WANTED_HEADER = 'foxtailvane-grant-wanted';
+/** Grants to renew and to return; in the answer, the renewed ones. */
+export const LOANS_HEADER = 'foxtailvane-loans';
+/** Share of the slots of the server in use, as its node counts them. */
+export const LOAD_HEADER = 'foxtailvane-load';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
 
 const FIELD_COUNT = 6;
@@ -60,6 +68,30 @@
   };
 };
 
+/** Grants by id, as a borrower reports them. */
+export interface Loans {
+  renewed: string[];
+  returned: string[];
+}
+
+export const formatLoans = ({ renewed, returned }: Loans): string =>
+  `${renewed.join(',')};${returned.join(',')}`;
+
+export const parseIds = (value: string): string[] => value.split(',').filter((id) => id !== '');
+
+export const parseLoans = (value: string): Loans => {
+  const [renewed = '', returned = ''] = value.split(';');
+  return { renewed: parseIds(renewed), returned: parseIds(returned) };
+};
+
+const LOAD_DIGITS = 2;
+
+export const formatLoad = (load: number): string => load.toFixed(LOAD_DIGITS);
+
+/** Returns the share of slots in use, or undefined when the header is absent or malformed. */
+export const parseLoad = (value: string | undefined): number | undefined =>
+  value !== undefined && /^\d{1,3}\.\d{1,4}$/.test(value) ? Number(value) : undefined;
+
 /**
  * Reads a header that holds a whole number.
  *
--- a/stand-ins/distributionCluster/index.ts
+++ b/stand-ins/distributionCluster/index.ts
@@ -17,6 +17,7 @@
   ControlTarget,
   NodeLinkOptions,
 } from '../../src/connection/distribution/NodeLink/index.js';
+import type { TlsStore } from '../../src/process/tls/TlsStore/index.js';
 import type { RpcServer } from '../../src/connection/startRpcServer/index.js';
 
 export { default as FakeControlLog } from './FakeControlLog.js';
@@ -41,6 +42,7 @@
   address?: string;
   log?: FakeControlLog;
   listPeers?: () => ExchangePeer[];
+  tlsStore?: TlsStore;
 }
 
 /** Starts one control VM. */
@@ -50,12 +52,17 @@
 ): Promise<TestControl> => {
   const log = options.log ?? new FakeControlLog();
   const hub = new DistributionHub(memberId, log, options);
-  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), options);
+  const { tlsStore } = options;
+  const exchange = new ControlExchange(memberId, hub, options.listPeers ?? (() => []), {
+    ...options,
+    tls: () => tlsStore?.current(),
+  });
   const server: RpcServer = await startRpcServer(options.address ?? '127.0.0.1:0', {
     routes: (router) => {
       hub.registerRoutes(router);
       exchange.registerRoutes(router);
     },
+    tls: tlsStore,
   });
   hub.start();
   exchange.start();
@@ -111,8 +118,11 @@
   dataCentre?: string;
   record?: NodeRecord;
   peerSeeds?: string[];
+  /** Lease of records that the control VM does not list. */
+  unlistedRecordMs?: number;
   /** Survives the process, as nothing does in production; only to prepare a state. */
   holder?: ConfigurationHolder;
+  tlsStore?: TlsStore;
 }
 
 const createNode = (
@@ -122,7 +132,8 @@
 ): TestNode => {
   const dataCentre = options.dataCentre ?? 'dc1';
   const holder = options.holder ?? new ConfigurationHolder();
-  const directory = new EndpointDirectory({ leaseMs: UNLISTED_RECORD_MS, ownNodeId: nodeId });
+  const leaseMs = options.unlistedRecordMs ?? UNLISTED_RECORD_MS;
+  const directory = new EndpointDirectory({ leaseMs, ownNodeId: nodeId });
   const source = new TestRecordSource(options.record ?? buildRecord(nodeId, { dataCentre }));
   const peerSeeds = options.peerSeeds ?? [];
   const parts = {
@@ -134,7 +145,8 @@
     recordSource: source,
     peerSeeds,
   };
-  const link = new NodeLink(parts, options);
+  const { tlsStore } = options;
+  const link = new NodeLink(parts, { ...options, tls: () => tlsStore?.current() });
   return { nodeId, link, holder, directory, source, peerAddress: '', stop: () => link.stop() };
 };
 
@@ -157,7 +169,7 @@
 ): Promise<TestNode> => {
   const node = createNode(nodeId, controls, options);
   const routes = (router: ConnectRouter): void => node.link.registerRoutes(router);
-  const server = await startRpcServer('127.0.0.1:0', { routes });
+  const server = await startRpcServer('127.0.0.1:0', { routes, tls: options.tlsStore });
   node.source.change({ peerAddress: server.address });
   node.link.start();
   const stop = async (): Promise<void> => {
