Measure convergence, memory and processor time of each daemon

GET /metrics of a control VM now has the histogram configuration_convergence_us and the figures of replication; both daemons report resident memory, processor time and lost log lines.

--- /dev/null
+++ b/src/process/control/_lib/measureConvergence.ts
@@ -0,0 +1,36 @@
+import type { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
+import type { MetricsRegistry } from '../../metrics/index.js';
+import type { ControlLog } from '../../replication/ControlLog/index.js';
+
+const US_PER_MS = 1_000;
+
+/**
+ * Records, for each attached node, the time from the acceptance of a version to its report that the
+ * version is in force, in the histogram `configuration_convergence_us`.
+ *
+ * @param hub - the attached nodes
+ * @param log - the accepted versions
+ * @param metrics - registry of the process
+ * @returns the unsubscriber
+ */
+const measureConvergence = (
+  hub: DistributionHub,
+  log: ControlLog,
+  metrics: MetricsRegistry,
+): (() => void) => {
+  const histogram = metrics.histogram('configuration_convergence_us');
+  const reported = new Map<string, number>();
+  return hub.fleet.onOwnChanged((nodeId) => {
+    const report = hub.fleet.find(nodeId);
+    if (!report || report.version === 0 || reported.get(nodeId) === report.version) return;
+    const isFirst = !reported.has(nodeId);
+    reported.set(nodeId, report.version);
+    const accepted = log.committedVersion(report.version);
+    // A node that has just attached may have installed its version long ago.
+    if (isFirst || !accepted) return;
+    const elapsedMs = report.inForceAtMs - accepted.holder.acceptedAtMs;
+    histogram.recordValue(Math.max(0, Math.round(elapsedMs * US_PER_MS)));
+  });
+};
+
+export default measureConvergence;
--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -10,6 +10,7 @@
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import type { RpcServer, RpcServerOptions } from '../../../connection/startRpcServer/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
+import registerProcessMetrics from '../../daemon/registerProcessMetrics/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
 import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { createLogger } from '../../log/index.js';
@@ -20,6 +21,7 @@
 import type { ControlSettings } from '../../settings/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
+import measureConvergence from '../_lib/measureConvergence.js';
 import createMembershipActions from '../_lib/createMembershipActions.js';
 
 const logger = createLogger('control');
@@ -36,6 +38,7 @@
 
 const openLog = async (
   settings: ControlSettings,
+  metrics: MetricsRegistry,
   tls: TlsStore | undefined,
 ): Promise<Result<ReplicatedLog, DaemonError>> => {
   const opened = await ReplicatedLog.open(
@@ -45,6 +48,7 @@
       initialMembers: settings.members.map(({ name, address }) => ({ memberId: name, address })),
     },
     {
+      metrics,
       timings: settings.timing,
       ...(tls && { transport: { tls: () => tls.current(), peerRole: ProcessRole.Control } }),
     },
@@ -107,10 +111,11 @@
   const openedTls = await openTls(settings, ProcessRole.Control, nowMs);
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
-  const opened = await openLog(settings, tls);
+  const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
+  const opened = await openLog(settings, metrics, tls);
   if (opened.isErr()) return err(opened.error);
   const log = opened.value;
-  const metrics = new MetricsRegistry();
   const options = { metrics, now: readMonotonicNowMs, tls: () => tls?.current() };
   const hub = new DistributionHub(settings.name, log, options);
   const exchange = new ControlExchange(settings.name, hub, () => listPeers(settings, log), options);
@@ -150,6 +155,9 @@
     return err(operator.error);
   }
   const stopReloading = reloadOnHangup(tls);
+  metrics.gauge('nodes_attached', () => hub.sessionCount);
+  metrics.gauge('configuration_version', () => log.committed()?.holder.version ?? 0);
+  const stopMeasuring = measureConvergence(hub, log, metrics);
   log.start();
   hub.start();
   exchange.start();
@@ -159,6 +167,7 @@
   );
   const drain = async (): Promise<void> => {
     stopReloading();
+    stopMeasuring();
     await operator.value.close();
     hub.stop();
     await exchange.stop();
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -8,6 +8,7 @@
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RequestServer } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
+import registerProcessMetrics from '../../daemon/registerProcessMetrics/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
 import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
@@ -144,6 +145,10 @@
     await server.stop();
     return err(local.error);
   }
+  registerProcessMetrics(metrics);
+  metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  metrics.gauge('requests_in_flight', () => server.inFlight);
+  metrics.gauge('endpoint_records', () => directory.records().length);
   const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
