Close connections to servers that left and drop what was learnt of them

Pools and circuits were kept by address and server for the life of the node, so that restarts of servers on new ports let them grow without bound. The head counts as passed on only after it was written: a head that node refuses to write is now answered with 502 instead of a closed connection.

--- a/bench/forwarding/_lib/startWorker.ts
+++ b/bench/forwarding/_lib/startWorker.ts
@@ -12,6 +12,7 @@
 /** Starts a process in one role and waits until it is ready. */
 export const startWorker = async (message: StartMessage): Promise<Worker> => {
   const child = fork(fileURLToPath(new URL('../worker.js', import.meta.url)));
+  child.setMaxListeners(0);
   const ask = (question: StartMessage | 'usage'): Promise<Reply> =>
     new Promise((resolve, reject) => {
       child.once('message', (reply) => resolve(reply as Reply));
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -168,8 +168,8 @@
     this.#withheld = this.#findOwnAnswer(head) ?? this.#findShed(head);
     if (this.#withheld) return true;
     this.#options.tap?.addHead(head);
-    this.#isHeadPassed = true;
     this.#response.writeHead(statusCode, head.headers);
+    this.#isHeadPassed = true;
     queueMicrotask(() => this.#flushHead());
     return true;
   }
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -21,7 +21,7 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotLender } from '../lendSlots/index.js';
-import { ServerObservations } from '../observeServers/index.js';
+import { ServerObservations, formatServerKey } from '../observeServers/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
@@ -36,12 +36,16 @@
 /** Covers resends after a timeout, and lets a restarted data centre take keyed requests soon. */
 const DEFAULT_RETENTION_MS = 300_000;
 const MAX_HEADER_BYTES = 32_768;
+/** Bounds the memory of a listener; further connections are closed at once. */
+const MAX_CONNECTIONS = 4_096;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const DRAIN_POLL_MS = 10;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
 /** Borrowed slots are renewed in time if this is well below half of their lease. */
 const MAINTENANCE_INTERVAL_MS = 100;
+/** Rounds of maintenance between two searches for what is no longer known. */
+const FORGET_EVERY = 50;
 
 export interface RequestServerOptions
   extends
@@ -138,6 +142,10 @@
 
   readonly #loans: LoanClient;
 
+  readonly #breaker: CircuitBreaker;
+
+  #maintenanceCount = 0;
+
   #inFlight = 0;
 
   #isDraining = false;
@@ -179,9 +187,10 @@
       tls: options.tls,
     });
     const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
+    this.#breaker = options.breaker ?? new FailureRateBreaker();
     const learners = {
       observations: this.#observations,
-      breaker: options.breaker ?? new FailureRateBreaker(),
+      breaker: this.#breaker,
     };
     const entry = new EntryHandler(this.#context, {
       ...learners,
@@ -274,18 +283,36 @@
     const server = tls
       ? createHttpsServer({ ...options, ...tls, requestCert: true, rejectUnauthorized: true })
       : createHttpServer(options);
+    server.maxConnections = MAX_CONNECTIONS;
     server.on('request', listener);
     // Without this listener node sends 100 Continue before a server is known.
     server.on('checkContinue', listener);
     return server;
   }
 
+  /** Closes connections to, and drops observations of, servers and nodes that left. */
+  #forgetUnknown(): void {
+    const records = this.#context.directory.records();
+    const local = this.#context.localServers.list().map(({ server }) => server.address);
+    const direct = records.flatMap((node) => node.servers.map((server) => server.directAddress));
+    const serverAddresses = new Set([...local, ...direct]);
+    const nodeAddresses = new Set(records.map((node) => node.forwardAddress));
+    const keys = new Set(
+      records.flatMap((node) => node.servers.map((server) => formatServerKey({ server, node }))),
+    );
+    this.#serverPools.retain((address) => serverAddresses.has(address));
+    this.#nodePools.retain((address) => nodeAddresses.has(address));
+    this.#breaker.retain((key) => keys.has(key));
+  }
+
   #maintain(): void {
     const nowMs = this.#context.getNowMs();
     this.#context.localServers.expire(nowMs);
     this.#observations.forget(nowMs);
     this.#lender.expire(performance.now());
     this.#loans.maintain(performance.now());
+    this.#maintenanceCount += 1;
+    if (this.#maintenanceCount % FORGET_EVERY === 0) this.#forgetUnknown();
     this.#keys.store.expire(nowMs);
     this.#warmth.observe(this.#context.directory.records(), nowMs);
   }
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -6,7 +6,7 @@
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
-import { createLogger } from '../../process/log/index.js';
+import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
 import { BodyState, Exchange } from './Exchange.js';
@@ -232,6 +232,7 @@
       nowMs: this.#context.getNowMs(),
       random: this.#context.random,
     });
+    if (!isLogged(LogLevel.Debug)) return selection?.entry;
     const { requestId, version, route, service } = routed;
     log.debug(
       {
--- /dev/null
+++ b/src/request/_lib/callHeader.test.ts
@@ -0,0 +1,41 @@
+import tap from 'tap';
+
+import {
+  formatCallHeader,
+  formatLoad,
+  formatLoans,
+  parseCallHeader,
+  parseCount,
+  parseLoad,
+  parseLoans,
+} from './callHeader.js';
+
+tap.test('names with any characters survive the header', async (t) => {
+  const call = {
+    serverId: 'desk;1 é',
+    routeName: 'a;b%3B',
+    isIdempotent: true,
+    requestId: 'n1-7',
+    version: 3,
+    entryNodeId: 'n,1',
+  };
+  t.strictSame(parseCallHeader(formatCallHeader(call)), call);
+});
+
+tap.test('malformed headers of a peer are refused, not guessed', async (t) => {
+  ['', 'a;b', 'a;b;1;r;3;n;extra', ';b;1;r;3;n'].forEach((value) =>
+    t.equal(parseCallHeader(value), undefined, value),
+  );
+  ['', '-1', '1.5', '1e3', ' 1', '9999999999'].forEach((value) =>
+    t.equal(parseCount(value), undefined, value),
+  );
+  ['', '1', 'NaN', '-0.5', 'Infinity'].forEach((value) =>
+    t.equal(parseLoad(value), undefined, value),
+  );
+});
+
+tap.test('load and loans survive the header', async (t) => {
+  t.equal(parseLoad(formatLoad(0.456)), 0.46);
+  const loans = { renewed: ['a.1', 'a.2'], returned: [] };
+  t.strictSame(parseLoans(formatLoans(loans)), loans);
+});
