--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -14,6 +14,7 @@
 import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import { createOperatorApi } from '../../operatorApi/index.js';
 import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
@@ -111,6 +112,7 @@
   if (opened.isErr()) return err(opened.error);
   const log = opened.value;
   const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
   const options = { metrics, now: readMonotonicNowMs, tls: () => tls?.current() };
   const hub = new DistributionHub(settings.name, log, options);
   const exchange = new ControlExchange(settings.name, hub, () => listPeers(settings, log), options);
--- a/src/process/metrics/index.ts
+++ b/src/process/metrics/index.ts
@@ -9,8 +9,12 @@
 
 type Labels = Record<string, string>;
 
+/** Escapes a label value as the text format of Prometheus demands. */
+const escapeLabel = (value: string): string =>
+  value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+
 const formatSeries = (name: string, labels: Labels): string => {
-  const pairs = Object.entries(labels).map(([key, value]) => `${key}="${value}"`);
+  const pairs = Object.entries(labels).map(([key, value]) => `${key}="${escapeLabel(value)}"`);
   return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
 };
 
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -15,6 +15,7 @@
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { NodeSettings } from '../../settings/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
@@ -94,6 +95,7 @@
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
   const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
   const localServers = new LocalServers({
