--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -10,11 +10,11 @@
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import type { RpcServer, RpcServerOptions } from '../../../connection/startRpcServer/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
-import registerProcessMetrics from '../../daemon/registerProcessMetrics/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
 import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import { createOperatorApi } from '../../operatorApi/index.js';
 import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -8,7 +8,6 @@
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RequestServer } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
-import registerProcessMetrics from '../../daemon/registerProcessMetrics/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
 import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
@@ -16,6 +15,7 @@
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { NodeSettings } from '../../settings/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
@@ -95,6 +95,7 @@
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
   const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
   const localServers = new LocalServers({
@@ -145,7 +146,6 @@
     await server.stop();
     return err(local.error);
   }
-  registerProcessMetrics(metrics);
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
