--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -15,6 +15,7 @@
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { NodeSettings } from '../../settings/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
@@ -63,7 +64,10 @@
     const { listen, forwardListen } = await server.start();
     const peer = await startRpcServer(settings.peerListen, {
       tls,
-      routes: (router) => link.registerRoutes(router),
+      routes: (router) => {
+        link.registerRoutes(router);
+        server.registerPeerServices(router);
+      },
     });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
   } catch (error) {
@@ -91,9 +95,16 @@
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
   const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
-  const localServers = new LocalServers({ nodeId, dataCentre, incarnation: BigInt(nowMs) });
+  const localServers = new LocalServers({
+    nodeId,
+    dataCentre,
+    incarnation: BigInt(nowMs),
+    queuePerSlot: settings.requests.queuePerSlot,
+    findService: (name) => holder.current()?.findService(name),
+  });
   const link = new NodeLink(
     {
       nodeId,
@@ -117,6 +128,8 @@
     metrics,
     listen: settings.listen,
     forwardListen: settings.forwardListen,
+    startedAtMs: nowMs,
+    ...settings.requests,
     ...(tls && { tls: tls.current() }),
   });
   const bound = await bindListeners(settings, server, link, tls);
@@ -133,6 +146,9 @@
     await server.stop();
     return err(local.error);
   }
+  metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  metrics.gauge('requests_in_flight', () => server.inFlight);
+  metrics.gauge('endpoint_records', () => directory.records().length);
   const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
