--- a/bench/forwarding/_lib/startFleet.ts
+++ b/bench/forwarding/_lib/startFleet.ts
@@ -14,8 +14,12 @@
   stop: () => void;
 }
 
-/** Starts servers, the nodes beside them, and one entry node for each path. */
-export const startFleet = async (): Promise<Fleet> => {
+/**
+ * Starts servers, the nodes beside them, and one entry node for each path.
+ *
+ * @param otherWorker - worker of another build; adds its entry nodes for comparison
+ */
+export const startFleet = async (otherWorker?: string): Promise<Fleet> => {
   const backends = await startWorker({ role: Role.Backends });
   const addresses = backends.addresses ?? [];
   const owners = await startWorker({
@@ -26,12 +30,18 @@
       ...addresses.map((address) => ({ service: 'rotated', address, isDirect: false })),
     ],
   });
-  const startEntry = (service: string, isRoundRobin: boolean): Promise<Worker> =>
-    startWorker({ role: Role.Entry, records: owners.records, service, isRoundRobin });
+  const startEntry = (service: string, isRoundRobin: boolean, path?: string): Promise<Worker> =>
+    startWorker({ role: Role.Entry, records: owners.records, service, isRoundRobin }, path);
   const workers = {
     'one hop, grant': await startEntry('granted', false),
     'two hops': await startEntry('forwarded', false),
     'two hops, round robin': await startEntry('rotated', true),
+    ...(otherWorker === undefined
+      ? {}
+      : {
+          'one hop, grant, other build': await startEntry('granted', false, otherWorker),
+          'two hops, other build': await startEntry('forwarded', false, otherWorker),
+        }),
   };
   const paths = [
     { name: 'direct', address: addresses[0] ?? '' },
--- a/bench/forwarding/_lib/startWorker.ts
+++ b/bench/forwarding/_lib/startWorker.ts
@@ -9,9 +9,19 @@
   stop: () => void;
 }
 
-/** Starts a process in one role and waits until it is ready. */
-export const startWorker = async (message: StartMessage): Promise<Worker> => {
-  const child = fork(fileURLToPath(new URL('../worker.js', import.meta.url)));
+const OWN_WORKER = fileURLToPath(new URL('../worker.js', import.meta.url));
+
+/**
+ * Starts a process in one role and waits until it is ready.
+ *
+ * @param message - the role
+ * @param path - worker of another build, to compare with
+ */
+export const startWorker = async (
+  message: StartMessage,
+  path: string = OWN_WORKER,
+): Promise<Worker> => {
+  const child = fork(path);
   child.setMaxListeners(0);
   const ask = (question: StartMessage | 'usage'): Promise<Reply> =>
     new Promise((resolve, reject) => {
--- a/bench/forwarding/cpu.ts
+++ b/bench/forwarding/cpu.ts
@@ -3,7 +3,10 @@
  * rounds, and reports the best and the median round: the best hardly depends on other load of the
  * machine.
  *
- * Usage: `node dist/bench/forwarding/cpu.js [--rounds N] [--requests N]`
+ * Usage: `node dist/bench/forwarding/cpu.js [--rounds N] [--requests N] [--other WORKER]`
+ *
+ * `--other` names `bench/forwarding/worker.js` of another build, whose entry nodes are measured in
+ * the same rounds; the median of the differences within rounds is reported.
  */
 import { parseArgs } from 'node:util';
 
@@ -18,6 +21,7 @@
   options: {
     rounds: { type: 'string', default: '40' },
     requests: { type: 'string', default: '400' },
+    other: { type: 'string' },
   },
 });
 
@@ -25,7 +29,7 @@
 const pick = (numbers: number[], share: number): number =>
   sort(numbers)[Math.floor((numbers.length - 1) * share)] ?? 0;
 
-const { workers, paths, stop } = await startFleet();
+const { workers, paths, stop } = await startFleet(values.other);
 const requests = Number(values.requests);
 const lanes = paths.map((path) => ({
   name: path.name,
@@ -75,5 +79,21 @@
   const texts = Object.entries(figures).map(([name, value]) => `${name} ${value.toFixed(0)}`);
   process.stdout.write(`${lane.name}: ${texts.join(', ')}\n`);
 });
+const OTHER = ', other build';
+lanes
+  .filter((lane) => lane.name.endsWith(OTHER))
+  .forEach((lane) => {
+    const own = lanes.find((candidate) => `${candidate.name}${OTHER}` === lane.name);
+    const subtract = (mine: number[], other: number[]): number[] =>
+      mine.map((value, round) => value - (other[round] ?? 0));
+    const cpuUs = subtract(own?.cpuUs ?? [], lane.cpuUs);
+    const p50Us = subtract(own?.p50Us ?? [], lane.p50Us);
+    const quartiles = (numbers: number[]): string =>
+      [0.25, 0.5, 0.75].map((share) => pick(numbers, share).toFixed(0)).join(' / ');
+    process.stdout.write(
+      `${own?.name ?? ''}, this build minus the other (quartiles): ` +
+        `cpu ${quartiles(cpuUs)} us, p50 ${quartiles(p50Us)} us\n`,
+    );
+  });
 await Promise.all(lanes.map((lane) => lane.pool.close()));
 stop();
