--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -9,12 +9,16 @@
 import { RequestServer } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { serveHttp } from '../../daemon/serveHttp/index.js';
+import { openTls, reloadOnHangup } from '../../daemon/openTls/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
 import { LocalServers } from '../../localServers/index.js';
 import { createLogger } from '../../log/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { NodeSettings } from '../../settings/index.js';
+import { ProcessRole } from '../../tls/readIdentity/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
 import { createLocalApi } from '../_lib/createLocalApi.js';
 
 const logger = createLogger('node');
@@ -40,10 +44,6 @@
     addresses.map((address) => ({ address, dataCentre })),
   );
 
-/** The written address of a listener, or the bound one when none differs from the listener. */
-const selectAddress = (written: string, listener: string, bound: string): string =>
-  written === listener ? bound : written;
-
 const toListenError = (error: unknown): DaemonError => {
   const reason = error instanceof Error ? error.message : String(error);
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
@@ -58,11 +58,16 @@
   settings: NodeSettings,
   server: RequestServer,
   link: NodeLink,
+  tls: TlsStore | undefined,
 ): Promise<Result<BoundListeners, DaemonError>> => {
   try {
     const { listen, forwardListen } = await server.start();
     const peer = await startRpcServer(settings.peerListen, {
-      routes: (router) => link.registerRoutes(router),
+      tls,
+      routes: (router) => {
+        link.registerRoutes(router);
+        server.registerPeerServices(router);
+      },
     });
     return ok({ listen, forwardListen, peerListen: peer.address, closePeer: peer.close });
   } catch (error) {
@@ -86,10 +91,20 @@
   nowMs: number,
 ): Promise<Result<NodeDaemon, DaemonError>> => {
   const { name: nodeId, dataCentre } = settings;
+  const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
+  if (openedTls.isErr()) return err(openedTls.error);
+  const tls = openedTls.value;
   const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
-  const localServers = new LocalServers({ nodeId, dataCentre, incarnation: BigInt(nowMs) });
+  const localServers = new LocalServers({
+    nodeId,
+    dataCentre,
+    incarnation: BigInt(nowMs),
+    queuePerSlot: settings.requests.queuePerSlot,
+    findService: (name) => holder.current()?.findService(name),
+  });
   const link = new NodeLink(
     {
       nodeId,
@@ -99,7 +114,7 @@
       directory,
       recordSource: localServers,
     },
-    { metrics },
+    { metrics, tls: () => tls?.current() },
   );
   const server = new RequestServer({
     nodeId,
@@ -113,13 +128,16 @@
     metrics,
     listen: settings.listen,
     forwardListen: settings.forwardListen,
+    startedAtMs: nowMs,
+    ...settings.requests,
+    ...(tls && { tls: tls.current() }),
   });
-  const bound = await bindListeners(settings, server, link);
+  const bound = await bindListeners(settings, server, link, tls);
   if (bound.isErr()) return err(bound.error);
   const { listen, forwardListen, peerListen, closePeer } = bound.value;
   localServers.setAddresses({
-    forwardAddress: selectAddress(settings.forwardAddress, settings.forwardListen, forwardListen),
-    peerAddress: selectAddress(settings.peerAddress, settings.peerListen, peerListen),
+    forwardAddress: settings.forwardAddress,
+    peerAddress: settings.peerAddress,
   });
   const api = createLocalApi({ link, holder, directory, localServers, metrics });
   const local = await serveHttp(api, settings.localListen);
@@ -128,11 +146,16 @@
     await server.stop();
     return err(local.error);
   }
+  metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  metrics.gauge('requests_in_flight', () => server.inFlight);
+  metrics.gauge('endpoint_records', () => directory.records().length);
+  const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
   logger.info({ nodeId, listen, forwardListen, peerListen, localListen }, 'node daemon started');
 
   const stop = async (): Promise<void> => {
+    stopReloading();
     await link.stop();
     await closePeer();
     await local.value.close();
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -68,6 +68,7 @@
   let offsetBytes = 0;
   let isAccepted = true;
   log.info({ peerId: peer.memberId, lastIndex, totalBytes }, 'sending a snapshot');
+  replica.count('replication_snapshots_sent_total');
   do {
     const chunk = payload.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
     const header = replica.createHeader(peer.diskIdentity);
@@ -131,8 +132,13 @@
   const { isAccepted, matchIndex } = response.value;
   Object.assign(peer, { answeredSequence: sequence, nextIndex: matchIndex + 1 });
   if (isAccepted) {
-    Object.assign(peer, { matchIndex, sentCommitIndex: Math.min(commitIndex, matchIndex) });
+    const isCaughtUp = matchIndex >= commitIndex;
+    const isNewlyCaughtUp = isCaughtUp && !peer.isCaughtUp;
+    const sentCommitIndex = Math.min(commitIndex, matchIndex);
+    Object.assign(peer, { matchIndex, sentCommitIndex, isCaughtUp });
     leadership.advanceCommit();
+    // Under steady load the peer is behind again at each commit, so its promotion is checked here.
+    if (isNewlyCaughtUp) replica.changed.notify();
   }
   return true;
 };
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -234,7 +234,7 @@
     });
     if (!isLogged(LogLevel.Debug)) return selection?.entry;
     const { requestId, version, route, service } = routed;
-    log.debug(
+    log.info(
       {
         requestId,
         version,
