--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -156,6 +156,7 @@
   const status = await cluster.waitForVersion(VERSION);
   const counts = await sendRequests(cluster);
   await runAndPrint(['status', ...connection]);
+  await runAndPrint(['explain', '--host', 'any.example', '--path', '/stock/7', ...connection]);
 
   const acceptedAtMs = status.accepted?.acceptedAtMs ?? 0;
   const inForce = status.nodes.list.filter((node) => node.version === VERSION);
