--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -103,6 +103,7 @@
     dataCentre,
     incarnation: BigInt(nowMs),
     queuePerSlot: settings.requests.queuePerSlot,
+    findService: (name) => holder.current()?.findService(name),
   });
   const link = new NodeLink(
     {
@@ -145,6 +146,9 @@
     await server.stop();
     return err(local.error);
   }
+  metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  metrics.gauge('requests_in_flight', () => server.inFlight);
+  metrics.gauge('endpoint_records', () => directory.records().length);
   const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
