--- a/stand-ins/certificates/index.ts
+++ b/stand-ins/certificates/index.ts
@@ -20,8 +20,8 @@
   name: string;
   /** Organizational unit; `control` or `node`. */
   role?: string;
-  /** Address that the certificate is for. */
-  address?: string;
+  /** Addresses that the certificate is for. */
+  addresses?: string[];
   validFromMs?: number;
   validToMs?: number;
 }
@@ -82,7 +82,10 @@
     const certificate = createBody(keys.publicKey, request);
     certificate.setIssuer(this.#certificate.subject.attributes);
     certificate.setExtensions([
-      { name: 'subjectAltName', altNames: [{ type: 7, ip: request.address ?? '127.0.0.1' }] },
+      {
+        name: 'subjectAltName',
+        altNames: (request.addresses ?? ['127.0.0.1']).map((ip) => ({ type: 7, ip })),
+      },
     ]);
     certificate.sign(this.#keys.privateKey, forge.md.sha256.create());
     return { key: keys.privatePem, cert: forge.pki.certificateToPem(certificate) };
--- a/stand-ins/cluster/_lib/ManagedProcess.ts
+++ b/stand-ins/cluster/_lib/ManagedProcess.ts
@@ -94,6 +94,11 @@
     this.#child?.kill('SIGCONT');
   }
 
+  /** Asks the process to reload its TLS files and to reopen its log. */
+  reload(): void {
+    this.#child?.kill('SIGHUP');
+  }
+
   /** Returns everything that the process wrote. */
   readLog(): string {
     return readFileSync(this.logFile, 'utf8');
--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -5,6 +5,7 @@
 
 import { request } from 'undici';
 
+import { splitAddress } from '../../src/connection/splitAddress/index.js';
 import { readExecutions } from '../backendServer/index.js';
 import { chooseSeed } from '../createSeededRandom/index.js';
 import { FaultProxy, LinkFault } from '../faultProxy/index.js';
@@ -31,6 +32,16 @@
 const START_BATCH = 12;
 const LOG_TAIL_LENGTH = 600;
 
+/** A process whose settings are written. */
+export interface SectionOwner {
+  name: string;
+  role: 'control' | 'node';
+  /** IP addresses that other processes connect to. */
+  hosts: string[];
+  /** Folder of the run. */
+  folder: string;
+}
+
 export interface TestClusterOptions {
   /** Names of the data centres. */
   dataCentres?: string[];
@@ -44,6 +55,8 @@
   /** Further sections for the settings of all nodes or control VMs. */
   nodeSections?: IniSections;
   controlSections?: IniSections;
+  /** Creates further sections for the settings of one process. */
+  sectionsOf?: (owner: SectionOwner) => IniSections;
   /** Receives the seed and the folder of the run. */
   print?: (line: string) => void;
 }
@@ -92,6 +105,7 @@
       logLevel: 'info',
       nodeSections: {},
       controlSections: {},
+      sectionsOf: () => ({}),
       print: () => undefined,
       ...options,
       seed: this.seed,
@@ -362,6 +376,7 @@
       operator: { token_file: join(this.folder, 'token') },
       log: { level: this.#options.logLevel },
       ...this.#options.controlSections,
+      ...this.#createSections(name, 'control', [listen]),
     });
     const managed = this.#createProcess(name, [...CONTROL_ENTRY, '--settings', file]);
     const operatorUrl = `http://${operatorListen}`;
@@ -401,6 +416,11 @@
     this.nodes.sort((left, right) => left.name.localeCompare(right.name, 'en', { numeric: true }));
   }
 
+  #createSections(name: string, role: 'control' | 'node', addresses: string[]): IniSections {
+    const hosts = addresses.map((address) => splitAddress(address).host);
+    return this.#options.sectionsOf({ name, role, hosts, folder: this.folder });
+  }
+
   async #addNode(name: string, dataCentre: string, control: Record<string, string>): Promise<void> {
     const allocated = await Promise.all(
       Array.from({ length: 4 }, () => this.#addresses.allocate()),
@@ -424,6 +444,7 @@
       control,
       log: { level: this.#options.logLevel },
       ...this.#options.nodeSections,
+      ...this.#createSections(name, 'node', [forward, peer]),
     });
     const entry = (process.env.FOXTAILVANE_NODE_ENTRY ?? DEFAULT_NODE_ENTRY).split(' ');
     this.nodes.push({
