--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -144,7 +144,8 @@
 
   /** Called by undici immediately before it writes the request. */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.#isSettled) {
+    // undici may offer a request again after its connection closed; it is never written twice.
+    if (this.#isSettled || this.#isWritten) {
       abort();
       return;
     }
