Shorten the time without a leader after a failed pre-vote

A pre-vote that fails because a voter heard the lost leader a little later is repeated after one to three heartbeats instead of an election timeout, and a member that grants one waits with its own candidacy.

--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -34,6 +34,9 @@
 // The leader sends one request at a time; a few more cover responses that it did not get.
 const REMEMBERED_ANSWERS = 8;
 
+// Width of the random part of the pause between pre-votes, in heartbeats.
+const PRE_VOTE_SPREAD = 2;
+
 const US_PER_MS = 1_000;
 
 export interface ReplicaOptions {
@@ -208,6 +211,24 @@
       this.readNowMs() + electionTimeoutMinMs + this.options.random() * spreadMs;
   }
 
+  /**
+   * Sets the next pre-vote shortly after one that failed. It changes nothing at the voters, and one
+   * that failed because a voter heard the lost leader a little later succeeds soon; a whole election
+   * timeout would nearly double the time without a leader.
+   */
+  resetPreVoteDeadline(): void {
+    const { heartbeatMs } = this.options.timings;
+    this.electionDeadlineMs =
+      this.readNowMs() + heartbeatMs + this.options.random() * heartbeatMs * PRE_VOTE_SPREAD;
+  }
+
+  /** Waits with an own candidacy after a granted pre-vote, so that two candidates rarely collide. */
+  deferElection(): void {
+    const deadlineMs = this.electionDeadlineMs;
+    this.resetPreVoteDeadline();
+    this.electionDeadlineMs = Math.max(deadlineMs, this.electionDeadlineMs);
+  }
+
   /** Records that a leader was heard or a vote was granted. */
   extendGuard(): void {
     this.guardUntilMs = this.readNowMs() + this.options.timings.electionTimeoutMinMs;
--- a/src/process/replication/_lib/campaign/index.ts
+++ b/src/process/replication/_lib/campaign/index.ts
@@ -97,7 +97,12 @@
     term: startedTerm + 1,
     isPreVote: true,
   });
-  if (!preVote.isWon || replica.term !== startedTerm) return giveUp(replica, preVote.highestTerm);
+  if (!preVote.isWon || replica.term !== startedTerm) {
+    const hasHeardNobody = replica.role === MemberRole.Candidate && replica.term === startedTerm;
+    await giveUp(replica, preVote.highestTerm);
+    if (hasHeardNobody) replica.resetPreVoteDeadline();
+    return undefined;
+  }
   const term = await startTerm(replica);
   if (term === undefined) return undefined;
   log.info({ memberId: replica.memberId, term }, 'standing for election');
--- a/src/process/replication/_lib/handleVote/index.ts
+++ b/src/process/replication/_lib/handleVote/index.ts
@@ -55,7 +55,10 @@
   // A guarded member ignores even a higher term, so that a cut-off candidate disturbs nobody.
   if (!isAddressed || isGuarded(replica)) return respond(replica, false);
   const isGranted = canVoteFor(replica, header) && isUpToDate(replica, request);
-  if (request.isPreVote) return respond(replica, isGranted);
+  if (request.isPreVote) {
+    if (isGranted) replica.deferElection();
+    return respond(replica, isGranted);
+  }
   if (header.term > replica.term) {
     const followed = await replica.follow(header.term, '');
     if (followed.isErr()) return convertFailure(followed.error);
