--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -5,6 +5,7 @@
 
 import { request } from 'undici';
 
+import { splitAddress } from '../../src/connection/splitAddress/index.js';
 import { readExecutions } from '../backendServer/index.js';
 import { chooseSeed } from '../createSeededRandom/index.js';
 import { FaultProxy, LinkFault } from '../faultProxy/index.js';
@@ -28,8 +29,19 @@
 const BACKEND_ENTRY = 'dist/stand-ins/backendServer/main.js';
 const TOKEN = 'test-operator-token-0123456789abcdef';
 const START_TIMEOUT_MS = 60_000;
+const START_BATCH = 12;
 const LOG_TAIL_LENGTH = 600;
 
+/** A process whose settings are written. */
+export interface SectionOwner {
+  name: string;
+  role: 'control' | 'node';
+  /** IP addresses that other processes connect to. */
+  hosts: string[];
+  /** Folder of the run. */
+  folder: string;
+}
+
 export interface TestClusterOptions {
   /** Names of the data centres. */
   dataCentres?: string[];
@@ -43,6 +55,8 @@
   /** Further sections for the settings of all nodes or control VMs. */
   nodeSections?: IniSections;
   controlSections?: IniSections;
+  /** Creates further sections for the settings of one process. */
+  sectionsOf?: (owner: SectionOwner) => IniSections;
   /** Receives the seed and the folder of the run. */
   print?: (line: string) => void;
 }
@@ -91,6 +105,7 @@
       logLevel: 'info',
       nodeSections: {},
       controlSections: {},
+      sectionsOf: () => ({}),
       print: () => undefined,
       ...options,
       seed: this.seed,
@@ -106,7 +121,21 @@
     await this.#planNodes();
     this.controls.forEach((control) => control.process.start());
     await this.waitForLeader();
-    this.nodes.forEach((node) => node.process.start());
+    // All at once, the starts of 100 nodes starve the control VMs of the same machine.
+    for (let first = 0; first < this.nodes.length; first += START_BATCH) {
+      const batch = this.nodes.slice(first, first + START_BATCH);
+      batch.forEach((node) => node.process.start());
+      await waitFor('started nodes', () => this.#areConnected(batch), {
+        timeoutMs: START_TIMEOUT_MS,
+      });
+    }
+  }
+
+  async #areConnected(nodes: NodeMember[]): Promise<boolean> {
+    const status = await this.controls[0]!.operator.readStatus();
+    const connected = status.nodes.list.filter((node) => node.isConnected);
+    const names = new Set(connected.map((node) => node.nodeId));
+    return nodes.every((node) => names.has(node.name));
   }
 
   /** Ends every process, closes the proxies and removes the folder unless `KEEP` is set. */
@@ -157,12 +186,13 @@
   }
 
   /** Applies again until the version is accepted, as an operator resends after a lost answer. */
-  async applyUntilAccepted(version: number, sheet: string, timeoutMs = 30_000): Promise<void> {
+  async applyUntilAccepted(version: number, sheet: string, timeoutMs = 60_000): Promise<void> {
     await waitFor(
       `acceptance of version ${version}`,
       async () => {
         const answer = await this.apply(version, sheet, { requestId: `version-${version}` });
-        return ['ACCEPTED', 'ALREADY_ACCEPTED'].includes(answer.outcome);
+        if (['ACCEPTED', 'ALREADY_ACCEPTED'].includes(answer.outcome)) return true;
+        throw new Error(`${answer.status} ${answer.outcome}: ${answer.message}`);
       },
       { timeoutMs },
     );
@@ -173,7 +203,7 @@
     version: number,
     options: { timeoutMs?: number; nodes?: NodeMember[] } = {},
   ): Promise<ClusterStatus> {
-    const { timeoutMs = 30_000, nodes = this.runningNodes } = options;
+    const { timeoutMs = 60_000, nodes = this.runningNodes } = options;
     const check = async (): Promise<ClusterStatus | false> => {
       const status = await this.runningControls[0]!.operator.readStatus();
       const versions = new Map(status.nodes.list.map((node) => [node.nodeId, node.version]));
@@ -230,7 +260,7 @@
   }
 
   /** Waits until every running node routes to the given number of servers of a service. */
-  async waitForServers(service: string, count: number, timeoutMs = 30_000): Promise<void> {
+  async waitForServers(service: string, count: number, timeoutMs = 60_000): Promise<void> {
     const check = async (): Promise<boolean> => {
       const counts = await Promise.all(
         this.runningControls.map(async (control) => {
@@ -346,6 +376,7 @@
       operator: { token_file: join(this.folder, 'token') },
       log: { level: this.#options.logLevel },
       ...this.#options.controlSections,
+      ...this.#createSections(name, 'control', [listen]),
     });
     const managed = this.#createProcess(name, [...CONTROL_ENTRY, '--settings', file]);
     const operatorUrl = `http://${operatorListen}`;
@@ -385,6 +416,11 @@
     this.nodes.sort((left, right) => left.name.localeCompare(right.name, 'en', { numeric: true }));
   }
 
+  #createSections(name: string, role: 'control' | 'node', addresses: string[]): IniSections {
+    const hosts = addresses.map((address) => splitAddress(address).host);
+    return this.#options.sectionsOf({ name, role, hosts, folder: this.folder });
+  }
+
   async #addNode(name: string, dataCentre: string, control: Record<string, string>): Promise<void> {
     const allocated = await Promise.all(
       Array.from({ length: 4 }, () => this.#addresses.allocate()),
@@ -408,6 +444,7 @@
       control,
       log: { level: this.#options.logLevel },
       ...this.#options.nodeSections,
+      ...this.#createSections(name, 'node', [forward, peer]),
     });
     const entry = (process.env.FOXTAILVANE_NODE_ENTRY ?? DEFAULT_NODE_ENTRY).split(' ');
     this.nodes.push({
