Identify the clients of a proxy without blocking its event loop

The table of connections had 12,836 lines after a load test. Reading and splitting it for each connection stalled the proxies so long that no leader was elected for 60 s.

--- a/stand-ins/cluster/_lib/findClient.ts
+++ b/stand-ins/cluster/_lib/findClient.ts
@@ -1,24 +1,25 @@
-import { readdirSync, readFileSync, readlinkSync } from 'node:fs';
+import { readdirSync, readlinkSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 
 import type ManagedProcess from './ManagedProcess.js';
 
-const LOCAL_ADDRESS_FIELD = 1;
-const REMOTE_ADDRESS_FIELD = 2;
-const INODE_FIELD = 9;
+// Counted from the local address, as in proc(5).
+const INODE_FIELD = 8;
 const LOOPBACK = '0100007F';
 
 const formatAddress = (port: number): string =>
   `${LOOPBACK}:${port.toString(16).toUpperCase().padStart(4, '0')}`;
 
-/** Both ends have to match: connections to other targets may use the same local port. */
-const findInode = (clientPort: number, proxyPort: number): string | undefined => {
-  const [local, remote] = [formatAddress(clientPort), formatAddress(proxyPort)];
-  return readFileSync('/proc/net/tcp', 'utf8')
-    .split('\n')
-    .map((line) => line.trim().split(/\s+/))
-    .find(
-      (fields) => fields[LOCAL_ADDRESS_FIELD] === local && fields[REMOTE_ADDRESS_FIELD] === remote,
-    )?.[INODE_FIELD];
+/**
+ * Both ends have to match: connections to other targets may use the same local port. The table has
+ * tens of thousands of lines after a load test, so it is neither split nor read synchronously.
+ */
+const findInode = async (clientPort: number, proxyPort: number): Promise<string | undefined> => {
+  const table = await readFile('/proc/net/tcp', 'latin1');
+  const start = table.indexOf(`${formatAddress(clientPort)} ${formatAddress(proxyPort)}`);
+  if (start < 0) return undefined;
+  const line = table.slice(start, table.indexOf('\n', start));
+  return line.split(/\s+/)[INODE_FIELD];
 };
 
 const ownsSocket = (candidate: ManagedProcess, inode: string): boolean => {
@@ -41,12 +42,12 @@
  * @param proxyPort - port that it connected to
  * @param candidates - processes of the cluster
  */
-const findClient = (
+const findClient = async (
   clientPort: number,
   proxyPort: number,
   candidates: ManagedProcess[],
-): ManagedProcess | undefined => {
-  const inode = findInode(clientPort, proxyPort);
+): Promise<ManagedProcess | undefined> => {
+  const inode = await findInode(clientPort, proxyPort);
   return inode === undefined
     ? undefined
     : candidates.filter((one) => one.isRunning).find((one) => ownsSocket(one, inode));
--- a/stand-ins/cluster/index.ts
+++ b/stand-ins/cluster/index.ts
@@ -291,9 +291,9 @@
     return new ManagedProcess(name, args, join(this.folder, `${name}.log`));
   }
 
-  #identifyClient(clientPort: number, proxyPort: number): string | undefined {
+  async #identifyClient(clientPort: number, proxyPort: number): Promise<string | undefined> {
     const candidates = [...this.controls, ...this.nodes].map((member) => member.process);
-    return findClient(clientPort, proxyPort, candidates)?.name;
+    return (await findClient(clientPort, proxyPort, candidates))?.name;
   }
 
   async #planControls(): Promise<void> {
--- a/stand-ins/faultProxy/index.ts
+++ b/stand-ins/faultProxy/index.ts
@@ -20,6 +20,8 @@
   toClient: number;
 }
 
+export type IdentifyClient = (clientPort: number, proxyPort: number) => Promise<string | undefined>;
+
 export interface FaultProxyOptions {
   /** Drawn when unset. */
   seed?: number;
@@ -28,7 +30,7 @@
   /** Receives the line that names the seed. */
   print?: (line: string) => void;
   /** Names the process behind a connection by its two ports, for faults of single clients. */
-  identifyClient?: (clientPort: number, proxyPort: number) => string | undefined;
+  identifyClient?: IdentifyClient;
 }
 
 interface Link {
@@ -68,7 +70,7 @@
 
   readonly #clientSettings = new Map<string, LinkSettings>();
 
-  readonly #identifyClient: (clientPort: number, proxyPort: number) => string | undefined;
+  readonly #identifyClient: IdentifyClient;
 
   /**
    * @param target - `host:port` that connections are forwarded to
@@ -79,8 +81,11 @@
     this.seed = options.seed ?? chooseSeed();
     this.#port = options.port ?? 0;
     this.#random = createSeededRandom(this.seed);
-    this.#identifyClient = options.identifyClient ?? (() => undefined);
-    this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client));
+    this.#identifyClient = options.identifyClient ?? (async () => undefined);
+    this.#server = createServer({ allowHalfOpen: true }, (client) => {
+      client.on('error', () => undefined);
+      this.#accept(client).catch(() => client.destroy());
+    });
     options.print?.(`fault proxy to ${target} seed=${this.seed}`);
   }
 
@@ -165,10 +170,10 @@
     return true;
   }
 
-  #accept(client: Socket): void {
+  async #accept(client: Socket): Promise<void> {
+    const clientName = await this.#identifyClient(client.remotePort ?? 0, client.localPort ?? 0);
     const [host, port] = this.#target.split(':');
     const target = connect({ host: host!, port: Number(port), allowHalfOpen: true });
-    const clientName = this.#identifyClient(client.remotePort ?? 0, client.localPort ?? 0);
     const allowanceBytes = this.#drawAllowance(clientName);
     const link: Link = { clientName, client, target, pipes: [], allowanceBytes };
     [client, target].forEach((socket) => {
