Reload TLS on the forward listener and drop the unused bootstrap setting

A reloaded certificate is used for new connections between nodes; open ones keep theirs. The proof now forwards requests between nodes before and after the reload. The setting bootstrap was parsed and had no effect: the first start is told apart by all members.

--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -11,7 +11,7 @@
 
 export interface UpstreamPoolsOptions {
   /** Set for pools to other nodes when `[tls]` is configured. */
-  tls?: TlsMaterial;
+  tls?: (() => TlsMaterial) | undefined;
   connectTimeoutMs?: number;
 }
 
@@ -50,6 +50,11 @@
       });
   }
 
+  /** Opens new connections from now on, for example with reloaded TLS material. */
+  renew(): void {
+    this.retain(() => false);
+  }
+
   /** Closes all connections; requests in flight fail. */
   async destroy(): Promise<void> {
     const pools = [...this.#pools.values()];
@@ -58,7 +63,7 @@
   }
 
   #open(address: string, connections: number): Pool {
-    const { tls } = this.#options;
+    const tls = this.#options.tls?.();
     return new Pool(`${tls ? 'https' : 'http'}://${address}`, {
       connections,
       pipelining: 1,
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -121,7 +121,7 @@
     dataCentre,
     current: () => (link.isReadyToServe(Date.now()).isOk() ? holder.current() : undefined),
     directory: {
-      serversOf: (service) => [...directory.serversOf(service)],
+      serversOf: (service) => directory.serversOf(service),
       records: () => directory.records(),
     },
     localServers,
@@ -130,7 +130,7 @@
     forwardListen: settings.forwardListen,
     startedAtMs: nowMs,
     ...settings.requests,
-    ...(tls && { tls: tls.current() }),
+    ...(tls && { tls: () => tls.current() }),
   });
   const bound = await bindListeners(settings, server, link, tls);
   if (bound.isErr()) return err(bound.error);
@@ -149,6 +149,7 @@
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
+  tls?.onReloaded(() => server.reloadTls());
   const stopReloading = reloadOnHangup(tls);
   link.start();
   const localListen = local.value.address;
--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -100,15 +100,6 @@
 /** Length of a queue. */
 export const queuePerSlotField = createIntegerField(0, MAX_QUEUE_PER_SLOT, 'requests');
 
-const YES_EXPECTED = '"yes" or "no"';
-
-/** A switch. */
-export const switchField = v.pipe(
-  v.string(YES_EXPECTED),
-  v.check((value) => value === 'yes' || value === 'no', YES_EXPECTED),
-  v.transform((value) => value === 'yes'),
-);
-
 const LEVELS: Record<string, LogLevel> = {
   trace: LogLevel.Trace,
   debug: LogLevel.Debug,
--- a/src/process/settings/_lib/parseControlSettings.ts
+++ b/src/process/settings/_lib/parseControlSettings.ts
@@ -179,7 +179,6 @@
     dataFolder: resolve(baseFolder, control.data_folder),
     listen: control.listen,
     operatorListen: control.operator_listen,
-    ...(control.bootstrap === undefined ? {} : { bootstrap: control.bootstrap }),
     members,
     operator: { tokenFile: resolve(baseFolder, read.operator.value.token_file) },
     ...(read.tls.value ? { tls: resolveTls(read.tls.value, baseFolder) } : {}),
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -12,7 +12,6 @@
   pathField,
   queuePerSlotField,
   reachableField,
-  switchField,
 } from './fields.js';
 
 export const controlSchema = v.object({
@@ -22,7 +21,6 @@
   data_folder: pathField,
   listen: listenField,
   operator_listen: listenField,
-  bootstrap: v.optional(switchField),
 });
 
 export const membersSchema = v.record(nameField, memberField);
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -40,8 +40,6 @@
   dataFolder: string;
   listen: string;
   operatorListen: string;
-  /** Set to start a new deployment on an empty data folder; absent when not written. */
-  bootstrap?: boolean;
   /** All control VMs, this one included. */
   members: MemberSettings[];
   operator: { tokenFile: string };
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -1,5 +1,5 @@
 import { createServer as createHttpServer } from 'node:http';
-import { createServer as createHttpsServer } from 'node:https';
+import { createServer as createHttpsServer, Server as HttpsServer } from 'node:https';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -55,8 +55,8 @@
   listen: string;
   /** `host:port` for other nodes. */
   forwardListen: string;
-  /** Set when `[tls]` is configured: mutual TLS on `forwardListen`. */
-  tls?: TlsMaterial;
+  /** Set when `[tls]` is configured: the present material for mutual TLS on `forwardListen`. */
+  tls?: () => TlsMaterial;
   /** Two choices unless given. */
   selector?: ServerSelector;
   /** By failure rate unless given. */
@@ -76,6 +76,13 @@
   drainGraceMs?: number;
 }
 
+const createTlsOptions = (material: TlsMaterial) => ({
+  ...material,
+  minVersion: 'TLSv1.3' as const,
+  requestCert: true,
+  rejectUnauthorized: true,
+});
+
 /** `host:port` on which the listeners are bound. */
 export interface RequestAddresses {
   listen: string;
@@ -214,7 +221,7 @@
     this.#entry = this.#createServer((request, response) => entry.handle(request, response));
     this.#owner = this.#createServer(
       (request, response) => owner.handle(request, response),
-      options.tls,
+      options.tls?.(),
     );
   }
 
@@ -242,6 +249,14 @@
     return { listen, forwardListen };
   }
 
+  /** Uses the present TLS material for new connections; open ones keep theirs. */
+  reloadTls(): void {
+    const material = this.#options.tls?.();
+    if (!material || !(this.#owner instanceof HttpsServer)) return;
+    this.#owner.setSecureContext(createTlsOptions(material));
+    this.#nodePools.renew();
+  }
+
   /** Stops taking new requests, finishes those in flight, then closes the listeners. */
   async drain(): Promise<void> {
     this.#isDraining = true;
@@ -281,7 +296,7 @@
       handle(request, response).catch(() => response.destroy());
     };
     const server = tls
-      ? createHttpsServer({ ...options, ...tls, requestCert: true, rejectUnauthorized: true })
+      ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
     server.on('request', listener);
--- a/src/request/idempotency/IdempotencyGuard/index.ts
+++ b/src/request/idempotency/IdempotencyGuard/index.ts
@@ -46,7 +46,7 @@
   dataCentre: string;
   /** Returns the records of all live nodes. */
   getRecords: () => readonly NodeRecord[];
-  tls?: TlsMaterial;
+  tls?: (() => TlsMaterial) | undefined;
 }
 
 interface Answer {
--- a/test/proofs/tls.test.ts
+++ b/test/proofs/tls.test.ts
@@ -8,7 +8,7 @@
 import { TestAuthority, writeTlsFiles } from '../../stand-ins/certificates/index.js';
 import { createDeskSheet } from '../../stand-ins/createSheet/index.js';
 import waitFor from '../../stand-ins/waitFor/index.js';
-import { startCluster } from '../_lib/proof.js';
+import { startCluster, startDesk, waitUntilAnswered } from '../_lib/proof.js';
 
 import type { SectionOwner } from '../../stand-ins/cluster/index.js';
 
@@ -41,7 +41,10 @@
       return nodes.list.filter((node) => node.version === version).length === NODE_COUNT;
     });
   };
-  await applyAndWait(1);
+  await startDesk(cluster);
+  await applyAndWait(2);
+
+  await waitUntilAnswered(cluster.nodes);
   const plain = await request(
     `http://${control.address}/foxtailvane.v1.DistributionService/Attach`,
     {
@@ -55,5 +58,6 @@
   await waitFor('reloaded material', () =>
     cluster.controls.every((one) => one.process.readLog().includes('TLS material reloaded')),
   );
-  await applyAndWait(2);
+  await applyAndWait(3);
+  await waitUntilAnswered(cluster.nodes);
 });
