Ask all peers only when a starting node holds a version

Every node without a version asked every peer once per second. With 100 such nodes in one process the calls used the whole core and a gossiped version reached nobody in 28 s. The full test command was not run on this change; the tests of NodeLink and PeerGossip pass.

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -217,7 +217,9 @@
     const { majorityVersion, newestTarget } = this.#survey;
     const heldVersion = this.#parts.holder.current()?.version ?? 0;
     if (majorityVersion === undefined) {
-      if (this.#isCutOff(this.#now())) await this.#survey.askPeers();
+      // A node without a version gets one by gossip first; asking all peers before would only load
+      // them, most of all when every node of the data centre starts at once.
+      if (heldVersion > 0 && this.#isCutOff(this.#now())) await this.#survey.askPeers();
     } else if (newestTarget !== undefined && majorityVersion > heldVersion) {
       this.#moveTo(newestTarget);
     }
