--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -113,6 +113,7 @@
       holder,
       directory,
       recordSource: localServers,
+      peerSeeds: settings.peerSeeds,
     },
     { metrics, tls: () => tls?.current() },
   );
--- a/src/process/settings/_lib/parseNodeSettings.ts
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -23,8 +23,11 @@
 const REQUIRED = ['node', 'control'];
 const OPTIONAL = ['tls', 'log', 'requests'];
 
+/** The addresses of `[node]`, by key. */
+type NodeAddresses = Record<string, string | undefined>;
+
 /** A listener on every address needs the one address that other nodes connect to. */
-const findMissingAddresses = (node: Record<string, string | undefined>): SettingsFault[] =>
+const findMissingAddresses = (node: NodeAddresses): SettingsFault[] =>
   ['forward', 'peer']
     .filter((prefix) => isWildcard(node[`${prefix}_listen`] ?? ''))
     .filter((prefix) => node[`${prefix}_address`] === undefined)
@@ -35,9 +38,11 @@
       expected: `the address that other nodes connect to, because ${prefix}_listen is a wildcard`,
     }));
 
-const findRepeatedListeners = (node: Record<string, string | undefined>): SettingsFault[] =>
-  LISTEN_KEYS.filter((key, index) =>
-    LISTEN_KEYS.slice(0, index).some((earlier) => node[earlier] === node[key]),
+const findRepeatedListeners = (node: NodeAddresses): SettingsFault[] =>
+  LISTEN_KEYS.filter(
+    (key, index) =>
+      node[key] !== undefined &&
+      LISTEN_KEYS.slice(0, index).some((earlier) => node[earlier] === node[key]),
   ).map((key) => ({
     section: 'node',
     key,
@@ -99,13 +104,14 @@
   const ini = readIni(text);
   const read = readNodeSections(ini.sections);
   const node = read.node.value;
+  const { peer_seeds: peerSeeds = [], ...addresses } = node ?? {};
   const control = listControls(read.control.value ?? {});
   const faults = [
     ...ini.faults,
     ...findSectionFaults(ini.sections, REQUIRED, OPTIONAL),
     ...Object.values(read).flatMap((section) => section.faults),
-    ...(node ? findRepeatedListeners(node) : []),
-    ...(node ? findMissingAddresses(node) : []),
+    ...findRepeatedListeners(addresses),
+    ...findMissingAddresses(addresses),
     ...(read.control.value ? findEmptyControls(control) : []),
     ...findRepeatedControls(control),
   ];
@@ -122,6 +128,7 @@
     forwardAddress: node.forward_address ?? node.forward_listen,
     peerAddress: node.peer_address ?? node.peer_listen,
     localListen: node.local_listen,
+    peerSeeds,
     control,
     ...(read.tls.value ? { tls: resolveTls(read.tls.value, baseFolder) } : {}),
     log: resolveLog(read.log.value, baseFolder),
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -52,6 +52,7 @@
   forward_address: v.optional(reachableField),
   peer_listen: listenField,
   peer_address: v.optional(reachableField),
+  peer_seeds: v.optional(addressListField),
   local_listen: loopbackField,
 });
 
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -81,6 +81,8 @@
   peerAddress: string;
   /** For servers beside this node and for local operators; always a loopback address. */
   localListen: string;
+  /** `peer_listen` of some other nodes of the data centre, asked at start without a control VM. */
+  peerSeeds: string[];
   /** One entry per data centre. */
   control: ControlAddresses[];
   tls?: TlsSettings;
