--- a/src/process/replication/ReplicatedLog/faults.test.ts
+++ b/src/process/replication/ReplicatedLog/faults.test.ts
@@ -6,7 +6,7 @@
   createChange,
   waitUntil,
 } from '../../../../stand-ins/controlCluster/index.js';
-import createRandom from '../../../../stand-ins/createRandom/index.js';
+import { createSeededRandom } from '../../../../stand-ins/createSeededRandom/index.js';
 import { ApplyOutcome, MemberRole } from '../ControlLog/index.js';
 import type { ApplyResult, VersionHolder } from '../ControlLog/index.js';
 import readMonotonicNowMs from '../readMonotonicNowMs/index.js';
@@ -290,7 +290,7 @@
   t.teardown(() => cluster.close());
   const run: Run = {
     cluster,
-    random: createRandom(SEED + 7_919),
+    random: createSeededRandom(SEED + 7_919),
     attempts: [],
     accepted: [],
     problems: [],
--- a/src/process/storage/DurableStorage/test.ts
+++ b/src/process/storage/DurableStorage/test.ts
@@ -2,7 +2,7 @@
 import tap from 'tap';
 
 import SimulatedDisk from '../../../../stand-ins/SimulatedDisk/index.js';
-import createRandom from '../../../../stand-ins/createRandom/index.js';
+import { createSeededRandom } from '../../../../stand-ins/createSeededRandom/index.js';
 import { unwrapError, unwrapResult } from '../../../../stand-ins/unwrapResult/index.js';
 import { StorageErrorCode } from '../StorageError/index.js';
 import { DurableStorage } from './index.js';
@@ -91,7 +91,7 @@
       fc.array(appendArbitrary, { minLength: 1, maxLength: 8 }),
       fc.double({ min: 0, max: 1, noNaN: true }),
       async (appends, cutShare) => {
-        const disk = new SimulatedDisk(createRandom(SEED));
+        const disk = new SimulatedDisk(createSeededRandom(SEED));
         const states = await writeAppends(disk, appends);
         const content = disk.contentOf(`${FOLDER}/log`);
         disk.replaceContent(
@@ -113,7 +113,7 @@
       fc.double({ min: 0, max: 0.999999, noNaN: true }),
       fc.integer({ min: 1, max: 255 }),
       async (appends, name, byteShare, change) => {
-        const disk = new SimulatedDisk(createRandom(SEED));
+        const disk = new SimulatedDisk(createSeededRandom(SEED));
         const states = await writeAppends(disk, appends);
         const content = Buffer.from(disk.contentOf(`${FOLDER}/${name}`));
         const position = Math.floor(byteShare * content.length);
@@ -127,7 +127,7 @@
 });
 
 tap.test('a flipped byte in a snapshot is refused', async () => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, [{ keptShare: 1, count: 4, bytes: 100 }]);
   const { storage } = await openDisk(disk);
   const snapshot = { lastIndex: 4, lastTerm: 1, payload: Buffer.from('state at 4') };
@@ -149,7 +149,7 @@
 });
 
 tap.test('damage before the last append is refused instead of dropping what follows', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, [
     { keptShare: 1, count: 2, bytes: 100 },
     { keptShare: 1, count: 2, bytes: 100 },
@@ -162,7 +162,7 @@
 });
 
 tap.test('an acknowledged last append that has changed is refused, not truncated', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, [{ keptShare: 1, count: 2, bytes: 100 }]);
   const content = Buffer.from(disk.contentOf(`${FOLDER}/log`));
   content[content.length - 5] = 0;
@@ -171,9 +171,9 @@
 });
 
 tap.test('a log of another disk is refused', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, []);
-  const other = new SimulatedDisk(createRandom(SEED));
+  const other = new SimulatedDisk(createSeededRandom(SEED));
   const otherIdentity = (): string => '11111111-89ab-cdef-0123-456789abcdef';
   await DurableStorage.open(FOLDER, { files: other, createIdentity: otherIdentity });
   disk.replaceContent(`${FOLDER}/log`, other.contentOf(`${FOLDER}/log`));
@@ -181,21 +181,21 @@
 });
 
 tap.test('a data folder that lost its state file does not pass for an empty one', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, [{ keptShare: 1, count: 1, bytes: 100 }]);
   await disk.remove(`${FOLDER}/state`);
   t.match(await reopen(disk), { code: StorageErrorCode.Corrupt });
 });
 
 tap.test('a data folder that lost its log does not pass for an empty one', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   await writeAppends(disk, [{ keptShare: 1, count: 1, bytes: 100 }]);
   await disk.remove(`${FOLDER}/log`);
   t.match(await reopen(disk), { code: StorageErrorCode.Corrupt });
 });
 
 tap.test('a failed sync is not acknowledged, and no later append is accepted', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   const { storage } = await openDisk(disk);
   disk.goodSyncs = 0;
   const failed = await storage.append(createEntries(1, 1, 1));
@@ -208,7 +208,7 @@
 });
 
 tap.test('a full disk is a typed error, and a restart finds what was acknowledged', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   const { storage } = await openDisk(disk);
   unwrapResult(await storage.append(createEntries(1, 1, 1)));
   disk.freeBytes = 10;
@@ -222,7 +222,7 @@
 });
 
 tap.test('snapshots bound the size of the data folder', async (t) => {
-  const disk = new SimulatedDisk(createRandom(SEED));
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
   const { storage } = await openDisk(disk);
   const sizes = Array.from({ length: 50 }, (_, round) => async () => {
     const lastIndex = (round + 1) * 20;
@@ -301,14 +301,14 @@
   `${term} ${votedFor} ${clusterId}`;
 
 tap.test('a crash at any step loses nothing that was acknowledged', async (t) => {
-  const complete = new SimulatedDisk(createRandom(SEED));
+  const complete = new SimulatedDisk(createSeededRandom(SEED));
   await runScenario(complete, createAcknowledged());
   const steps = Array.from({ length: complete.stepCount }, (_, position) => position + 1);
   const rounds = Array.from({ length: 20 }, (_, position) => position);
   const cases = steps.flatMap((step) => rounds.map((round) => ({ step, round })));
   const problems = await Promise.all(
     cases.map(async ({ step, round }) => {
-      const disk = new SimulatedDisk(createRandom(SEED * 1_000_003 + step * 1_009 + round));
+      const disk = new SimulatedDisk(createSeededRandom(SEED * 1_000_003 + step * 1_009 + round));
       const noted = createAcknowledged();
       disk.stopAtStep = step;
       await runScenario(disk, noted);
@@ -349,12 +349,12 @@
       await storage.saveSnapshot(snapshot, [], { index: 100, term: 7 });
       await storage.append(createEntries(101, 1, 7));
     };
-    const complete = new SimulatedDisk(createRandom(SEED));
+    const complete = new SimulatedDisk(createSeededRandom(SEED));
     await run(complete);
     const steps = Array.from({ length: complete.stepCount }, (_, position) => position + 1);
     const problems = await Promise.all(
       steps.map(async (step) => {
-        const disk = new SimulatedDisk(createRandom(SEED * 1_000_003 + step));
+        const disk = new SimulatedDisk(createSeededRandom(SEED * 1_000_003 + step));
         disk.stopAtStep = step;
         await run(disk);
         disk.crash();
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -24,7 +24,7 @@
 import readMonotonicNowMs from '../../src/process/replication/readMonotonicNowMs/index.js';
 import NodeFiles from '../../src/process/storage/NodeFiles/index.js';
 import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
-import createRandom from '../createRandom/index.js';
+import { createSeededRandom } from '../createSeededRandom/index.js';
 import FaultyFiles from '../FaultyFiles/index.js';
 import { FaultyPeerClient, LinkFault } from '../FaultyPeerClient/index.js';
 
@@ -94,7 +94,7 @@
 
   private constructor(options: ControlClusterOptions) {
     this.#options = options;
-    this.#random = createRandom(options.seed);
+    this.#random = createSeededRandom(options.seed);
   }
 
   /** Prepares members named c1, c2 and so on, without starting them. */
--- a/stand-ins/createTestReplica/index.ts
+++ b/stand-ins/createTestReplica/index.ts
@@ -13,7 +13,7 @@
 } from '../../src/process/replication/_lib/timings/index.js';
 import { DurableStorage } from '../../src/process/storage/DurableStorage/index.js';
 import SimulatedDisk from '../SimulatedDisk/index.js';
-import createRandom from '../createRandom/index.js';
+import { createSeededRandom } from '../createSeededRandom/index.js';
 import { unwrapResult } from '../unwrapResult/index.js';
 
 /** A clock that a test sets. */
@@ -52,7 +52,7 @@
  * @param clock - read as the present time
  */
 export const createTestReplica = async (
-  disk: SimulatedDisk = new SimulatedDisk(createRandom(1)),
+  disk: SimulatedDisk = new SimulatedDisk(createSeededRandom(1)),
   clock: TestClock = { nowMs: 1_000_000 },
 ): Promise<{ replica: Replica; disk: SimulatedDisk; clock: TestClock }> => {
   const opened = await DurableStorage.open('/data', {
--- a/test/requestMesh/createRandom.ts
+++ b/test/requestMesh/createRandom.ts
@@ -1,8 +1,8 @@
 import { randomInt } from 'node:crypto';
 
-/** Parameters of the minimal standard generator (Park and Miller), exact in doubles. */
-const MULTIPLIER = 48_271;
-const MODULUS = 2_147_483_647;
+import { createSeededRandom } from '../../stand-ins/createSeededRandom/index.js';
+
+const HIGHEST_SEED = 2_147_483_646;
 
 /**
  * Creates a repeatable source of numbers from 0 up to 1; the seed comes from `TEST_SEED` if set.
@@ -10,13 +10,9 @@
  * @param report - receives the line that names the seed
  */
 const createRandom = (report: (line: string) => void): (() => number) => {
-  const seed = Number(process.env.TEST_SEED ?? randomInt(1, MODULUS));
+  const seed = Number(process.env.TEST_SEED ?? randomInt(1, HIGHEST_SEED));
   report(`TEST_SEED=${seed}`);
-  let state = seed;
-  return () => {
-    state = (state * MULTIPLIER) % MODULUS;
-    return state / MODULUS;
-  };
+  return createSeededRandom(seed);
 };
 
 export default createRandom;
