--- a/src/connection/splitAddress/index.ts
+++ b/src/connection/splitAddress/index.ts
@@ -18,3 +18,15 @@
   const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(separator + 1)) };
 };
+
+/**
+ * Joins host and port, the reverse of `splitAddress`.
+ *
+ * @param address - host without brackets, and port
+ * @returns `IP:port`, with IPv6 as `[IP]:port`
+ *
+ * @example
+ * formatAddress({ host: '::1', port: 7400 }); // '[::1]:7400'
+ */
+export const formatAddress = ({ host, port }: HostAndPort): string =>
+  `${host.includes(':') ? `[${host}]` : host}:${port}`;
--- /dev/null
+++ b/src/connection/splitAddress/test.ts
@@ -0,0 +1,10 @@
+import tap from 'tap';
+
+import { formatAddress, splitAddress } from './index.js';
+
+tap.test('an address survives splitting and joining, so IPv6 keeps its brackets', async (t) => {
+  ['127.0.0.1:7400', '[::1]:7400', '[fd00::5]:0'].forEach((address) => {
+    t.equal(formatAddress(splitAddress(address)), address);
+  });
+  t.strictSame(splitAddress('[::1]:7400'), { host: '::1', port: 7_400 });
+});
--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -14,7 +14,7 @@
 import { createLogger } from '../../process/log/index.js';
 import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
 import type { TlsMaterial, TlsStore } from '../../process/tls/TlsStore/index.js';
-import { splitAddress } from '../splitAddress/index.js';
+import { formatAddress, splitAddress } from '../splitAddress/index.js';
 
 /** Largest message accepted from another process. */
 const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
@@ -109,7 +109,7 @@
     server.once('error', reject);
     server.listen(port, host, () => {
       server.removeListener('error', reject);
-      resolve(`${host}:${(server.address() as AddressInfo).port}`);
+      resolve(formatAddress({ host, port: (server.address() as AddressInfo).port }));
     });
   });
 
--- a/src/process/daemon/serveHttp/index.ts
+++ b/src/process/daemon/serveHttp/index.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Result } from 'neverthrow';
 
-import { splitAddress } from '../../../connection/splitAddress/index.js';
+import { formatAddress, splitAddress } from '../../../connection/splitAddress/index.js';
 import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
 
 /** Time for the headers of a request; a slower client holds its connection for nothing. */
@@ -55,9 +55,7 @@
     });
     server.listen(port, host, () => {
       const bound = server.address() as AddressInfo;
-      resolve(
-        ok({ address: `${address.slice(0, address.lastIndexOf(':'))}:${bound.port}`, close }),
-      );
+      resolve(ok({ address: formatAddress({ host, port: bound.port }), close }));
     });
   });
 };
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
@@ -91,13 +92,12 @@
 
 const listenOn = (server: Server, address: string): Promise<string> =>
   new Promise((resolve, reject) => {
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+    const { host, port } = splitAddress(address);
     server.once('error', reject);
-    server.listen({ host, port: Number(address.slice(colon + 1)) }, () => {
+    server.listen({ host, port }, () => {
       server.off('error', reject);
       const bound = server.address() as AddressInfo;
-      resolve(`${address.slice(0, colon)}:${bound.port}`);
+      resolve(formatAddress({ host, port: bound.port }));
     });
   });
 
