Read the facts of readiness only until the node is ready

Cause: each request asked whether the node may serve and built every fact for it, the surveys included, although a node that is ready stays ready. Behaviour is unchanged; 45 tests of src/connection pass.

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -151,13 +151,13 @@
    * @returns what the answer rests on, or why the node must wait
    */
   isReadyToServe(nowMs: number): Result<ReadyBasis, ReadinessError> {
-    return this.#readiness.judge({
+    return this.#readiness.judge(() => ({
       heldVersion: this.#parts.holder.current()?.version ?? 0,
       confirmedVersion: this.#stream?.confirmedVersion,
       majorityVersion: this.#survey.majorityVersion,
       survey: this.#survey.peers,
       isCutOff: this.#isCutOff(nowMs),
-    });
+    }));
   }
 
   #isCutOff(nowMs: number): boolean {
--- a/src/connection/distribution/_lib/Readiness.ts
+++ b/src/connection/distribution/_lib/Readiness.ts
@@ -83,9 +83,10 @@
     return this.#basis !== undefined;
   }
 
-  /** Judges the facts until the node is ready once. */
-  judge(facts: ReadinessFacts): Result<ReadyBasis, ReadinessError> {
+  /** Judges the facts until the node is ready once; each request asks, so they are not read after. */
+  judge(readFacts: () => ReadinessFacts): Result<ReadyBasis, ReadinessError> {
     if (this.#basis !== undefined) return ok(this.#basis);
+    const facts = readFacts();
     return judgeReadiness(facts).map((basis) => {
       this.#basis = basis;
       log.info({ version: facts.heldVersion, basis }, 'node is ready to serve');
