--- a/bench/forwarding/worker.ts
+++ b/bench/forwarding/worker.ts
@@ -88,7 +88,7 @@
     metrics,
     listen: '127.0.0.1:0',
     forwardListen: '127.0.0.1:0',
-    ...(options.isRoundRobin ? { selector: new RoundRobinSelector() } : {}),
+    ...(options.isRoundRobin ? { createSelector: () => new RoundRobinSelector() } : {}),
   });
   const { listen, forwardListen } = await requestServer.start();
   localServers.setAddresses({ forwardAddress: forwardListen, peerAddress: '' });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
   {
     ignores: [
       'dist/**',
+      'target/**',
       'src/_generated/**',
       'node_modules/**',
       '.tap/**',
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,7 +1,8 @@
 /**
- * Bundles the node daemon into one minified file, dist/bundle/node.mjs.
+ * Bundles each daemon that has a memory budget into one minified file under `bundle` beside the
+ * compiled sources: the node, and the two programs of the platform.
  *
- * The bundle exists for its resident memory (budget 64 MB): one file with only the used parts of
+ * A bundle exists for its resident memory (budget 64 MB): one file with only the used parts of
  * each package loads with less memory than the modules one by one.
  */
 import { fileURLToPath } from 'node:url';
@@ -25,9 +26,16 @@
   },
 };
 
+const ENTRY_POINTS: Record<string, string> = {
+  node: '../src/process/node/main.js',
+  'platform-node': '../platform/node.js',
+  'platform-control': '../platform/control.js',
+};
+
 await build({
-  entryPoints: [resolvePath('../src/process/node/main.js')],
-  outfile: resolvePath('../bundle/node.mjs'),
+  entryPoints: Object.entries(ENTRY_POINTS).map(([out, path]) => ({ out, in: resolvePath(path) })),
+  outdir: resolvePath('../bundle'),
+  outExtension: { '.js': '.mjs' },
   bundle: true,
   minify: true,
   sourcemap: true,
--- a/src/connection/CallError/index.ts
+++ b/src/connection/CallError/index.ts
@@ -24,12 +24,18 @@
    * @param code - what is known about the execution
    * @param message - reason for people
    * @param options - `isWritten`: whether a byte of the request may have been written;
-   *   `retryAfterMs`: pause that the upstream asked for; `cause`: error of the layer below
+   *   `retryAfterMs`: pause that the upstream asked for; `isServerRefusal`: the server refused the
+   *   request, not the node beside it; `cause`: error of the layer below
    */
   constructor(
     readonly code: CallErrorCode,
     message: string,
-    readonly options: { isWritten: boolean; retryAfterMs?: number; cause?: unknown },
+    readonly options: {
+      isWritten: boolean;
+      retryAfterMs?: number | undefined;
+      isServerRefusal?: boolean;
+      cause?: unknown;
+    },
   ) {
     super(message, { cause: options.cause });
   }
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -7,10 +7,15 @@
 import { copyHeaders } from '../copyHeaders/index.js';
 import { CallError, CallErrorCode } from '../CallError/index.js';
 
+const PROCESSING = 102;
 const EARLY_HINTS = 103;
 const FIRST_FINAL_STATUS = 200;
 const GATEWAY_TIMEOUT = 504;
 const MS_PER_SECOND = 1_000;
+/** Reason of a node that passes on the refusal of a server. */
+const SERVER_REFUSED = 'SERVER_REFUSED';
+/** Responses up to this length are held until they are complete, so that a broken one can be retried. */
+const MAX_HELD_BYTES = 65_536;
 
 /** What an upstream is asked for. */
 export interface UpstreamRequest {
@@ -52,6 +57,13 @@
    * Called with the head of a response before it is passed on; may add headers to it.
    */
   onHead?: (head: ResponseHead) => void;
+  /**
+   * Judges the head of a response before it is passed on. An error that says the request did not run
+   * withholds the response; any other one ends the connection.
+   */
+  judge?: (head: ResponseHead) => CallError | undefined;
+  /** Called when the upstream has confirmed that it holds the request. */
+  onAcknowledged?: () => void;
   /** Tells whether a response is withheld from the caller because the request is retried. */
   shouldWithhold?: (head: ResponseHead) => boolean;
   /** True when the upstream is a node, whose internal headers are trusted. */
@@ -60,6 +72,13 @@
 
 const decodeHeaders = (raw: Buffer[]): string[] => raw.map((part) => part.toString('latin1'));
 
+const isShort = ({ headers }: ResponseHead): boolean => {
+  const index = headers.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  return index >= 0 && Number(headers[index + 1]) <= MAX_HELD_BYTES;
+};
+
 const parseRetryAfterMs = (headers: string[]): number | undefined => {
   const index = headers.findIndex(
     (name, position) => position % 2 === 0 && name.toLowerCase() === 'retry-after',
@@ -90,6 +109,10 @@
 
   #withheld: CallError | undefined;
 
+  #heldHead: ResponseHead | undefined;
+
+  readonly #heldChunks: Buffer[] = [];
+
   #statusCode = 0;
 
   #writtenAtMs = 0;
@@ -142,6 +165,18 @@
     else this.onError(new Error(reason));
   }
 
+  /**
+   * Ends the call as one without a response, as when its connection is known to be dead.
+   *
+   * @param reason - for the error
+   */
+  fail(reason: string): void {
+    if (this.#isSettled) return;
+    const error = new Error(reason);
+    this.onError(error);
+    this.#abort?.(error);
+  }
+
   /** Called by undici immediately before it writes the request. */
   onConnect(abort: (error?: Error) => void): void {
     // undici may offer a request again after its connection closed; it is never written twice.
@@ -166,11 +201,20 @@
     const internal = this.#options.isNode ? copied.internal : undefined;
     const head: ResponseHead = { statusCode, headers: copied.headers, internal };
     this.#options.onHead?.(head);
-    this.#withheld = this.#findOwnAnswer(head) ?? this.#findShed(head);
+    const verdict = this.#options.judge?.(head);
+    if (verdict && verdict.code !== CallErrorCode.Refused) {
+      this.#finish(err(verdict));
+      this.#abort?.(verdict);
+      return false;
+    }
+    this.#withheld = verdict ?? this.#findOwnAnswer(head) ?? this.#findShed(head);
     if (this.#withheld) return true;
     this.#options.tap?.addHead(head);
-    this.#response.writeHead(statusCode, head.headers);
-    this.#isHeadPassed = true;
+    if (isShort(head)) {
+      this.#heldHead = head;
+      return true;
+    }
+    this.#passHead(head);
     queueMicrotask(() => this.#flushHead());
     return true;
   }
@@ -180,6 +224,10 @@
     if (this.#withheld) return true;
     this.#hasBody = true;
     this.#options.tap?.addChunk(chunk);
+    if (this.#heldHead) {
+      this.#heldChunks.push(chunk);
+      return true;
+    }
     if (this.#response.write(chunk)) return true;
     const pausedAtMs = performance.now();
     this.#response.once('drain', () => {
@@ -242,8 +290,10 @@
     const outcome = head.internal?.get('foxtailvane-outcome');
     if (outcome === undefined) return undefined;
     const reason = head.internal?.get('foxtailvane-reason') ?? outcome;
-    const retryAfterMs = parseRetryAfterMs(head.headers);
-    const options = { isWritten: true, retryAfterMs };
+    const exactMs = Number(head.internal?.get('foxtailvane-retry-after-ms') ?? Number.NaN);
+    const retryAfterMs = Number.isFinite(exactMs) ? exactMs : parseRetryAfterMs(head.headers);
+    const isServerRefusal = reason === SERVER_REFUSED;
+    const options = { isWritten: true, retryAfterMs, isServerRefusal };
     if (outcome === 'not-run') return new CallError(CallErrorCode.Refused, reason, options);
     const isTimeout = head.statusCode === GATEWAY_TIMEOUT;
     const code = isTimeout ? CallErrorCode.TimedOut : CallErrorCode.NoResponse;
@@ -257,6 +307,7 @@
   }
 
   #passInformation(statusCode: number, raw: Buffer[]): void {
+    if (statusCode === PROCESSING) this.#options.onAcknowledged?.();
     if (statusCode !== EARLY_HINTS) return;
     const headers = decodeHeaders(raw);
     const links = headers.filter(
@@ -265,7 +316,13 @@
     if (links.length > 0) this.#response.writeEarlyHints({ link: links });
   }
 
+  #passHead({ statusCode, headers }: ResponseHead): void {
+    this.#response.writeHead(statusCode, headers);
+    this.#isHeadPassed = true;
+  }
+
   #end(trailers: Buffer[] | null): void {
+    if (this.#heldHead) this.#passHead(this.#heldHead);
     if (trailers && trailers.length > 0) {
       const copied = copyHeaders(decodeHeaders(trailers), { isRequest: false }).headers;
       const pairs = copied.flatMap((name, index): [string, string][] =>
@@ -273,6 +330,6 @@
       );
       this.#response.addTrailers(pairs);
     }
-    this.#response.end();
+    this.#response.end(this.#heldChunks.length > 0 ? Buffer.concat(this.#heldChunks) : undefined);
   }
 }
--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -1,7 +1,13 @@
-import { Pool } from 'undici';
+import { Client, Pool } from 'undici';
+
+import type { Dispatcher } from 'undici';
+
+import { createLogger } from '../../process/log/index.js';
 
 import type { TlsMaterial } from '../openTransport/index.js';
 
+const log = createLogger('upstream');
+
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Below the 5 s after which Node.js servers close an idle connection, to avoid that race. */
 const KEEP_ALIVE_TIMEOUT_MS = 3_000;
@@ -39,6 +45,30 @@
     return pool;
   }
 
+  /**
+   * Opens a connection for one request. A connection that was idle may have been closed by the
+   * upstream meanwhile, and whether a request on it ran cannot be told.
+   */
+  openSingle(address: string): Dispatcher {
+    return new Client(this.#createUrl(address), { ...this.#createOptions(), pipelining: 1 });
+  }
+
+  /** Closes a connection that `openSingle` returned. */
+  closeSingle(client: Dispatcher): void {
+    client.close().catch((error: unknown) => {
+      log.debug({ reason: String(error) }, 'a connection for one request was closed already');
+    });
+  }
+
+  /** Closes the idle connections to an address; later requests open new ones. */
+  retire(address: string): void {
+    const pool = this.#pools.get(address);
+    this.#pools.delete(address);
+    pool?.close().catch((error: unknown) => {
+      log.debug({ address, reason: String(error) }, 'a connection pool was closed already');
+    });
+  }
+
   /** Closes the pools of addresses that are no longer in use, after their requests ended. */
   retain(isUsed: (address: string) => boolean): void {
     [...this.#pools.keys()]
@@ -63,10 +93,20 @@
   }
 
   #open(address: string, connections: number): Pool {
-    const tls = this.#options.tls?.();
-    return new Pool(`${tls ? 'https' : 'http'}://${address}`, {
+    return new Pool(this.#createUrl(address), {
+      ...this.#createOptions(),
       connections,
       pipelining: 1,
+    });
+  }
+
+  #createUrl(address: string): string {
+    return `${this.#options.tls ? 'https' : 'http'}://${address}`;
+  }
+
+  #createOptions(): Client.Options {
+    const tls = this.#options.tls?.();
+    return {
       // Deadlines are kept by the exchange, which also covers queueing and streaming.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -77,6 +117,6 @@
         timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
         ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
       },
-    });
+    };
   }
 }
--- a/src/connection/copyHeaders/index.ts
+++ b/src/connection/copyHeaders/index.ts
@@ -36,6 +36,14 @@
   internal: Map<string, string> | undefined;
 }
 
+interface CopyOptions {
+  isRequest: boolean;
+  dropped?: ReadonlySet<string>;
+}
+
+const isDropped = (name: string, { isRequest, dropped }: CopyOptions): boolean =>
+  (isRequest && OWN_REQUEST_HEADERS.has(name)) || dropped?.has(name) === true;
+
 const isKeptValue = (name: string, value: string): boolean =>
   name === 'connection' && value !== 'close' && value !== 'keep-alive';
 
@@ -43,10 +51,11 @@
  * Copies the header lines that the next hop receives.
  *
  * @param raw - names and values in turn
- * @param options - `isRequest`: drops `expect` and `trailer` too
+ * @param options - `isRequest`: drops `expect` and `trailer` too; `dropped`: further lower-case names
+ *   to drop
  * @returns the lines to pass on, and the internal headers apart
  */
-export const copyHeaders = (raw: string[], options: { isRequest: boolean }): CopiedHeaders => {
+export const copyHeaders = (raw: string[], options: CopyOptions): CopiedHeaders => {
   const headers: string[] = [];
   const connectionTokens: string[] = [];
   let internal: Map<string, string> | undefined;
@@ -59,7 +68,7 @@
     } else if (name.startsWith(INTERNAL_PREFIX)) {
       internal ??= new Map();
       internal.set(name, value);
-    } else if (!options.isRequest || !OWN_REQUEST_HEADERS.has(name)) {
+    } else if (!isDropped(name, options)) {
       headers.push(line, value);
     }
   }
--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -1,4 +1,6 @@
 /** Control side of configuration distribution: one session per attached node. */
+import { randomUUID } from 'node:crypto';
+
 import { create } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
 
@@ -33,6 +35,7 @@
 import type { NodeReport } from '../../../process/fleet/FleetTable/index.js';
 import type { MetricsRegistry } from '../../../process/metrics/index.js';
 import type { ControlLog } from '../../../process/replication/ControlLog/index.js';
+import type { ControlTarget } from '../NodeLink/types.js';
 import type { SessionSource } from '../_lib/NodeSession.js';
 
 /** Limits of a hub; the defaults are in `timing.ts`. */
@@ -45,6 +48,8 @@
   heartbeatIntervalMs?: number;
   silenceMs?: number;
   windowMs?: number;
+  /** Lists the control VMs for nodes that are not told all of them; none unless given. */
+  listControls?: () => ControlTarget[];
   snapshotSlots?: number;
   retryAfterMs?: number;
 }
@@ -165,7 +170,7 @@
       endpoints: new EndpointBroadcast(this.directory, {
         windowMs: options.windowMs ?? timing.ENDPOINT_WINDOW_MS,
         keptBatches: timing.KEPT_BATCHES,
-        epoch: `${this.#memberId}:${this.#now()}`,
+        epoch: `${this.#memberId}:${randomUUID()}`,
         onBatch: () => this.#wakeSessions(),
       }),
       admission: new SnapshotAdmission({
@@ -176,6 +181,7 @@
       }),
       readTarget: () => this.#log.committed()?.configuration,
       isConfirmed: (nowMs) => this.#log.isConfirmed(nowMs),
+      listControls: options.listControls ?? (() => []),
     };
   }
 
--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -80,8 +80,14 @@
 
   #startedAtMs = 0;
 
+  #settingsControls: ControlTarget[];
+
+  /** Control VMs as the last one named them; empty before that. */
+  #namedControls: ControlTarget[] = [];
+
   constructor(parts: NodeLinkParts, options: NodeLinkOptions = {}) {
     this.#parts = parts;
+    this.#settingsControls = parts.controls;
     this.#timing = { ...DEFAULT_TIMING, ...options.timing };
     this.#now = options.now ?? Date.now;
     this.#random = options.random ?? Math.random;
@@ -121,6 +127,15 @@
     this.#gossip.registerRoutes(router);
   }
 
+  /**
+   * Takes over the control VMs of changed settings. Those that a control VM has named since stay in
+   * use beside them.
+   */
+  setControls(controls: ControlTarget[]): void {
+    this.#settingsControls = controls;
+    this.#refreshControls();
+  }
+
   /** Starts to keep a stream and to gossip without one; returns at once. A link starts only once. */
   start(): void {
     this.#startedAtMs = this.#now();
@@ -183,6 +198,19 @@
     );
   }
 
+  #nameControls(controls: ControlTarget[]): void {
+    this.#namedControls = controls;
+    this.#refreshControls();
+  }
+
+  #refreshControls(): void {
+    const named = new Set(this.#namedControls.map(({ address }) => address));
+    const others = this.#settingsControls.filter(({ address }) => !named.has(address));
+    this.#selector.setControls([...this.#namedControls, ...others]);
+    // A majority is counted among the members, not among addresses that may be out of date.
+    this.#survey.setControls(named.size > 0 ? this.#namedControls : this.#settingsControls);
+  }
+
   #supersede(recordedIncarnation: bigint): void {
     const record = this.#ownRecord.supersede(recordedIncarnation);
     this.#parts.directory.merge(record, this.#now());
@@ -226,7 +254,7 @@
   }
 
   #moveTo(target: ControlTarget): void {
-    if (this.#stream?.target === target) return;
+    if (this.#stream?.target.address === target.address) return;
     this.#selector.prefer(target);
     this.#stream?.close();
   }
@@ -257,6 +285,7 @@
       now: this.#now,
       tls: this.#tls(),
       cursor: this.#cursor,
+      nameControls: (controls) => this.#nameControls(controls),
     });
   }
 
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -44,6 +44,8 @@
   tls: TlsMaterial | undefined;
   /** Endpoint batches that this node has received, to resume after a reconnect. */
   cursor: EndpointCursor;
+  /** Called with the control VMs when the one attached to names them. */
+  nameControls: (controls: ControlTarget[]) => void;
 }
 
 /** How far a node has followed the endpoint batches of one control process. */
@@ -277,6 +279,13 @@
     if (heartbeat.isConfirmed) this.#confirmedAtMs = nowMs;
     // The control VM sends an endpoint delta before its first heartbeat unless there is none.
     this.#hasEndpoints = true;
+    if (heartbeat.controls.length > 0) {
+      const controls = heartbeat.controls.map(({ address, dataCentre }) => ({
+        address,
+        dataCentre,
+      }));
+      this.#context.nameControls(controls);
+    }
     const { directory, nodeId } = this.#context.parts;
     this.#context.cursor.listed.forEach((listedId) => directory.renew(listedId, nowMs));
     directory.renew(nodeId, nowMs);
--- a/src/connection/distribution/_lib/NodeSession.ts
+++ b/src/connection/distribution/_lib/NodeSession.ts
@@ -14,6 +14,7 @@
   Refusal,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { ControlTarget } from '../NodeLink/types.js';
 import type { NodeReport } from '../../../process/fleet/FleetTable/index.js';
 import type { EndpointBroadcast } from './EndpointBroadcast.js';
 import type { HeldVersion, Payload, PayloadCache } from './PayloadCache.js';
@@ -28,6 +29,8 @@
   readTarget: () => Configuration | undefined;
   /** Whether the control VM has heard from a leader within the lease. */
   isConfirmed: (nowMs: number) => boolean;
+  /** The control VMs; empty when nodes know them from their settings. */
+  listControls: () => ControlTarget[];
 }
 
 const REPAIRED_BY_SNAPSHOT = new Set([
@@ -62,6 +65,8 @@
 
   #isHeartbeatDue = true;
 
+  #sentControls = '';
+
   #isAdmitted = false;
 
   #isClosed = false;
@@ -198,12 +203,21 @@
     return create(AttachResponseSchema, { kind: { case: 'retryAfter', value: { afterMs } } });
   }
 
+  #collectControls(): ControlTarget[] {
+    const controls = this.#source.listControls();
+    const encoded = JSON.stringify(controls);
+    if (encoded === this.#sentControls) return [];
+    this.#sentControls = encoded;
+    return controls;
+  }
+
   #collectHeartbeat(nowMs: number): AttachResponse[] {
     if (!this.#isHeartbeatDue) return [];
     this.#isHeartbeatDue = false;
     const value = create(HeartbeatSchema, {
       version: this.#source.readTarget()?.version ?? 0,
       isConfirmed: this.#source.isConfirmed(nowMs),
+      controls: this.#collectControls(),
     });
     return [create(AttachResponseSchema, { kind: { case: 'heartbeat', value } })];
   }
--- a/src/connection/distribution/_lib/SourceSurvey.ts
+++ b/src/connection/distribution/_lib/SourceSurvey.ts
@@ -15,6 +15,8 @@
 export default class SourceSurvey {
   readonly #options: SourceSurveyOptions;
 
+  #controls: ControlTarget[];
+
   #majorityVersion: number | undefined;
 
   #newestTarget: ControlTarget | undefined;
@@ -23,6 +25,12 @@
 
   constructor(options: SourceSurveyOptions) {
     this.#options = options;
+    this.#controls = options.controls;
+  }
+
+  /** Takes over another list of control VMs. */
+  setControls(controls: ControlTarget[]): void {
+    this.#controls = controls;
   }
 
   /** Newest version among the answers, when a majority of control VMs answered. */
@@ -42,7 +50,8 @@
 
   /** Asks all control VMs; a committed version is known to a member of every majority. */
   async askControls(signal: AbortSignal): Promise<void> {
-    const { controls, tls, callTimeoutMs } = this.#options;
+    const { tls, callTimeoutMs } = this.#options;
+    const controls = this.#controls;
     const options = { tls: tls(), timeoutMs: callTimeoutMs, signal };
     const answers = await Promise.all(
       controls.map(async (target) => {
--- a/src/connection/distribution/_lib/TargetSelector.ts
+++ b/src/connection/distribution/_lib/TargetSelector.ts
@@ -15,18 +15,23 @@
 export class TargetSelector {
   readonly #options: TargetSelectorOptions;
 
-  readonly own: ControlTarget[];
+  own: ControlTarget[] = [];
 
-  readonly elsewhere: ControlTarget[];
+  elsewhere: ControlTarget[] = [];
 
   #preferred: ControlTarget | undefined;
 
   #lostAtMs: number;
 
   constructor(options: TargetSelectorOptions, nowMs: number) {
-    const { controls, dataCentre } = options;
     this.#options = options;
     this.#lostAtMs = nowMs;
+    this.setControls(options.controls);
+  }
+
+  /** Takes over another list of control VMs. */
+  setControls(controls: ControlTarget[]): void {
+    const { dataCentre } = this.#options;
     this.own = controls.filter((target) => target.dataCentre === dataCentre);
     this.elsewhere = controls.filter((target) => target.dataCentre !== dataCentre);
   }
@@ -56,6 +61,6 @@
     this.#preferred = undefined;
     return preferred === undefined
       ? ordered
-      : [preferred, ...ordered.filter((target) => target !== preferred)];
+      : [preferred, ...ordered.filter(({ address }) => address !== preferred.address)];
   }
 }
--- a/src/connection/distribution/_lib/superviseStream.ts
+++ b/src/connection/distribution/_lib/superviseStream.ts
@@ -41,11 +41,12 @@
   random,
   now,
 }: SuperviseOptions): ControlTarget[] => {
-  const isHome = selector.own.includes(stream.target);
+  const { address } = stream.target;
+  const isHome = selector.own.some((target) => target.address === address);
   const isUnconfirmed = now() - stream.confirmedAtMs > timing.unconfirmedPatienceMs;
   const others = (targets: ControlTarget[]): ControlTarget[] =>
     selectRandom(
-      targets.filter((target) => target !== stream.target),
+      targets.filter((target) => target.address !== address),
       targets.length,
       random,
     );
--- a/src/connection/replication/ConnectPeerClient/index.ts
+++ b/src/connection/replication/ConnectPeerClient/index.ts
@@ -11,6 +11,10 @@
   DescribeResponse,
   ForwardRequest,
   ForwardResponse,
+  JoinRequest,
+  JoinResponse,
+  ReadIndexRequest,
+  ReadIndexResponse,
   SnapshotRequest,
   SnapshotResponse,
   VoteRequest,
@@ -83,6 +87,17 @@
     return this.#convert(this.#client.forward(request, { timeoutMs }));
   }
 
+  readIndex(
+    request: ReadIndexRequest,
+    timeoutMs: number,
+  ): Promise<Result<ReadIndexResponse, PeerError>> {
+    return this.#convert(this.#client.readIndex(request, { timeoutMs }));
+  }
+
+  join(request: JoinRequest, timeoutMs: number): Promise<Result<JoinResponse, PeerError>> {
+    return this.#convert(this.#client.join(request, { timeoutMs }));
+  }
+
   close(): void {
     this.#opened.close();
   }
--- a/src/connection/replication/PeerClient/index.ts
+++ b/src/connection/replication/PeerClient/index.ts
@@ -7,6 +7,10 @@
   DescribeResponse,
   ForwardRequest,
   ForwardResponse,
+  JoinRequest,
+  JoinResponse,
+  ReadIndexRequest,
+  ReadIndexResponse,
   SnapshotRequest,
   SnapshotResponse,
   VoteRequest,
@@ -38,6 +42,13 @@
     timeoutMs: number,
   ): Promise<Result<ForwardResponse, PeerError>>;
 
+  abstract readIndex(
+    request: ReadIndexRequest,
+    timeoutMs: number,
+  ): Promise<Result<ReadIndexResponse, PeerError>>;
+
+  abstract join(request: JoinRequest, timeoutMs: number): Promise<Result<JoinResponse, PeerError>>;
+
   /** Closes the connection; requests under way fail. */
   abstract close(): void;
 }
--- a/src/connection/replication/ReplicationHandlers/index.ts
+++ b/src/connection/replication/ReplicationHandlers/index.ts
@@ -6,6 +6,10 @@
   DescribeResponse,
   ForwardRequest,
   ForwardResponse,
+  JoinRequest,
+  JoinResponse,
+  ReadIndexRequest,
+  ReadIndexResponse,
   SnapshotRequest,
   SnapshotResponse,
   VoteRequest,
@@ -20,4 +24,6 @@
   append: (request: AppendRequest) => Promise<Result<AppendResponse, PeerError>>;
   installSnapshot: (request: SnapshotRequest) => Promise<Result<SnapshotResponse, PeerError>>;
   forward: (request: ForwardRequest) => Promise<Result<ForwardResponse, PeerError>>;
+  readIndex: (request: ReadIndexRequest) => Promise<Result<ReadIndexResponse, PeerError>>;
+  join: (request: JoinRequest) => Promise<Result<JoinResponse, PeerError>>;
 }
--- a/src/connection/replication/registerReplication/index.ts
+++ b/src/connection/replication/registerReplication/index.ts
@@ -28,6 +28,8 @@
     append: (request) => unwrap(handlers.append(request)),
     installSnapshot: (request) => unwrap(handlers.installSnapshot(request)),
     forward: (request) => unwrap(handlers.forward(request)),
+    readIndex: (request) => unwrap(handlers.readIndex(request)),
+    join: (request) => unwrap(handlers.join(request)),
   });
 };
 
--- a/src/process/cli/commands/apply.ts
+++ b/src/process/cli/commands/apply.ts
@@ -39,6 +39,7 @@
   [ApplyOutcome.AlreadyAccepted]: ExitCode.Done,
   [ApplyOutcome.Conflict]: ExitCode.Refused,
   [ApplyOutcome.Stale]: ExitCode.Refused,
+  [ApplyOutcome.BaseMismatch]: ExitCode.Refused,
   [ApplyOutcome.Invalid]: ExitCode.BadInput,
   [ApplyOutcome.Unavailable]: ExitCode.Refused,
   [ApplyOutcome.Unknown]: ExitCode.Unknown,
--- /dev/null
+++ b/src/process/control/openControl/index.ts
@@ -0,0 +1,130 @@
+/** The parts of a control daemon without its listener for operators. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { ControlExchange } from '../../../connection/distribution/ControlExchange/index.js';
+import type { ExchangePeer } from '../../../connection/distribution/ControlExchange/index.js';
+import { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
+import type { ControlTarget } from '../../../connection/distribution/NodeLink/index.js';
+import { startRpcServer } from '../../../connection/startRpcServer/index.js';
+import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
+import { MetricsRegistry } from '../../metrics/index.js';
+import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
+import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
+import type {
+  ReplicatedLogOptions,
+  ReplicatedLogSettings,
+} from '../../replication/ReplicatedLog/index.js';
+import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
+import { ProcessRole } from '../../tls/readIdentity/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
+import measureConvergence from '../_lib/measureConvergence.js';
+
+export interface OpenControlOptions {
+  log: ReplicatedLogSettings;
+  /** `IP:port` for control peers and nodes. */
+  listen: string;
+  tls?: TlsStore | undefined;
+  timings?: ReplicatedLogOptions['timings'];
+  limits?: ReplicatedLogOptions['limits'];
+}
+
+/** The running parts of a control VM. */
+export interface OpenedControl {
+  /** `IP:port` that was bound. */
+  listen: string;
+  metrics: MetricsRegistry;
+  log: ReplicatedLog;
+  hub: DistributionHub;
+  exchange: ControlExchange;
+  /** Starts elections, distribution and the exchange with other control VMs. */
+  start: () => void;
+  close: () => Promise<void>;
+}
+
+/** Members of the log once it is known, those of the settings before. */
+const listPeers = ({ memberId, initialMembers }: ReplicatedLogSettings, log: ReplicatedLog) => {
+  const members = log.members(readMonotonicNowMs());
+  const known: ExchangePeer[] = members.length > 0 ? members : initialMembers;
+  return known
+    .filter((peer) => peer.memberId !== memberId)
+    .map((peer) => ({ memberId: peer.memberId, address: peer.address }));
+};
+
+const listControls = (log: ReplicatedLog): ControlTarget[] =>
+  log.members(readMonotonicNowMs()).map(({ address, dataCentre }) => ({ address, dataCentre }));
+
+const openLog = async (
+  options: OpenControlOptions,
+  metrics: MetricsRegistry,
+): Promise<Result<ReplicatedLog, DaemonError>> => {
+  const { tls, timings, limits } = options;
+  const opened = await ReplicatedLog.open(options.log, {
+    metrics,
+    ...(timings && { timings }),
+    ...(limits && { limits }),
+    ...(tls && { transport: { tls: () => tls.current(), peerRole: ProcessRole.Control } }),
+  });
+  return opened.mapErr(
+    (error) => new DaemonError(DaemonErrorCode.StorageFailed, error.message, error),
+  );
+};
+
+/**
+ * Opens the parts of a control VM and binds its listener for other processes.
+ *
+ * @param options - data folder, members and addresses
+ * @returns the parts; StorageFailed or ListenFailed otherwise
+ *
+ * @example
+ * const control = await openControl(options);
+ * control.map(({ start }) => start());
+ */
+export const openControl = async (
+  options: OpenControlOptions,
+): Promise<Result<OpenedControl, DaemonError>> => {
+  const { tls } = options;
+  const { memberId } = options.log;
+  const metrics = new MetricsRegistry();
+  registerProcessMetrics(metrics);
+  const opened = await openLog(options, metrics);
+  if (opened.isErr()) return err(opened.error);
+  const log = opened.value;
+  const shared = { metrics, now: readMonotonicNowMs, tls: () => tls?.current() };
+  const hub = new DistributionHub(memberId, log, {
+    ...shared,
+    listControls: () => listControls(log),
+  });
+  const exchange = new ControlExchange(memberId, hub, () => listPeers(options.log, log), shared);
+  try {
+    const rpc = await startRpcServer(options.listen, {
+      tls,
+      routes: (router) => {
+        log.register(router);
+        hub.registerRoutes(router);
+        exchange.registerRoutes(router);
+      },
+    });
+    metrics.gauge('nodes_attached', () => hub.sessionCount);
+    metrics.gauge('configuration_version', () => log.committed()?.holder.version ?? 0);
+    const stopMeasuring = measureConvergence(hub, log, metrics);
+    const start = (): void => {
+      log.start();
+      hub.start();
+      exchange.start();
+    };
+    const close = async (): Promise<void> => {
+      stopMeasuring();
+      hub.stop();
+      await exchange.stop();
+      await log.stop();
+      await rpc.close();
+    };
+    return ok({ listen: rpc.address, metrics, log, hub, exchange, start, close });
+  } catch (error) {
+    await log.stop();
+    const reason = error instanceof Error ? error.message : String(error);
+    const message = `cannot listen on ${options.listen}: ${reason}`;
+    return err(new DaemonError(DaemonErrorCode.ListenFailed, message, error));
+  }
+};
--- /dev/null
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -0,0 +1,55 @@
+/** What a request asks of a gate. */
+export interface SlotDemand {
+  /** Time by which the response has to be complete, in milliseconds. */
+  deadlineMs: number;
+  isRetry: boolean;
+  /** Route whose requests take much longer than those of the quickest route of the server. */
+  isSlow: boolean;
+  /** Least time that the server needs for such a request; 0 when unknown. */
+  leastServiceMs?: number;
+  /** Mean time that the server needs for such a request; 0 when unknown. */
+  meanServiceMs?: number;
+  /** Time up to which a response is of full use. */
+  objectiveAtMs?: number | undefined;
+  /** 0 is the most urgent. */
+  priority?: number;
+}
+
+/** A request that waits, as a policy sees it. */
+export interface Waiting {
+  readonly demand: SlotDemand;
+  /** Smaller is served first. */
+  readonly rank: number;
+}
+
+/** Decides in which order requests wait for the slots of one server, and which do not wait. */
+export abstract class AdmissionPolicy {
+  /** Smaller is served first. */
+  abstract rankOf(demand: SlotDemand): number;
+
+  /** Slots that slow requests cannot take. */
+  abstract reservedOf(capacity: number): number;
+
+  /** Requests that may wait. */
+  abstract queueLimitOf(slots: number): number;
+
+  /**
+   * Tells whether a request is refused now rather than after a wait.
+   *
+   * @param demand - the request
+   * @param waitMs - expected wait
+   * @param nowMs - present time in milliseconds
+   */
+  abstract isHopeless(demand: SlotDemand, waitMs: number, nowMs: number): boolean;
+
+  /**
+   * Chooses the request that takes a free slot.
+   *
+   * @param admissible - requests that could take it, in order of arrival; at least one
+   * @param facts - number of admissions so far, and the present time in milliseconds
+   */
+  abstract choose<T extends Waiting>(
+    admissible: T[],
+    facts: { admittedCount: number; nowMs: number },
+  ): T | undefined;
+}
--- /dev/null
+++ b/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
@@ -0,0 +1,52 @@
+import { AdmissionPolicy } from './AdmissionPolicy.js';
+
+import type { SlotDemand, Waiting } from './AdmissionPolicy.js';
+
+/** Bounds the memory of a queue; its length in time is bounded by the objectives. */
+const QUEUE_PER_SLOT = 4;
+/** Share of the objective that a request may wait even if its service is expected to take the rest. */
+const LEAST_WAIT_SHARE = 0.125;
+const LOWEST_PRIORITY = 9;
+
+const endOf = ({ objectiveAtMs, deadlineMs }: SlotDemand): number =>
+  Math.min(objectiveAtMs ?? deadlineMs, deadlineMs);
+
+/** Latest time at which a request can take a slot and still be expected to meet its objective. */
+const latestStartOf = (demand: SlotDemand): number => endOf(demand) - (demand.meanServiceMs ?? 0);
+
+/**
+ * For load beyond the slots: urgent requests precede others, and within a priority the one that has
+ * to start first. A request that is not expected to meet its objective is refused at once, because
+ * the slots are better used by one that does; it takes a slot only if nobody else wants it.
+ */
+export default class ObjectivePolicy extends AdmissionPolicy {
+  override rankOf({ priority }: SlotDemand): number {
+    return Math.min(priority ?? LOWEST_PRIORITY, LOWEST_PRIORITY);
+  }
+
+  override reservedOf(): number {
+    return 0;
+  }
+
+  override queueLimitOf(slots: number): number {
+    return slots * QUEUE_PER_SLOT;
+  }
+
+  override isHopeless(demand: SlotDemand, waitMs: number, nowMs: number): boolean {
+    const graceMs = Math.max(0, endOf(demand) - nowMs) * LEAST_WAIT_SHARE;
+    return nowMs + waitMs > Math.max(latestStartOf(demand), nowMs + graceMs);
+  }
+
+  override choose<T extends Waiting>(admissible: T[], { nowMs }: { nowMs: number }): T | undefined {
+    const isTimely = ({ demand }: T): boolean => latestStartOf(demand) >= nowMs;
+    const precedes = (left: T, right: T): boolean => {
+      if (isTimely(left) !== isTimely(right)) return isTimely(left);
+      if (left.rank !== right.rank) return left.rank < right.rank;
+      return latestStartOf(left.demand) < latestStartOf(right.demand);
+    };
+    return admissible.reduce<T | undefined>(
+      (best, waiter) => (best && !precedes(waiter, best) ? best : waiter),
+      undefined,
+    );
+  }
+}
--- /dev/null
+++ b/src/process/localServers/AdmissionPolicy/index.ts
@@ -0,0 +1,5 @@
+/** Orders in which requests wait for the slots of a server. */
+export { AdmissionPolicy } from './AdmissionPolicy.js';
+export { default as ObjectivePolicy } from './ObjectivePolicy.js';
+export { default as QuickFirstPolicy } from './QuickFirstPolicy.js';
+export type { SlotDemand, Waiting } from './AdmissionPolicy.js';
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -8,6 +8,7 @@
   ServerState,
 } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { createLogger } from '../../log/index.js';
+import type { LogContext } from '../../log/index.js';
 import { AnnouncementError, AnnouncementErrorCode } from '../AnnouncementError/index.js';
 import { AdaptiveLimiter } from '../ConcurrencyLimiter/index.js';
 import { RouteLatencies } from '../RouteLatencies/index.js';
@@ -16,6 +17,7 @@
 
 import type { Service } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { NodeRecord, Server } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { AdmissionPolicy } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter } from '../ConcurrencyLimiter/index.js';
 import type { Announcement } from '../_lib/parseAnnouncement.js';
 
@@ -39,6 +41,14 @@
   readonly latencies: RouteLatencies;
   /** What the server last said of itself. */
   hint: LoadHint | undefined;
+  /** Number of the newest announcement of this start of the server; 0 when it numbers none. */
+  sequence: number;
+}
+
+/** The last start of a server at an address that has ended. */
+interface EndedStart {
+  serverId: string;
+  bornAtMs: number;
 }
 
 /** What a server says of itself; it lags behind and may mislead. */
@@ -67,6 +77,10 @@
   return Math.max(exact, Math.min(MAX_HINTED_LOAD, hinted));
 };
 
+/** Returns the load with the requests that wait, so that it exceeds 1 while there are any. */
+export const readOccupancy = (local: LocalServer, nowMs: number): number =>
+  readLoad(local, nowMs) + local.gate.waiting / local.gate.capacity;
+
 export interface LocalServersOptions {
   nodeId: string;
   dataCentre: string;
@@ -78,8 +92,10 @@
   leaseMs?: number;
   /** Returns the declared service, whose slots and connections limit those of its servers. */
   findService?: (name: string) => Service | undefined;
-  /** Requests that may wait per slot of a server. */
+  /** Requests that may wait per slot of a server, of the default policy. */
   queuePerSlot?: number | undefined;
+  /** Decides who waits for a slot; quick requests first unless given. */
+  admissionPolicy?: AdmissionPolicy | undefined;
 }
 
 type RecordListener = (record: NodeRecord) => void;
@@ -91,8 +107,17 @@
   left.slots === right.slots &&
   left.connections === right.connections &&
   left.state === right.state &&
+  left.bornAtMs === right.bornAtMs &&
   left.servingSinceMs === right.servingSinceMs;
 
+const describe = ({ service, address, slots, state, bornAtMs }: Server): LogContext => ({
+  service,
+  address,
+  slots,
+  state: ServerState[state],
+  bornAtMs: Number(bornAtMs),
+});
+
 /** Only a serving server takes new requests; others refuse them, so that they run elsewhere. */
 const applyState = (gate: SlotGate, server: Server): void => {
   if (server.state === ServerState.SERVING) gate.open();
@@ -115,6 +140,8 @@
 
   readonly #queuePerSlot: number | undefined;
 
+  readonly #admissionPolicy: AdmissionPolicy | undefined;
+
   readonly #findService: (name: string) => Service | undefined;
 
   readonly #servers = new Map<string, LocalServer>();
@@ -122,6 +149,9 @@
   /** Gates of removed servers whose requests still run, so that their slots stay counted. */
   readonly #retiredGates = new Map<string, SlotGate>();
 
+  /** One per address, so a late announcement does not bring an ended server back. */
+  readonly #endedByAddress = new Map<string, EndedStart>();
+
   readonly #listeners = new Set<RecordListener>();
 
   readonly #createLimiter: (slots: number) => ConcurrencyLimiter;
@@ -132,6 +162,7 @@
     this.#createLimiter = options.createLimiter ?? ((slots: number) => new AdaptiveLimiter(slots));
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.#queuePerSlot = options.queuePerSlot;
+    this.#admissionPolicy = options.admissionPolicy;
     this.#findService = options.findService ?? (() => undefined);
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
@@ -181,6 +212,9 @@
    * @param serverId - name of the server, unique on this node
    * @param announcement - checked announcement
    * @param nowMs - present time in milliseconds since the epoch
+   * An announcement may arrive late: one of an earlier start at the address, or one with a lower
+   * number than the last, changes nothing.
+   *
    * @returns an error when the node drains or holds too many servers
    */
   announce(
@@ -188,6 +222,12 @@
     announcement: Announcement,
     nowMs: number,
   ): Result<void, AnnouncementError> {
+    if (this.#isOutdated(serverId, announcement)) {
+      const { bornAtMs, sequence } = announcement;
+      log.info({ serverId, bornAtMs, sequence }, 'outdated announcement ignored');
+      return ok();
+    }
+    this.#replaceFormer(serverId, announcement);
     const known = this.#servers.get(serverId);
     if (!known && this.isDraining) {
       return err(
@@ -209,16 +249,20 @@
         gate,
         latencies: new RouteLatencies(),
         hint: undefined,
+        sequence: announcement.sequence ?? 0,
       });
+      log.info({ serverId, ...describe(server) }, 'server announced');
       this.#publish();
       return ok();
     }
     known.leaseEndsAtMs = leaseEndsAtMs;
+    known.sequence = announcement.sequence ?? 0;
     if (!isSameServer(known.server, server)) {
       const hasNewSlots = known.server.slots !== server.slots;
       known.server = server;
       applyState(known.gate, server);
       if (hasNewSlots) known.gate.setSlots(server.slots, nowMs);
+      log.info({ serverId, ...describe(server) }, 'server changed');
       this.#publish();
     }
     return ok();
@@ -230,6 +274,8 @@
    * @returns an error when no such server is announced
    */
   withdraw(serverId: string): Result<void, AnnouncementError> {
+    const entry = this.#servers.get(serverId);
+    if (entry) this.#bury(entry.server);
     if (!this.#remove(serverId)) {
       const message = `no server "${serverId}" is announced`;
       return err(new AnnouncementError(AnnouncementErrorCode.UnknownServer, message, 'serverId'));
@@ -267,6 +313,39 @@
     if (!this.isDraining) this.#publish({ draining: true });
   }
 
+  #isOutdated(serverId: string, { address, bornAtMs, sequence }: Announcement): boolean {
+    if (bornAtMs === undefined) return false;
+    const ended = this.#endedByAddress.get(address);
+    const isEnded = ended?.serverId === serverId && bornAtMs === ended.bornAtMs;
+    if (ended && (isEnded || bornAtMs < ended.bornAtMs)) return true;
+    const held = this.#findAt(address);
+    if (!held) return false;
+    const heldBornAtMs = Number(held.server.bornAtMs);
+    if (bornAtMs !== heldBornAtMs) return bornAtMs < heldBornAtMs;
+    return held.server.serverId === serverId && (sequence ?? 0) <= held.sequence;
+  }
+
+  #findAt(address: string): LocalServer | undefined {
+    return this.list().find(({ server }) => server.address === address);
+  }
+
+  /** A later start at an address ends the server that was there, even under the same name. */
+  #replaceFormer(serverId: string, { address, bornAtMs }: Announcement): void {
+    const former = this.#findAt(address);
+    if (!former || bornAtMs === undefined) return;
+    // A server that was found by a probe is held without the time of its start.
+    const formerBornAtMs = Number(former.server.bornAtMs) || bornAtMs;
+    const isSameStart = former.server.serverId === serverId && formerBornAtMs === bornAtMs;
+    if (isSameStart) return;
+    log.info({ serverId, formerServerId: former.server.serverId, bornAtMs }, 'server started anew');
+    this.#bury(former.server);
+    this.#remove(former.server.serverId);
+  }
+
+  #bury({ serverId, address, bornAtMs }: Server): void {
+    if (bornAtMs > 0n) this.#endedByAddress.set(address, { serverId, bornAtMs: Number(bornAtMs) });
+  }
+
   #remove(serverId: string): boolean {
     const entry = this.#servers.get(serverId);
     if (!entry) return false;
@@ -290,7 +369,13 @@
   #createGate(slots: number): SlotGate {
     const limiter = this.#createLimiter(slots);
     const queuePerSlot = this.#queuePerSlot;
-    return new SlotGate({ slots, limiter, ...(queuePerSlot !== undefined && { queuePerSlot }) });
+    const policy = this.#admissionPolicy;
+    return new SlotGate({
+      slots,
+      limiter,
+      ...(queuePerSlot !== undefined && { queuePerSlot }),
+      ...(policy && { policy }),
+    });
   }
 
   #toServer(
@@ -314,6 +399,7 @@
       connections: limitTo(announcement.connections, service?.connections),
       state,
       servingSinceMs: state === ServerState.SERVING ? servingSinceMs : 0n,
+      bornAtMs: BigInt(announcement.bornAtMs ?? 0),
     });
   }
 
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -97,3 +97,56 @@
   t.match(servers.record().servers[0], { slots: 20 }, 'the lower of the two applies');
   t.equal(servers.find('desk-1')?.gate.capacity, 20);
 });
+
+const createNumbered = (bornAtMs: number, sequence: number, state = AnnouncedState.Serving) => ({
+  service: 'desk',
+  address: '127.0.0.1:9000',
+  slots: 4,
+  connections: 8,
+  state,
+  bornAtMs,
+  sequence,
+});
+
+// Guards against requests to a server that has said it leaves.
+tap.test('a late announcement does not undo a newer one of the same start', async (t) => {
+  const servers = open();
+  servers.announce('d1', createNumbered(100, 5, AnnouncedState.Draining), 0);
+  servers.announce('d1', createNumbered(100, 4), 1);
+  t.equal(servers.find('d1')?.server.state, ServerState.DRAINING);
+});
+
+// Guards against a partition that delivers the heartbeat of a crashed server after its successor's.
+tap.test('an announcement of an earlier start at the address changes nothing', async (t) => {
+  const servers = open();
+  servers.announce('d1', createNumbered(100, 5), 0);
+  servers.announce('d2', createNumbered(200, 1), 1);
+  servers.announce('d1', createNumbered(100, 6), 2);
+  t.strictSame(
+    servers.list().map(({ server }) => server.serverId),
+    ['d2'],
+  );
+});
+
+tap.test('a server that starts again under its name counts anew', async (t) => {
+  const servers = open();
+  servers.announce('d1', createNumbered(100, 50, AnnouncedState.Draining), 0);
+  servers.announce('d1', createNumbered(200, 1), 1);
+  t.equal(servers.find('d1')?.server.state, ServerState.SERVING);
+});
+
+tap.test('a withdrawn server does not come back by a late announcement', async (t) => {
+  const servers = open();
+  servers.announce('d1', createNumbered(100, 5), 0);
+  servers.withdraw('d1');
+  servers.announce('d1', createNumbered(100, 6), 1);
+  t.strictSame(servers.list(), []);
+});
+
+tap.test('a server whose lease ended comes back with its next announcement', async (t) => {
+  const servers = open();
+  servers.announce('d1', createNumbered(100, 5), 0);
+  servers.expire(1_000_000);
+  servers.announce('d1', createNumbered(100, 6), 1_000_001);
+  t.equal(servers.list().length, 1);
+});
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -1,6 +1,8 @@
 /** Exact count of the slots of one backend server, with a short queue bounded by deadline. */
+import { QuickFirstPolicy } from '../AdmissionPolicy/index.js';
 import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
 
+import type { AdmissionPolicy, SlotDemand } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter, LimiterSample } from '../ConcurrencyLimiter/index.js';
 
 /** Why a server's gate refused a request. */
@@ -13,16 +15,7 @@
   Closed = 'SERVER_CLOSED',
 }
 
-/** What a request asks of a gate. */
-export interface SlotDemand {
-  /** Time by which the response has to be complete, in milliseconds since the epoch. */
-  deadlineMs: number;
-  isRetry: boolean;
-  /** Route whose requests take much longer than those of the quickest route of the server. */
-  isSlow: boolean;
-  /** Least time that the server needs for such a request; 0 when unknown. */
-  leastServiceMs?: number;
-}
+export type { SlotDemand } from '../AdmissionPolicy/index.js';
 
 /** Called once, possibly before `admit` returns; no refusal means a slot was taken. */
 export type AdmissionListener = (refusal: GateRefusal | undefined) => void;
@@ -38,25 +31,18 @@
 export interface SlotGateOptions {
   slots: number;
   limiter?: ConcurrencyLimiter;
-  /** Waiting requests per slot. */
+  /** Waiting requests per slot, of the default policy. */
   queuePerSlot?: number;
+  /** Quick requests first unless given. */
+  policy?: AdmissionPolicy;
 }
 
-const DEFAULT_QUEUE_PER_SLOT = 2;
-/** Share of the slots that slow routes cannot take. */
-const RESERVED_SHARE = 0.25;
 /** Weight of the newest sample in the mean time that a slot is held. */
 const HOLD_WEIGHT = 0.1;
-/** Every so many admissions the oldest slow request goes first, so that it is not starved. */
-const SLOW_TURN = 8;
-
-const rankOf = (demand: SlotDemand): number => (demand.isSlow ? 2 : 0) + (demand.isRetry ? 1 : 0);
-
 /**
  * Admits requests to one server within its slots.
  *
- * Quick requests precede slow ones and first attempts precede retries. Slow requests cannot take
- * the reserved share. Lent slots count as used until they are taken back.
+ * A policy decides who waits, and in which order. Lent slots count as used until they are taken back.
  *
  * @example
  * const gate = new SlotGate({ slots: 20 });
@@ -65,7 +51,7 @@
 export class SlotGate {
   readonly limiter: ConcurrencyLimiter;
 
-  readonly #queuePerSlot: number;
+  readonly #policy: AdmissionPolicy;
 
   #waiters: Waiter[] = [];
 
@@ -86,7 +72,7 @@
   constructor(options: SlotGateOptions) {
     this.#slots = options.slots;
     this.limiter = options.limiter ?? new FixedLimiter(options.slots);
-    this.#queuePerSlot = options.queuePerSlot ?? DEFAULT_QUEUE_PER_SLOT;
+    this.#policy = options.policy ?? new QuickFirstPolicy(options.queuePerSlot);
   }
 
   /** Slots in use, lent ones included. */
@@ -113,7 +99,7 @@
 
   /** Slots that slow requests cannot take. */
   get reserved(): number {
-    return this.capacity < 2 ? 0 : Math.max(1, Math.floor(this.capacity * RESERVED_SHARE));
+    return this.#policy.reservedOf(this.capacity);
   }
 
   setSlots(slots: number, nowMs: number): void {
@@ -142,7 +128,12 @@
    * @returns a function that withdraws a request that still waits
    */
   admit(demand: SlotDemand, nowMs: number, onDecided: AdmissionListener): () => void {
-    const waiter: Waiter = { demand, onDecided, rank: rankOf(demand), isSettled: false };
+    const waiter: Waiter = {
+      demand,
+      onDecided,
+      rank: this.#policy.rankOf(demand),
+      isSettled: false,
+    };
     const refusal = this.#findRefusal(waiter, nowMs);
     if (refusal !== undefined) {
       this.#settle(waiter, refusal);
@@ -170,6 +161,22 @@
     this.#admitWaiters(nowMs);
   }
 
+  /** Expected time until a request that comes now finds a slot, in milliseconds. */
+  estimateWaitMs(): number {
+    if (this.used < this.capacity && this.#waiters.length === 0) return 0;
+    return ((this.#waiters.length + 1) * this.#meanHoldMs) / this.capacity;
+  }
+
+  /** Refuses what has waited in vain; for servers that give no slot back. */
+  refuseHopeless(nowMs: number): void {
+    const hopeless = this.#waiters.filter(({ demand }) =>
+      this.#policy.isHopeless(demand, 0, nowMs),
+    );
+    if (hopeless.length === 0) return;
+    this.#waiters = this.#waiters.filter((waiter) => !hopeless.includes(waiter));
+    hopeless.forEach((waiter) => this.#settle(waiter, GateRefusal.DeadlineTooShort));
+  }
+
   /**
    * Lends idle slots to another node, beyond the reserved share and only while nothing waits.
    *
@@ -222,11 +229,11 @@
     const { demand, rank } = waiter;
     const ahead = this.#waiters.filter((other) => other.rank <= rank).length;
     const waitMs = ((ahead + 1) * this.#meanHoldMs) / this.capacity;
-    if (nowMs + waitMs + (demand.leastServiceMs ?? 0) > demand.deadlineMs) {
+    if (this.#policy.isHopeless(demand, waitMs, nowMs)) {
       this.#settle(waiter, GateRefusal.DeadlineTooShort);
       return;
     }
-    if (this.#waiters.length >= this.#slots * this.#queuePerSlot && !this.#displace(rank)) {
+    if (this.#waiters.length >= this.#policy.queueLimitOf(this.#slots) && !this.#displace(rank)) {
       this.#settle(waiter, GateRefusal.QueueFull);
       return;
     }
@@ -250,30 +257,22 @@
   }
 
   #admitWaiters(nowMs: number): void {
-    let next = this.#shiftNext();
+    let next = this.#shiftNext(nowMs);
     while (next) {
       const { deadlineMs, leastServiceMs = 0 } = next.demand;
       if (deadlineMs <= nowMs) this.#settle(next, GateRefusal.DeadlinePassed);
       else if (deadlineMs < nowMs + leastServiceMs) {
         this.#settle(next, GateRefusal.DeadlineTooShort);
       } else this.#take(next);
-      next = this.#shiftNext();
+      next = this.#shiftNext(nowMs);
     }
   }
 
   /** Removes and returns the waiting request that is served next, if a slot suits it. */
-  #shiftNext(): Waiter | undefined {
+  #shiftNext(nowMs: number): Waiter | undefined {
     const admissible = this.#waiters.filter((waiter) => this.#hasSlotFor(waiter.demand));
-    const isSlowTurn = this.#admittedCount % SLOW_TURN === SLOW_TURN - 1;
-    const oldestSlow = isSlowTurn
-      ? admissible.find((waiter) => waiter.demand.isSlow && !waiter.demand.isRetry)
-      : undefined;
-    const next =
-      oldestSlow ??
-      admissible.reduce<Waiter | undefined>(
-        (best, waiter) => (best && best.rank <= waiter.rank ? best : waiter),
-        undefined,
-      );
+    const admittedCount = this.#admittedCount;
+    const next = this.#policy.choose(admissible, { admittedCount, nowMs });
     if (next) this.#waiters.splice(this.#waiters.indexOf(next), 1);
     return next;
   }
--- a/src/process/localServers/_lib/parseAnnouncement.ts
+++ b/src/process/localServers/_lib/parseAnnouncement.ts
@@ -39,6 +39,12 @@
     v.maxValue(largest, `must be at most ${largest}`),
   );
 
+const timeSchema = v.pipe(
+  v.number('must be a number'),
+  v.safeInteger('must be an integer'),
+  v.minValue(0, 'must be at least 0'),
+);
+
 const announcementSchema = v.strictObject({
   service: nameSchema,
   address: addressSchema,
@@ -46,6 +52,8 @@
   slots: countSchema(MAX_SLOTS),
   connections: countSchema(MAX_CONNECTIONS),
   state: v.enum(AnnouncedState, 'must be "starting", "serving" or "draining"'),
+  bornAtMs: v.optional(timeSchema),
+  sequence: v.optional(timeSchema),
 });
 
 /** Body of `PUT /v1/servers/{serverId}`. */
--- a/src/process/operatorApi/_lib/applySheet.ts
+++ b/src/process/operatorApi/_lib/applySheet.ts
@@ -23,6 +23,7 @@
   [ApplyOutcome.AlreadyAccepted]: RequestRan.Yes,
   [ApplyOutcome.Conflict]: RequestRan.No,
   [ApplyOutcome.Stale]: RequestRan.No,
+  [ApplyOutcome.BaseMismatch]: RequestRan.No,
   [ApplyOutcome.Invalid]: RequestRan.No,
   [ApplyOutcome.Unavailable]: RequestRan.No,
   [ApplyOutcome.Unknown]: RequestRan.Unknown,
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -87,6 +87,7 @@
   [ApplyOutcome.AlreadyAccepted]: 200,
   [ApplyOutcome.Conflict]: 409,
   [ApplyOutcome.Stale]: 409,
+  [ApplyOutcome.BaseMismatch]: 409,
   [ApplyOutcome.Invalid]: 422,
   [ApplyOutcome.Unavailable]: 503,
   [ApplyOutcome.Unknown]: 504,
--- a/src/process/replication/ControlLog/index.ts
+++ b/src/process/replication/ControlLog/index.ts
@@ -1,5 +1,8 @@
 /** The replicated log of accepted configuration versions, as the rest of a control VM sees it. */
+import type { Result } from 'neverthrow';
+
 import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { ReplicationError } from '../ReplicationError/index.js';
 
 /** How an `apply` ended. */
 export enum ApplyOutcome {
@@ -7,6 +10,8 @@
   AlreadyAccepted = 'ALREADY_ACCEPTED',
   Conflict = 'CONFLICT',
   Stale = 'STALE',
+  /** The version that the change builds on is not the newest. */
+  BaseMismatch = 'BASE_MISMATCH',
   Invalid = 'INVALID',
   Unavailable = 'UNAVAILABLE',
   Unknown = 'UNKNOWN',
@@ -19,6 +24,10 @@
   operator: string;
   /** Carries its version and content hash. */
   configuration: Configuration;
+  /** Version that has to be the newest, 0 for none; any when absent. */
+  baseVersion?: number;
+  /** What the operator sent, kept for reads. */
+  document?: Uint8Array;
 }
 
 /** Who holds a version number. */
@@ -44,6 +53,8 @@
   holder: VersionHolder;
   /** Index of the log entry. */
   logIndex: number;
+  /** What the operator sent, if it was kept. */
+  document?: Uint8Array;
 }
 
 export enum MemberRole {
@@ -60,6 +71,7 @@
   /** Identity of the data folder; changes when the disk is lost. */
   diskIdentity: string;
   address: string;
+  dataCentre: string;
   isVoter: boolean;
   /** Role as last known by this member. */
   role: MemberRole;
@@ -80,6 +92,16 @@
   /** Returns the newest version that this member knows to be committed. */
   abstract committed(): CommittedConfiguration | undefined;
 
+  /**
+   * Returns the newest version, confirmed by a majority after the call.
+   *
+   * @param timeoutMs - longest wait in milliseconds
+   * @returns the version, undefined when none was ever accepted; Unconfirmed when no majority answered
+   */
+  abstract readNewest(
+    timeoutMs: number,
+  ): Promise<Result<CommittedConfiguration | undefined, ReplicationError>>;
+
   /** Returns an older committed version if it is still held, for computing deltas. */
   abstract committedVersion(version: number): CommittedConfiguration | undefined;
 
--- a/src/process/replication/ReplicatedLog/faults.test.ts
+++ b/src/process/replication/ReplicatedLog/faults.test.ts
@@ -274,6 +274,8 @@
     [ApplyOutcome.Conflict]:
       holder !== undefined && !isHeld && result.holder?.requestId === holder.requestId,
     [ApplyOutcome.Stale]: holder === undefined,
+    // None of these changes names a base.
+    [ApplyOutcome.BaseMismatch]: false,
     [ApplyOutcome.Unavailable]: !isOwn,
     [ApplyOutcome.Invalid]: false,
     [ApplyOutcome.Unknown]: true,
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -10,12 +10,17 @@
   ForwardResponseSchema,
   MemberSchema,
   MembershipSchema,
+  ReadIndexResponseSchema,
 } from '../../../_generated/foxtailvane/v1/replication_pb.js';
 import type {
   AcceptedVersion,
   ForwardRequest,
   ForwardResponse,
+  JoinRequest,
+  JoinResponse,
   Membership,
+  ReadIndexRequest,
+  ReadIndexResponse,
 } from '../../../_generated/foxtailvane/v1/replication_pb.js';
 import ConnectPeerClient from '../../../connection/replication/ConnectPeerClient/index.js';
 import type PeerClient from '../../../connection/replication/PeerClient/index.js';
@@ -47,7 +52,10 @@
 import { handleAppend } from '../_lib/handleAppend/index.js';
 import handleSnapshot from '../_lib/handleSnapshot/index.js';
 import handleVote from '../_lib/handleVote/index.js';
+import { askToJoin, handleJoin, needsToJoin } from '../_lib/joinCluster/index.js';
 import { proposeChange } from '../_lib/proposeChange/index.js';
+import type { ProposeContext } from '../_lib/proposeChange/index.js';
+import awaitNewest from '../_lib/readIndex/index.js';
 import { DEFAULT_LIMITS, DEFAULT_TIMINGS } from '../_lib/timings/index.js';
 import type { ReplicationLimits, ReplicationTimings } from '../_lib/timings/index.js';
 import validateChange from '../_lib/validateChange/index.js';
@@ -77,10 +85,30 @@
   /** Name of this VM. */
   memberId: string;
   dataFolder: string;
+  /** Empty unless given. */
+  dataCentre?: string;
   /** All members of the first start, the same on each; later ones come from the log. */
   initialMembers: InitialMember[];
+  /**
+   * Set where control VMs find each other without a list of members: they join by themselves, and
+   * those beyond the initial number wait in reserve.
+   */
+  discovery?: DiscoverySettings;
+}
+
+/** How a member finds the cluster without being listed. */
+export interface DiscoverySettings {
+  /** `host:port` of this member. */
+  address: string;
+  /** Addresses of control VMs to ask; some may be wrong or down. */
+  contacts: string[];
+  /** Whether the cluster has never been started before, so that it may be founded. */
+  mayFound: boolean;
 }
 
+/** Pause between two attempts to join. */
+const JOIN_INTERVAL_MS = 300;
+
 const US_PER_MS = 1_000;
 
 const refuse = (message: string): Result<never, PeerError> =>
@@ -100,6 +128,8 @@
 
   readonly #initialMembers: InitialMember[];
 
+  #discovery: DiscoverySettings | undefined;
+
   readonly #clients: ClientPool;
 
   #leadership: Leadership | undefined;
@@ -108,10 +138,15 @@
 
   #task: Promise<void> | undefined;
 
-  private constructor(replica: Replica, initialMembers: InitialMember[], clients: ClientPool) {
+  private constructor(
+    replica: Replica,
+    { initialMembers, discovery }: ReplicatedLogSettings,
+    clients: ClientPool,
+  ) {
     super();
     this.#replica = replica;
     this.#initialMembers = initialMembers;
+    this.#discovery = discovery;
     this.#clients = clients;
   }
 
@@ -127,7 +162,8 @@
     options: ReplicatedLogOptions = {},
   ): Promise<Result<ReplicatedLog, ReplicationError>> {
     const { memberId, dataFolder, initialMembers } = settings;
-    if (!initialMembers.some((member) => member.memberId === memberId)) {
+    const isListed = initialMembers.some((member) => member.memberId === memberId);
+    if (!settings.discovery && !isListed) {
       const message = `${memberId} is not among the initial members`;
       return err(new ReplicationError(ReplicationErrorCode.InvalidSettings, message));
     }
@@ -140,6 +176,7 @@
     }
     const replica = new Replica(opened.value, {
       memberId,
+      dataCentre: settings.dataCentre ?? '',
       timings: { ...DEFAULT_TIMINGS, ...options.timings },
       limits: { ...DEFAULT_LIMITS, ...options.limits },
       readNowMs: options.readNowMs ?? readMonotonicNowMs,
@@ -148,7 +185,7 @@
     });
     const createClient =
       options.createClient ?? ((address) => new ConnectPeerClient(address, options.transport));
-    return ok(new ReplicatedLog(replica, initialMembers, new ClientPool(createClient)));
+    return ok(new ReplicatedLog(replica, settings, new ClientPool(createClient)));
   }
 
   /** Identity of the data folder. */
@@ -169,23 +206,32 @@
         create(DescribeResponseSchema, {
           memberId: replica.memberId,
           diskIdentity: replica.diskIdentity,
+          dataCentre: replica.options.dataCentre,
           clusterId: replica.isUnused ? '' : replica.clusterId,
         }),
       vote: (request) => this.#handle(() => handleVote(replica, request)),
       append: (request) => this.#handle(() => handleAppend(replica, request)),
       installSnapshot: (request) => this.#handle(() => handleSnapshot(replica, request)),
       forward: (request) => this.#handleForward(request),
+      readIndex: (request) => this.#handleReadIndex(request),
+      join: async (request) => ok(await this.#handleJoin(request)),
     });
   }
 
   /** Starts elections and replication; call it once the service is being served. */
   start(): void {
-    this.#task ??= this.#run();
+    this.#task ??= this.#runTasks();
+  }
+
+  /** Takes over other control VMs to ask, as when the settings were changed. */
+  setContacts(contacts: string[]): void {
+    if (this.#discovery) this.#discovery = { ...this.#discovery, contacts };
   }
 
   /** Stops taking part and closes the data folder; the log cannot be started again. */
   async stop(): Promise<void> {
     this.#isStopped = true;
+    this.#replica.stopped.notify();
     this.#replica.becomeFollower();
     this.#replica.changed.notify();
     // Ends the requests under way, and after the task those that it still began.
@@ -202,12 +248,7 @@
     if (validated.isErr()) return { outcome: ApplyOutcome.Invalid, message: validated.error };
     const startedAtMs = performance.now();
     const result = await proposeChange(
-      {
-        replica,
-        findClient: (address) => this.#clients.find(address),
-        findLeadership: () => this.#activeLeadership(),
-        isStopped: () => this.#isStopped,
-      },
+      this.#createContext(),
       validated.value,
       replica.readNowMs() + timings.proposalTimeoutMs,
     );
@@ -215,6 +256,17 @@
     return result;
   }
 
+  async readNewest(
+    timeoutMs: number,
+  ): Promise<Result<CommittedConfiguration | undefined, ReplicationError>> {
+    const replica = this.#replica;
+    if (await awaitNewest(this.#createContext(), replica.readNowMs() + timeoutMs)) {
+      return ok(replica.versions.newestCommitted());
+    }
+    const message = 'no majority of control VMs has confirmed the newest version';
+    return err(new ReplicationError(ReplicationErrorCode.Unconfirmed, message));
+  }
+
   committed(): CommittedConfiguration | undefined {
     return this.#replica.versions.newestCommitted();
   }
@@ -250,11 +302,11 @@
    * @returns once committed; NotLeader, Refused or Unknown otherwise
    */
   addMember(member: InitialMember): Promise<Result<void, ReplicationError>> {
-    return this.#changeMembership(({ members, clusterId }) =>
+    return this.#changeMembership(({ members, ...membership }) =>
       members.some(({ memberId }) => memberId === member.memberId)
         ? undefined
         : create(MembershipSchema, {
-            clusterId,
+            ...membership,
             members: [...members, create(MemberSchema, { ...member, isVoter: false })],
           }),
     );
@@ -267,10 +319,12 @@
    * @returns once committed; NotLeader, Refused or Unknown otherwise
    */
   removeMember(memberId: string): Promise<Result<void, ReplicationError>> {
-    return this.#changeMembership(({ members, clusterId }) => {
+    return this.#changeMembership(({ members, ...membership }) => {
       const remaining = members.filter((member) => member.memberId !== memberId);
       const isPossible = remaining.length < members.length && remaining.some((m) => m.isVoter);
-      return isPossible ? create(MembershipSchema, { clusterId, members: remaining }) : undefined;
+      return isPossible
+        ? create(MembershipSchema, { ...membership, members: remaining })
+        : undefined;
     });
   }
 
@@ -284,6 +338,30 @@
     return this.#leadership?.isActive ? this.#leadership : undefined;
   }
 
+  #createContext(): ProposeContext {
+    return {
+      replica: this.#replica,
+      findClient: (address) => this.#clients.find(address),
+      findLeadership: () => this.#activeLeadership(),
+      isStopped: () => this.#isStopped,
+    };
+  }
+
+  async #runTasks(): Promise<void> {
+    await Promise.all([this.#run(), this.#keepJoined()]);
+  }
+
+  /** Asks to be taken in while there is no leader, which may have removed this member. */
+  async #keepJoined(): Promise<void> {
+    const replica = this.#replica;
+    while (!this.#isStopped && this.#discovery) {
+      const { address, contacts } = this.#discovery;
+      const context = this.#createContext();
+      if (needsToJoin(context, replica.readNowMs())) await askToJoin(context, address, contacts);
+      await replica.stopped.wait(JOIN_INTERVAL_MS);
+    }
+  }
+
   async #run(): Promise<void> {
     const replica = this.#replica;
     const { heartbeatMs } = replica.options.timings;
@@ -293,7 +371,10 @@
       if (replica.failure) {
         await replica.changed.wait(heartbeatMs);
       } else if (replica.isUnused) {
-        await foundCluster(replica, this.#initialMembers, findClient);
+        if (this.#discovery?.mayFound !== false) {
+          const keepsVoterCount = this.#discovery !== undefined;
+          await foundCluster(replica, this.#initialMembers, findClient, { keepsVoterCount });
+        }
         await replica.changed.wait(heartbeatMs);
       } else if (replica.isVoter && waitMs <= 0) {
         await this.#campaign(findClient);
@@ -338,6 +419,19 @@
     );
   }
 
+  async #handleReadIndex(request: ReadIndexRequest): Promise<Result<ReadIndexResponse, PeerError>> {
+    const checked = checkHeader(this.#replica, request.header);
+    if (checked.isErr()) return err(checked.error);
+    const deadlineMs = this.#replica.readNowMs() + request.timeoutMs;
+    const commitIndex = await this.#activeLeadership()?.confirmIndex(deadlineMs);
+    const isConfirmed = commitIndex !== undefined;
+    return ok(create(ReadIndexResponseSchema, { isConfirmed, commitIndex: commitIndex ?? 0 }));
+  }
+
+  #handleJoin(request: JoinRequest): Promise<JoinResponse> {
+    return handleJoin(this.#createContext(), request);
+  }
+
   #toMessage(holder: VersionHolder): AcceptedVersion {
     return create(AcceptedVersionSchema, {
       version: holder.version,
--- a/src/process/replication/ReplicationError/index.ts
+++ b/src/process/replication/ReplicationError/index.ts
@@ -1,5 +1,7 @@
 /** Why the replicated log could not do what it was asked. */
 export enum ReplicationErrorCode {
+  /** No majority confirmed the answer in time. */
+  Unconfirmed = 'UNCONFIRMED',
   /** The data folder cannot be used; `cause` is the StorageError. */
   StorageFailed = 'STORAGE_FAILED',
   InvalidSettings = 'INVALID_SETTINGS',
--- a/src/process/replication/_lib/AcceptedVersions/index.ts
+++ b/src/process/replication/_lib/AcceptedVersions/index.ts
@@ -5,6 +5,14 @@
 import type { AcceptedVersion } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import type { CommittedConfiguration, VersionHolder } from '../../ControlLog/index.js';
 
+/**
+ * Tells whether the version that a change builds on is the newest.
+ *
+ * @param newestVersion - number of the newest version, 0 for none
+ */
+export const buildsOn = ({ baseVersion }: AcceptedVersion, newestVersion: number): boolean =>
+  baseVersion === undefined || baseVersion === newestVersion;
+
 /** Returns the holder of an accepted version. */
 export const toHolder = (accepted: AcceptedVersion): VersionHolder => ({
   version: accepted.version,
@@ -18,6 +26,7 @@
   configuration: fromBinary(ConfigurationSchema, accepted.configuration),
   holder: toHolder(accepted),
   logIndex: accepted.logIndex,
+  ...(accepted.document.length > 0 && { document: accepted.document }),
 });
 
 /**
@@ -46,9 +55,14 @@
     return this.#newest;
   }
 
-  /** Applies a committed version; returns false for a number that is not above the newest. */
+  /**
+   * Applies a committed version.
+   *
+   * @returns false for a number that is not above the newest, or another base than the newest
+   */
   apply(accepted: AcceptedVersion, logIndex: number): boolean {
-    if (this.#newest && accepted.version <= this.#newest.version) return false;
+    const newestVersion = this.#newest?.version ?? 0;
+    if (accepted.version <= newestVersion || !buildsOn(accepted, newestVersion)) return false;
     this.#add(create(AcceptedVersionSchema, { ...accepted, logIndex }));
     return true;
   }
@@ -85,12 +99,21 @@
   }
 
   #add(accepted: AcceptedVersion): void {
+    this.#dropDocument();
     this.#byVersion.set(accepted.version, accepted);
     this.#newest = accepted;
     if (accepted.configuration.length > 0) this.#withConfiguration.push(accepted.version);
     if (this.#withConfiguration.length > this.#maxConfigurations) this.#dropOldest();
   }
 
+  /** Only the newest version is read back, so only its document is held. */
+  #dropDocument(): void {
+    if (!this.#newest || this.#newest.document.length === 0) return;
+    const { version } = this.#newest;
+    const document = new Uint8Array(0);
+    this.#byVersion.set(version, create(AcceptedVersionSchema, { ...this.#newest, document }));
+  }
+
   #dropOldest(): void {
     const oldest = this.#byVersion.get(this.#withConfiguration.shift() ?? 0);
     if (!oldest) return;
--- a/src/process/replication/_lib/Leadership/index.ts
+++ b/src/process/replication/_lib/Leadership/index.ts
@@ -15,10 +15,11 @@
 import PeerProgress from '../PeerProgress/index.js';
 import type { Replica } from '../Replica/index.js';
 import type { FindClient } from '../campaign/index.js';
+import { buildsOn } from '../AcceptedVersions/index.js';
 import findNextMembership from '../findNextMembership/index.js';
 import { computeQuorumValue } from '../quorum/index.js';
 import replicateToPeer from '../replicateToPeer/index.js';
-import { hasSameContent, settleChange } from '../settleChange/index.js';
+import { hasSameContent, refuseBase, settleChange } from '../settleChange/index.js';
 
 const log = createLogger('replication');
 
@@ -30,6 +31,9 @@
   mayRun: boolean;
 }
 
+/** Voters and those that wait to take a place; more would only slow the leader down. */
+const MAX_MEMBERS = 15;
+
 const NOT_RUN: AttemptResult = { mayRun: false };
 
 const toAcceptedEntry = (accepted: AcceptedVersion): LogChange['change'] => ({
@@ -55,6 +59,9 @@
 
   #isPersisting = false;
 
+  /** Calls of `confirmIndex` under way. */
+  #confirmWaiters = 0;
+
   constructor(replica: Replica, term: number, findClient: FindClient) {
     this.#replica = replica;
     this.term = term;
@@ -139,10 +146,40 @@
     const settled = settleChange(this.#replica.versions, change);
     if (settled) return { result: settled, mayRun: false };
     if (!this.isActive || !this.isReady || !this.#hasLease()) return NOT_RUN;
-    const pending = this.#findPending(change.version);
-    return pending
-      ? this.#awaitPending(pending, change, deadlineMs)
-      : this.#appendAndWait(change, deadlineMs);
+    const pending = this.#findPending(change);
+    if (pending) return this.#awaitPending(pending, change, deadlineMs);
+    const { versions } = this.#replica;
+    return buildsOn(change, versions.newest?.version ?? 0)
+      ? this.#appendAndWait(change, deadlineMs)
+      : { result: refuseBase(versions, change), mayRun: false };
+  }
+
+  /**
+   * Confirms with a majority that this member still leads.
+   *
+   * @param deadlineMs - monotonic time at which to give up
+   * @returns an index that covers all that was accepted before the call; undefined when no majority
+   *   answered a request that was sent after the call
+   */
+  async confirmIndex(deadlineMs: number): Promise<number | undefined> {
+    const askedAtMs = this.#replica.readNowMs();
+    const isConfirmed = (): boolean => this.isReady && this.#quorumContactMs() >= askedAtMs;
+    this.#peers.forEach((peer) => peer.wake.notify());
+    this.#confirmWaiters += 1;
+    await this.#waitWhile(() => this.isActive && !isConfirmed(), deadlineMs);
+    this.#confirmWaiters -= 1;
+    return this.isActive && isConfirmed() ? this.#replica.commitIndex : undefined;
+  }
+
+  /** Adds a member as a non-voter unless it is one already; false when that is not possible now. */
+  addMember(member: Member): boolean {
+    const { membership } = this.#replica;
+    const known = membership.members.some(({ memberId }) => memberId === member.memberId);
+    if (known) return true;
+    if (membership.members.length >= MAX_MEMBERS) return false;
+    const joining = { ...member, isVoter: false };
+    const next = { ...membership, members: [...membership.members, joining] };
+    return this.appendMembership(next) !== undefined;
   }
 
   /** Waits until an entry of this term is committed; false when the outcome stays unknown. */
@@ -166,6 +203,7 @@
   noteContact(): void {
     const untilMs = this.#quorumContactMs() + this.#replica.options.timings.electionTimeoutMinMs;
     if (this.isActive && untilMs > this.#replica.guardUntilMs) this.#replica.guardUntilMs = untilMs;
+    if (this.#confirmWaiters > 0) this.#replica.changed.notify();
   }
 
   #hasLease(): boolean {
@@ -218,7 +256,7 @@
 
   #advanceMembership(): void {
     if (!this.isActive || !this.isReady || !this.#replica.isMembershipCommitted) return;
-    const next = findNextMembership(this.#replica, this.#peers);
+    const next = findNextMembership(this.#replica, this.#peers, this.#replica.readNowMs());
     if (next) this.appendMembership(next);
   }
 
@@ -246,6 +284,7 @@
     const { memberId, address, diskIdentity } = member;
     const client = this.#findClient(address);
     const peer = new PeerProgress(memberId, address, client, this.#replica.log.lastIndex);
+    peer.addedAtMs = this.#replica.readNowMs();
     peer.diskIdentity = diskIdentity;
     this.#peers.set(memberId, peer);
     this.#startTask(replicateToPeer(this, this.#replica, peer));
@@ -270,10 +309,11 @@
   }
 
   /** Finds an uncommitted version that must be decided before the change can be. */
-  #findPending(version: number): LogEntry | undefined {
+  #findPending({ version, baseVersion }: AcceptedVersion): LogEntry | undefined {
     return this.#replica.log.from(this.#replica.commitIndex + 1).findLast(({ change }) => {
       const { change: content } = change;
-      return content.case === 'accepted' && content.value.version >= version;
+      if (content.case !== 'accepted') return false;
+      return baseVersion !== undefined || content.value.version >= version;
     });
   }
 
--- a/src/process/replication/_lib/PeerProgress/index.ts
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -25,6 +25,9 @@
   /** When the last request that the peer answered as follower was sent. */
   contactMs = -Infinity;
 
+  /** When the leader began to replicate to the peer. */
+  addedAtMs = 0;
+
   sequence = 0;
 
   answeredSequence = 0;
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -41,6 +41,7 @@
 
 export interface ReplicaOptions {
   memberId: string;
+  dataCentre: string;
   timings: ReplicationTimings;
   limits: ReplicationLimits;
   readNowMs: () => number;
@@ -83,6 +84,9 @@
   /** Notified when role, term, commit index or membership change. */
   readonly changed = new Notifier();
 
+  /** Notified when this member stops. */
+  readonly stopped = new Notifier();
+
   role = MemberRole.Follower;
 
   /** Member that leads the current term; empty when unknown. */
--- a/src/process/replication/_lib/describeMembers/index.ts
+++ b/src/process/replication/_lib/describeMembers/index.ts
@@ -24,7 +24,7 @@
   isConfirmed: boolean,
 ): MemberStatus[] =>
   replica.membership.members.map((member) => {
-    const { memberId, diskIdentity, address, isVoter } = member;
+    const { memberId, diskIdentity, address, dataCentre, isVoter } = member;
     const isSelf = memberId === replica.memberId;
     const peer = leadership?.peer(memberId);
     const isConfirmedLeader = isConfirmed && memberId === replica.leaderId;
@@ -32,6 +32,7 @@
       memberId,
       diskIdentity,
       address,
+      dataCentre,
       isVoter,
       role: findRole(replica, member),
       matchIndex: isSelf ? replica.durableIndex : (peer?.matchIndex ?? 0),
--- a/src/process/replication/_lib/findNextMembership/index.ts
+++ b/src/process/replication/_lib/findNextMembership/index.ts
@@ -10,20 +10,61 @@
 
 const replaceMember = (membership: Membership, changed: Member): Membership =>
   create(MembershipSchema, {
-    clusterId: membership.clusterId,
+    ...membership,
     members: membership.members.map((member) =>
       member.memberId === changed.memberId ? changed : member,
     ),
   });
 
+const hasRoomForVoter = ({ members, voterTarget }: Membership, extra = 0): boolean =>
+  voterTarget === 0 || members.filter((member) => member.isVoter).length < voterTarget + extra;
+
 /** Returns how a member changes when its peer has caught up. */
-const findNextMember = (member: Member, peer: PeerProgress): Member | undefined => {
+const findNextMember = (
+  member: Member,
+  peer: PeerProgress,
+  membership: Membership,
+): Member | undefined => {
   if (peer.diskIdentity === '') return undefined;
   const { diskIdentity } = peer;
   if (member.diskIdentity !== diskIdentity) {
     return create(MemberSchema, { ...member, diskIdentity, isVoter: false });
   }
-  return member.isVoter ? undefined : create(MemberSchema, { ...member, isVoter: true });
+  const isPromoted = !member.isVoter && hasRoomForVoter(membership);
+  return isPromoted ? create(MemberSchema, { ...member, isVoter: true }) : undefined;
+};
+
+type Peers = Map<string, PeerProgress>;
+
+/** Tells whether a peer has not answered for a time; the leader itself always has. */
+const isSilent = (replica: Replica, peers: Peers, member: Member, nowMs: number): boolean => {
+  const peer = peers.get(member.memberId);
+  if (!peer || member.memberId === replica.memberId) return false;
+  const heardAtMs = Math.max(peer.contactMs, peer.addedAtMs);
+  return nowMs - heardAtMs > replica.options.timings.replaceAfterMs;
+};
+
+/**
+ * Finds the next step to replace a voter that stays silent by a non-voter in reserve: the reserve
+ * becomes a voter first, then the silent one is removed. It can join again as a non-voter.
+ */
+const findReplacement = (replica: Replica, peers: Peers, nowMs: number): Membership | undefined => {
+  const { membership } = replica;
+  if (membership.voterTarget === 0) return undefined;
+  const silent = membership.members.find(
+    (member) => member.isVoter && isSilent(replica, peers, member, nowMs),
+  );
+  if (!silent) return undefined;
+  if (!hasRoomForVoter(membership, 1)) {
+    const members = membership.members.filter((member) => member !== silent);
+    return create(MembershipSchema, { ...membership, members });
+  }
+  const reserve = membership.members.find((member) => {
+    const peer = peers.get(member.memberId);
+    const isCurrent = peer?.isReachable && peer.isCaughtUp;
+    return !member.isVoter && isCurrent && peer.diskIdentity === member.diskIdentity;
+  });
+  return reserve && replaceMember(membership, create(MemberSchema, { ...reserve, isVoter: true }));
 };
 
 /**
@@ -33,20 +74,24 @@
  *
  * @param replica - the leader
  * @param peers - progress by member
+ * @param nowMs - present time on the clock of the replica
  * @returns the membership to append; undefined when there is nothing to change
  */
 const findNextMembership = (
   replica: Replica,
-  peers: Map<string, PeerProgress>,
+  peers: Peers,
+  nowMs: number,
 ): Membership | undefined => {
   const { membership } = replica;
   const changed = membership.members
     .map((member) => {
       const peer = peers.get(member.memberId);
-      return peer?.isReachable && peer.isCaughtUp ? findNextMember(member, peer) : undefined;
+      return peer?.isReachable && peer.isCaughtUp
+        ? findNextMember(member, peer, membership)
+        : undefined;
     })
     .find((member) => member !== undefined);
-  return changed && replaceMember(membership, changed);
+  return changed ? replaceMember(membership, changed) : findReplacement(replica, peers, nowMs);
 };
 
 export default findNextMembership;
--- a/src/process/replication/_lib/foundCluster/index.ts
+++ b/src/process/replication/_lib/foundCluster/index.ts
@@ -21,6 +21,12 @@
   memberId: string;
   /** host:port of its `listen` listener. */
   address: string;
+  dataCentre?: string;
+}
+
+export interface FoundingOptions {
+  /** Whether members that join later wait in reserve instead of becoming voters. */
+  keepsVoterCount: boolean;
 }
 
 const FOUNDING_TERM = 1;
@@ -34,7 +40,8 @@
   const { memberId, address } = initial;
   if (memberId === replica.memberId) {
     const { diskIdentity } = replica;
-    return create(MemberSchema, { memberId, diskIdentity, address, isVoter: true });
+    const { dataCentre } = replica.options;
+    return create(MemberSchema, { memberId, diskIdentity, address, dataCentre, isVoter: true });
   }
   const request = create(DescribeRequestSchema, { memberId: replica.memberId });
   const described = await findClient(address).describe(
@@ -52,8 +59,8 @@
     log.info({ memberId, address }, 'a cluster exists already; waiting to be added to it');
     return undefined;
   }
-  const { diskIdentity } = value;
-  return create(MemberSchema, { memberId, diskIdentity, address, isVoter: true });
+  const { diskIdentity, dataCentre } = value;
+  return create(MemberSchema, { memberId, diskIdentity, address, dataCentre, isVoter: true });
 };
 
 /**
@@ -65,11 +72,13 @@
  * @param replica - this member
  * @param initialMembers - all members of the settings
  * @param findClient - returns the connection to a peer
+ * @param options - what later members become
  */
 export const foundCluster = async (
   replica: Replica,
   initialMembers: InitialMember[],
   findClient: FindClient,
+  options: FoundingOptions,
 ): Promise<void> => {
   const [founder] = initialMembers.map(({ memberId }) => memberId).toSorted();
   if (founder !== replica.memberId || !replica.isUnused) return;
@@ -80,7 +89,8 @@
   if (members.length < initialMembers.length) return;
   await replica.queue.run(async () => {
     if (!replica.isUnused) return;
-    const membership = create(MembershipSchema, { members, clusterId: randomUUID() });
+    const voterTarget = options.keepsVoterCount ? members.length : 0;
+    const membership = create(MembershipSchema, { members, clusterId: randomUUID(), voterTarget });
     const change = create(LogChangeSchema, { change: { case: 'membership', value: membership } });
     const payload = toBinary(LogChangeSchema, change);
     const entry = decodeEntry({ index: 1, term: FOUNDING_TERM, payload });
--- /dev/null
+++ b/src/process/replication/_lib/joinCluster/index.ts
@@ -0,0 +1,84 @@
+import { create } from '@bufbuild/protobuf';
+
+import {
+  JoinRequestSchema,
+  JoinResponseSchema,
+  MemberSchema,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type {
+  JoinRequest,
+  JoinResponse,
+} from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import { createLogger } from '../../../log/index.js';
+import type { ProposeContext } from '../proposeChange/index.js';
+
+const log = createLogger('replication');
+
+/** Time without a leader after which a member asks to be taken in, in election timeouts. */
+const SILENT_TIMEOUTS = 2;
+
+const FORWARD_TIMEOUT_MS = 500;
+
+/** Tells whether this member has to ask: it has never had a leader, or has lost it for a while. */
+export const needsToJoin = (
+  { replica, findLeadership }: ProposeContext,
+  nowMs: number,
+): boolean => {
+  if (findLeadership() || replica.failure) return false;
+  const { electionTimeoutMinMs } = replica.options.timings;
+  return replica.isUnused || nowMs > replica.guardUntilMs + SILENT_TIMEOUTS * electionTimeoutMinMs;
+};
+
+/**
+ * Asks other control VMs to be taken into their cluster. The leader adds a member that it does not
+ * know as a non-voter, and begins to replicate to it.
+ *
+ * @param context - this member
+ * @param address - `host:port` of this member
+ * @param contacts - addresses of control VMs from the settings
+ */
+export const askToJoin = async (
+  { replica, findClient }: ProposeContext,
+  address: string,
+  contacts: string[],
+): Promise<void> => {
+  const { memberId, diskIdentity, options } = replica;
+  const { dataCentre, timings } = options;
+  const member = create(MemberSchema, { memberId, diskIdentity, address, dataCentre });
+  const known = replica.membership.members.map((other) => other.address);
+  const targets = [...new Set([...contacts, ...known])].filter((target) => target !== address);
+  const request = create(JoinRequestSchema, { member });
+  const answers = await Promise.all(
+    targets.map((target) => findClient(target).join(request, timings.peerTimeoutMs)),
+  );
+  const isTaken = answers.some((answer) => answer.isOk() && answer.value.isMember);
+  if (isTaken && replica.isUnused) log.info({ memberId, address }, 'taken into the cluster');
+};
+
+/**
+ * Answers a member that asks to be taken in: the leader adds it, another member asks the leader.
+ *
+ * @param context - this member
+ * @param request - the member that asks
+ */
+export const handleJoin = async (
+  { replica, findClient, findLeadership }: ProposeContext,
+  request: JoinRequest,
+): Promise<JoinResponse> => {
+  const { members } = replica.membership;
+  const { clusterId } = replica;
+  const refused = create(JoinResponseSchema, { isMember: false, clusterId, members });
+  const { member } = request;
+  if (!member || replica.failure) return refused;
+  const leadership = findLeadership();
+  if (leadership) {
+    const isMember = leadership.addMember(member);
+    log.info({ memberId: member.memberId, address: member.address, isMember }, 'asked to join');
+    return create(JoinResponseSchema, { isMember, clusterId, members });
+  }
+  const leader = members.find(({ memberId }) => memberId === replica.leaderId);
+  if (request.isForwarded || !leader || leader.memberId === replica.memberId) return refused;
+  const forwarded = create(JoinRequestSchema, { member, isForwarded: true });
+  const response = await findClient(leader.address).join(forwarded, FORWARD_TIMEOUT_MS);
+  return response.unwrapOr(refused);
+};
--- /dev/null
+++ b/src/process/replication/_lib/readIndex/index.ts
@@ -0,0 +1,56 @@
+import { create } from '@bufbuild/protobuf';
+
+import { ReadIndexRequestSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { ProposeContext } from '../proposeChange/index.js';
+
+// Pause before the next attempt while no leader confirms.
+const RETRY_MS = 50;
+
+// A leader that does not answer in this time may be lost.
+const FORWARD_TIMEOUT_MS = 400;
+
+const askLeader = async (
+  { replica, findClient, findLeadership }: ProposeContext,
+  deadlineMs: number,
+): Promise<number | undefined> => {
+  const leadership = findLeadership();
+  if (leadership) return leadership.confirmIndex(deadlineMs);
+  const leader = replica.membership.members.find(({ memberId }) => memberId === replica.leaderId);
+  if (!leader || leader.memberId === replica.memberId) return undefined;
+  const remainingMs = Math.max(1, Math.floor(deadlineMs - replica.readNowMs()));
+  const timeoutMs = Math.min(FORWARD_TIMEOUT_MS, remainingMs);
+  const header = replica.createHeader(leader.diskIdentity);
+  const request = create(ReadIndexRequestSchema, { header, timeoutMs });
+  const response = await findClient(leader.address).readIndex(request, timeoutMs);
+  return response.match(
+    ({ isConfirmed, commitIndex }) => (isConfirmed ? commitIndex : undefined),
+    () => undefined,
+  );
+};
+
+/**
+ * Waits until this member holds everything that was accepted before the call. No clock is trusted:
+ * the leader asks a majority after the call whether it still leads, since a suspended leader would
+ * take its lease for valid.
+ *
+ * @param context - this member
+ * @param deadlineMs - monotonic time at which to give up
+ * @returns false when no majority confirmed it in time
+ */
+const awaitNewest = async (context: ProposeContext, deadlineMs: number): Promise<boolean> => {
+  const { replica } = context;
+  const isOpen = (): boolean =>
+    !replica.failure && !context.isStopped() && replica.readNowMs() < deadlineMs;
+  let index: number | undefined;
+  while (index === undefined && isOpen()) {
+    index = await askLeader(context, deadlineMs);
+    if (index === undefined && isOpen()) await replica.changed.wait(RETRY_MS);
+  }
+  if (index === undefined) return false;
+  while (replica.commitIndex < index && isOpen()) {
+    await replica.changed.wait(deadlineMs - replica.readNowMs());
+  }
+  return replica.commitIndex >= index;
+};
+
+export default awaitNewest;
--- a/src/process/replication/_lib/settleChange/index.ts
+++ b/src/process/replication/_lib/settleChange/index.ts
@@ -8,19 +8,33 @@
 export const hasSameContent = (left: AcceptedVersion, right: AcceptedVersion): boolean =>
   Buffer.compare(left.contentHash, right.contentHash) === 0;
 
+/** Returns the refusal of a change that builds on another version than the newest. */
+export const refuseBase = (versions: AcceptedVersions, change: AcceptedVersion): ApplyResult => {
+  const { newest } = versions;
+  return {
+    outcome: ApplyOutcome.BaseMismatch,
+    message: `the change builds on version ${change.baseVersion}, but version ${newest?.version ?? 0} is the newest`,
+    ...(newest && { holder: toHolder(newest) }),
+  };
+};
+
 /**
  * Decides a change by what is committed, which no later event can alter.
  *
  * @param versions - accepted versions as of the last applied entry
  * @param change - the change asked for
- * @returns AlreadyAccepted, Conflict or Stale; undefined when the change can still be accepted
+ * @returns AlreadyAccepted, Conflict, Stale or BaseMismatch; undefined when the change can still be accepted
  */
 export const settleChange = (
   versions: AcceptedVersions,
   change: AcceptedVersion,
 ): ApplyResult | undefined => {
   const { newest } = versions;
-  if (!newest || change.version > newest.version) return undefined;
+  if (!newest) return undefined;
+  if (change.version > newest.version) {
+    const isPassed = change.baseVersion !== undefined && change.baseVersion < newest.version;
+    return isPassed ? refuseBase(versions, change) : undefined;
+  }
   const accepted = versions.find(change.version);
   if (!accepted) {
     return {
--- a/src/process/replication/_lib/timings/index.ts
+++ b/src/process/replication/_lib/timings/index.ts
@@ -9,6 +9,8 @@
   peerTimeoutMs: number;
   /** Longest time that `propose` takes. */
   proposalTimeoutMs: number;
+  /** Silence of a voter after which a non-voter in reserve takes its place. */
+  replaceAfterMs: number;
 }
 
 export const DEFAULT_TIMINGS: ReplicationTimings = {
@@ -19,6 +21,8 @@
   peerTimeoutMs: 600,
   // Covers the loss of a leader: detection and election take under 2 s.
   proposalTimeoutMs: 5_000,
+  // Longer than a restart of a control VM, which is cheaper than a change of membership.
+  replaceAfterMs: 2_000,
 };
 
 export interface ReplicationLimits {
--- a/src/process/replication/_lib/validateChange/index.ts
+++ b/src/process/replication/_lib/validateChange/index.ts
@@ -41,6 +41,8 @@
       requestId,
       acceptedAtMs: BigInt(Math.max(0, Math.floor(nowMs))),
       configuration: encoded,
+      ...(change.baseVersion !== undefined && { baseVersion: change.baseVersion }),
+      ...(change.document && { document: change.document }),
     }),
   );
 };
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -22,15 +22,18 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotLender } from '../lendSlots/index.js';
+import { PeerTracker } from '../trackPeers/index.js';
+import { OwnDialect } from '../speakDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
 
+import type { CallerLimits } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
-import type { ServerSelector } from '../selectServer/index.js';
+import type { ServerSelector, TwoChoicesSelectorOptions } from '../selectServer/index.js';
 
 export type { RequestDirectory };
 
@@ -40,6 +43,9 @@
 /** Bounds the memory of a listener; further connections are closed at once. */
 const MAX_CONNECTIONS = 4_096;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+/** A node that does not accept a connection in this time is avoided; it spans one lost packet. */
+const NODE_CONNECT_TIMEOUT_MS = 450;
 const DRAIN_POLL_MS = 10;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
@@ -48,18 +54,24 @@
 /** Rounds of maintenance between two searches for what is no longer known. */
 const FORGET_EVERY = 50;
 
+/** What a selector can rest its choice on. */
+export type SelectorParts = Pick<
+  TwoChoicesSelectorOptions,
+  'observations' | 'breaker' | 'dataCentre'
+>;
+
+type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService';
+
 export interface RequestServerOptions
-  extends
-    Omit<RequestContext, 'random' | 'getNowMs'>,
-    Partial<Pick<RequestContext, 'random' | 'getNowMs'>> {
+  extends Omit<RequestContext, OptionalContext>, Partial<Pick<RequestContext, OptionalContext>> {
   /** `host:port` for callers. */
   listen: string;
   /** `host:port` for other nodes. */
   forwardListen: string;
   /** Set when `[tls]` is configured: the present material for mutual TLS on `forwardListen`. */
   tls?: () => TlsMaterial;
-  /** Two choices unless given. */
-  selector?: ServerSelector;
+  /** Two choices unless given; the parts are what this node has observed. */
+  createSelector?: (parts: SelectorParts) => ServerSelector;
   /** By failure rate unless given. */
   breaker?: CircuitBreaker;
   /** By share of requests unless given. */
@@ -71,7 +83,7 @@
   idempotencyRetentionMs?: number;
   /** When this node started, in milliseconds since the epoch; the present time unless given. */
   startedAtMs?: number;
-  /** Pause between two probes of the servers beside this node. */
+  /** Pause between two probes of the servers beside this node; 0 for no probes. */
   probeIntervalMs?: number;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
@@ -145,6 +157,8 @@
 
   readonly #borrower = new SlotBorrower();
 
+  readonly #peers = new PeerTracker();
+
   readonly #lender: SlotLender;
 
   readonly #loans: LoanClient;
@@ -165,8 +179,13 @@
       ...options,
       random: options.random ?? Math.random,
       getNowMs: options.getNowMs ?? Date.now,
+      dialect: options.dialect ?? new OwnDialect(),
+      callerService: options.callerService ?? (() => ''),
     };
-    this.#nodePools = new UpstreamPools({ tls: options.tls });
+    this.#nodePools = new UpstreamPools({
+      tls: options.tls,
+      connectTimeoutMs: NODE_CONNECT_TIMEOUT_MS,
+    });
     this.#lender = new SlotLender(options.localServers.record().incarnation);
     this.#loans = new LoanClient(this.#borrower, this.#nodePools);
     this.#probes = new ServerProbes({
@@ -193,7 +212,11 @@
       getRecords: () => options.directory.records(),
       tls: options.tls,
     });
-    const localCaller = new LocalCaller(this.#serverPools, this.#context.getNowMs);
+    const localCaller = new LocalCaller(
+      this.#serverPools,
+      this.#context.dialect,
+      this.#context.getNowMs,
+    );
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const learners = {
       observations: this.#observations,
@@ -206,9 +229,10 @@
         nodePools: this.#nodePools,
         serverPools: this.#serverPools,
         borrower: this.#borrower,
+        peers: this.#peers,
       }),
       selector:
-        options.selector ??
+        options.createSelector?.({ ...learners, dataCentre: options.dataCentre }) ??
         new TwoChoicesSelector({
           ...learners,
           dataCentre: options.dataCentre,
@@ -216,6 +240,7 @@
         }),
       budget: options.budget ?? new RatioRetryBudget(),
       guard: this.#guard,
+      peers: this.#peers,
     });
     const owner = new OwnerHandler(this.#context, localCaller, this.#lender);
     this.#entry = this.#createServer((request, response) => entry.handle(request, response));
@@ -245,7 +270,7 @@
     const listen = await listenOn(this.#entry, this.#options.listen);
     this.#maintenance = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
     this.#maintenance.unref();
-    this.#probes.start();
+    if (this.#options.probeIntervalMs !== 0) this.#probes.start();
     return { listen, forwardListen };
   }
 
@@ -257,6 +282,13 @@
     this.#nodePools.renew();
   }
 
+  /** Takes over the limits of a new version; connections follow from their next request on. */
+  applyLimits(limits: CallerLimits | undefined): void {
+    const idleTimeoutMs = limits?.idleTimeoutMs || KEEP_ALIVE_TIMEOUT_MS;
+    this.#entry.keepAliveTimeout = idleTimeoutMs;
+    this.#entry.headersTimeout = idleTimeoutMs + (limits?.headerTimeoutMs || HEADERS_TIMEOUT_MS);
+  }
+
   /** Stops taking new requests, finishes those in flight, then closes the listeners. */
   async drain(): Promise<void> {
     this.#isDraining = true;
@@ -318,11 +350,14 @@
     this.#serverPools.retain((address) => serverAddresses.has(address));
     this.#nodePools.retain((address) => nodeAddresses.has(address));
     this.#breaker.retain((key) => keys.has(key));
+    const nodeIds = new Set(records.map(({ nodeId }) => nodeId));
+    this.#peers.retain((nodeId) => nodeIds.has(nodeId));
   }
 
   #maintain(): void {
     const nowMs = this.#context.getNowMs();
     this.#context.localServers.expire(nowMs);
+    this.#context.localServers.list().forEach(({ gate }) => gate.refuseHopeless(nowMs));
     this.#observations.forget(nowMs);
     this.#lender.expire(performance.now());
     this.#loans.maintain(performance.now());
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -14,7 +14,9 @@
 import describeKeyError from './describeKeyError.js';
 import { learnOutcome } from './learnOutcome.js';
 import { routeRequest } from './routeRequest.js';
-import { RefusalReason, createNotRun, writeRefusal } from './writeRefusal.js';
+import { ObjectiveClock } from '../trackObjectives/index.js';
+import { TrafficSplit } from '../splitTraffic/index.js';
+import { RefusalReason, createNotRun } from './writeRefusal.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
 import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
@@ -22,6 +24,7 @@
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
+import type { PeerTracker } from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
 import type { Learners } from './learnOutcome.js';
@@ -43,6 +46,7 @@
   selector: ServerSelector;
   budget: RetryBudget;
   guard: IdempotencyGuard;
+  peers: PeerTracker;
 }
 
 /** The attempts of one request so far. */
@@ -51,6 +55,8 @@
   /** Attempts that may have run. */
   runs: number;
   lastError: CallError | undefined;
+  /** Set once an attempt may have run; no later refusal makes that untrue. */
+  runError: CallError | undefined;
 }
 
 const isLive = ({ server, node }: ServerEntry): boolean =>
@@ -80,9 +86,14 @@
 
   #requestCount = 0;
 
+  readonly #split: TrafficSplit;
+
+  readonly #objectives = new ObjectiveClock();
+
   constructor(context: RequestContext, parts: EntryHandlerParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#split = new TrafficSplit(context.random);
     this.#incarnation = context.localServers.record().incarnation.toString(ID_RADIX);
     this.#addedUs = context.metrics.histogram('request_added_us');
     this.#requests = context.metrics.counter('requests_received', { at: 'entry' });
@@ -92,18 +103,25 @@
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#requests.value += 1;
     this.#requestCount += 1;
-    const exchange = new Exchange(request, response);
+    const exchange = new Exchange(request, response, this.#context.dialect.ownHeaders);
     const requestId = `${this.#context.nodeId}-${this.#requestCount.toString(ID_RADIX)}`;
-    const routed = routeRequest(exchange, request, { context: this.#context, requestId });
+    const routed = routeRequest(exchange, request, {
+      context: this.#context,
+      split: this.#split,
+      objectives: this.#objectives,
+      requestId,
+    });
     if ('reason' in routed) {
       this.#refuse(exchange, routed);
       return;
     }
+    exchange.requestId = routed.requestId;
     exchange.startDeadline(routed.deadlineMs - this.#context.getNowMs());
     const body = await exchange.readBody();
     const key = request.headers['idempotency-key'];
-    if (body === BodyState.Incomplete) answerFailure(exchange, undefined);
-    else if (typeof key === 'string' && !routed.route.idempotent) {
+    if (body === BodyState.Incomplete) {
+      answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
+    } else if (typeof key === 'string' && !routed.route.idempotent) {
       await this.#serveKeyed(routed, key);
     } else {
       this.#finish(routed, await this.#serve(routed));
@@ -146,7 +164,12 @@
     routed: RoutedRequest,
     tap?: ResponseTap,
   ): Promise<Result<CallSummary, CallError | undefined>> {
-    const progress: Progress = { tried: new Set(), runs: 0, lastError: undefined };
+    const progress: Progress = {
+      tried: new Set(),
+      runs: 0,
+      lastError: undefined,
+      runError: undefined,
+    };
     this.#parts.budget.addRequest(routed.service, this.#context.getNowMs());
     let mayContinue = true;
     while (mayContinue) {
@@ -157,7 +180,7 @@
       progress.lastError = result.error;
       mayContinue = this.#takeRetry(routed, progress, result.error);
     }
-    return err(progress.lastError);
+    return err(progress.runError ?? progress.lastError);
   }
 
   #finish(routed: RoutedRequest, result: Result<CallSummary, CallError | undefined>): void {
@@ -204,7 +227,10 @@
   /** Decides whether the request is tried again, and takes that retry from the budget. */
   #takeRetry(routed: RoutedRequest, progress: Progress, error: CallError): boolean {
     const target = progress;
-    if (!isCertainlyNotRun(error)) target.runs += 1;
+    if (!isCertainlyNotRun(error)) {
+      target.runs += 1;
+      target.runError = error;
+    }
     const { exchange } = routed;
     const mayRetry = isCertainlyNotRun(error)
       ? routed.outerAttempt === 0 &&
@@ -224,12 +250,15 @@
   }
 
   #select(routed: RoutedRequest, { tried }: Progress): ServerEntry | undefined {
-    const candidates = this.#context.directory
+    const nowMs = this.#context.getNowMs();
+    const live = this.#context.directory
       .serversOf(routed.service)
       .filter((entry) => isLive(entry) && (tried.size === 0 || !tried.has(formatServerKey(entry))));
+    const reachable = live.filter(({ node }) => !this.#parts.peers.isSilent(node.nodeId, nowMs));
+    const candidates = reachable.length > 0 ? reachable : live;
     const selection = this.#parts.selector.select(candidates, {
       service: routed.service,
-      nowMs: this.#context.getNowMs(),
+      nowMs,
       random: this.#context.random,
     });
     if (!isLogged(LogLevel.Debug)) return selection?.entry;
@@ -256,7 +285,7 @@
       this.#refuse(exchange, createNotRun(RefusalReason.NoServer, message));
       return;
     }
-    const refusal = answerFailure(exchange, lastError);
+    const refusal = answerFailure(exchange, lastError, (answer) => this.#write(exchange, answer));
     if (refusal) this.#count(refusal);
   }
 
@@ -267,7 +296,14 @@
 
   #refuse(exchange: Exchange, refusal: Refusal): void {
     this.#count(refusal);
-    writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody });
+    this.#write(exchange, refusal);
+  }
+
+  #write(exchange: Exchange, refusal: Refusal): void {
+    this.#context.dialect.writeRefusal(exchange.response, refusal, {
+      closesConnection: exchange.hasUnreadBody,
+      requestId: exchange.requestId,
+    });
   }
 
   #count(refusal: Refusal): void {
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -24,6 +24,8 @@
   Incomplete = 'INCOMPLETE',
 }
 
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
 const hasStreamedBody = (request: IncomingMessage): boolean =>
   request.headers['transfer-encoding'] !== undefined;
 
@@ -35,6 +37,9 @@
 export class Exchange {
   readonly method: string;
 
+  /** Id of the request, once it is known; callers get it back with a refusal. */
+  requestId: string | undefined;
+
   /** On the clock of `performance.now()`. */
   readonly startedAtMs = performance.now();
 
@@ -62,11 +67,16 @@
 
   #isBodySent = false;
 
-  constructor(request: IncomingMessage, response: ServerResponse) {
+  /** @param ownHeaders - lower-case names of headers that callers must not set */
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    ownHeaders: ReadonlySet<string> = NO_HEADERS,
+  ) {
     this.#request = request;
     this.response = response;
     this.method = request.method ?? 'GET';
-    const copied = copyHeaders(request.rawHeaders, { isRequest: true });
+    const copied = copyHeaders(request.rawHeaders, { isRequest: true, dropped: ownHeaders });
     this.headers = copied.headers;
     this.internal = copied.internal ?? new Map();
     response.on('close', () => this.#handleClose());
@@ -164,6 +174,11 @@
     return result;
   }
 
+  /** Gives up the call in progress, but not the exchange: the request can be sent elsewhere. */
+  cancelCall(reason: string): void {
+    this.#call?.fail(reason);
+  }
+
   /** Closes the connection of the caller, who would otherwise take a part for the whole. */
   destroy(): void {
     this.response.destroy();
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -2,8 +2,13 @@
 
 import type { Result } from 'neverthrow';
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
+import { AnswerVerdict } from '../speakDialect/index.js';
 
-import type { CallSummary, UpstreamCallOptions } from '../../connection/UpstreamCall/index.js';
+import type {
+  CallSummary,
+  ResponseHead,
+  UpstreamCallOptions,
+} from '../../connection/UpstreamCall/index.js';
 import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type {
   GateRefusal,
@@ -11,6 +16,7 @@
   LocalServer,
   SlotDemand,
 } from '../../process/localServers/index.js';
+import type { TrafficDialect } from '../speakDialect/index.js';
 import type { Exchange } from './Exchange.js';
 
 const SERVICE_UNAVAILABLE = 503;
@@ -22,8 +28,18 @@
   routeName: string;
   isIdempotent: boolean;
   isRetry: boolean;
-  /** In milliseconds since the epoch. */
+  /** On the clock of the node. */
   deadlineMs: number;
+  objectiveAtMs: number | undefined;
+  /** 0 is the most urgent. */
+  priority: number;
+  requestId: string;
+}
+
+/** Where a request goes; headers are created once a slot is taken, since they hold the time left. */
+export interface LocalTarget {
+  path: string;
+  createHeaders: () => string[];
 }
 
 const toDemand = (local: LocalServer, work: LocalWork): SlotDemand => ({
@@ -32,16 +48,22 @@
   // Orders are as urgent as quick lookups, however long they take.
   isSlow: work.isIdempotent && local.latencies.isSlow(work.routeName),
   leastServiceMs: (local.latencies.get(work.routeName)?.floorMs ?? 0) * LEAST_SERVICE_SHARE,
+  meanServiceMs: local.latencies.get(work.routeName)?.meanMs ?? 0,
+  objectiveAtMs: work.objectiveAtMs,
+  priority: work.priority,
 });
 
 /** Calls the backend servers beside this node, each within its slots. */
 export default class LocalCaller {
   readonly #pools: UpstreamPools;
 
+  readonly #dialect: TrafficDialect;
+
   readonly #getNowMs: () => number;
 
-  constructor(pools: UpstreamPools, getNowMs: () => number) {
+  constructor(pools: UpstreamPools, dialect: TrafficDialect, getNowMs: () => number) {
     this.#pools = pools;
+    this.#dialect = dialect;
     this.#getNowMs = getNowMs;
   }
 
@@ -51,33 +73,63 @@
    * @param exchange - request and response
    * @param local - server beside this node
    * @param work - route, deadline and priority
-   * @param target - path and headers for the server
+   * @param target - path, and headers for the server
    * @param options - handling of the response head
    */
   async call(
     exchange: Exchange,
     local: LocalServer,
     work: LocalWork,
-    target: { path: string; headers: string[] },
+    target: LocalTarget,
     options: Omit<UpstreamCallOptions, 'isNode'> = {},
   ): Promise<Result<CallSummary, CallError>> {
     const demand = toDemand(local, work);
     const refusal = await this.#takeSlot(exchange, local, demand);
     if (refusal !== undefined) {
       const code = exchange.isOver ? CallErrorCode.Cancelled : CallErrorCode.Refused;
-      return err(new CallError(code, refusal, { isWritten: false }));
+      const retryAfterMs = local.gate.estimateWaitMs();
+      return err(new CallError(code, refusal, { isWritten: false, retryAfterMs }));
     }
     const { server, gate } = local;
     const startedAtMs = performance.now();
     const inFlight = gate.used;
-    const pool = this.#pools.get(server.address, server.connections);
-    const result = await exchange.call(pool, target, { ...options, isNode: false });
+    const pool = work.isIdempotent
+      ? this.#pools.get(server.address, server.connections)
+      : this.#pools.openSingle(server.address);
+    const { path } = target;
+    const result = await exchange.call(
+      pool,
+      { path, headers: target.createHeaders() },
+      {
+        ...options,
+        isNode: false,
+        judge: (head) => this.#judge(head, work),
+      },
+    );
+    if (!work.isIdempotent) this.#pools.closeSingle(pool);
     const heldMs = performance.now() - startedAtMs;
     const sample = this.#learn(exchange, local, work.routeName, { inFlight, result });
     gate.release(demand, heldMs, this.#getNowMs(), sample);
     return result;
   }
 
+  /** Recognizes a server that did not run the request, and bytes that do not answer it. */
+  #judge(head: ResponseHead, work: LocalWork): CallError | undefined {
+    switch (this.#dialect.judgeAnswer(head, work.requestId)) {
+      case AnswerVerdict.NotRun: {
+        const message = `the server answered ${head.statusCode}: not run`;
+        const options = { isWritten: true, isServerRefusal: true };
+        return new CallError(CallErrorCode.Refused, message, options);
+      }
+      case AnswerVerdict.Foreign: {
+        const message = 'the response does not belong to the request';
+        return new CallError(CallErrorCode.NoResponse, message, { isWritten: true });
+      }
+      default:
+        return undefined;
+    }
+  }
+
   #learn(
     exchange: Exchange,
     local: LocalServer,
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { readLoad } from '../../process/localServers/index.js';
+import { readOccupancy } from '../../process/localServers/index.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import {
   ATTEMPT_HEADER,
@@ -42,7 +42,7 @@
 
   /** Handles one forwarded request; never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange = new Exchange(request, response);
+    const exchange = new Exchange(request, response, this.#context.dialect.ownHeaders);
     const loans = exchange.internal.get(LOANS_HEADER);
     if (loans !== undefined) {
       this.#answerLoans(response, loans);
@@ -60,6 +60,9 @@
       this.#refuse(exchange, createNotRun(RefusalReason.UnknownServer, message));
       return;
     }
+    exchange.requestId = call.requestId;
+    // Tells the entry node that the connection works, however long the server takes.
+    response.writeProcessing();
     await this.#forward(exchange, call, local, request.url ?? '/');
   }
 
@@ -83,18 +86,24 @@
       isIdempotent: call.isIdempotent,
       isRetry: attempt > 0,
       deadlineMs: nowMs + remainingMs,
+      objectiveAtMs: call.objectiveMs > 0 ? nowMs + call.objectiveMs : undefined,
+      priority: call.priority,
+      requestId: call.requestId,
     };
-    const elapsedMs = this.#context.getNowMs() - nowMs;
-    const headers = [
+    const createHeaders = (): string[] => [
       ...exchange.headers,
-      DEADLINE_HEADER,
-      String(Math.max(0, remainingMs - elapsedMs)),
-      ...(attempt > 0 ? [ATTEMPT_HEADER, String(attempt)] : []),
+      ...this.#context.dialect.createServerHeaders({
+        requestId: call.requestId,
+        serverId: call.serverId,
+        callerService: call.callerService,
+        remainingMs: work.deadlineMs - this.#context.getNowMs(),
+        attempt,
+      }),
     ];
-    const target = { path, headers };
+    const target = { path, createHeaders };
     const result = await this.#caller.call(exchange, local, work, target, {
       onHead: (head) => {
-        head.headers.push(LOAD_HEADER, formatLoad(readLoad(local, this.#context.getNowMs())));
+        head.headers.push(LOAD_HEADER, formatLoad(readOccupancy(local, this.#context.getNowMs())));
         if (exchange.internal.has(GRANT_WANTED_HEADER)) this.#lend(local, head.headers);
       },
     });
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'neverthrow';
-import { readLoad } from '../../process/localServers/index.js';
+import { readOccupancy } from '../../process/localServers/index.js';
 import {
   ATTEMPT_HEADER,
   CALL_HEADER,
@@ -11,6 +11,9 @@
   parseLoad,
 } from './callHeader.js';
 
+import { CallErrorCode } from '../../connection/CallError/index.js';
+import { createLogger } from '../../process/log/index.js';
+
 import type { CallError } from '../../connection/CallError/index.js';
 import type {
   CallSummary,
@@ -23,9 +26,18 @@
 import type { BorrowedSlot, SlotBorrower } from '../borrowSlots/index.js';
 import type { ServerObservation } from '../observeServers/index.js';
 import type LocalCaller from './LocalCaller.js';
+import type { PeerTracker } from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type { RoutedRequest } from './routeRequest.js';
 
+const log = createLogger('hop');
+
+/**
+ * Time in which a node acknowledges a request: a round trip, a retransmission and a busy processor. A
+ * connection over a cut link stays silent without an error.
+ */
+const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
+
 /** Connections to one other node. */
 const MAX_NODE_CONNECTIONS = 256;
 
@@ -49,6 +61,7 @@
   /** Direct connections to servers beside other nodes. */
   serverPools: UpstreamPools;
   borrower: SlotBorrower;
+  peers: PeerTracker;
 }
 
 /** Sends a request to a chosen server, directly or through the node beside it. */
@@ -78,15 +91,21 @@
   #callBeside(attempt: Attempt, local: LocalServer): Promise<Result<CallSummary, CallError>> {
     const { routed, observation, number, shouldWithhold, tap } = attempt;
     const nowMs = this.#context.getNowMs();
-    observation.reportedLoad = readLoad(local, nowMs);
+    observation.reportedLoad = readOccupancy(local, nowMs);
     observation.reportedLoadAtMs = nowMs;
     const work = {
       routeName: routed.route.name,
       isIdempotent: routed.route.idempotent,
       isRetry: number > 0,
       deadlineMs: routed.deadlineMs,
+      objectiveAtMs: routed.objectiveAtMs,
+      priority: routed.route.priority,
+      requestId: routed.requestId,
+    };
+    const target = {
+      path: routed.path,
+      createHeaders: () => this.#createServerHeaders(attempt),
     };
-    const target = { path: routed.path, headers: this.#createHeaders(attempt) };
     return this.#parts.localCaller.call(routed.exchange, local, work, target, {
       shouldWithhold,
       tap,
@@ -107,15 +126,17 @@
     const { directAddress, connections } = entry.server;
     this.#directCalls.value += 1;
     const pool = this.#parts.serverPools.get(directAddress, connections);
-    const target = { path: routed.path, headers: this.#createHeaders(attempt) };
+    const target = { path: routed.path, headers: this.#createServerHeaders(attempt) };
     const result = await routed.exchange.call(pool, target, { isNode: false, shouldWithhold, tap });
     this.#parts.borrower.release(slot);
     return result;
   }
 
-  #forward(attempt: Attempt): Promise<Result<CallSummary, CallError>> {
+  async #forward(attempt: Attempt): Promise<Result<CallSummary, CallError>> {
     const { routed, entry } = attempt;
-    const headers = this.#createHeaders(attempt);
+    const { exchange, route, objectiveAtMs } = routed;
+    const { nodeId, forwardAddress } = entry.node;
+    const headers = this.#createNodeHeaders(attempt);
     const call = {
       serverId: entry.server.serverId,
       routeName: routed.route.name,
@@ -123,21 +144,56 @@
       requestId: routed.requestId,
       version: routed.version,
       entryNodeId: this.#context.nodeId,
+      callerService: this.#context.callerService(),
+      priority: route.priority,
+      objectiveMs:
+        objectiveAtMs === undefined
+          ? 0
+          : Math.max(1, Math.floor(objectiveAtMs - this.#context.getNowMs())),
     };
     headers.push(CALL_HEADER, formatCallHeader(call));
     if (entry.server.directAddress !== '') headers.push(GRANT_WANTED_HEADER, '1');
     const askedAtMs = performance.now();
-    const pool = this.#parts.nodePools.get(entry.node.forwardAddress, MAX_NODE_CONNECTIONS);
-    return routed.exchange.call(
+    const pool = this.#parts.nodePools.get(forwardAddress, MAX_NODE_CONNECTIONS);
+    const { peers } = this.#parts;
+    const silence = setTimeout(() => this.#noteSilent(attempt), ACKNOWLEDGEMENT_TIMEOUT_MS);
+    const noteAlive = (): void => {
+      clearTimeout(silence);
+      peers.noteAlive(nodeId);
+    };
+    const result = await exchange.call(
       pool,
       { path: routed.path, headers },
       {
         isNode: true,
         shouldWithhold: attempt.shouldWithhold,
         tap: attempt.tap,
-        onHead: (head) => this.#readReports(attempt, head, askedAtMs),
+        onAcknowledged: noteAlive,
+        onHead: (head) => {
+          noteAlive();
+          this.#readReports(attempt, head, askedAtMs);
+        },
       },
     );
+    clearTimeout(silence);
+    const isUnreachable = result.isErr() && result.error.code === CallErrorCode.NotWritten;
+    if (isUnreachable && !exchange.isOver) peers.noteSilent(nodeId, this.#context.getNowMs());
+    return result;
+  }
+
+  /**
+   * Gives up the connections to a node that did not acknowledge. An idempotent request goes to another
+   * one; any other may be running and keeps its connection until its deadline.
+   */
+  #noteSilent({ routed, entry }: Attempt): void {
+    const { nodeId, forwardAddress } = entry.node;
+    const nowMs = this.#context.getNowMs();
+    const isNews = this.#parts.peers.noteSilent(nodeId, nowMs);
+    if (isNews)
+      log.warn({ nodeId, requestId: routed.requestId }, 'node does not acknowledge requests');
+    if (isNews) this.#parts.nodePools.retire(forwardAddress);
+    if (routed.route.idempotent)
+      routed.exchange.cancelCall('node does not acknowledge the request');
   }
 
   #readReports(attempt: Attempt, head: ResponseHead, askedAtMs: number): void {
@@ -153,8 +209,20 @@
     observation.reportedLoadAtMs = this.#context.getNowMs();
   }
 
-  #createHeaders({ routed, number }: Attempt): string[] {
-    const remainingMs = Math.max(0, routed.deadlineMs - this.#context.getNowMs());
+  #createServerHeaders({ routed, entry, number }: Attempt): string[] {
+    const { dialect, callerService, getNowMs } = this.#context;
+    const facts = {
+      requestId: routed.requestId,
+      serverId: entry.server.serverId,
+      callerService: callerService(),
+      remainingMs: routed.deadlineMs - getNowMs(),
+      attempt: number,
+    };
+    return [...routed.exchange.headers, ...dialect.createServerHeaders(facts)];
+  }
+
+  #createNodeHeaders({ routed, number }: Attempt): string[] {
+    const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
     return headers;
--- a/src/request/_lib/answerFailure.ts
+++ b/src/request/_lib/answerFailure.ts
@@ -30,9 +30,11 @@
     case CallErrorCode.NotWritten:
       return createNotRun(RefusalReason.NotConnected, error.message);
     case CallErrorCode.Refused:
-      return createNotRun(RefusalReason.NoSlot, error.message, {
-        retryAfterMs: error.options.retryAfterMs,
-      });
+      return createNotRun(
+        error.options.isServerRefusal ? RefusalReason.ServerRefused : RefusalReason.NoSlot,
+        error.message,
+        { retryAfterMs: error.options.retryAfterMs },
+      );
     case CallErrorCode.Shed:
     case CallErrorCode.NoResponse:
       return createUnknown(RefusalReason.NoResponse, error.message);
@@ -52,17 +54,20 @@
  *
  * @param exchange - request and response
  * @param error - failure of the last call; undefined when nothing was sent
+ * @param write - writes the answer; as between nodes unless given
  * @returns the answer, or undefined when the connection was ended instead
  */
 export const answerFailure = (
   exchange: Exchange,
   error: CallError | undefined,
+  write: (refusal: Refusal) => void = (refusal) =>
+    writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody }),
 ): Refusal | undefined => {
   if (exchange.response.headersSent || exchange.isCallerGone) {
     exchange.destroy();
     return undefined;
   }
   const refusal = describeFailure(exchange, error);
-  writeRefusal(exchange.response, refusal, { closesConnection: exchange.hasUnreadBody });
+  write(refusal);
   return refusal;
 };
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -11,8 +11,10 @@
 /** Share of the slots of the server in use, as its node counts them. */
 export const LOAD_HEADER = 'foxtailvane-load';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
+/** Expected time until the server has room, in milliseconds; sent with a refusal. */
+export const RETRY_AFTER_HEADER = 'foxtailvane-retry-after-ms';
 
-const FIELD_COUNT = 6;
+const FIELD_COUNT = 9;
 const MAX_CACHED_ENCODINGS = 4_096;
 
 /** What a forwarded request carries for the node beside the server. */
@@ -24,6 +26,12 @@
   version: number;
   /** Node that received the request from the caller. */
   entryNodeId: string;
+  /** Service beside that node; empty when there is none. */
+  callerService: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Time within which a response is of full use; 0 when unknown or past. */
+  objectiveMs: number;
 }
 
 const encodings = new Map<string, string>();
@@ -48,16 +56,31 @@
 };
 
 export const formatCallHeader = (call: ForwardedCall): string =>
-  `${encode(call.serverId)};${encode(call.routeName)};${call.isIdempotent ? 1 : 0};${
-    call.requestId
-  };${call.version};${encode(call.entryNodeId)}`;
+  `${encode(call.serverId)};${encode(call.routeName)};${call.isIdempotent ? 1 : 0};${encodeURIComponent(
+    call.requestId,
+  )};${call.version};${encode(call.entryNodeId)};${encode(call.callerService)};${call.priority};${
+    call.objectiveMs
+  }`;
+
+/**
+ * Reads a header that holds a whole number.
+ *
+ * @returns undefined when it is absent or not a whole number
+ */
+export const parseCount = (value: string | undefined): number | undefined =>
+  value !== undefined && /^\d{1,9}$/.test(value) ? Number(value) : undefined;
 
 /** Returns undefined when the header is absent or malformed. */
 export const parseCallHeader = (value: string | undefined): ForwardedCall | undefined => {
   const parts = value?.split(';') ?? [];
   if (parts.length !== FIELD_COUNT) return undefined;
-  const [serverId, routeName, idempotent, requestId, version, entryNodeId] = parts.map(decode);
+  const [serverId, routeName, idempotent, requestId, version, entryNodeId, ...rest] =
+    parts.map(decode);
+  const [callerService = '', priorityText, objectiveText] = rest;
+  const priority = parseCount(priorityText);
+  const objectiveMs = parseCount(objectiveText);
   if (!serverId || !requestId || !entryNodeId) return undefined;
+  if (priority === undefined || objectiveMs === undefined) return undefined;
   return {
     serverId,
     routeName: routeName ?? '',
@@ -65,6 +88,9 @@
     requestId,
     version: Number(version),
     entryNodeId,
+    callerService,
+    priority,
+    objectiveMs,
   };
 };
 
@@ -91,11 +117,3 @@
 /** Returns the share of slots in use, or undefined when the header is absent or malformed. */
 export const parseLoad = (value: string | undefined): number | undefined =>
   value !== undefined && /^\d{1,3}\.\d{1,4}$/.test(value) ? Number(value) : undefined;
-
-/**
- * Reads a header that holds a whole number.
- *
- * @returns undefined when it is absent or not a whole number
- */
-export const parseCount = (value: string | undefined): number | undefined =>
-  value !== undefined && /^\d{1,9}$/.test(value) ? Number(value) : undefined;
--- a/src/request/_lib/learnOutcome.ts
+++ b/src/request/_lib/learnOutcome.ts
@@ -23,7 +23,9 @@
   const { breaker } = learners;
   const { key, observation, routed } = attempt;
   const isTimeout = routed.exchange.isPastDeadline && error.options.isWritten;
-  if (error.code === CallErrorCode.Refused) {
+  if (error.options.isServerRefusal) {
+    breaker.addFailure(key, nowMs);
+  } else if (error.code === CallErrorCode.Refused) {
     observation.lastRefusalAtMs = nowMs;
     breaker.addUndecided(key);
   } else if (error.code === CallErrorCode.Cancelled && !isTimeout) {
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -1,11 +1,12 @@
 import type { IncomingMessage } from 'node:http';
-import { ATTEMPT_HEADER, DEADLINE_HEADER, parseCount } from './callHeader.js';
+import { ATTEMPT_HEADER, parseCount } from './callHeader.js';
 import { parseTarget } from './parseTarget.js';
-import pickTarget from './pickTarget.js';
 import { RefusalReason, createNotRun } from './writeRefusal.js';
 
 import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { Exchange } from './Exchange.js';
+import type { TrafficSplit } from '../splitTraffic/index.js';
+import type { ObjectiveClock } from '../trackObjectives/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type { Refusal } from './writeRefusal.js';
 
@@ -23,6 +24,8 @@
   path: string;
   /** In milliseconds since the epoch. */
   deadlineMs: number;
+  /** Time up to which a response is of full use; undefined when the route has no such time. */
+  objectiveAtMs: number | undefined;
   /** Attempts that outer layers already made; such a request is not retried here. */
   outerAttempt: number;
 }
@@ -32,15 +35,22 @@
  *
  * @param exchange - the request
  * @param request - its head
- * @param options - node context and the id that the request gets
+ * @param options - node context, the state that routes share, and the id that the request gets
+ *   unless the caller gave it one
  * @returns the routed request, or why it was refused
  */
 export const routeRequest = (
   exchange: Exchange,
   request: IncomingMessage,
-  options: { context: RequestContext; requestId: string },
+  options: {
+    context: RequestContext;
+    split: TrafficSplit;
+    objectives: ObjectiveClock;
+    requestId: string;
+  },
 ): RoutedRequest | Refusal => {
-  const { context, requestId } = options;
+  const { context } = options;
+  const caller = context.dialect.readCaller(request);
   const compiled = context.current();
   if (!compiled) {
     return createNotRun(RefusalReason.NoConfiguration, 'this node holds no configuration yet');
@@ -55,19 +65,30 @@
     const message = `no route for ${exchange.method} ${target.host} ${target.path}`;
     return createNotRun(RefusalReason.NoRoute, message, { statusCode: 404 });
   }
-  const service = pickTarget(route, context.random());
+  const limitBytes = compiled.configuration.limits?.maxBodyBytes ?? 0;
+  if (limitBytes > 0 && Number(request.headers['content-length'] ?? 0) > limitBytes) {
+    const message = `the body is longer than ${limitBytes} bytes`;
+    return createNotRun(RefusalReason.BodyTooLarge, message, { statusCode: 413 });
+  }
+  const service = options.split.next(route);
+  if (service === undefined) {
+    const message = `route ${route.name} sends no traffic to any service`;
+    return createNotRun(RefusalReason.NoServer, message);
+  }
   const timeoutMs =
     route.timeoutMs || compiled.findService(service)?.timeoutMs || DEFAULT_TIMEOUT_MS;
-  const callerMs = parseCount(exchange.internal.get(DEADLINE_HEADER)) ?? timeoutMs;
+  const callerMs = caller.remainingMs ?? timeoutMs;
+  const nowMs = context.getNowMs();
   return {
     exchange,
-    requestId,
+    requestId: caller.requestId ?? options.requestId,
     version: compiled.version,
     route,
     service,
     host: target.host,
     path: target.pathWithQuery,
-    deadlineMs: context.getNowMs() + Math.min(timeoutMs, callerMs),
+    deadlineMs: nowMs + Math.min(timeoutMs, callerMs),
+    objectiveAtMs: options.objectives.find(route, callerMs, nowMs),
     outerAttempt: parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0,
   };
 };
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { RETRY_AFTER_HEADER } from './callHeader.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -17,6 +18,9 @@
   UnknownServer = 'UNKNOWN_SERVER',
   NodeDraining = 'NODE_DRAINING',
   NoSlot = 'NO_SLOT',
+  /** The server itself answered that it did not run the request. */
+  ServerRefused = 'SERVER_REFUSED',
+  BodyTooLarge = 'BODY_TOO_LARGE',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
   NotConnected = 'NOT_CONNECTED',
@@ -45,7 +49,7 @@
 export const createNotRun = (
   reason: RefusalReason,
   message: string,
-  options: { statusCode?: number; retryAfterMs?: number } = {},
+  options: { statusCode?: number; retryAfterMs?: number | undefined } = {},
 ): Refusal => ({
   statusCode: options.statusCode ?? 503,
   outcome: RequestOutcome.NotRun,
@@ -93,6 +97,9 @@
     'foxtailvane-reason',
     refusal.reason,
   ];
+  if (refusal.outcome === RequestOutcome.NotRun && refusal.retryAfterMs !== undefined) {
+    headers.push(RETRY_AFTER_HEADER, String(Math.round(refusal.retryAfterMs)));
+  }
   if (refusal.statusCode === 503) {
     const seconds = Math.ceil((refusal.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS) / MS_PER_SECOND);
     headers.push('retry-after', String(Math.max(1, seconds)));
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -11,4 +11,6 @@
   RequestDirectory,
   RequestServerOptions,
 } from './RequestServer/index.js';
+export { RefusalReason, RequestOutcome } from './_lib/writeRefusal.js';
+export type { Refusal } from './_lib/writeRefusal.js';
 export type { Selection, SelectionContext } from './selectServer/index.js';
--- /dev/null
+++ b/src/request/speakDialect/OwnDialect.ts
@@ -0,0 +1,38 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ATTEMPT_HEADER, DEADLINE_HEADER, parseCount } from '../_lib/callHeader.js';
+import { writeRefusal } from '../_lib/writeRefusal.js';
+import { AnswerVerdict, TrafficDialect } from './TrafficDialect.js';
+
+import type { Refusal } from '../_lib/writeRefusal.js';
+import type { CallerFacts, RefusalOptions, ServerFacts } from './TrafficDialect.js';
+
+const readHeader = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+/** The interface that `docs/interfaces.md` describes. */
+export default class OwnDialect extends TrafficDialect {
+  /** Headers with the internal prefix are set aside at every hop. */
+  override readonly ownHeaders: ReadonlySet<string> = new Set();
+
+  override readCaller(request: IncomingMessage): CallerFacts {
+    return {
+      requestId: undefined,
+      remainingMs: parseCount(readHeader(request, DEADLINE_HEADER)),
+    };
+  }
+
+  override writeRefusal(response: ServerResponse, refusal: Refusal, options: RefusalOptions): void {
+    writeRefusal(response, refusal, options);
+  }
+
+  override createServerHeaders({ remainingMs, attempt }: ServerFacts): string[] {
+    const headers = [DEADLINE_HEADER, String(Math.max(0, Math.floor(remainingMs)))];
+    return attempt > 0 ? [...headers, ATTEMPT_HEADER, String(attempt)] : headers;
+  }
+
+  override judgeAnswer(): AnswerVerdict {
+    return AnswerVerdict.Answer;
+  }
+}
--- /dev/null
+++ b/src/request/splitTraffic/index.ts
@@ -0,0 +1,60 @@
+/** Choice of the service of a request by the weights of its route. */
+import type { Route, RouteTarget } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+/** Routes whose rotation is kept; those unused for longest are dropped beyond it. */
+const MAX_ROUTES = 4_096;
+
+const weightOf = (route: Route, target: RouteTarget): number =>
+  route.hasRelativeWeights ? target.relativeWeight : target.weightPercent;
+
+/** Credits of the targets of one route; the target with the most is next. */
+type Credits = Map<string, number>;
+
+/**
+ * Smooth weighted rotation, so that each target gets its share of any few hundred requests. Random
+ * draws miss a share by several per cent over the same number.
+ *
+ * @example
+ * const service = new TrafficSplit().next(route);
+ */
+export class TrafficSplit {
+  readonly #creditsByRoute = new Map<string, Credits>();
+
+  readonly #random: () => number;
+
+  /** @param random - uniform in [0, 1); spreads the first turns of many nodes */
+  constructor(random: () => number) {
+    this.#random = random;
+  }
+
+  /**
+   * Returns the service of the next request of a route.
+   *
+   * @param route - its weights, in percent or relative to each other
+   * @returns the service; undefined when no target has a weight above 0
+   */
+  next(route: Route): string | undefined {
+    const weighted = route.targets.filter((target) => weightOf(route, target) > 0);
+    if (weighted.length <= 1) return weighted[0]?.service;
+    const credits = this.#creditsOf(route, weighted);
+    const total = weighted.reduce((sum, target) => sum + weightOf(route, target), 0);
+    weighted.forEach((target) => {
+      const credit = credits.get(target.service) ?? 0;
+      credits.set(target.service, credit + weightOf(route, target) / total);
+    });
+    const chosen = weighted.reduce((best, target) =>
+      (credits.get(target.service) ?? 0) > (credits.get(best.service) ?? 0) ? target : best,
+    );
+    credits.set(chosen.service, (credits.get(chosen.service) ?? 0) - 1);
+    return chosen.service;
+  }
+
+  #creditsOf(route: Route, weighted: RouteTarget[]): Credits {
+    const known = this.#creditsByRoute.get(route.name);
+    if (known) return known;
+    if (this.#creditsByRoute.size >= MAX_ROUTES) this.#creditsByRoute.clear();
+    const created: Credits = new Map(weighted.map(({ service }) => [service, this.#random() / 2]));
+    this.#creditsByRoute.set(route.name, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/request/trackObjectives/index.ts
@@ -0,0 +1,34 @@
+/** The time up to which a response is of full use to a caller, over its repeats of a request. */
+import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+
+/** Routes that are remembered; the oldest ones are dropped beyond it. */
+const MAX_ROUTES = 4_096;
+/** Share of the objective that a request keeps however little time its caller states. */
+const LEAST_SHARE = 0.25;
+
+/**
+ * A caller that comes back after a refusal states less remaining time than at first, while its
+ * objective still counts from its first attempt. The longest remaining time seen on a route tells how
+ * much of it has passed.
+ */
+export class ObjectiveClock {
+  readonly #longestMsByRoute = new Map<string, number>();
+
+  /**
+   * Returns the end of the objective of a request.
+   *
+   * @param route - its route
+   * @param remainingMs - time for which the caller still waits
+   * @param nowMs - present time in milliseconds
+   * @returns time in milliseconds; undefined when the route has no target latency
+   */
+  find(route: Route, remainingMs: number, nowMs: number): number | undefined {
+    const { name, targetLatencyMs } = route;
+    if (targetLatencyMs === 0) return undefined;
+    const longestMs = Math.max(remainingMs, this.#longestMsByRoute.get(name) ?? 0);
+    if (this.#longestMsByRoute.size >= MAX_ROUTES) this.#longestMsByRoute.clear();
+    this.#longestMsByRoute.set(name, longestMs);
+    const leftMs = targetLatencyMs - (longestMs - remainingMs);
+    return nowMs + Math.max(targetLatencyMs * LEAST_SHARE, leftMs);
+  }
+}
--- a/src/version/applyDelta/index.ts
+++ b/src/version/applyDelta/index.ts
@@ -52,6 +52,7 @@
     contentHash: delta.contentHash,
     services: mergeRows(base.services, delta.upsertedServices, delta.removedServices),
     routes: mergeRows(base.routes, delta.upsertedRoutes, delta.removedRoutes),
+    ...(delta.limits && { limits: delta.limits }),
   });
   if (!verifyHash(next)) {
     const message = `content of version ${delta.version} does not match its hash after the delta`;
--- a/src/version/compileConfiguration/_lib/checkConfiguration.ts
+++ b/src/version/compileConfiguration/_lib/checkConfiguration.ts
@@ -30,6 +30,17 @@
     : new ConfigurationError(ConfigurationErrorCode.UnknownService, message);
 };
 
+const findRelativeWeightError = (routes: Route[]): Violation => {
+  const isUsable = (weight: number): boolean => Number.isFinite(weight) && weight >= 0;
+  const route = routes.find(
+    ({ targets }) =>
+      targets.length === 0 || !targets.every(({ relativeWeight }) => isUsable(relativeWeight)),
+  );
+  if (route === undefined) return undefined;
+  const message = `route ${route.name} has no targets or a weight that is not a number of at least 0`;
+  return new ConfigurationError(ConfigurationErrorCode.WeightSum, message);
+};
+
 const sumWeights = (route: Route): number =>
   route.targets.reduce((sum, target) => sum + target.weightPercent, 0);
 
@@ -68,7 +79,8 @@
     findDuplicate('service', configuration.services) ??
     findDuplicate('route', configuration.routes) ??
     findUnknownService(configuration.routes, services) ??
-    findWeightError(configuration.routes);
+    findWeightError(configuration.routes.filter((route) => !route.hasRelativeWeights)) ??
+    findRelativeWeightError(configuration.routes.filter((route) => route.hasRelativeWeights));
   return violation === undefined ? ok(configuration) : err(violation);
 };
 
--- a/src/version/createDelta/index.ts
+++ b/src/version/createDelta/index.ts
@@ -70,6 +70,7 @@
         equals(RouteSchema, left, right),
       ),
       removedRoutes: selectRemoved(base.routes, next.routes),
+      ...(next.limits && { limits: next.limits }),
     }),
   );
 };
--- a/src/version/hashConfiguration/index.ts
+++ b/src/version/hashConfiguration/index.ts
@@ -2,13 +2,19 @@
 
 import { create, toBinary } from '@bufbuild/protobuf';
 
-import type { Route, Service } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type {
+  CallerLimits,
+  Route,
+  Service,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 
 /** The rows of a configuration, without its version. */
 export interface ConfigurationContent {
   services: Service[];
   routes: Route[];
+  /** Absent when the operator leaves the defaults. */
+  limits?: CallerLimits | undefined;
 }
 
 const compareNames = (left: { name: string }, right: { name: string }): number => {
@@ -19,7 +25,7 @@
 /**
  * Computes the content hash of a configuration, independent of version and row order.
  *
- * @param content - services and routes in any order
+ * @param content - services and routes in any order, and limits
  * @returns SHA-256 digest, 32 bytes
  *
  * @example
@@ -29,6 +35,7 @@
   const canonical = create(ConfigurationSchema, {
     services: content.services.toSorted(compareNames),
     routes: content.routes.toSorted(compareNames),
+    ...(content.limits && { limits: content.limits }),
   });
   return createHash('sha256').update(toBinary(ConfigurationSchema, canonical)).digest();
 };
--- a/stand-ins/FakeControlLog/index.ts
+++ b/stand-ins/FakeControlLog/index.ts
@@ -1,5 +1,8 @@
 /** A control log whose outcomes a test chooses. */
 import { create } from '@bufbuild/protobuf';
+import { ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
 
 import type {
   ApplyResult,
@@ -32,6 +35,7 @@
   ...member,
   diskIdentity: member.memberId,
   address: '127.0.0.1:7400',
+  dataCentre: 'dc-1',
   isVoter: true,
   matchIndex: 9,
 }));
@@ -63,6 +67,10 @@
     return this.holder && { configuration: this.configuration, holder: this.holder, logIndex: 9 };
   }
 
+  readNewest(): Promise<Result<CommittedConfiguration | undefined, never>> {
+    return Promise.resolve(ok(this.committed()));
+  }
+
   committedVersion(): undefined {}
 
   isConfirmed(): boolean {
--- a/stand-ins/FaultyPeerClient/index.ts
+++ b/stand-ins/FaultyPeerClient/index.ts
@@ -8,6 +8,10 @@
   DescribeResponse,
   ForwardRequest,
   ForwardResponse,
+  JoinRequest,
+  JoinResponse,
+  ReadIndexRequest,
+  ReadIndexResponse,
   SnapshotRequest,
   SnapshotResponse,
   VoteRequest,
@@ -76,6 +80,17 @@
     return this.#send('forward', timeoutMs, () => this.#client.forward(request, timeoutMs));
   }
 
+  readIndex(
+    request: ReadIndexRequest,
+    timeoutMs: number,
+  ): Promise<Result<ReadIndexResponse, PeerError>> {
+    return this.#send('readIndex', timeoutMs, () => this.#client.readIndex(request, timeoutMs));
+  }
+
+  join(request: JoinRequest, timeoutMs: number): Promise<Result<JoinResponse, PeerError>> {
+    return this.#send('join', timeoutMs, () => this.#client.join(request, timeoutMs));
+  }
+
   close(): void {
     this.#client.close();
   }
--- a/stand-ins/createTestReplica/index.ts
+++ b/stand-ins/createTestReplica/index.ts
@@ -60,6 +60,7 @@
     createIdentity: () => TEST_IDENTITY,
   });
   const replica = new Replica(unwrapResult(opened), {
+    dataCentre: '',
     memberId: 'c1',
     timings: DEFAULT_TIMINGS,
     limits: DEFAULT_LIMITS,
--- a/stand-ins/distributionCluster/FakeControlLog.ts
+++ b/stand-ins/distributionCluster/FakeControlLog.ts
@@ -1,3 +1,6 @@
+import { ok } from 'neverthrow';
+
+import type { Result } from 'neverthrow';
 import { ApplyOutcome, ControlLog } from '../../src/process/replication/ControlLog/index.js';
 
 import type {
@@ -50,6 +53,10 @@
     return this.#newest;
   }
 
+  override async readNewest(): Promise<Result<CommittedConfiguration | undefined, never>> {
+    return ok(this.#newest);
+  }
+
   override committedVersion(version: number): CommittedConfiguration | undefined {
     return this.#versions.get(version);
   }
