--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,11 @@
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
     },
   },
+  {
+    // The programs of the platform end at once when they have stopped.
+    files: ['platform/node.ts', 'platform/control.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     files: [
       '**/test.ts',
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -217,6 +217,8 @@
   #sendNewestRecord(): void {
     const record = this.#context.ownRecord.current;
     this.#sentRecord = record;
+    // The next control VM must see a newer state, or it would not tell the others that it holds it.
+    this.#context.ownRecord.noteAnnounced();
     this.#send({ case: 'record', value: record });
   }
 
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -67,6 +67,9 @@
 
   #meanHoldMs = 0;
 
+  /** Sum of the times at which the slots in use were taken. */
+  #startSumMs = 0;
+
   #admittedCount = 0;
 
   constructor(options: SlotGateOptions) {
@@ -138,7 +141,7 @@
     if (refusal !== undefined) {
       this.#settle(waiter, refusal);
     } else if (this.#hasSlotFor(demand) && !this.#hasRival(waiter)) {
-      this.#take(waiter);
+      this.#take(waiter, nowMs);
     } else {
       this.#enqueue(waiter, nowMs);
     }
@@ -156,11 +159,23 @@
   release(demand: SlotDemand, heldMs: number, nowMs: number, sample?: LimiterSample): void {
     if (demand.isSlow) this.#usedSlow -= 1;
     else this.#usedQuick -= 1;
+    this.#startSumMs -= nowMs - heldMs;
     this.#meanHoldMs += HOLD_WEIGHT * (heldMs - this.#meanHoldMs);
     if (sample) this.limiter.add(sample, nowMs);
     this.#admitWaiters(nowMs);
   }
 
+  /**
+   * Time for which a slot is held: the mean of late, or the age of the requests that hold slots now if
+   * that is higher, as when a server has just become slow.
+   */
+  estimateHoldMs(nowMs: number): number {
+    const heldCount = this.#usedQuick + this.#usedSlow;
+    if (heldCount === 0) return this.#meanHoldMs;
+    const meanAgeMs = nowMs - this.#startSumMs / heldCount;
+    return Math.max(this.#meanHoldMs, meanAgeMs);
+  }
+
   /** Expected time until a request that comes now finds a slot, in milliseconds. */
   estimateWaitMs(): number {
     if (this.used < this.capacity && this.#waiters.length === 0) return 0;
@@ -212,9 +227,10 @@
     return this.#waiters.some((other) => other.rank <= rank && this.#hasSlotFor(other.demand));
   }
 
-  #take(waiter: Waiter): void {
+  #take(waiter: Waiter, nowMs: number): void {
     if (waiter.demand.isSlow) this.#usedSlow += 1;
     else this.#usedQuick += 1;
+    this.#startSumMs += nowMs;
     this.#admittedCount += 1;
     this.#settle(waiter, undefined);
   }
@@ -263,7 +279,7 @@
       if (deadlineMs <= nowMs) this.#settle(next, GateRefusal.DeadlinePassed);
       else if (deadlineMs < nowMs + leastServiceMs) {
         this.#settle(next, GateRefusal.DeadlineTooShort);
-      } else this.#take(next);
+      } else this.#take(next, nowMs);
       next = this.#shiftNext(nowMs);
     }
   }
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -22,7 +22,7 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotLender } from '../lendSlots/index.js';
-import { PeerTracker } from '../trackPeers/index.js';
+import PeerTracker from '../trackPeers/index.js';
 import { OwnDialect } from '../speakDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
@@ -289,18 +289,25 @@
     this.#entry.headersTimeout = idleTimeoutMs + (limits?.headerTimeoutMs || HEADERS_TIMEOUT_MS);
   }
 
-  /** Stops taking new requests, finishes those in flight, then closes the listeners. */
-  async drain(): Promise<void> {
+  /**
+   * Stops taking new requests, finishes those in flight, then closes the listeners.
+   *
+   * @param withinMs - longest time; what is still in flight then is left
+   */
+  async drain(withinMs = Infinity): Promise<void> {
+    const untilMs = performance.now() + withinMs;
     this.#isDraining = true;
     this.#context.localServers.drain();
     this.#lender.stop();
     await delay(this.#options.drainGraceMs ?? DEFAULT_DRAIN_GRACE_MS);
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
-    while (this.#inFlight > 0) await delay(DRAIN_POLL_MS);
+    while (this.#inFlight > 0 && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
     this.#entry.closeIdleConnections();
     this.#owner.closeIdleConnections();
     await this.#loans.close(performance.now());
-    await Promise.all(closed);
+    const leftMs = untilMs - performance.now();
+    const patience = Number.isFinite(leftMs) ? [delay(Math.max(0, leftMs))] : [];
+    await Promise.race([Promise.all(closed), ...patience]);
   }
 
   /** Closes everything at once; requests in flight fail. */
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -6,7 +6,9 @@
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
+import { createLimitedLogger } from '../../process/log/createLimitedLogger/index.js';
 import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
+import type { LogContext } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
 import { BodyState, Exchange } from './Exchange.js';
@@ -14,9 +16,9 @@
 import describeKeyError from './describeKeyError.js';
 import { learnOutcome } from './learnOutcome.js';
 import { routeRequest } from './routeRequest.js';
-import { ObjectiveClock } from '../trackObjectives/index.js';
-import { TrafficSplit } from '../splitTraffic/index.js';
-import { RefusalReason, createNotRun } from './writeRefusal.js';
+import ObjectiveClock from '../trackObjectives/index.js';
+import TrafficSplit from '../splitTraffic/index.js';
+import { RefusalReason, RequestOutcome, createNotRun } from './writeRefusal.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
 import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
@@ -24,7 +26,7 @@
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
-import type { PeerTracker } from '../trackPeers/index.js';
+import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
 import type { Learners } from './learnOutcome.js';
@@ -33,6 +35,13 @@
 
 const log = createLogger('routing');
 
+/** Lines about requests; the counters hold all of them. */
+const ANSWERED_LINES_PER_SECOND = 3;
+const NOT_SERVED_LINES_PER_SECOND = 30;
+
+const answeredLog = createLimitedLogger('entry', ANSWERED_LINES_PER_SECOND);
+const notServedLog = createLimitedLogger('entry', NOT_SERVED_LINES_PER_SECOND);
+
 /** A request that certainly did not run may be placed on this many servers in all. */
 const MAX_PLACEMENTS = 3;
 const SERVICE_UNAVAILABLE = 503;
@@ -69,6 +78,21 @@
 const isNotRun = (error: CallError | undefined): boolean =>
   !error || isCertainlyNotRun(error) || !error.options.isWritten;
 
+const describeEnd = (result: Result<CallSummary, CallError>): string =>
+  result.match(
+    ({ statusCode }) => String(statusCode),
+    ({ code }) => code,
+  );
+
+const describeRequest = (routed: RoutedRequest): LogContext => ({
+  requestId: routed.requestId,
+  route: routed.route.name,
+  service: routed.service,
+  version: routed.version,
+  tried: routed.trail,
+  elapsedMs: Math.round(performance.now() - routed.exchange.startedAtMs),
+});
+
 const hash = (content: string | Buffer): Buffer => createHash('sha256').update(content).digest();
 
 /** Answers the requests of callers. */
@@ -113,6 +137,7 @@
     });
     if ('reason' in routed) {
       this.#refuse(exchange, routed);
+      this.#logRefused(request, routed);
       return;
     }
     exchange.requestId = routed.requestId;
@@ -184,8 +209,10 @@
   }
 
   #finish(routed: RoutedRequest, result: Result<CallSummary, CallError | undefined>): void {
-    if (result.isOk()) this.#recordAdded(routed, result.value);
-    else this.#fail(routed, result.error);
+    if (result.isOk()) {
+      this.#recordAdded(routed, result.value);
+      this.#logAnswered(routed, result.value);
+    } else this.#fail(routed, result.error);
   }
 
   async #attempt(
@@ -215,6 +242,7 @@
     const result = await caller.call(attempt);
     observation.inFlight -= 1;
     learnOutcome(attempt, result, this.#parts, this.#context.getNowMs());
+    routed.trail.push(`${key} ${describeEnd(result)}`);
     return result;
   }
 
@@ -279,7 +307,9 @@
     return selection?.entry;
   }
 
-  #fail({ exchange, service }: RoutedRequest, lastError: CallError | undefined): void {
+  #fail(routed: RoutedRequest, lastError: CallError | undefined): void {
+    const { exchange, service } = routed;
+    this.#logNotServed(routed, lastError);
     if (!lastError && !exchange.isOver) {
       const message = `no live server of service "${service}"`;
       this.#refuse(exchange, createNotRun(RefusalReason.NoServer, message));
@@ -299,6 +329,46 @@
     this.#write(exchange, refusal);
   }
 
+  #logAnswered(routed: RoutedRequest, { statusCode, upstreamMs }: CallSummary): void {
+    answeredLog.info(
+      this.#context.getNowMs(),
+      () => ({ ...describeRequest(routed), statusCode, upstreamMs: Math.round(upstreamMs) }),
+      'request answered',
+    );
+  }
+
+  #logNotServed(routed: RoutedRequest, lastError: CallError | undefined): void {
+    const { exchange, deadlineMs } = routed;
+    const nowMs = this.#context.getNowMs();
+    notServedLog.info(
+      nowMs,
+      () => ({
+        ...describeRequest(routed),
+        outcome: isNotRun(lastError) ? RequestOutcome.NotRun : RequestOutcome.Unknown,
+        reason: lastError?.message ?? RefusalReason.NoServer,
+        code: lastError?.code ?? RefusalReason.NoServer,
+        isCallerGone: exchange.isCallerGone,
+        isPastDeadline: exchange.isPastDeadline,
+        remainingMs: Math.round(deadlineMs - nowMs),
+        liveServers: this.#context.directory.serversOf(routed.service).filter(isLive).length,
+      }),
+      'request not served',
+    );
+  }
+
+  #logRefused(request: IncomingMessage, { reason, statusCode, message }: Refusal): void {
+    notServedLog.info(
+      this.#context.getNowMs(),
+      () => ({
+        requestId: this.#context.dialect.readCaller(request).requestId,
+        version: this.#context.current()?.version,
+        statusCode,
+        reason,
+      }),
+      message,
+    );
+  }
+
   #write(exchange: Exchange, refusal: Refusal): void {
     this.#context.dialect.writeRefusal(exchange.response, refusal, {
       closesConnection: exchange.hasUnreadBody,
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createLimitedLogger } from '../../process/log/createLimitedLogger/index.js';
 import { readOccupancy } from '../../process/localServers/index.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import {
@@ -24,6 +25,11 @@
 import type { SlotLender } from '../lendSlots/index.js';
 import type { RequestContext } from './RequestContext.js';
 
+/** Lines about refusals; the counters hold all of them. */
+const LINES_PER_SECOND = 20;
+
+const decisions = createLimitedLogger('owner', LINES_PER_SECOND);
+
 const MAX_DEADLINE_MS = 600_000;
 
 /** Answers requests that other nodes forward to the servers beside this one. */
@@ -103,16 +109,48 @@
     const target = { path, createHeaders };
     const result = await this.#caller.call(exchange, local, work, target, {
       onHead: (head) => {
-        head.headers.push(LOAD_HEADER, formatLoad(readOccupancy(local, this.#context.getNowMs())));
+        head.headers.push(LOAD_HEADER, this.#formatLoad(local));
         if (exchange.internal.has(GRANT_WANTED_HEADER)) this.#lend(local, head.headers);
       },
     });
     if (result.isErr()) {
+      if (!exchange.response.headersSent)
+        exchange.response.setHeader(LOAD_HEADER, this.#formatLoad(local));
       answerFailure(exchange, result.error);
-      if (result.error.code === CallErrorCode.Refused) this.#countRefusal(result.error.message);
+      if (result.error.code === CallErrorCode.Refused) {
+        this.#countRefusal(result.error.message);
+        this.#logRefusal(call, local, result.error.message);
+      }
     }
   }
 
+  #formatLoad(local: LocalServer): string {
+    const nowMs = this.#context.getNowMs();
+    const holdMs = local.gate.estimateHoldMs(nowMs);
+    return formatLoad({ load: readOccupancy(local, nowMs), holdMs });
+  }
+
+  #logRefusal(call: ForwardedCall, { gate }: LocalServer, reason: string): void {
+    const nowMs = this.#context.getNowMs();
+    decisions.info(
+      nowMs,
+      () => ({
+        requestId: call.requestId,
+        serverId: call.serverId,
+        entryNodeId: call.entryNodeId,
+        route: call.routeName,
+        version: call.version,
+        objectiveMs: call.objectiveMs,
+        reason,
+        usedSlots: gate.used,
+        waiting: gate.waiting,
+        capacity: gate.capacity,
+        holdMs: Math.round(gate.estimateHoldMs(nowMs)),
+      }),
+      'request refused beside the server',
+    );
+  }
+
   /** The slot of the answered request is still in use, so what is lent here is another one. */
   #lend(local: LocalServer, headers: string[]): void {
     const id = this.#lender.lend(local.gate, performance.now());
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -26,7 +26,7 @@
 import type { BorrowedSlot, SlotBorrower } from '../borrowSlots/index.js';
 import type { ServerObservation } from '../observeServers/index.js';
 import type LocalCaller from './LocalCaller.js';
-import type { PeerTracker } from '../trackPeers/index.js';
+import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type { RoutedRequest } from './routeRequest.js';
 
@@ -93,6 +93,8 @@
     const nowMs = this.#context.getNowMs();
     observation.reportedLoad = readOccupancy(local, nowMs);
     observation.reportedLoadAtMs = nowMs;
+    observation.reportedHoldMs = local.gate.estimateHoldMs(nowMs);
+    observation.inFlightAtReport = observation.inFlight;
     const work = {
       routeName: routed.route.name,
       isIdempotent: routed.route.idempotent,
@@ -203,10 +205,13 @@
       this.#parts.borrower.add({ id: grantId, key: attempt.key, lenderAddress }, askedAtMs);
     }
     const { observation } = attempt;
-    const load = parseLoad(head.internal?.get(LOAD_HEADER));
-    if (load === undefined) return;
-    observation.reportedLoad = load;
+    const report = parseLoad(head.internal?.get(LOAD_HEADER));
+    if (report === undefined) return;
+    observation.reportedLoad = report.load;
+    observation.reportedHoldMs = report.holdMs;
     observation.reportedLoadAtMs = this.#context.getNowMs();
+    // The answered request is still counted here, but not any more beside the server.
+    observation.inFlightAtReport = Math.max(0, observation.inFlight - 1);
   }
 
   #createServerHeaders({ routed, entry, number }: Attempt): string[] {
--- a/src/request/_lib/callHeader.test.ts
+++ b/src/request/_lib/callHeader.test.ts
@@ -37,13 +37,13 @@
   ['', '-1', '1.5', '1e3', ' 1', '9999999999'].forEach((value) =>
     t.equal(parseCount(value), undefined, value),
   );
-  ['', '1', 'NaN', '-0.5', 'Infinity'].forEach((value) =>
+  ['', '1', 'NaN', '-0.5', 'Infinity', '0.5', '0.50;-1', '0.50;x', '0.50;1;2'].forEach((value) =>
     t.equal(parseLoad(value), undefined, value),
   );
 });
 
 tap.test('load and loans survive the header', async (t) => {
-  t.equal(parseLoad(formatLoad(0.456)), 0.46);
+  t.strictSame(parseLoad(formatLoad({ load: 0.456, holdMs: 220.4 })), { load: 0.46, holdMs: 220 });
   const loans = { renewed: ['a.1', 'a.2'], returned: [] };
   t.strictSame(parseLoans(formatLoans(loans)), loans);
 });
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -111,9 +111,21 @@
 };
 
 const LOAD_DIGITS = 2;
+const LOAD_PATTERN = /^(\d{1,3}\.\d{1,4});(\d{1,7})$/;
+
+/** What a node reports of a server beside it. */
+export interface LoadReport {
+  /** Share of the slots in use, waiting requests included. */
+  load: number;
+  /** Time for which a slot is held; 0 when unknown. */
+  holdMs: number;
+}
 
-export const formatLoad = (load: number): string => load.toFixed(LOAD_DIGITS);
+export const formatLoad = ({ load, holdMs }: LoadReport): string =>
+  `${load.toFixed(LOAD_DIGITS)};${Math.round(holdMs)}`;
 
-/** Returns the share of slots in use, or undefined when the header is absent or malformed. */
-export const parseLoad = (value: string | undefined): number | undefined =>
-  value !== undefined && /^\d{1,3}\.\d{1,4}$/.test(value) ? Number(value) : undefined;
+/** Returns the report, or undefined when the header is absent or malformed. */
+export const parseLoad = (value: string | undefined): LoadReport | undefined => {
+  const match = LOAD_PATTERN.exec(value ?? '');
+  return match ? { load: Number(match[1]), holdMs: Number(match[2]) } : undefined;
+};
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -5,8 +5,8 @@
 
 import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { Exchange } from './Exchange.js';
-import type { TrafficSplit } from '../splitTraffic/index.js';
-import type { ObjectiveClock } from '../trackObjectives/index.js';
+import type TrafficSplit from '../splitTraffic/index.js';
+import type ObjectiveClock from '../trackObjectives/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type { Refusal } from './writeRefusal.js';
 
@@ -28,6 +28,8 @@
   objectiveAtMs: number | undefined;
   /** Attempts that outer layers already made; such a request is not retried here. */
   outerAttempt: number;
+  /** Servers tried so far, each with how the attempt ended. */
+  trail: string[];
 }
 
 /**
@@ -89,6 +91,7 @@
     path: target.pathWithQuery,
     deadlineMs: nowMs + Math.min(timeoutMs, callerMs),
     objectiveAtMs: options.objectives.find(route, callerMs, nowMs),
+    trail: [],
     outerAttempt: parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0,
   };
 };
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,6 +1,7 @@
 /** The request path of a node. */
 export { RequestServer } from './RequestServer/index.js';
 export {
+  LeastDelaySelector,
   RoundRobinSelector,
   SelectionReason,
   ServerSelector,
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -19,6 +19,10 @@
   /** Share of slots in use, as its node reported with a response. */
   reportedLoad: number;
   reportedLoadAtMs: number;
+  /** Time for which the slots of the server are held, as its node reported; 0 when unknown. */
+  reportedHoldMs: number;
+  /** Requests of this node that the report includes. */
+  inFlightAtReport: number;
   /** Last time its node refused a request for want of a slot. */
   lastRefusalAtMs: number;
 }
@@ -44,6 +48,8 @@
   lastSuccessAtMs: 0,
   reportedLoad: 0,
   reportedLoadAtMs: 0,
+  reportedHoldMs: 0,
+  inFlightAtReport: 0,
   lastRefusalAtMs: 0,
 });
 
--- /dev/null
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -0,0 +1,163 @@
+import { formatServerKey } from '../observeServers/index.js';
+import { SelectionReason, ServerSelector } from './ServerSelector.js';
+
+import type { ServerEntry } from '../../process/endpoints/types.js';
+import type { ServerObservation } from '../observeServers/index.js';
+import type { Selection, SelectionContext } from './ServerSelector.js';
+import type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
+
+/** Servers of the own data centre, and of others, that are compared for one request. */
+const OWN_SAMPLE = 4;
+const OTHER_SAMPLE = 2;
+/** Reports lose half of their weight against the mean of the service in this time. */
+const REPORT_HALF_LIFE_MS = 1_000;
+/** A refusal counts as a full queue for this time. */
+const REFUSAL_LIFE_MS = 150;
+/** Cost of a request to another data centre, as a share of the mean service time. */
+const OTHER_DATA_CENTRE_SHARE = 0.25;
+/** Cost of the last free slot, as a share of the service time: the next request may find it taken. */
+const CROWDING_SHARE = 0.6;
+const CROWDING_POWER = 5;
+/** Width of the random part of a cost, which keeps nodes with the same view from herding. */
+const JITTER = 0.15;
+/** A server is slow for about this time after this node first saw it. */
+const WARM_UP_MS = 3_000;
+const WARM_UP_FACTOR = 2;
+/** Ejection stops here: beyond this share of ejected servers, all live servers are used. */
+const MAX_EJECTED_SHARE = 0.5;
+/** Service time of servers that have not answered yet. */
+const UNKNOWN_HOLD_MS = 100;
+
+/** What is expected of the servers of one service, as far as their nodes have reported it. */
+interface ServiceMeans {
+  load: number;
+  holdMs: number;
+}
+
+interface Candidate {
+  entry: ServerEntry;
+  key: string;
+  cost: number;
+}
+
+const sample = (entries: ServerEntry[], count: number, random: () => number): ServerEntry[] => {
+  if (entries.length <= count) return entries;
+  const start = Math.floor(random() * entries.length);
+  const stride = 1 + Math.floor(random() * (entries.length - 1));
+  const picked = new Set<ServerEntry>();
+  for (let step = 0; picked.size < count && step < entries.length; step += 1) {
+    const entry = entries[(start + step * stride) % entries.length];
+    if (entry) picked.add(entry);
+  }
+  return [...picked];
+};
+
+const mean = (values: number[], fallback: number): number =>
+  values.length === 0 ? fallback : values.reduce((sum, value) => sum + value, 0) / values.length;
+
+/**
+ * Chooses the server with the least expected time to a response. Answers of the nodes beside the
+ * servers carry how many requests they hold and how long their slots are held, so every entry node
+ * knows slow and crowded servers without asking. For load that comes near the slots of a service, with
+ * servers of different speed.
+ */
+export default class LeastDelaySelector extends ServerSelector {
+  readonly #options: TwoChoicesSelectorOptions;
+
+  constructor(options: TwoChoicesSelectorOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override select(candidates: ServerEntry[], context: SelectionContext): Selection | undefined {
+    const { dataCentre } = this.#options;
+    const { random } = context;
+    const { healthy, isPanic } = this.#eject(candidates, context.nowMs);
+    const means = this.#readMeans(healthy, context.nowMs);
+    const own = healthy.filter((entry) => entry.node.dataCentre === dataCentre);
+    const others = healthy.filter((entry) => entry.node.dataCentre !== dataCentre);
+    const compared = [
+      ...sample(own, OWN_SAMPLE, random),
+      ...sample(others, own.length > 0 ? OTHER_SAMPLE : OWN_SAMPLE, random),
+    ].map((entry) => this.#assess(entry, means, context));
+    const [first, ...rest] = compared;
+    if (!first) return undefined;
+    const chosen = rest.reduce((best, other) => (other.cost < best.cost ? other : best), first);
+    const isOwn = chosen.entry.node.dataCentre === dataCentre;
+    const reason = this.#explain({
+      isPanic,
+      isOwn,
+      hasOwn: own.length > 0,
+      count: compared.length,
+    });
+    return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key) };
+  }
+
+  #explain(facts: {
+    isPanic: boolean;
+    isOwn: boolean;
+    hasOwn: boolean;
+    count: number;
+  }): SelectionReason {
+    if (facts.isPanic) return SelectionReason.Panic;
+    if (facts.count === 1) return SelectionReason.OnlyCandidate;
+    if (facts.isOwn) return SelectionReason.LowerCost;
+    return facts.hasOwn ? SelectionReason.Spill : SelectionReason.RemoteOnly;
+  }
+
+  #eject(candidates: ServerEntry[], nowMs: number): { healthy: ServerEntry[]; isPanic: boolean } {
+    const { breaker } = this.#options;
+    const healthy = candidates.filter((entry) => breaker.allows(formatServerKey(entry), nowMs));
+    const isPanic = candidates.length - healthy.length > candidates.length * MAX_EJECTED_SHARE;
+    return { healthy: isPanic ? candidates : healthy, isPanic };
+  }
+
+  #readMeans(entries: ServerEntry[], nowMs: number): ServiceMeans {
+    const reported = entries
+      .map((entry) => this.#options.observations.get(formatServerKey(entry), nowMs))
+      .filter(({ reportedLoadAtMs }) => reportedLoadAtMs > 0);
+    return {
+      load: mean(
+        reported.map(({ reportedLoad }) => reportedLoad),
+        0,
+      ),
+      holdMs: mean(
+        reported.map(({ reportedHoldMs }) => reportedHoldMs).filter((holdMs) => holdMs > 0),
+        UNKNOWN_HOLD_MS,
+      ),
+    };
+  }
+
+  #assess(entry: ServerEntry, means: ServiceMeans, context: SelectionContext): Candidate {
+    const key = formatServerKey(entry);
+    const observation = this.#options.observations.get(key, context.nowMs);
+    const isOther = entry.node.dataCentre !== this.#options.dataCentre;
+    const distanceMs = isOther ? means.holdMs * OTHER_DATA_CENTRE_SHARE : 0;
+    const delayMs = this.#expectDelayMs(entry, observation, means, context.nowMs);
+    const jitter = 1 + JITTER * (context.random() - 0.5);
+    return { entry, key, cost: delayMs * jitter + distanceMs };
+  }
+
+  /** Expected wait for a slot and time in it. */
+  #expectDelayMs(
+    { server }: ServerEntry,
+    observation: ServerObservation,
+    means: ServiceMeans,
+    nowMs: number,
+  ): number {
+    const ageMs = nowMs - observation.reportedLoadAtMs;
+    const trust = observation.reportedLoadAtMs === 0 ? 0 : 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+    const reported = trust * observation.reportedLoad + (1 - trust) * means.load;
+    const slots = Math.max(1, server.slots);
+    // Requests sent since the report are not in it.
+    const sentSince = Math.max(0, observation.inFlight - observation.inFlightAtReport);
+    const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_LIFE_MS;
+    const load = Math.max(reported, isRefusing ? 1 : 0) + sentSince / slots;
+    const holdMs = observation.reportedHoldMs || means.holdMs;
+    const isCold = nowMs - observation.firstSeenAtMs < WARM_UP_MS && observation.sampleCount === 0;
+    const serviceMs = isCold ? holdMs * WARM_UP_FACTOR : holdMs;
+    const waitMs = Math.max(0, load + 1 / slots - 1) * holdMs;
+    const crowdingMs = CROWDING_SHARE * Math.min(1, load) ** CROWDING_POWER * holdMs;
+    return serviceMs + waitMs + crowdingMs;
+  }
+}
--- a/src/request/selectServer/index.ts
+++ b/src/request/selectServer/index.ts
@@ -1,5 +1,6 @@
 /** Choice of the backend server of a request. */
 export { default as RoundRobinSelector } from './RoundRobinSelector.js';
+export { default as LeastDelaySelector } from './LeastDelaySelector.js';
 export { SelectionReason, ServerSelector } from './ServerSelector.js';
 export { default as TwoChoicesSelector } from './TwoChoicesSelector.js';
 export type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
--- a/src/request/splitTraffic/index.ts
+++ b/src/request/splitTraffic/index.ts
@@ -17,7 +17,7 @@
  * @example
  * const service = new TrafficSplit().next(route);
  */
-export class TrafficSplit {
+export default class TrafficSplit {
   readonly #creditsByRoute = new Map<string, Credits>();
 
   readonly #random: () => number;
--- a/src/request/splitTraffic/test.ts
+++ b/src/request/splitTraffic/test.ts
@@ -3,7 +3,7 @@
 
 import createRandom from '../../../test/requestMesh/createRandom.js';
 import { RouteSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
-import { TrafficSplit } from './index.js';
+import TrafficSplit from './index.js';
 
 const createSplitRoute = (weights: Record<string, number>, hasRelativeWeights = true) =>
   create(RouteSchema, {
--- a/src/request/trackObjectives/index.ts
+++ b/src/request/trackObjectives/index.ts
@@ -11,7 +11,7 @@
  * objective still counts from its first attempt. The longest remaining time seen on a route tells how
  * much of it has passed.
  */
-export class ObjectiveClock {
+export default class ObjectiveClock {
   readonly #longestMsByRoute = new Map<string, number>();
 
   /**
--- a/src/request/trackObjectives/test.ts
+++ b/src/request/trackObjectives/test.ts
@@ -2,7 +2,7 @@
 import tap from 'tap';
 
 import { RouteSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
-import { ObjectiveClock } from './index.js';
+import ObjectiveClock from './index.js';
 
 const ROUTE = create(RouteSchema, { name: 'stock', targetLatencyMs: 600 });
 
--- a/src/request/trackPeers/index.ts
+++ b/src/request/trackPeers/index.ts
@@ -13,7 +13,7 @@
  * Remembers which nodes are silent. A connection across a cut link or to a frozen VM neither fails
  * nor answers, so one request without an acknowledgement is enough to avoid the node for a while.
  */
-export class PeerTracker {
+export default class PeerTracker {
   readonly #silences = new Map<string, Silence>();
 
   /** Notes that a node acknowledged or answered something. */
--- a/src/request/trackPeers/test.ts
+++ b/src/request/trackPeers/test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 
-import { PeerTracker } from './index.js';
+import PeerTracker from './index.js';
 
 // Guards against sending a request per candidate into a cut link before the node is avoided.
 tap.test('one silence is enough to avoid a node for a while', async (t) => {
