--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -10,9 +10,15 @@
 import { Parser } from 'tap-parser';
 
 const DEFAULT_JOBS = 4;
-const DEFAULT_PATTERNS = ['src', 'stand-ins', 'bench', 'fuzz', 'scripts', 'test'].flatMap(
-  (folder) => [`dist/${folder}/**/test.js`, `dist/${folder}/**/*.test.js`],
-);
+const DEFAULT_PATTERNS = [
+  'src',
+  'platform',
+  'stand-ins',
+  'bench',
+  'fuzz',
+  'scripts',
+  'test',
+].flatMap((folder) => [`dist/${folder}/**/test.js`, `dist/${folder}/**/*.test.js`]);
 
 interface TestOutcome {
   name: string;
--- a/src/connection/distribution/NodeLink/test.ts
+++ b/src/connection/distribution/NodeLink/test.ts
@@ -15,6 +15,7 @@
   waitUntil,
 } from '../../../../stand-ins/distributionCluster/index.js';
 import { expectError, expectOk } from '../../../../stand-ins/results/index.js';
+import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
 import { startRpcServer } from '../../startRpcServer/index.js';
 import { ConfigurationHolder } from '../../../process/holder/ConfigurationHolder/index.js';
 import { NotReadyReason, ReadyBasis } from '../ReadinessError/index.js';
@@ -187,3 +188,39 @@
   await waitUntil('elsewhere', () => node.link.attachedTo?.address === elsewhere.address);
   t.pass();
 });
+
+// Guards against a server that stays unknown in other data centres: the second control VM knew the
+// record already, so it told nobody that it holds the node, and the lease ended at the first one.
+tap.test('a node that moved to another control VM stays listed at the former one', async (t) => {
+  const peers: { memberId: string; address: string }[] = [];
+  const shared = { heartbeatIntervalMs: 50, silenceMs: 400, windowMs: 10 };
+  const options = { ...shared, listPeers: () => peers };
+  const first = await startControl('control-1', options);
+  const second = await startControl('control-2', options);
+  peers.push(
+    { memberId: 'control-1', address: first.address },
+    { memberId: 'control-2', address: second.address },
+  );
+  const node = startNode('node-1', [first], { timing: { heartbeatIntervalMs: 50 } });
+  t.teardown(async () => {
+    await node.stop();
+    await Promise.all([first.stop(), second.stop()]);
+  });
+  await waitUntil('attached to the first', () => first.hub.isAttached('node-1'));
+  node.source.change({ draining: true });
+  await waitUntil('known to the second', () => {
+    const record = second.hub.directory.find('node-1');
+    return record?.draining === true;
+  });
+  const known = second.hub.directory.find('node-1');
+  node.link.setControls([{ address: second.address, dataCentre: 'dc1' }]);
+  first.hub.stop();
+  await waitUntil('attached to the second', () => second.hub.isAttached('node-1'));
+  const offered = second.hub.directory.find('node-1');
+  t.ok(offered && known && compareStamps(offered, known) > 0, 'it is offered in a newer state');
+  first.hub.start();
+  await new Promise((resolve) => {
+    setTimeout(resolve, shared.silenceMs * 3);
+  });
+  t.equal(first.hub.directory.find('node-1')?.draining, true);
+});
--- a/src/process/control/openControl/index.ts
+++ b/src/process/control/openControl/index.ts
@@ -5,6 +5,7 @@
 import { ControlExchange } from '../../../connection/distribution/ControlExchange/index.js';
 import type { ExchangePeer } from '../../../connection/distribution/ControlExchange/index.js';
 import { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
+import type { HubOptions } from '../../../connection/distribution/DistributionHub/index.js';
 import type { ControlTarget } from '../../../connection/distribution/NodeLink/index.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
@@ -27,6 +28,8 @@
   tls?: TlsStore | undefined;
   timings?: ReplicatedLogOptions['timings'];
   limits?: ReplicatedLogOptions['limits'];
+  /** Times of the streams to nodes and to other control VMs. */
+  streams?: Pick<HubOptions, 'heartbeatIntervalMs' | 'silenceMs' | 'windowMs'>;
 }
 
 /** The running parts of a control VM. */
@@ -90,7 +93,12 @@
   const opened = await openLog(options, metrics);
   if (opened.isErr()) return err(opened.error);
   const log = opened.value;
-  const shared = { metrics, now: readMonotonicNowMs, tls: () => tls?.current() };
+  const shared = {
+    metrics,
+    now: readMonotonicNowMs,
+    tls: () => tls?.current(),
+    ...options.streams,
+  };
   const hub = new DistributionHub(memberId, log, {
     ...shared,
     listControls: () => listControls(log),
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -43,6 +43,8 @@
   hint: LoadHint | undefined;
   /** Number of the newest announcement of this start of the server; 0 when it numbers none. */
   sequence: number;
+  /** Until then no connection is tried, since the last one failed. */
+  unreachableUntilMs: number;
 }
 
 /** The last start of a server at an address that has ended. */
@@ -77,9 +79,14 @@
   return Math.max(exact, Math.min(MAX_HINTED_LOAD, hinted));
 };
 
+/** Load of a server that accepts no connection: more than any queue. */
+const UNREACHABLE_LOAD = 20;
+
 /** Returns the load with the requests that wait, so that it exceeds 1 while there are any. */
 export const readOccupancy = (local: LocalServer, nowMs: number): number =>
-  readLoad(local, nowMs) + local.gate.waiting / local.gate.capacity;
+  nowMs < local.unreachableUntilMs
+    ? UNREACHABLE_LOAD
+    : readLoad(local, nowMs) + local.gate.waiting / local.gate.capacity;
 
 export interface LocalServersOptions {
   nodeId: string;
@@ -250,6 +257,7 @@
         latencies: new RouteLatencies(),
         hint: undefined,
         sequence: announcement.sequence ?? 0,
+        unreachableUntilMs: 0,
       });
       log.info({ serverId, ...describe(server) }, 'server announced');
       this.#publish();
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -56,7 +56,7 @@
     | 'dialect'
     | 'callerService'
     | 'createSelector'
-    | 'budget'
+    | 'createBudget'
     | 'drainGraceMs'
   >;
 }
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -46,6 +46,8 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 /** A node that does not accept a connection in this time is avoided; it spans one lost packet. */
 const NODE_CONNECT_TIMEOUT_MS = 450;
+/** The server is on the same VM. */
+const SERVER_CONNECT_TIMEOUT_MS = 250;
 const DRAIN_POLL_MS = 10;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
@@ -74,8 +76,8 @@
   createSelector?: (parts: SelectorParts) => ServerSelector;
   /** By failure rate unless given. */
   breaker?: CircuitBreaker;
-  /** By share of requests unless given. */
-  budget?: RetryBudget;
+  /** By share of requests unless given; receives the number of nodes known. */
+  createBudget?: (countNodes: () => number) => RetryBudget;
   /**
    * Time for which a repeat with the same Idempotency-Key is recognized. For this time after its
    * start a node vouches for no key, so a longer retention delays the first keyed requests.
@@ -141,7 +143,7 @@
 
   readonly #owner: Server;
 
-  readonly #serverPools = new UpstreamPools();
+  readonly #serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS });
 
   readonly #nodePools: UpstreamPools;
 
@@ -238,7 +240,8 @@
           dataCentre: options.dataCentre,
           isGranted: (key) => this.#borrower.has(key, performance.now()),
         }),
-      budget: options.budget ?? new RatioRetryBudget(),
+      budget:
+        options.createBudget?.(() => options.directory.records().length) ?? new RatioRetryBudget(),
       guard: this.#guard,
       peers: this.#peers,
     });
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -16,6 +16,7 @@
 import describeKeyError from './describeKeyError.js';
 import { learnOutcome } from './learnOutcome.js';
 import { routeRequest } from './routeRequest.js';
+import adviseReturn from '../adviseReturn/index.js';
 import ObjectiveClock from '../trackObjectives/index.js';
 import TrafficSplit from '../splitTraffic/index.js';
 import { RefusalReason, RequestOutcome, createNotRun } from './writeRefusal.js';
@@ -267,10 +268,11 @@
         progress.tried.size < Math.max(MAX_PLACEMENTS, routed.route.maxAttempts)
       : error.code !== CallErrorCode.Truncated && this.#mayRunAgain(routed, progress.runs);
     if (!mayRetry) return false;
-    // A failed connection puts no load on any server, so it needs no budget.
-    const hasBudget =
+    // Neither a failed connection nor a refusal beside the server puts load on any server.
+    const isFree =
       error.code === CallErrorCode.NotWritten ||
-      this.#parts.budget.take(routed.service, this.#context.getNowMs());
+      (error.code === CallErrorCode.Refused && !error.options.isServerRefusal);
+    const hasBudget = isFree || this.#parts.budget.take(routed.service, this.#context.getNowMs());
     const { metrics } = this.#context;
     const name = hasBudget ? 'requests_retried' : 'retries_over_budget';
     metrics.counter(name, { reason: error.code }).value += 1;
@@ -370,7 +372,15 @@
   }
 
   #write(exchange: Exchange, refusal: Refusal): void {
-    this.#context.dialect.writeRefusal(exchange.response, refusal, {
+    const isReturnWanted =
+      refusal.outcome === RequestOutcome.NotRun && refusal.statusCode === SERVICE_UNAVAILABLE;
+    const retryAfterMs = adviseReturn({
+      expectedMs: refusal.retryAfterMs,
+      remainingMs: exchange.remainingMs(performance.now()),
+      random: this.#context.random(),
+    });
+    const answer = isReturnWanted ? { ...refusal, retryAfterMs } : refusal;
+    this.#context.dialect.writeRefusal(exchange.response, answer, {
       closesConnection: exchange.hasUnreadBody,
       requestId: exchange.requestId,
     });
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -61,6 +61,9 @@
 
   #endListeners: (() => void)[] = [];
 
+  /** On the clock of `performance.now()`. */
+  #endsAtMs = Infinity;
+
   #isCallerGone = false;
 
   #isPastDeadline = false;
@@ -116,12 +119,18 @@
    * @param remainingMs - time left for the whole exchange
    */
   startDeadline(remainingMs: number): void {
+    this.#endsAtMs = performance.now() + remainingMs;
     this.#timer = setTimeout(() => {
       this.#isPastDeadline = true;
       this.#giveUp('deadline passed');
     }, remainingMs);
   }
 
+  /** Returns the time left for the exchange; Infinity before its deadline is known. */
+  remainingMs(nowMs: number): number {
+    return this.#endsAtMs - nowMs;
+  }
+
   /** Calls the listener when the exchange is given up; returns the unsubscriber. */
   onGivenUp(listener: () => void): () => void {
     this.#endListeners.push(listener);
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -2,6 +2,7 @@
 
 import type { Result } from 'neverthrow';
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
+import { createLogger } from '../../process/log/index.js';
 import { AnswerVerdict } from '../speakDialect/index.js';
 
 import type {
@@ -19,7 +20,12 @@
 import type { TrafficDialect } from '../speakDialect/index.js';
 import type { Exchange } from './Exchange.js';
 
+const log = createLogger('local-calls');
+
 const SERVICE_UNAVAILABLE = 503;
+const SERVER_UNREACHABLE = 'SERVER_UNREACHABLE';
+/** Pause after a failed connection; the server may be starting again. */
+const UNREACHABLE_PAUSE_MS = 200;
 /** Share of a route's mean latency below which hardly any of its requests completes. */
 const LEAST_SERVICE_SHARE = 0.5;
 
@@ -83,6 +89,12 @@
     target: LocalTarget,
     options: Omit<UpstreamCallOptions, 'isNode'> = {},
   ): Promise<Result<CallSummary, CallError>> {
+    const nowMs = this.#getNowMs();
+    if (nowMs < local.unreachableUntilMs) {
+      const retryAfterMs = local.unreachableUntilMs - nowMs;
+      const facts = { isWritten: false, retryAfterMs };
+      return err(new CallError(CallErrorCode.Refused, SERVER_UNREACHABLE, facts));
+    }
     const demand = toDemand(local, work);
     const refusal = await this.#takeSlot(exchange, local, demand);
     if (refusal !== undefined) {
@@ -108,6 +120,7 @@
     );
     if (!work.isIdempotent) this.#pools.closeSingle(pool);
     const heldMs = performance.now() - startedAtMs;
+    this.#noteReachable(exchange, local, result);
     const sample = this.#learn(exchange, local, work.routeName, { inFlight, result });
     gate.release(demand, heldMs, this.#getNowMs(), sample);
     return result;
@@ -130,6 +143,23 @@
     }
   }
 
+  /** A server that refuses or ignores a connection is not tried again for a moment. */
+  #noteReachable(
+    exchange: Exchange,
+    target: LocalServer,
+    result: Result<CallSummary, CallError>,
+  ): void {
+    const local = target;
+    const isUnreachable =
+      result.isErr() && result.error.code === CallErrorCode.NotWritten && !exchange.isOver;
+    local.unreachableUntilMs = isUnreachable ? this.#getNowMs() + UNREACHABLE_PAUSE_MS : 0;
+    if (isUnreachable) {
+      const { serverId, address } = local.server;
+      const reason = result.error.message;
+      log.warn({ serverId, address, reason }, 'the server beside this node accepts no connection');
+    }
+  }
+
   #learn(
     exchange: Exchange,
     local: LocalServer,
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -55,7 +55,7 @@
   outcome: RequestOutcome.NotRun,
   reason,
   message,
-  retryAfterMs: options.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+  ...(options.retryAfterMs !== undefined && { retryAfterMs: options.retryAfterMs }),
 });
 
 /** Creates the answer to a request that may have run. */
--- a/src/request/budgetRetries/RetryBudget.ts
+++ b/src/request/budgetRetries/RetryBudget.ts
@@ -21,10 +21,15 @@
     this.#burst = options.burst ?? DEFAULT_BURST;
   }
 
+  /** Retries that can follow each other at once. */
+  protected get burst(): number {
+    return this.#burst;
+  }
+
   /** Notes a first attempt. */
   addRequest(service: string, nowMs: number): void {
     const bucket = this.#refill(service, nowMs);
-    bucket.tokens = Math.min(this.#burst, bucket.tokens + this.tokensPerRequest);
+    bucket.tokens = Math.min(this.burst, bucket.tokens + this.tokensPerRequest);
   }
 
   /**
@@ -41,20 +46,20 @@
     return true;
   }
 
-  protected abstract readonly tokensPerRequest: number;
+  protected abstract get tokensPerRequest(): number;
 
-  protected abstract readonly tokensPerSecond: number;
+  protected abstract get tokensPerSecond(): number;
 
   #refill(service: string, nowMs: number): Bucket {
     const known = this.#buckets.get(service);
     if (!known) {
-      const created = { tokens: this.#burst, atMs: nowMs };
+      const created = { tokens: this.burst, atMs: nowMs };
       this.#buckets.set(service, created);
       return created;
     }
     const elapsedMs = Math.max(0, nowMs - known.atMs);
     const gained = (elapsedMs * this.tokensPerSecond) / MS_PER_SECOND;
-    known.tokens = Math.min(this.#burst, known.tokens + gained);
+    known.tokens = Math.min(this.burst, known.tokens + gained);
     known.atMs = nowMs;
     return known;
   }
--- a/src/request/budgetRetries/test.ts
+++ b/src/request/budgetRetries/test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 
-import { FixedRetryBudget, RatioRetryBudget } from './index.js';
+import { FixedRetryBudget, RatioRetryBudget, SharedRetryBudget } from './index.js';
 
 import type { RetryBudget } from './index.js';
 
@@ -35,3 +35,26 @@
   while (budget.take('desk', 0));
   t.equal(budget.take('ledger', 0), true);
 });
+
+// Guards against nodes that each keep within the bound while their sum breaks it.
+tap.test('the retries of all nodes keep within the shared bound in any window', async (t) => {
+  const bounds = { ratio: 0.2, slack: 64, windowS: 10 };
+  const nodes = Array.from({ length: 12 }, () => new SharedRetryBudget(bounds, () => 12));
+  const retriesAtMs: number[] = [];
+  const perSecond = 400;
+  // All load arrives at one node, then at all of them.
+  Array.from({ length: perSecond * 30 }).forEach((_, index) => {
+    const nowMs = (index * 1_000) / perSecond;
+    const node = nodes[nowMs < 10_000 ? 0 : index % nodes.length];
+    node?.addRequest('desk', nowMs);
+    if (node?.take('desk', nowMs)) retriesAtMs.push(nowMs);
+  });
+  const limit = bounds.ratio * perSecond * bounds.windowS + bounds.slack;
+  const most = Math.max(
+    ...retriesAtMs.map(
+      (fromMs) => retriesAtMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + 10_000).length,
+    ),
+  );
+  t.ok(most <= limit, `${most} of ${limit}`);
+  t.ok(most >= limit / 3, `${most} of ${limit}`);
+});
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -75,6 +75,8 @@
 export interface ControlClusterOptions extends ReplicatedLogOptions {
   seed: number;
   memberCount: number;
+  /** Members find each other, as without a list; only the first start may found a cluster. */
+  isDiscovered?: boolean;
 }
 
 /** A number of control VMs that a test can stop, cut off and start again. */
@@ -89,6 +91,8 @@
 
   #folder = '';
 
+  readonly #startedOnce = new Set<string>();
+
   /** Decides what happens to a request between two members. */
   findFault: (from: string, to: string, kind: string) => LinkFault = () => LinkFault.None;
 
@@ -148,13 +152,25 @@
 
   async startMember(memberId: string): Promise<ReplicatedLog> {
     const node = this.#node(memberId);
-    const { seed, memberCount, ...options } = this.#options;
+    const { seed, memberCount, isDiscovered = false, ...options } = this.#options;
     const isInitial = this.#initialMembers.some((member) => member.memberId === memberId);
-    const initialMembers = isInitial
-      ? this.#initialMembers
-      : [...this.#initialMembers, this.initialMember(memberId)];
+    const discovery = {
+      address: this.initialMember(memberId).address,
+      contacts: this.#initialMembers.map(({ address }) => address),
+      mayFound: isInitial && !this.#startedOnce.has(memberId),
+    };
+    this.#startedOnce.add(memberId);
+    const initialMembers =
+      isInitial || isDiscovered
+        ? this.#initialMembers
+        : [...this.#initialMembers, this.initialMember(memberId)];
     const opened = await ReplicatedLog.open(
-      { memberId, dataFolder: node.dataFolder, initialMembers },
+      {
+        memberId,
+        dataFolder: node.dataFolder,
+        initialMembers,
+        ...(isDiscovered && { discovery }),
+      },
       {
         random: this.#random,
         files: node.files,
