--- a/src/process/_lib/slim/modules.d.ts
+++ b/src/process/_lib/slim/modules.d.ts
@@ -1,4 +1,16 @@
 /** Types of the package-internal modules that the slim entry points import. */
+declare module 'undici/lib/api/index.js' {
+  const api: object;
+
+  export default api;
+}
+
+declare module 'undici/lib/dispatcher/dispatcher.js' {
+  import { Dispatcher } from 'undici';
+
+  export default Dispatcher;
+}
+
 declare module 'undici/lib/dispatcher/agent.js' {
   import { Agent } from 'undici';
 
--- a/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -13,6 +13,8 @@
   objectiveAtMs?: number | undefined;
   /** 0 is the most urgent. */
   priority?: number;
+  /** Whether the caller was probably refused before. */
+  isReturn?: boolean;
 }
 
 /** A request that waits, as a policy sees it. */
--- a/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
@@ -11,17 +11,21 @@
 const endOf = ({ objectiveAtMs, deadlineMs }: SlotDemand): number =>
   Math.min(objectiveAtMs ?? deadlineMs, deadlineMs);
 
+/** Service times vary; this many times the mean covers most of them. */
+const SERVICE_MARGIN = 1.3;
+
 /** Latest time at which a request can take a slot and still be expected to meet its objective. */
-const latestStartOf = (demand: SlotDemand): number => endOf(demand) - (demand.meanServiceMs ?? 0);
+const latestStartOf = (demand: SlotDemand): number =>
+  endOf(demand) - (demand.meanServiceMs ?? 0) * SERVICE_MARGIN;
 
 /**
- * For load beyond the slots: urgent requests precede others, and within a priority the one that has
- * to start first. A request that is not expected to meet its objective is refused at once, because
+ * For load beyond the slots: urgent requests precede others; within a priority those whose caller was
+ * refused before, then the one that has to start first. A request that is not expected to meet its objective is refused at once, because
  * the slots are better used by one that does; it takes a slot only if nobody else wants it.
  */
 export default class ObjectivePolicy extends AdmissionPolicy {
-  override rankOf({ priority }: SlotDemand): number {
-    return Math.min(priority ?? LOWEST_PRIORITY, LOWEST_PRIORITY);
+  override rankOf({ priority, isReturn }: SlotDemand): number {
+    return Math.min(priority ?? LOWEST_PRIORITY, LOWEST_PRIORITY) * 2 + (isReturn ? 0 : 1);
   }
 
   override reservedOf(): number {
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -6,6 +6,8 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
+import { createLogger } from '../../process/log/index.js';
+import askPeers from '../_lib/askPeers.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
@@ -37,6 +39,8 @@
 
 export type { RequestDirectory };
 
+const log = createLogger('requests');
+
 /** Covers resends after a timeout, and lets a restarted data centre take keyed requests soon. */
 const DEFAULT_RETENTION_MS = 300_000;
 const MAX_HEADER_BYTES = 32_768;
@@ -369,6 +373,10 @@
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseHopeless(nowMs));
     this.#observations.forget(nowMs);
+    const { directory, getNowMs } = this.#context;
+    askPeers(this.#peers, directory, this.#nodePools, getNowMs).catch((error: unknown) =>
+      log.error({ reason: String(error) }, 'silent nodes could not be asked'),
+    );
     this.#lender.expire(performance.now());
     this.#loans.maintain(performance.now());
     this.#maintenanceCount += 1;
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -142,7 +142,9 @@
       return;
     }
     exchange.requestId = routed.requestId;
-    exchange.startDeadline(routed.deadlineMs - this.#context.getNowMs());
+    const nowMs = this.#context.getNowMs();
+    exchange.startDeadline(routed.deadlineMs - nowMs);
+    if (routed.objectiveAtMs !== undefined) exchange.setObjective(routed.objectiveAtMs - nowMs);
     const body = await exchange.readBody();
     const key = request.headers['idempotency-key'];
     if (body === BodyState.Incomplete) {
@@ -284,7 +286,7 @@
     const live = this.#context.directory
       .serversOf(routed.service)
       .filter((entry) => isLive(entry) && (tried.size === 0 || !tried.has(formatServerKey(entry))));
-    const reachable = live.filter(({ node }) => !this.#parts.peers.isSilent(node.nodeId, nowMs));
+    const reachable = live.filter(({ node }) => !this.#parts.peers.isSilent(node.nodeId));
     const candidates = reachable.length > 0 ? reachable : live;
     const selection = this.#parts.selector.select(candidates, {
       service: routed.service,
@@ -376,6 +378,7 @@
       refusal.outcome === RequestOutcome.NotRun && refusal.statusCode === SERVICE_UNAVAILABLE;
     const retryAfterMs = adviseReturn({
       expectedMs: refusal.retryAfterMs,
+      objectiveLeftMs: exchange.objectiveLeftMs(performance.now()),
       remainingMs: exchange.remainingMs(performance.now()),
       random: this.#context.random(),
     });
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -64,6 +64,8 @@
   /** On the clock of `performance.now()`. */
   #endsAtMs = Infinity;
 
+  #objectiveAtMs: number | undefined;
+
   #isCallerGone = false;
 
   #isPastDeadline = false;
@@ -131,6 +133,16 @@
     return this.#endsAtMs - nowMs;
   }
 
+  /** Notes the time within which a response is of full use. */
+  setObjective(objectiveMs: number): void {
+    this.#objectiveAtMs = performance.now() + objectiveMs;
+  }
+
+  /** Returns what is left of that time; undefined when there is none. */
+  objectiveLeftMs(nowMs: number): number | undefined {
+    return this.#objectiveAtMs === undefined ? undefined : this.#objectiveAtMs - nowMs;
+  }
+
   /** Calls the listener when the exchange is given up; returns the unsubscriber. */
   onGivenUp(listener: () => void): () => void {
     this.#endListeners.push(listener);
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -39,6 +39,7 @@
   objectiveAtMs: number | undefined;
   /** 0 is the most urgent. */
   priority: number;
+  isReturn: boolean;
   requestId: string;
 }
 
@@ -57,6 +58,7 @@
   meanServiceMs: local.latencies.get(work.routeName)?.meanMs ?? 0,
   objectiveAtMs: work.objectiveAtMs,
   priority: work.priority,
+  isReturn: work.isReturn,
 });
 
 /** Calls the backend servers beside this node, each within its slots. */
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -94,6 +94,7 @@
       deadlineMs: nowMs + remainingMs,
       objectiveAtMs: call.objectiveMs > 0 ? nowMs + call.objectiveMs : undefined,
       priority: call.priority,
+      isReturn: call.isReturn,
       requestId: call.requestId,
     };
     const createHeaders = (): string[] => [
@@ -141,6 +142,8 @@
         route: call.routeName,
         version: call.version,
         objectiveMs: call.objectiveMs,
+        priority: call.priority,
+        isReturn: call.isReturn,
         reason,
         usedSlots: gate.used,
         waiting: gate.waiting,
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -102,6 +102,7 @@
       deadlineMs: routed.deadlineMs,
       objectiveAtMs: routed.objectiveAtMs,
       priority: routed.route.priority,
+      isReturn: routed.isReturn,
       requestId: routed.requestId,
     };
     const target = {
@@ -152,6 +153,7 @@
         objectiveAtMs === undefined
           ? 0
           : Math.max(1, Math.floor(objectiveAtMs - this.#context.getNowMs())),
+      isReturn: routed.isReturn,
     };
     headers.push(CALL_HEADER, formatCallHeader(call));
     if (entry.server.directAddress !== '') headers.push(GRANT_WANTED_HEADER, '1');
--- a/src/request/_lib/callHeader.test.ts
+++ b/src/request/_lib/callHeader.test.ts
@@ -21,6 +21,7 @@
     callerService: 'order;desk',
     priority: 2,
     objectiveMs: 600,
+    isReturn: true,
   };
   t.strictSame(parseCallHeader(formatCallHeader(call)), call);
 });
@@ -29,10 +30,10 @@
   [
     '',
     'a;b',
-    'a;b;1;r;3;n;s;1;600;extra',
-    ';b;1;r;3;n;s;1;600',
-    'a;b;1;r;3;n;s;x;600',
-    'a;b;1;r;3;n;s;1;-5',
+    'a;b;1;r;3;n;s;1;600;0;extra',
+    ';b;1;r;3;n;s;1;600;0',
+    'a;b;1;r;3;n;s;x;600;0',
+    'a;b;1;r;3;n;s;1;-5;0',
   ].forEach((value) => t.equal(parseCallHeader(value), undefined, value));
   ['', '-1', '1.5', '1e3', ' 1', '9999999999'].forEach((value) =>
     t.equal(parseCount(value), undefined, value),
--- a/src/request/_lib/callHeader.ts
+++ b/src/request/_lib/callHeader.ts
@@ -14,7 +14,7 @@
 /** Expected time until the server has room, in milliseconds; sent with a refusal. */
 export const RETRY_AFTER_HEADER = 'foxtailvane-retry-after-ms';
 
-const FIELD_COUNT = 9;
+const FIELD_COUNT = 10;
 const MAX_CACHED_ENCODINGS = 4_096;
 
 /** What a forwarded request carries for the node beside the server. */
@@ -32,6 +32,8 @@
   priority: number;
   /** Time within which a response is of full use; 0 when unknown or past. */
   objectiveMs: number;
+  /** Whether the caller was probably refused before. */
+  isReturn: boolean;
 }
 
 const encodings = new Map<string, string>();
@@ -60,7 +62,7 @@
     call.requestId,
   )};${call.version};${encode(call.entryNodeId)};${encode(call.callerService)};${call.priority};${
     call.objectiveMs
-  }`;
+  };${call.isReturn ? 1 : 0}`;
 
 /**
  * Reads a header that holds a whole number.
@@ -76,7 +78,7 @@
   if (parts.length !== FIELD_COUNT) return undefined;
   const [serverId, routeName, idempotent, requestId, version, entryNodeId, ...rest] =
     parts.map(decode);
-  const [callerService = '', priorityText, objectiveText] = rest;
+  const [callerService = '', priorityText, objectiveText, returnText] = rest;
   const priority = parseCount(priorityText);
   const objectiveMs = parseCount(objectiveText);
   if (!serverId || !requestId || !entryNodeId) return undefined;
@@ -91,6 +93,7 @@
     callerService,
     priority,
     objectiveMs,
+    isReturn: returnText === '1',
   };
 };
 
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -26,6 +26,8 @@
   deadlineMs: number;
   /** Time up to which a response is of full use; undefined when the route has no such time. */
   objectiveAtMs: number | undefined;
+  /** Whether the caller was probably refused before; its second refusal would be its last. */
+  isReturn: boolean;
   /** Attempts that outer layers already made; such a request is not retried here. */
   outerAttempt: number;
   /** Servers tried so far, each with how the attempt ended. */
@@ -81,6 +83,7 @@
     route.timeoutMs || compiled.findService(service)?.timeoutMs || DEFAULT_TIMEOUT_MS;
   const callerMs = caller.remainingMs ?? timeoutMs;
   const nowMs = context.getNowMs();
+  const objective = options.objectives.find(route, callerMs, nowMs);
   return {
     exchange,
     requestId: caller.requestId ?? options.requestId,
@@ -90,7 +93,8 @@
     host: target.host,
     path: target.pathWithQuery,
     deadlineMs: nowMs + Math.min(timeoutMs, callerMs),
-    objectiveAtMs: options.objectives.find(route, callerMs, nowMs),
+    objectiveAtMs: objective.endsAtMs,
+    isReturn: objective.isReturn,
     trail: [],
     outerAttempt: parseCount(exchange.internal.get(ATTEMPT_HEADER)) ?? 0,
   };
--- a/src/request/adviseReturn/index.ts
+++ b/src/request/adviseReturn/index.ts
@@ -2,6 +2,8 @@
 
 /** Callers spend at most this share of their remaining time waiting. */
 const LONGEST_SHARE = 1 / 3;
+/** Part of the objective that may pass; the rest is for the second attempt. */
+const OBJECTIVE_SHARE = 0.35;
 /** Below this a return costs more than it can find. */
 const LEAST_MS = 25;
 /** Wait when nothing is known of the servers, for example because none is announced. */
@@ -12,6 +14,8 @@
 export interface RefusedRequest {
   /** Expected time until a server has room; undefined when unknown. */
   expectedMs: number | undefined;
+  /** Time up to which a response is of full use; undefined when there is no such time. */
+  objectiveLeftMs: number | undefined;
   /** Time for which the caller still waits. */
   remainingMs: number;
   /** Uniform in [0, 1). */
@@ -24,8 +28,14 @@
  *
  * @returns milliseconds
  */
-const adviseReturn = ({ expectedMs, remainingMs, random }: RefusedRequest): number => {
-  const middleMs = Math.max(LEAST_MS, expectedMs ?? DEFAULT_MS);
+const adviseReturn = ({
+  expectedMs,
+  objectiveLeftMs,
+  remainingMs,
+  random,
+}: RefusedRequest): number => {
+  const usefulMs = objectiveLeftMs === undefined ? Infinity : objectiveLeftMs * OBJECTIVE_SHARE;
+  const middleMs = Math.max(LEAST_MS, Math.min(expectedMs ?? DEFAULT_MS, usefulMs));
   const spreadMs = middleMs * (1 + SPREAD * (random - 0.5));
   return Math.max(0, Math.min(spreadMs, remainingMs * LONGEST_SHARE));
 };
--- a/src/request/adviseReturn/test.ts
+++ b/src/request/adviseReturn/test.ts
@@ -7,7 +7,12 @@
 tap.test('those refused together come back spread over the expected wait', async (t) => {
   const random = createRandom((line) => t.comment(line));
   const pauses = Array.from({ length: 1_000 }, () =>
-    adviseReturn({ expectedMs: 100, remainingMs: 1_500, random: random() }),
+    adviseReturn({
+      expectedMs: 100,
+      objectiveLeftMs: undefined,
+      remainingMs: 1_500,
+      random: random(),
+    }),
   );
   const inTenth = (from: number): number =>
     pauses.filter((pauseMs) => pauseMs >= from && pauseMs < from + 10).length;
@@ -16,7 +21,15 @@
 });
 
 tap.test('a caller is never told to wait longer than a third of its time', async (t) => {
-  t.equal(adviseReturn({ expectedMs: 5_000, remainingMs: 600, random: 0.5 }), 200);
-  t.equal(adviseReturn({ expectedMs: undefined, remainingMs: 3_000, random: 0.5 }), 250);
-  t.equal(adviseReturn({ expectedMs: 0, remainingMs: -5, random: 0.5 }), 0);
+  const advise = (expectedMs: number | undefined, remainingMs: number) =>
+    adviseReturn({ expectedMs, remainingMs, objectiveLeftMs: undefined, random: 0.5 });
+  t.equal(advise(5_000, 600), 200);
+  t.equal(advise(undefined, 3_000), 250);
+  t.equal(advise(0, -5), 0);
+});
+
+// Guards against a second attempt that can only be late.
+tap.test('a caller comes back while its objective can still be met', async (t) => {
+  const options = { expectedMs: 250, objectiveLeftMs: 300, remainingMs: 800, random: 0.5 };
+  t.equal(adviseReturn(options), 105);
 });
--- a/src/request/trackPeers/index.ts
+++ b/src/request/trackPeers/index.ts
@@ -6,6 +6,7 @@
 
 interface Silence {
   count: number;
+  /** When the node is asked next. */
   untilMs: number;
 }
 
@@ -37,10 +38,14 @@
     return !known;
   }
 
-  /** Tells whether a node is avoided now; after the pause the next request tries it. */
-  isSilent(nodeId: string, nowMs: number): boolean {
-    const known = this.#silences.get(nodeId);
-    return known !== undefined && nowMs < known.untilMs;
+  /** Tells whether a node is avoided now. */
+  isSilent(nodeId: string): boolean {
+    return this.#silences.has(nodeId);
+  }
+
+  /** Returns the silent nodes that are to be asked now whether they answer again. */
+  listDue(nowMs: number): string[] {
+    return [...this.#silences].filter(([, { untilMs }]) => untilMs <= nowMs).map(([id]) => id);
   }
 
   /** Drops the state of nodes that are no longer known. */
--- /dev/null
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -0,0 +1,122 @@
+/** A machine of the platform: starts one program with a settings file. */
+import { spawn } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { stringify } from 'yaml';
+
+import type { ChildProcess } from 'node:child_process';
+
+const FIRST_INTERNAL_PORT = 7_380;
+
+export enum PlatformProgram {
+  Node = 'node',
+  Control = 'control',
+}
+
+/** Ports of every machine of a test, since each machine has an address of its own. */
+export const PLATFORM_PORTS = { app: 8_761, ready: 8_141, control: 8_144, outbound: 8_147 };
+
+export interface PlatformMachineOptions {
+  program: PlatformProgram;
+  /** Loopback address of the machine. */
+  ip: string;
+  zone: string;
+  /** Addresses of the machines that serve control. */
+  seedIps: string[];
+  /** Service of the worker beside a node. */
+  service?: string;
+}
+
+export default class PlatformMachine {
+  readonly ip: string;
+
+  readonly #options: PlatformMachineOptions;
+
+  #folder = '';
+
+  #child: ChildProcess | undefined;
+
+  #output = '';
+
+  constructor(options: PlatformMachineOptions) {
+    this.#options = options;
+    this.ip = options.ip;
+  }
+
+  /** Returns the address of one of its listeners. */
+  address(port: keyof typeof PLATFORM_PORTS): string {
+    return `${this.ip}:${PLATFORM_PORTS[port]}`;
+  }
+
+  /** What the program has written. */
+  get output(): string {
+    return this.#output;
+  }
+
+  async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
+    if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
+    const path = join(this.#folder, 'local.yaml');
+    await writeFile(path, stringify(this.#createSettings(options.isFirstStart)));
+    const program = fileURLToPath(
+      new URL(`../../platform/${this.#options.program}.js`, import.meta.url),
+    );
+    const child = spawn(process.execPath, [program], {
+      env: { PATH: process.env.PATH, FOXTAILVANE_CONFIG: path },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#child = child;
+    [child.stdout, child.stderr].forEach((stream) =>
+      stream.on('data', (chunk: Buffer) => {
+        this.#output += chunk.toString();
+      }),
+    );
+  }
+
+  /** Sends a signal and waits for the end of the program. */
+  async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
+    const child = this.#child;
+    this.#child = undefined;
+    if (!child || child.exitCode !== null) return;
+    const ended = new Promise((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill(signal);
+    await ended;
+  }
+
+  /** Ends the program and removes its disk. */
+  async remove(): Promise<void> {
+    await this.stop('SIGKILL');
+    if (this.#folder !== '') await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  #createSettings(isFirstStart: boolean): object {
+    const { ip, zone, service, program, seedIps } = this.#options;
+    const isNode = program === PlatformProgram.Node;
+    return {
+      self: {
+        node_name: `${program}-${ip}`,
+        ip,
+        zone,
+        region: 'south',
+        first_start: isFirstStart,
+        data_dir: isNode ? null : join(this.#folder, 'data'),
+        ...(service !== undefined && { app: this.address('app'), service }),
+      },
+      network: {
+        listen: {
+          control: this.address('control'),
+          ...(isNode && { outbound: this.address('outbound'), ready: this.address('ready') }),
+        },
+        internal_port_range: [FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 15],
+        seeds: seedIps.map((seedIp) => `${seedIp}:${PLATFORM_PORTS.control}`),
+      },
+      terms: {
+        bounds: { retry_budget_ratio: 0.2, retry_budget_slack: 64, grace: '6s' },
+      },
+    };
+  }
+}
--- /dev/null
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -0,0 +1,120 @@
+/** A worker of the platform: runs requests, says how it is, and reports to the node beside it. */
+import { createServer } from 'node:http';
+
+import { request } from 'undici';
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+export interface PlatformWorkerOptions {
+  instanceId: string;
+  service: string;
+  zone: string;
+  /** Address on which it listens, `IP:port`. */
+  address: string;
+  /** `control` address of its machine. */
+  control: string;
+  slots?: number;
+  /** Time that a request takes. */
+  workMs?: number;
+}
+
+const HEARTBEAT_INTERVAL_MS = 200;
+
+/** One request that the worker began to run. */
+export interface WorkerRun {
+  attemptId: string;
+  path: string;
+  callerService: string;
+  atMs: number;
+}
+
+export default class PlatformWorker {
+  readonly runs: WorkerRun[] = [];
+
+  readonly #options: PlatformWorkerOptions;
+
+  readonly #bornAtMs = Date.now();
+
+  readonly #server: Server;
+
+  #sequence = 0;
+
+  #state = 'ready';
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: PlatformWorkerOptions) {
+    this.#options = options;
+    this.#server = createServer((incoming, response) => this.#answer(incoming, response));
+  }
+
+  async start(): Promise<void> {
+    const [host, port] = this.#options.address.split(':');
+    await new Promise<void>((resolve) => {
+      this.#server.listen(Number(port), host, resolve);
+    });
+    this.#timer = setInterval(() => {
+      // A node that is down does not answer; the next heartbeat tries again.
+      this.report().catch(() => undefined);
+    }, HEARTBEAT_INTERVAL_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    await new Promise((resolve) => {
+      this.#server.close(resolve);
+      this.#server.closeAllConnections();
+    });
+  }
+
+  /** Reports that the worker leaves; returns the status of the acknowledgement. */
+  async drain(): Promise<number> {
+    this.#state = 'draining';
+    return this.report();
+  }
+
+  /**
+   * Sends a heartbeat.
+   *
+   * @param changes - fields that another writer would send
+   */
+  async report(changes: object = {}): Promise<number> {
+    const { instanceId, service, address, zone, control, slots = 4 } = this.#options;
+    this.#sequence += 1;
+    const { statusCode, body } = await request(
+      `http://${control}/-/rpc?call=instances.heartbeat&of=${instanceId}`,
+      {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({
+          ...{ service, address, zone, version: 'v1', slots, state: this.#state },
+          ...{ cold_remaining: '0ms', sequence: this.#sequence, born: this.#bornAtMs },
+          ...changes,
+        }),
+      },
+    );
+    await body.dump();
+    return statusCode;
+  }
+
+  #answer(incoming: IncomingMessage, response: ServerResponse): void {
+    const { instanceId, workMs = 5 } = this.#options;
+    const { headers, url = '' } = incoming;
+    if (url === '/health') {
+      response.writeHead(this.#state === 'ready' ? 200 : 503, { 'instance-id': instanceId }).end();
+      return;
+    }
+    const target = headers['target-instance'];
+    if (target !== undefined && target !== instanceId) {
+      response.writeHead(421, { 'instance-id': instanceId }).end();
+      return;
+    }
+    const attemptId = String(headers['attempt-id'] ?? '');
+    const callerService = String(headers['caller-service'] ?? '');
+    this.runs.push({ attemptId, path: url, callerService, atMs: performance.now() });
+    setTimeout(() => {
+      response.writeHead(200, { 'attempt-id': attemptId, 'server-stamp': `s.${instanceId}` });
+      response.end(`${instanceId} ${url}`);
+    }, workMs);
+  }
+}
--- /dev/null
+++ b/test/platform/platform.test.ts
@@ -0,0 +1,196 @@
+/** The programs of the platform as separate processes, against a stand-in of the platform. */
+import tap from 'tap';
+import type { Test } from 'tap';
+
+import { request } from 'undici';
+
+import {
+  PlatformMachine,
+  PlatformProgram,
+  PlatformWorker,
+  callControl,
+  createDocument,
+  sendAttempt,
+} from '../../stand-ins/platform/index.js';
+import waitFor from '../../stand-ins/waitFor/index.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const CONTROL_IPS = ['127.0.71.1', '127.0.71.2', '127.0.71.3'];
+const SERVICES = ['desk', 'ledger'];
+/** A drained worker gets no request later than this after the acknowledgement. */
+const DRAIN_BOUND_MS = 2_000;
+
+interface TestPlatform {
+  controls: PlatformMachine[];
+  nodes: PlatformMachine[];
+  workers: PlatformWorker[];
+}
+
+const start = async (t: Test): Promise<TestPlatform> => {
+  const shared = { seedIps: CONTROL_IPS };
+  const controls = CONTROL_IPS.map(
+    (ip, index) =>
+      new PlatformMachine({
+        ...shared,
+        program: PlatformProgram.Control,
+        ip,
+        zone: ZONES[index] ?? '',
+      }),
+  );
+  const nodes = [...SERVICES, ...SERVICES].map(
+    (service, index) =>
+      new PlatformMachine({
+        ...shared,
+        program: PlatformProgram.Node,
+        ip: `127.0.72.${index + 1}`,
+        zone: ZONES[index % ZONES.length] ?? '',
+        service,
+      }),
+  );
+  const workers = nodes.map(
+    (node, index) =>
+      new PlatformWorker({
+        instanceId: `i-${index}`,
+        service: SERVICES[index % SERVICES.length] ?? '',
+        zone: ZONES[index % ZONES.length] ?? '',
+        address: node.address('app'),
+        control: node.address('control'),
+      }),
+  );
+  t.teardown(async () => {
+    await Promise.all(workers.map((worker) => worker.stop()));
+    await Promise.all([...controls, ...nodes].map((machine) => machine.remove()));
+  });
+  await Promise.all(workers.map((worker) => worker.start()));
+  await Promise.all([...nodes, ...controls].map((machine) => machine.start()));
+  return { controls, nodes, workers };
+};
+
+const isReady = async (node: PlatformMachine): Promise<boolean> => {
+  const { statusCode, body } = await request(`http://${node.address('ready')}/-/readiness`);
+  await body.dump();
+  return statusCode === 200;
+};
+
+const replaceUntilAnswered = async (control: string, document: object): Promise<number> => {
+  let status = 503;
+  await waitFor('clear answer to a change', async () => {
+    ({ status } = await callControl(control, 'configuration.replace', document));
+    return status !== 503;
+  });
+  return status;
+};
+
+const serves = async (node: PlatformMachine, path: string): Promise<boolean> => {
+  const { status } = await sendAttempt(node.address('outbound'), { path });
+  return status === 200;
+};
+
+tap.test('the programs serve the platform', async (t) => {
+  const platform = await start(t);
+  const { controls, nodes, workers } = platform;
+  const [firstControl = '', secondControl = ''] = controls.map((one) => one.address('control'));
+  const [firstNode] = nodes;
+  if (!firstNode) throw new Error('there is no node');
+  const outbound = firstNode.address('outbound');
+
+  await t.test('a node without a configuration refuses, and is not ready', async (t2) => {
+    await waitFor('the node listens', async () => !(await isReady(firstNode)));
+    const reply = await sendAttempt(outbound, { path: '/desk/1' });
+    t2.equal(reply.status, 503);
+  });
+
+  await t.test('the first configuration is accepted and in force on every node', async (t2) => {
+    const document = createDocument(3, 0, SERVICES);
+    t2.equal(await replaceUntilAnswered(firstControl, document), 200);
+    await Promise.all(nodes.map((node) => waitFor('ready', () => isReady(node))));
+    await Promise.all(
+      nodes.flatMap((node) =>
+        SERVICES.map((service) => waitFor('served', () => serves(node, `/${service}/1`))),
+      ),
+    );
+  });
+
+  await t.test('an answer is the one of the worker, to this request', async (t2) => {
+    const reply = await sendAttempt(outbound, { path: '/ledger/7?x=1' });
+    t2.match(reply.body, /^i-\d \/ledger\/7\?x=1$/);
+    t2.match(reply.stamp, /^s\.i-/);
+    const run = workers
+      .flatMap(({ runs }) => runs)
+      .find((one) => one.attemptId === reply.attemptId);
+    t2.equal(run?.callerService, 'desk', 'the service beside the entry node, whatever was claimed');
+  });
+
+  await t.test('an unknown path is answered 404', async (t2) => {
+    t2.equal((await sendAttempt(outbound, { path: '/nowhere/' })).status, 404);
+  });
+
+  await t.test('a change on another version than the newest is refused', async (t2) => {
+    const document = createDocument(5, 2, SERVICES);
+    t2.equal(await replaceUntilAnswered(secondControl, document), 412);
+    t2.equal(await replaceUntilAnswered(secondControl, createDocument(3, 0, SERVICES)), 200);
+  });
+
+  await t.test('an invalid change is refused and changes nothing', async (t2) => {
+    const document = createDocument(9, 3, SERVICES);
+    const invalid = { ...document, services: [] };
+    t2.equal(await replaceUntilAnswered(firstControl, invalid), 400);
+    t2.ok(await serves(firstNode, '/desk/1'));
+  });
+
+  await t.test('every control VM reads back what was sent', async (t2) => {
+    const replies = await Promise.all(
+      controls.map((one) => callControl(one.address('control'), 'configuration.read')),
+    );
+    replies.forEach(({ status, body }) => {
+      t2.equal(status, 200);
+      t2.strictSame(JSON.parse(body), createDocument(3, 0, SERVICES));
+    });
+  });
+
+  await t.test('a heartbeat of another writer changes nothing', async (t2) => {
+    const [worker] = workers;
+    t2.equal(await worker?.report({ born: 'yesterday' }), 400);
+    t2.equal(await worker?.report({ address: '127.0.72.9:1' }), 400);
+    t2.ok(await serves(firstNode, '/desk/1'));
+  });
+
+  await t.test('a draining worker gets no request after the bound', async (t2) => {
+    const [worker] = workers;
+    t2.equal(await worker?.drain(), 200);
+    const drainedAtMs = performance.now();
+    while (performance.now() < drainedAtMs + DRAIN_BOUND_MS + 1_000) {
+      const replies = await Promise.all(
+        nodes.map((node) => sendAttempt(node.address('outbound'), { path: '/desk/2' })),
+      );
+      t2.ok(
+        replies.every(({ status }) => status === 200),
+        replies.map(({ status }) => status).join(),
+      );
+    }
+    const late = worker?.runs.filter(({ atMs }) => atMs > drainedAtMs + DRAIN_BOUND_MS) ?? [];
+    t2.strictSame(late, []);
+  });
+
+  await t.test('a killed leader and its disk lose nothing that was acknowledged', async (t2) => {
+    const document = createDocument(12, 3, SERVICES);
+    t2.equal(await replaceUntilAnswered(firstControl, document), 200);
+    const [lost, ...others] = controls;
+    await lost?.remove();
+    await Promise.all(
+      others.map((one) =>
+        waitFor('newest configuration is read', async () => {
+          const { status, body } = await callControl(one.address('control'), 'configuration.read');
+          return status === 200 && JSON.parse(body).version === 'r12';
+        }),
+      ),
+    );
+  });
+
+  await t.test('SIGTERM ends a node within its grace period', async (t2) => {
+    const startedAtMs = performance.now();
+    await firstNode.stop();
+    t2.ok(performance.now() - startedAtMs < 6_000);
+    t2.match(firstNode.output, /node stopped/);
+  });
+});
