--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -4,6 +4,7 @@
 import type { Readable } from 'node:stream';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
+import { isWithinReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
 import { CallError, CallErrorCode } from '../CallError/index.js';
 
@@ -243,6 +244,12 @@
       this.#finish(err(this.#withheld));
       return;
     }
+    if (isWithinReset()) {
+      this.#finish(
+        err(this.#toCallError(new Error('the connection was reset within the response'))),
+      );
+      return;
+    }
     const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     const pass = (): void => {
       this.#end(trailers as Buffer[] | null);
--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -2,6 +2,7 @@
 
 import type { Dispatcher } from 'undici';
 
+import { watchResets } from '../watchResets/index.js';
 import { createLogger } from '../../process/log/index.js';
 
 import type { TlsMaterial } from '../openTransport/index.js';
@@ -113,10 +114,10 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MAX_TIMEOUT_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
-      connect: {
+      connect: watchResets({
         timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
         ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
-      },
+      }),
     };
   }
 }
--- a/src/process/_lib/slim/modules.d.ts
+++ b/src/process/_lib/slim/modules.d.ts
@@ -29,6 +29,12 @@
   export default Pool;
 }
 
+declare module 'undici/lib/core/connect.js' {
+  import { buildConnector } from 'undici';
+
+  export default buildConnector;
+}
+
 declare module 'undici/lib/core/errors.js' {
   import { errors } from 'undici';
 
--- a/src/process/_lib/slim/undici.ts
+++ b/src/process/_lib/slim/undici.ts
@@ -13,4 +13,5 @@
 export { default as Agent } from 'undici/lib/dispatcher/agent.js';
 export { default as Client } from 'undici/lib/dispatcher/client.js';
 export { default as Pool } from 'undici/lib/dispatcher/pool.js';
+export { default as buildConnector } from 'undici/lib/core/connect.js';
 export { default as errors } from 'undici/lib/core/errors.js';
--- a/src/request/RequestServer/framing.test.ts
+++ b/src/request/RequestServer/framing.test.ts
@@ -1,12 +1,13 @@
 import { createHash, randomBytes } from 'node:crypto';
-import { Agent, request as sendRequest } from 'node:http';
+import { Agent, createServer, request as sendRequest } from 'node:http';
+import { createServer as createTcpServer } from 'node:net';
 
 import tap from 'tap';
 
 import type { RequestListener } from 'node:http';
 import type { Test } from 'tap';
 import createRandom from '../../../test/requestMesh/createRandom.js';
-import { TestMesh, send } from '../../../test/requestMesh/index.js';
+import { TestMesh, listenOnLoopback, send } from '../../../test/requestMesh/index.js';
 import sendRaw from '../../../test/requestMesh/sendRaw.js';
 
 const MEBIBYTE = 1_048_576;
@@ -311,3 +312,36 @@
     t.equal(headers['foxtailvane-outcome'], undefined);
   });
 });
+
+// Guards against undici, which takes a reset for the end of a response without length.
+tap.test(
+  'a response without length is complete only if its connection is closed in order',
+  async (t) => {
+    const answerUnframed = async (isReset: boolean, path: { oneHop: boolean }) => {
+      const server = createTcpServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart');
+          setTimeout(() => (isReset ? socket.resetAndDestroy() : socket.end()), 50);
+        });
+      });
+      const address = await listenOnLoopback(server);
+      t.teardown(() => server.close());
+      const mesh = new TestMesh();
+      t.teardown(() => mesh.stop());
+      const entry = await mesh.startNode('entry');
+      const owner = path.oneHop ? entry : await mesh.startNode('owner');
+      mesh.announce(owner, createServer(), address);
+      return send(entry.address, { method: 'POST', path: '/uploads' });
+    };
+    await Promise.all(
+      bothPaths.map(async (path) => {
+        const label = `one hop: ${path.oneHop}`;
+        t.equal((await answerUnframed(true, path)).isComplete, false, `reset, ${label}`);
+        const closed = await answerUnframed(false, path);
+        t.equal(closed.isComplete, true, `closed, ${label}`);
+        t.equal(closed.body, 'part', label);
+      }),
+    );
+  },
+);
