Refuse what waits in vain, and stop nodes in the time that the platform needs to notice

Cause of refusals after a long wait: requests were admitted up to the mean of the expected wait, and a request whose objective had passed was never refused. A path that is unknown in an unconfirmed version is answered 503.

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -175,6 +175,20 @@
     }));
   }
 
+  /**
+   * Tells whether a control VM has confirmed lately that this node holds the newest version. A node that
+   * is cut off goes on serving, but cannot tell an unknown path from one that was added since.
+   *
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  isCurrent(nowMs: number): boolean {
+    const stream = this.#stream;
+    if (stream?.confirmedVersion === undefined) return false;
+    const heldVersion = this.#parts.holder.current()?.version ?? 0;
+    const isFresh = nowMs - stream.confirmedAtMs <= this.#timing.silenceMs;
+    return isFresh && heldVersion >= stream.confirmedVersion;
+  }
+
   #isCutOff(nowMs: number): boolean {
     return nowMs - this.#startedAtMs >= this.#timing.cutOffAfterMs;
   }
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -270,6 +270,8 @@
   #noteAttached(nowMs: number): void {
     if (this.#isAttached) return;
     this.#isAttached = true;
+    const { address, dataCentre } = this.target;
+    log.info({ address, dataCentre }, 'attached to control VM');
     this.#context.ownRecord.noteAnnounced();
     this.#context.parts.directory.renewAll(nowMs);
     if (this.#sentRecord !== this.#context.ownRecord.current) this.sendRecord();
--- a/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
@@ -4,13 +4,13 @@
 
 /** Bounds the memory of a queue; its length in time is bounded by the objectives. */
 const QUEUE_PER_SLOT = 4;
-/** Share of the objective that a request may wait even if its service is expected to take the rest. */
-const LEAST_WAIT_SHARE = 0.125;
 const LOWEST_PRIORITY = 9;
 
 const endOf = ({ objectiveAtMs, deadlineMs }: SlotDemand): number =>
   Math.min(objectiveAtMs ?? deadlineMs, deadlineMs);
 
+/** Waits vary; a request that is refused after a wait would better have been refused at once. */
+const WAIT_MARGIN = 1.5;
 /** Service times vary; this many times the mean covers most of them. */
 const SERVICE_MARGIN = 1.3;
 
@@ -37,8 +37,7 @@
   }
 
   override isHopeless(demand: SlotDemand, waitMs: number, nowMs: number): boolean {
-    const graceMs = Math.max(0, endOf(demand) - nowMs) * LEAST_WAIT_SHARE;
-    return nowMs + waitMs > Math.max(latestStartOf(demand), nowMs + graceMs);
+    return nowMs + waitMs * WAIT_MARGIN > latestStartOf(demand);
   }
 
   override choose<T extends Waiting>(admissible: T[], { nowMs }: { nowMs: number }): T | undefined {
--- /dev/null
+++ b/src/process/localServers/AdmissionPolicy/test.ts
@@ -0,0 +1,107 @@
+import tap from 'tap';
+
+import createRandom from '../../../../test/requestMesh/createRandom.js';
+import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
+import { SlotGate } from '../SlotGate/index.js';
+import { ObjectivePolicy, QuickFirstPolicy } from './index.js';
+
+import type { AdmissionPolicy, SlotDemand } from './index.js';
+
+const SLOTS = 6;
+const SERVICE_MS = 100;
+const OBJECTIVE_MS = 300;
+const DEADLINE_MS = 800;
+
+interface Outcome {
+  timely: number;
+  late: number;
+  refused: number;
+  /** Mean time from arrival to refusal. */
+  heldMs: number;
+}
+
+/** Offers twice the load that the slots carry for 20 s, in simulated time. */
+const replayOverload = (policy: AdmissionPolicy, random: () => number): Outcome => {
+  const gate = new SlotGate({ slots: SLOTS, limiter: new FixedLimiter(SLOTS), policy });
+  const events: { atMs: number; run: (nowMs: number) => void }[] = [];
+  const schedule = (atMs: number, run: (nowMs: number) => void): void => {
+    events.push({ atMs, run });
+    events.sort((left, right) => left.atMs - right.atMs);
+  };
+  const outcome: Outcome = { timely: 0, late: 0, refused: 0, heldMs: 0 };
+  let nowMs = 0;
+  const arrive = (arrivedAtMs: number): void => {
+    const demand: SlotDemand = {
+      deadlineMs: arrivedAtMs + DEADLINE_MS,
+      objectiveAtMs: arrivedAtMs + OBJECTIVE_MS,
+      meanServiceMs: SERVICE_MS,
+      leastServiceMs: SERVICE_MS / 2,
+      isRetry: false,
+      isSlow: false,
+    };
+    gate.admit(demand, arrivedAtMs, (refusal) => {
+      if (refusal !== undefined) {
+        outcome.refused += 1;
+        outcome.heldMs += nowMs - arrivedAtMs;
+        return;
+      }
+      const serviceMs = -Math.log(1 - random()) * SERVICE_MS;
+      schedule(nowMs + serviceMs, (endMs) => {
+        if (endMs <= arrivedAtMs + OBJECTIVE_MS) outcome.timely += 1;
+        else outcome.late += 1;
+        gate.release(demand, serviceMs, endMs);
+      });
+    });
+  };
+  const gapMs = SERVICE_MS / SLOTS / 2;
+  Array.from({ length: 20_000 / gapMs }).forEach((_, index) => schedule(index * gapMs, arrive));
+  while (events.length > 0) {
+    const next = events.shift();
+    if (!next) break;
+    nowMs = next.atMs;
+    next.run(nowMs);
+    gate.refuseHopeless(nowMs);
+  }
+  return { ...outcome, heldMs: outcome.heldMs / Math.max(1, outcome.refused) };
+};
+
+// Guards against a full queue in front of a server, from which every response comes late.
+tap.test('under twice the load the slots serve requests that meet their objective', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const baseline = replayOverload(new QuickFirstPolicy(), random);
+  const outcome = replayOverload(new ObjectivePolicy(), random);
+  t.comment(`quick first ${JSON.stringify(baseline)}`);
+  t.comment(`by objective ${JSON.stringify(outcome)}`);
+  const capacity = (20_000 / SERVICE_MS) * SLOTS;
+  t.ok(outcome.timely > capacity * 0.75, `${outcome.timely} of ${capacity}`);
+  t.ok(outcome.timely > baseline.timely, `${baseline.timely} with the baseline`);
+  t.ok(outcome.heldMs < OBJECTIVE_MS / 8, `refused after ${Math.round(outcome.heldMs)} ms`);
+});
+
+// Guards against a caller that is refused twice in a row while newcomers are served.
+tap.test('callers that were refused before go first within their priority', async (t) => {
+  const policy = new ObjectivePolicy();
+  const demand = { deadlineMs: 1_000, isRetry: false, isSlow: false };
+  const rank = (priority: number, isReturn: boolean): number =>
+    policy.rankOf({ ...demand, priority, isReturn });
+  t.ok(rank(2, true) < rank(2, false));
+  t.ok(rank(1, false) < rank(2, true), 'an order precedes a lookup all the same');
+});
+
+// Guards against requests that wait for a server which gives no slot back.
+tap.test('what waits in vain is refused before its deadline', async (t) => {
+  const gate = new SlotGate({
+    slots: 1,
+    limiter: new FixedLimiter(1),
+    policy: new ObjectivePolicy(),
+  });
+  const demand = { deadlineMs: 800, objectiveAtMs: 300, isRetry: false, isSlow: false };
+  gate.admit(demand, 0, () => undefined);
+  let refusedAtMs: number | undefined;
+  let nowMs = 0;
+  gate.admit(demand, 0, (refusal) => {
+    if (refusal !== undefined) refusedAtMs = nowMs;
+  });
+  for (; nowMs < 800 && refusedAtMs === undefined; nowMs += 50) gate.refuseHopeless(nowMs);
+  t.ok(refusedAtMs !== undefined && refusedAtMs <= 400, `${refusedAtMs}`);
+});
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -58,6 +58,7 @@
     | 'createSelector'
     | 'createBudget'
     | 'drainGraceMs'
+    | 'drainAnnounceDelayMs'
   >;
 }
 
@@ -102,6 +103,7 @@
     nodeId,
     dataCentre,
     current: () => (link.isReadyToServe(readNowMs()).isOk() ? holder.current() : undefined),
+    isCurrent: () => link.isCurrent(readNowMs()),
     directory: {
       serversOf: (service) => directory.serversOf(service),
       records: () => directory.records(),
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -66,7 +66,7 @@
   'observations' | 'breaker' | 'dataCentre'
 >;
 
-type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService';
+type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent';
 
 export interface RequestServerOptions
   extends Omit<RequestContext, OptionalContext>, Partial<Pick<RequestContext, OptionalContext>> {
@@ -93,6 +93,11 @@
   probeIntervalMs?: number;
   /** Time during which a draining node still takes new requests. */
   drainGraceMs?: number;
+  /**
+   * Time after the begin of draining from which on other nodes are told not to choose the servers beside
+   * this one; at once unless given. Its own callers may need longer to notice.
+   */
+  drainAnnounceDelayMs?: number;
 }
 
 const createTlsOptions = (material: TlsMaterial) => ({
@@ -187,6 +192,7 @@
       getNowMs: options.getNowMs ?? Date.now,
       dialect: options.dialect ?? new OwnDialect(),
       callerService: options.callerService ?? (() => ''),
+      isCurrent: options.isCurrent ?? (() => true),
     };
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
@@ -257,6 +263,10 @@
     );
   }
 
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
   /** Requests that this node has not finished yet. */
   get inFlight(): number {
     return this.#inFlight;
@@ -304,9 +314,11 @@
   async drain(withinMs = Infinity): Promise<void> {
     const untilMs = performance.now() + withinMs;
     this.#isDraining = true;
-    this.#context.localServers.drain();
     this.#lender.stop();
-    await delay(this.#options.drainGraceMs ?? DEFAULT_DRAIN_GRACE_MS);
+    const { drainGraceMs = DEFAULT_DRAIN_GRACE_MS, drainAnnounceDelayMs = 0 } = this.#options;
+    if (drainAnnounceDelayMs > 0) await delay(drainAnnounceDelayMs);
+    this.#context.localServers.drain();
+    await delay(drainGraceMs - drainAnnounceDelayMs);
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
     while (this.#inFlight > 0 && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
     this.#entry.closeIdleConnections();
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -2,6 +2,7 @@
 import { createLimitedLogger } from '../../process/log/createLimitedLogger/index.js';
 import { readOccupancy } from '../../process/localServers/index.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
+import type { CallError } from '../../connection/CallError/index.js';
 import {
   ATTEMPT_HEADER,
   CALL_HEADER,
@@ -118,9 +119,9 @@
       if (!exchange.response.headersSent)
         exchange.response.setHeader(LOAD_HEADER, this.#formatLoad(local));
       answerFailure(exchange, result.error);
+      this.#logFailure(call, local, result.error);
       if (result.error.code === CallErrorCode.Refused) {
         this.#countRefusal(result.error.message);
-        this.#logRefusal(call, local, result.error.message);
       }
     }
   }
@@ -131,7 +132,7 @@
     return formatLoad({ load: readOccupancy(local, nowMs), holdMs });
   }
 
-  #logRefusal(call: ForwardedCall, { gate }: LocalServer, reason: string): void {
+  #logFailure(call: ForwardedCall, { gate }: LocalServer, error: CallError): void {
     const nowMs = this.#context.getNowMs();
     decisions.info(
       nowMs,
@@ -144,13 +145,17 @@
         objectiveMs: call.objectiveMs,
         priority: call.priority,
         isReturn: call.isReturn,
-        reason,
+        code: error.code,
+        reason: error.message,
+        isWritten: error.options.isWritten,
         usedSlots: gate.used,
         waiting: gate.waiting,
         capacity: gate.capacity,
         holdMs: Math.round(gate.estimateHoldMs(nowMs)),
       }),
-      'request refused beside the server',
+      error.code === CallErrorCode.Refused
+        ? 'request refused beside the server'
+        : 'request failed beside the server',
     );
   }
 
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -16,6 +16,8 @@
 export interface RequestContext {
   nodeId: string;
   dataCentre: string;
+  /** Tells whether no newer version than the one in force can have been accepted a while ago. */
+  isCurrent: () => boolean;
   /** Returns the configuration in force. */
   current: () => CompiledConfiguration | undefined;
   directory: RequestDirectory;
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -67,6 +67,7 @@
   const route = compiled.matchRoute(target.host, target.path, exchange.method);
   if (!route) {
     const message = `no route for ${exchange.method} ${target.host} ${target.path}`;
+    if (!context.isCurrent()) return createNotRun(RefusalReason.VersionUnconfirmed, message);
     return createNotRun(RefusalReason.NoRoute, message, { statusCode: 404 });
   }
   const limitBytes = compiled.configuration.limits?.maxBodyBytes ?? 0;
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -13,6 +13,8 @@
 export enum RefusalReason {
   NoConfiguration = 'NO_CONFIGURATION',
   NoRoute = 'NO_ROUTE',
+  /** No route in the version held, which may not be the newest. */
+  VersionUnconfirmed = 'VERSION_UNCONFIRMED',
   NoServer = 'NO_SERVER',
   BadRequest = 'BAD_REQUEST',
   UnknownServer = 'UNKNOWN_SERVER',
