--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -193,6 +193,11 @@
     return this.#replica.diskIdentity;
   }
 
+  /** Whether the storage has failed, so that this member takes no part any more. */
+  get hasFailed(): boolean {
+    return this.#replica.failure !== undefined;
+  }
+
   /** Role of this member, also before it belongs to a cluster. */
   get role(): MemberRole {
     return this.#replica.role;
