--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -10,6 +10,7 @@
 import addServersCommand from './commands/servers.js';
 import addSheetCommand from './commands/sheet.js';
 import addStatusCommand from './commands/status.js';
+import addTraceCommand from './commands/trace.js';
 import CommandError from './CommandError.js';
 import ExitCode from './ExitCode.js';
 
@@ -28,6 +29,7 @@
   addExplainCommand,
   addHistoryCommand,
   addMembersCommand,
+  addTraceCommand,
 ];
 
 /** Usage is printed whole when a command is missing; any other message has one line. */
--- /dev/null
+++ b/src/process/cli/traceRequest/index.ts
@@ -0,0 +1,60 @@
+/** The way of one request, from the logs of several processes. */
+
+/** One log line that mentions the request. */
+export interface TraceEvent {
+  /** Time of day of the process that wrote it, in milliseconds since the epoch. */
+  atMs: number;
+  /** Name of the file. */
+  source: string;
+  component: string;
+  message: string;
+  /** Facts of the line, without those that every line has. */
+  facts: Record<string, unknown>;
+}
+
+const COMMON_FIELDS = new Set(['component', 'logLevel', 'requestId']);
+
+const parseLine = (text: string): Record<string, unknown> | undefined => {
+  // Lines may stand behind a time or a name that a collector has put before them.
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    return JSON.parse(text.slice(start)) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+};
+
+const mentions = (context: Record<string, unknown>, requestId: string): boolean =>
+  context.requestId === requestId;
+
+const toEvent = (source: string, text: string, requestId: string): TraceEvent | undefined => {
+  const line = text.includes(requestId) ? parseLine(text) : undefined;
+  const context = line?.context as Record<string, unknown> | undefined;
+  if (!line || !context || !mentions(context, requestId)) return undefined;
+  const facts = Object.entries(context).filter(([name]) => !COMMON_FIELDS.has(name));
+  return {
+    atMs: Number(line.time),
+    source,
+    component: String(context.component ?? ''),
+    message: String(line.message ?? ''),
+    facts: Object.fromEntries(facts),
+  };
+};
+
+/**
+ * Collects what logs say of one request.
+ *
+ * @param logs - content of log files by name
+ * @param requestId - id of the request
+ * @returns the events in order of time; processes on different VMs differ by their clocks
+ *
+ * @example
+ * traceRequest(new Map([['node-1.log', text]]), '9c41d07be2a35f68');
+ */
+export const traceRequest = (logs: Map<string, string>, requestId: string): TraceEvent[] =>
+  [...logs]
+    .flatMap(([source, content]) =>
+      content.split('\n').flatMap((text) => toEvent(source, text, requestId) ?? []),
+    )
+    .toSorted((left, right) => left.atMs - right.atMs);
--- /dev/null
+++ b/src/process/cli/traceRequest/test.ts
@@ -0,0 +1,36 @@
+import tap from 'tap';
+
+import { traceRequest } from './index.js';
+
+const line = (time: number, message: string, context: object): string =>
+  JSON.stringify({ context: { component: 'entry', logLevel: 30, ...context }, message, time });
+
+tap.test('the lines of one request are joined over files, in order of time', async (t) => {
+  const logs = new Map([
+    [
+      'entry.log',
+      [
+        line(30, 'request not served', { requestId: 'r1', reason: 'NO_SLOT' }),
+        line(10, 'request not served', { requestId: 'r2' }),
+        'r1 is mentioned by no line of this kind',
+        '{"r1": broken',
+      ].join('\n'),
+    ],
+    // A collector may put a time before each line.
+    ['owner.log', `1.5 vm-2 ${line(20, 'request refused beside the server', { requestId: 'r1' })}`],
+  ]);
+  t.strictSame(
+    traceRequest(logs, 'r1').map(({ atMs, source, message }) => [atMs, source, message]),
+    [
+      [20, 'owner.log', 'request refused beside the server'],
+      [30, 'entry.log', 'request not served'],
+    ],
+  );
+  t.strictSame(traceRequest(logs, 'r1')[1]?.facts, { reason: 'NO_SLOT' });
+});
+
+// Guards against an id that is part of another one, as the ids of calls are.
+tap.test('a request whose id begins with the id is another one', async (t) => {
+  const logs = new Map([['entry.log', line(1, 'request answered', { requestId: 'r1.c7' })]]);
+  t.strictSame(traceRequest(logs, 'r1'), []);
+});
--- a/test/_lib/proof.ts
+++ b/test/_lib/proof.ts
@@ -128,6 +128,20 @@
   t.ok((outcomes[RequestOutcome.Answered] ?? 0) > 0, 'some requests were answered');
 };
 
+/** Prints why nodes did not serve requests, as their logs say it. */
+export const commentNotServed = (t: Test, cluster: TestCluster): void => {
+  const lines = cluster.nodes
+    .flatMap((node) => node.process.readLog().split('\n'))
+    .filter((line) => line.includes('request not served'))
+    .map((line) => JSON.parse(line).context)
+    .map(({ route, code, reason, tried, liveServers }) =>
+      JSON.stringify({ route, code, reason, tried: tried.length, liveServers }),
+    );
+  const counts = new Map<string, number>();
+  lines.forEach((line) => counts.set(line, (counts.get(line) ?? 0) + 1));
+  counts.forEach((count, line) => t.comment(`not served ${count} times: ${line}`));
+};
+
 /** Waits until a lookup and an order are answered at each of the nodes. */
 export const waitUntilAnswered = async (
   nodes: NodeMember[],
--- a/test/proofs/changesUnderLoad.test.ts
+++ b/test/proofs/changesUnderLoad.test.ts
@@ -7,6 +7,7 @@
 import { countOutcomes } from '../../stand-ins/verifyOutcomes/index.js';
 import {
   assertInvariants,
+  commentNotServed,
   chooseCount,
   sendDuring,
   startCluster,
@@ -83,6 +84,7 @@
     { describeRequest },
   );
   assertInvariants(t, cluster, sent);
+  commentNotServed(t, cluster);
   const ids = new Map(sent.map((one) => [one.requestId, one]));
   const records = cluster
     .readExecutions()
