--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -6,11 +6,10 @@
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CallErrorCode } from '../../connection/CallError/index.js';
-import { createLimitedLogger } from '../../process/log/createLimitedLogger/index.js';
 import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
-import type { LogContext } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
+import EntryLog from './EntryLog.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
 import describeKeyError from './describeKeyError.js';
@@ -36,13 +35,6 @@
 
 const log = createLogger('routing');
 
-/** Lines about requests; the counters hold all of them. */
-const ANSWERED_LINES_PER_SECOND = 3;
-const NOT_SERVED_LINES_PER_SECOND = 30;
-
-const answeredLog = createLimitedLogger('entry', ANSWERED_LINES_PER_SECOND);
-const notServedLog = createLimitedLogger('entry', NOT_SERVED_LINES_PER_SECOND);
-
 /** A request that certainly did not run may be placed on this many servers in all. */
 const MAX_PLACEMENTS = 3;
 const SERVICE_UNAVAILABLE = 503;
@@ -85,15 +77,6 @@
     ({ code }) => code,
   );
 
-const describeRequest = (routed: RoutedRequest): LogContext => ({
-  requestId: routed.requestId,
-  route: routed.route.name,
-  service: routed.service,
-  version: routed.version,
-  tried: routed.trail,
-  elapsedMs: Math.round(performance.now() - routed.exchange.startedAtMs),
-});
-
 const hash = (content: string | Buffer): Buffer => createHash('sha256').update(content).digest();
 
 /** Answers the requests of callers. */
@@ -111,6 +94,8 @@
 
   #requestCount = 0;
 
+  readonly #entryLog: EntryLog;
+
   readonly #split: TrafficSplit;
 
   readonly #objectives = new ObjectiveClock();
@@ -119,6 +104,7 @@
     this.#context = context;
     this.#parts = parts;
     this.#split = new TrafficSplit(context.random);
+    this.#entryLog = new EntryLog(context);
     this.#incarnation = context.localServers.record().incarnation.toString(ID_RADIX);
     this.#addedUs = context.metrics.histogram('request_added_us');
     this.#requests = context.metrics.counter('requests_received', { at: 'entry' });
@@ -138,7 +124,7 @@
     });
     if ('reason' in routed) {
       this.#refuse(exchange, routed);
-      this.#logRefused(request, routed);
+      this.#entryLog.logRefused(request, routed);
       return;
     }
     exchange.requestId = routed.requestId;
@@ -214,7 +200,7 @@
   #finish(routed: RoutedRequest, result: Result<CallSummary, CallError | undefined>): void {
     if (result.isOk()) {
       this.#recordAdded(routed, result.value);
-      this.#logAnswered(routed, result.value);
+      this.#entryLog.logAnswered(routed, result.value);
     } else this.#fail(routed, result.error);
   }
 
@@ -313,7 +299,11 @@
 
   #fail(routed: RoutedRequest, lastError: CallError | undefined): void {
     const { exchange, service } = routed;
-    this.#logNotServed(routed, lastError);
+    this.#entryLog.logNotServed(routed, {
+      error: lastError,
+      outcome: isNotRun(lastError) ? RequestOutcome.NotRun : RequestOutcome.Unknown,
+      liveServers: this.#context.directory.serversOf(service).filter(isLive).length,
+    });
     if (!lastError && !exchange.isOver) {
       const message = `no live server of service "${service}"`;
       this.#refuse(exchange, createNotRun(RefusalReason.NoServer, message));
@@ -333,46 +323,6 @@
     this.#write(exchange, refusal);
   }
 
-  #logAnswered(routed: RoutedRequest, { statusCode, upstreamMs }: CallSummary): void {
-    answeredLog.info(
-      this.#context.getNowMs(),
-      () => ({ ...describeRequest(routed), statusCode, upstreamMs: Math.round(upstreamMs) }),
-      'request answered',
-    );
-  }
-
-  #logNotServed(routed: RoutedRequest, lastError: CallError | undefined): void {
-    const { exchange, deadlineMs } = routed;
-    const nowMs = this.#context.getNowMs();
-    notServedLog.info(
-      nowMs,
-      () => ({
-        ...describeRequest(routed),
-        outcome: isNotRun(lastError) ? RequestOutcome.NotRun : RequestOutcome.Unknown,
-        reason: lastError?.message ?? RefusalReason.NoServer,
-        code: lastError?.code ?? RefusalReason.NoServer,
-        isCallerGone: exchange.isCallerGone,
-        isPastDeadline: exchange.isPastDeadline,
-        remainingMs: Math.round(deadlineMs - nowMs),
-        liveServers: this.#context.directory.serversOf(routed.service).filter(isLive).length,
-      }),
-      'request not served',
-    );
-  }
-
-  #logRefused(request: IncomingMessage, { reason, statusCode, message }: Refusal): void {
-    notServedLog.info(
-      this.#context.getNowMs(),
-      () => ({
-        requestId: this.#context.dialect.readCaller(request).requestId,
-        version: this.#context.current()?.version,
-        statusCode,
-        reason,
-      }),
-      message,
-    );
-  }
-
   #write(exchange: Exchange, refusal: Refusal): void {
     const isReturnWanted =
       refusal.outcome === RequestOutcome.NotRun && refusal.statusCode === SERVICE_UNAVAILABLE;
