Wait for the number of requests that the drain test is about

At a load of 22 the test sent 30 to 43 requests in its time instead of more than 50 and failed for that alone; it now goes on until there are as many, and checks all of them as before.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -7,6 +7,7 @@
 
 import type { TestNode } from '../../../test/requestMesh/index.js';
 
+const LEAST_REQUESTS = 50;
 const GRACE_MS = 500;
 
 const isReachable = (node: TestNode): Promise<boolean> =>
@@ -93,9 +94,11 @@
   const loads = ['a', 'b', 'c', 'd', 'e', 'f'].map(load);
   await delay(300);
   await owners[0]?.requestServer.drain();
+  // A busy machine needs longer for as many requests.
+  while (statuses.length <= LEAST_REQUESTS) await delay(10);
   isOver = true;
   await Promise.all(loads);
-  t.ok(statuses.length > 50, `${statuses.length} requests`);
+  t.ok(statuses.length > LEAST_REQUESTS, `${statuses.length} requests`);
   t.strictSame(new Set(statuses), new Set([200]));
   t.equal(runs.size, statuses.length);
   t.equal(Math.max(...runs.values()), 1);
