--- a/src/connection/distribution/NodeLink/test.ts
+++ b/src/connection/distribution/NodeLink/test.ts
@@ -224,3 +224,21 @@
   });
   t.equal(first.hub.directory.find('node-1')?.draining, true);
 });
+
+// Guards against nodes that know only control VMs which were replaced since their settings were written.
+tap.test('a node learns control VMs that its settings do not name', async (t) => {
+  const second = await startControl('control-2');
+  const named = [{ address: second.address, dataCentre: 'dc1' }];
+  const first = await startControl('control-1', { listControls: () => named });
+  const node = startNode('node-1', [{ address: first.address, dataCentre: '' }], {
+    timing: { backoffBaseMs: 10, elsewhereDelayMs: 0 },
+  });
+  t.teardown(async () => {
+    await node.stop();
+    await second.stop();
+  });
+  await waitUntil('attached to the one of the settings', () => first.hub.isAttached('node-1'));
+  await first.stop();
+  await waitUntil('attached to the one that was named', () => second.hub.isAttached('node-1'));
+  t.equal(node.link.attachedTo?.address, second.address);
+});
--- /dev/null
+++ b/src/request/selectServer/LeastDelaySelector.test.ts
@@ -0,0 +1,108 @@
+import { create } from '@bufbuild/protobuf';
+import tap from 'tap';
+
+import createRandom from '../../../test/requestMesh/createRandom.js';
+import {
+  NodeRecordSchema,
+  ServerSchema,
+  ServerState,
+} from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { FailureRateBreaker } from '../breakCircuit/index.js';
+import { ServerObservations, formatServerKey } from '../observeServers/index.js';
+import { LeastDelaySelector } from './index.js';
+
+import type { ServerEntry } from '../../process/endpoints/types.js';
+
+const NOW_MS = 100_000;
+const SLOTS = 6;
+
+const createEntry = (nodeId: string, dataCentre: string): ServerEntry => {
+  const server = create(ServerSchema, {
+    serverId: `s-${nodeId}`,
+    service: 'desk',
+    slots: SLOTS,
+    state: ServerState.SERVING,
+  });
+  return { server, node: create(NodeRecordSchema, { nodeId, dataCentre, servers: [server] }) };
+};
+
+interface Reported {
+  load: number;
+  holdMs: number;
+}
+
+/** Counts the choices among servers with the given reports; the node is in data centre a. */
+const countChoices = (
+  servers: Record<string, Reported & { dataCentre: string }>,
+  random: () => number,
+): Record<string, number> => {
+  const observations = new ServerObservations();
+  const entries = Object.entries(servers).map(([nodeId, { dataCentre, load, holdMs }]) => {
+    const entry = createEntry(nodeId, dataCentre);
+    Object.assign(observations.get(formatServerKey(entry), 0), {
+      reportedLoad: load,
+      reportedHoldMs: holdMs,
+      reportedLoadAtMs: NOW_MS,
+      sampleCount: 10,
+    });
+    return entry;
+  });
+  const breaker = new FailureRateBreaker();
+  const selector = new LeastDelaySelector({ dataCentre: 'a', observations, breaker });
+  const counts: Record<string, number> = Object.fromEntries(
+    Object.keys(servers).map((nodeId) => [nodeId, 0]),
+  );
+  Array.from({ length: 400 }).forEach(() => {
+    const selection = selector.select(entries, { service: 'desk', nowMs: NOW_MS, random });
+    const nodeId = selection?.entry.node.nodeId ?? '';
+    counts[nodeId] = (counts[nodeId] ?? 0) + 1;
+  });
+  return counts;
+};
+
+// Guards against bytes between data centres for requests that a server near by takes as soon.
+tap.test('the own data centre is used while it has free slots', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const counts = countChoices(
+    {
+      own: { dataCentre: 'a', load: 0.5, holdMs: 100 },
+      other: { dataCentre: 'b', load: 0.2, holdMs: 100 },
+    },
+    random,
+  );
+  t.strictSame(counts, { own: 400, other: 0 });
+});
+
+// Guards against a queue in one data centre beside free slots in another.
+tap.test('a crowded data centre sends requests to servers with free slots elsewhere', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const counts = countChoices(
+    {
+      own: { dataCentre: 'a', load: 1.3, holdMs: 100 },
+      other: { dataCentre: 'b', load: 0.4, holdMs: 100 },
+    },
+    random,
+  );
+  t.strictSame(counts, { own: 0, other: 400 });
+});
+
+// Guards against a server that answers slowly while its slots look free.
+tap.test('a slow server is avoided although it is less loaded', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const counts = countChoices(
+    {
+      slow: { dataCentre: 'a', load: 0.1, holdMs: 500 },
+      quick: { dataCentre: 'a', load: 0.6, holdMs: 100 },
+    },
+    random,
+  );
+  t.strictSame(counts, { slow: 0, quick: 400 });
+});
+
+// Guards against nodes that all choose the same one of several equal servers.
+tap.test('equal servers share the requests', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const equal = { dataCentre: 'a', load: 0.5, holdMs: 100 };
+  const counts = countChoices({ one: equal, two: equal, three: equal }, random);
+  Object.values(counts).forEach((count) => t.ok(count > 80, `${count} of 400`));
+});
