--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from 'undici';
 import { isWithinReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
+import findHeader from '../findHeader/index.js';
 import { CallError, CallErrorCode } from '../CallError/index.js';
 
 const PROCESSING = 102;
@@ -85,24 +86,17 @@
 /** Tells whether the end of a response is the end of its connection. */
 const isUnframed = (statusCode: number, method: string, raw: string[]): boolean => {
   if (method === 'HEAD' || BODYLESS_STATUS.has(statusCode)) return false;
-  return !raw.some(
-    (name, index) =>
-      index % 2 === 0 && ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
-  );
+  const hasLength = findHeader(raw, 'content-length') !== undefined;
+  return !hasLength && findHeader(raw, 'transfer-encoding') === undefined;
 };
 
 const isShort = ({ headers }: ResponseHead): boolean => {
-  const index = headers.findIndex(
-    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-length',
-  );
-  return index >= 0 && Number(headers[index + 1]) <= MAX_HELD_BYTES;
+  const lengthBytes = findHeader(headers, 'content-length');
+  return lengthBytes !== undefined && Number(lengthBytes) <= MAX_HELD_BYTES;
 };
 
 const parseRetryAfterMs = (headers: string[]): number | undefined => {
-  const index = headers.findIndex(
-    (name, position) => position % 2 === 0 && name.toLowerCase() === 'retry-after',
-  );
-  const seconds = index < 0 ? Number.NaN : Number(headers[index + 1]);
+  const seconds = Number(findHeader(headers, 'retry-after') ?? Number.NaN);
   return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
 };
 
