Keep a confirmed version while a node changes its control VM

Cause: the confirmation belonged to the stream, so between two streams a node held its version for unconfirmed and answered 503 to an unknown path. Nodes change streams about 2 s after their start, when they return to the control VM of their data centre; the test of the platform asked for an unknown path in that time. Before: a test that watches a node move home counts moments without a confirmed version (fails).

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -15,7 +15,7 @@
 import * as timing from '../timing.js';
 
 import type { TlsMaterial } from '../../openTransport/index.js';
-import type { EndpointCursor, StreamEnd } from '../_lib/ControlStream.js';
+import type { Confirmation, EndpointCursor, StreamEnd } from '../_lib/ControlStream.js';
 import type { LinkError } from '../LinkError/index.js';
 import type { ReadinessError, ReadyBasis } from '../ReadinessError/index.js';
 import type { ControlTarget, LinkTiming, NodeLinkOptions, NodeLinkParts } from './types.js';
@@ -76,6 +76,9 @@
 
   #stream: ControlStream | undefined;
 
+  /** What the last stream that confirmed a version had confirmed; holds while a new one attaches. */
+  #lastConfirmation: Confirmation | undefined;
+
   #unsubscribers: (() => void)[] = [];
 
   #startedAtMs = 0;
@@ -182,11 +185,11 @@
    * @param nowMs - present time in milliseconds since the epoch
    */
   isCurrent(nowMs: number): boolean {
-    const stream = this.#stream;
-    if (stream?.confirmedVersion === undefined) return false;
+    const confirmation = this.#stream?.confirmation ?? this.#lastConfirmation;
+    if (!confirmation) return false;
     const heldVersion = this.#parts.holder.current()?.version ?? 0;
-    const isFresh = nowMs - stream.confirmedAtMs <= this.#timing.silenceMs;
-    return isFresh && heldVersion >= stream.confirmedVersion;
+    const isFresh = nowMs - confirmation.atMs <= this.#timing.silenceMs;
+    return isFresh && heldVersion >= confirmation.version;
   }
 
   #isCutOff(nowMs: number): boolean {
@@ -317,6 +320,7 @@
     });
     const end = await stream.run();
     this.#stream = undefined;
+    this.#lastConfirmation = stream.confirmation ?? this.#lastConfirmation;
     ended.abort();
     await supervision;
     return end;
--- a/src/connection/distribution/NodeLink/test.ts
+++ b/src/connection/distribution/NodeLink/test.ts
@@ -173,6 +173,31 @@
   },
 );
 
+// Guards against unknown paths that are refused as unconfirmed whenever a node changes its control VM.
+tap.test('a node that moves to another control VM stays sure of its version', async (t) => {
+  const home = await startControl('control-1');
+  const elsewhere = await startControl('control-2', { dataCentre: 'dc2' });
+  home.log.commit(buildSizedConfiguration(1), Date.now());
+  elsewhere.log.commit(buildSizedConfiguration(1), Date.now());
+  const timing = { homeProbeIntervalMs: 50 };
+  const node = startNode('node-1', [elsewhere], { timing });
+  t.teardown(async () => {
+    await node.stop();
+    await home.stop();
+    await elsewhere.stop();
+  });
+  await waitUntil('current', () => node.link.isCurrent(Date.now()));
+  let unsureCount = 0;
+  const watch = setInterval(() => {
+    if (!node.link.isCurrent(Date.now())) unsureCount += 1;
+  }, 1);
+  node.link.setControls([home, elsewhere]);
+  await waitUntil('attached at home', () => node.link.attachedTo?.address === home.address);
+  await waitUntil('confirmed at home', () => node.link.isCurrent(Date.now()));
+  clearInterval(watch);
+  t.equal(unsureCount, 0);
+});
+
 tap.test('a node leaves a control VM that lost its leader for a confirmed one', async (t) => {
   const home = await startControl('control-1');
   const elsewhere = await startControl('control-2', { dataCentre: 'dc2' });
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -73,6 +73,13 @@
 
 const log = createLogger('link');
 
+/** A version that a control VM confirmed as the newest one. */
+export interface Confirmation {
+  version: number;
+  /** When it did so. */
+  atMs: number;
+}
+
 /** One attachment of a node to a control VM, from connect to end. */
 export class ControlStream {
   readonly target: ControlTarget;
@@ -128,6 +135,12 @@
     return this.#confirmedAtMs;
   }
 
+  /** The last confirmation of this stream; undefined before the first one. */
+  get confirmation(): Confirmation | undefined {
+    const version = this.confirmedVersion;
+    return version === undefined ? undefined : { version, atMs: this.#confirmedAtMs };
+  }
+
   /** Ends the stream. */
   close(): void {
     this.#queue.close();
