--- a/src/request/selectServer/LeastDelaySelector.test.ts
+++ b/src/request/selectServer/LeastDelaySelector.test.ts
@@ -106,3 +106,36 @@
   const counts = countChoices({ one: equal, two: equal, three: equal }, random);
   Object.values(counts).forEach((count) => t.ok(count > 80, `${count} of 400`));
 });
+
+// Guards against a joined server that gets no request, because its expected delay is never better.
+tap.test('a server that joined is tried once it is warm', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const observations = new ServerObservations();
+  const known = createEntry('known', 'a');
+  const slow = createEntry('slow', 'a');
+  const joined = createEntry('joined', 'a');
+  const report = { reportedLoad: 0.1, reportedHoldMs: 50, sampleCount: 10 };
+  Object.assign(observations.get(formatServerKey(known), 0), report);
+  Object.assign(observations.get(formatServerKey(slow), 0), { ...report, reportedHoldMs: 200 });
+  const breaker = new FailureRateBreaker();
+  const selector = new LeastDelaySelector({ dataCentre: 'a', observations, breaker });
+  const isTriedAt = (nowMs: number): boolean => {
+    [known, slow].forEach((entry) => {
+      observations.get(formatServerKey(entry), nowMs).reportedLoadAtMs = nowMs;
+    });
+    const context = { service: 'desk', nowMs, random };
+    return selector.select([known, slow, joined], context)?.entry === joined;
+  };
+  const countTried = (fromMs: number, toMs: number): number =>
+    Array.from({ length: (toMs - fromMs) / 20 }, (_, index) => fromMs + index * 20).filter(
+      isTriedAt,
+    ).length;
+  t.equal(countTried(NOW_MS, NOW_MS + 3_000), 0, 'not while it starts');
+  t.ok(countTried(NOW_MS + 3_000, NOW_MS + 4_000) > 2, 'soon after it');
+  Object.assign(observations.get(formatServerKey(joined), 0), {
+    ...report,
+    reportedHoldMs: 100,
+    reportedLoadAtMs: NOW_MS + 4_000,
+  });
+  t.equal(countTried(NOW_MS + 4_000, NOW_MS + 5_000), 0, 'no more once it has answered');
+});
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -23,6 +23,8 @@
 /** A server is slow for about this time after this node first saw it. */
 const WARM_UP_MS = 3_000;
 const WARM_UP_FACTOR = 2;
+/** Share of the requests that go to a server of the own data centre that no answer has told of yet. */
+const EXPLORATION_SHARE = 0.2;
 /** Ejection stops here: beyond this share of ejected servers, all live servers are used. */
 const MAX_EJECTED_SHARE = 0.5;
 /** Service time of servers that have not answered yet. */
@@ -76,6 +78,11 @@
     const means = this.#readMeans(healthy, context.nowMs);
     const own = healthy.filter((entry) => entry.node.dataCentre === dataCentre);
     const others = healthy.filter((entry) => entry.node.dataCentre !== dataCentre);
+    const unknown = this.#findUnknown(own, context);
+    if (unknown) {
+      const considered = own.map(formatServerKey);
+      return { entry: unknown, reason: SelectionReason.Explored, considered };
+    }
     const compared = [
       ...sample(own, OWN_SAMPLE, random),
       ...sample(others, own.length > 0 ? OTHER_SAMPLE : OWN_SAMPLE, random),
@@ -93,6 +100,22 @@
     return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key) };
   }
 
+  /**
+   * Returns a warm server that this node knows nothing of yet, for a share of the requests. Its
+   * expected delay is a guess from the others, so a joined server could be passed over for good.
+   */
+  #findUnknown(own: ServerEntry[], { nowMs, random }: SelectionContext): ServerEntry | undefined {
+    if (own.length < 2) return undefined;
+    const isUnknown = (entry: ServerEntry): boolean => {
+      const seen = this.#options.observations.get(formatServerKey(entry), nowMs);
+      const isUnused = seen.reportedLoadAtMs === 0 && seen.inFlight === 0;
+      const wasRefused = seen.lastRefusalAtMs > 0;
+      return isUnused && !wasRefused && nowMs - seen.firstSeenAtMs >= WARM_UP_MS;
+    };
+    const unknown = own.filter(isUnknown);
+    return unknown.length > 0 && random() < EXPLORATION_SHARE ? unknown[0] : undefined;
+  }
+
   #explain(facts: {
     isPanic: boolean;
     isOwn: boolean;
--- a/src/request/selectServer/ServerSelector.ts
+++ b/src/request/selectServer/ServerSelector.ts
@@ -8,6 +8,8 @@
   Spill = 'SPILL',
   RemoteOnly = 'REMOTE_ONLY',
   Panic = 'PANIC',
+  /** No answer of the server is known yet. */
+  Explored = 'EXPLORED',
 }
 
 /** One choice, with what is needed to explain it. */
