Prefer the server beside a node by the cost of a hop

Cause: a request to a server of the same data centre cost the same wherever it ran, so nearly every request took two nodes.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -35,7 +35,7 @@
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
-import type { ServerSelector, TwoChoicesSelectorOptions } from '../selectServer/index.js';
+import type { LeastDelaySelectorOptions, ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
 
@@ -62,8 +62,8 @@
 
 /** What a selector can rest its choice on. */
 export type SelectorParts = Pick<
-  TwoChoicesSelectorOptions,
-  'observations' | 'breaker' | 'dataCentre'
+  LeastDelaySelectorOptions,
+  'observations' | 'breaker' | 'dataCentre' | 'nodeId'
 >;
 
 type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent';
@@ -244,7 +244,11 @@
         peers: this.#peers,
       }),
       selector:
-        options.createSelector?.({ ...learners, dataCentre: options.dataCentre }) ??
+        options.createSelector?.({
+          ...learners,
+          dataCentre: options.dataCentre,
+          nodeId: options.nodeId,
+        }) ??
         new TwoChoicesSelector({
           ...learners,
           dataCentre: options.dataCentre,
--- a/src/request/selectServer/LeastDelaySelector.test.ts
+++ b/src/request/selectServer/LeastDelaySelector.test.ts
@@ -15,6 +15,8 @@
 
 const NOW_MS = 100_000;
 const SLOTS = 6;
+/** The node that chooses. */
+const OWN_NODE_ID = 'beside';
 
 const createEntry = (nodeId: string, dataCentre: string): ServerEntry => {
   const server = create(ServerSchema, {
@@ -48,7 +50,12 @@
     return entry;
   });
   const breaker = new FailureRateBreaker();
-  const selector = new LeastDelaySelector({ dataCentre: 'a', observations, breaker });
+  const selector = new LeastDelaySelector({
+    dataCentre: 'a',
+    nodeId: OWN_NODE_ID,
+    observations,
+    breaker,
+  });
   const counts: Record<string, number> = Object.fromEntries(
     Object.keys(servers).map((nodeId) => [nodeId, 0]),
   );
@@ -118,7 +125,12 @@
   Object.assign(observations.get(formatServerKey(known), 0), report);
   Object.assign(observations.get(formatServerKey(slow), 0), { ...report, reportedHoldMs: 200 });
   const breaker = new FailureRateBreaker();
-  const selector = new LeastDelaySelector({ dataCentre: 'a', observations, breaker });
+  const selector = new LeastDelaySelector({
+    dataCentre: 'a',
+    nodeId: OWN_NODE_ID,
+    observations,
+    breaker,
+  });
   const isTriedAt = (nowMs: number): boolean => {
     [known, slow].forEach((entry) => {
       observations.get(formatServerKey(entry), nowMs).reportedLoadAtMs = nowMs;
@@ -139,3 +151,21 @@
   });
   t.equal(countTried(NOW_MS + 4_000, NOW_MS + 5_000), 0, 'no more once it has answered');
 });
+
+// Guards against a second node and two more messages for requests that the own server takes as soon.
+tap.test('the server beside the node is used while it is about as quick as others', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const others = Array.from({ length: 12 }, (_, index) => [
+    `other-${index}`,
+    { dataCentre: 'a', load: 0.4, holdMs: 100 },
+  ]);
+  const free = {
+    ...Object.fromEntries(others),
+    beside: { dataCentre: 'a', load: 0.5, holdMs: 100 },
+  };
+  t.equal(countChoices(free, random).beside, 400);
+  const full = { ...free, beside: { dataCentre: 'a', load: 1.4, holdMs: 100 } };
+  t.equal(countChoices(full, random).beside, 0);
+  const slow = { ...free, beside: { dataCentre: 'a', load: 0.5, holdMs: 300 } };
+  t.equal(countChoices(slow, random).beside, 0);
+});
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -13,7 +13,12 @@
 const REPORT_HALF_LIFE_MS = 1_000;
 /** A refusal counts as a full queue for this time. */
 const REFUSAL_LIFE_MS = 150;
-/** Cost of a request to another data centre, as a share of the mean service time. */
+/**
+ * Cost of a request to a server that is not beside this node, as a share of the mean service time: two
+ * more messages, and the processor time of a second node.
+ */
+const HOP_SHARE = 0.2;
+/** Cost of a request to another data centre beyond that, as a share of the mean service time. */
 const OTHER_DATA_CENTRE_SHARE = 0.25;
 /** Cost of the last free slot, as a share of the service time: the next request may find it taken. */
 const CROWDING_SHARE = 0.6;
@@ -57,6 +62,10 @@
 const mean = (values: number[], fallback: number): number =>
   values.length === 0 ? fallback : values.reduce((sum, value) => sum + value, 0) / values.length;
 
+export interface LeastDelaySelectorOptions extends TwoChoicesSelectorOptions {
+  nodeId: string;
+}
+
 /**
  * Chooses the server with the least expected time to a response. Answers of the nodes beside the
  * servers carry how many requests they hold and how long their slots are held, so every entry node
@@ -64,9 +73,9 @@
  * servers of different speed.
  */
 export default class LeastDelaySelector extends ServerSelector {
-  readonly #options: TwoChoicesSelectorOptions;
+  readonly #options: LeastDelaySelectorOptions;
 
-  constructor(options: TwoChoicesSelectorOptions) {
+  constructor(options: LeastDelaySelectorOptions) {
     super();
     this.#options = options;
   }
@@ -83,8 +92,14 @@
       const considered = own.map(formatServerKey);
       return { entry: unknown, reason: SelectionReason.Explored, considered };
     }
+    const beside = own.filter((entry) => this.#isBeside(entry));
     const compared = [
-      ...sample(own, OWN_SAMPLE, random),
+      ...beside,
+      ...sample(
+        beside.length > 0 ? own.filter((entry) => !this.#isBeside(entry)) : own,
+        OWN_SAMPLE,
+        random,
+      ),
       ...sample(others, own.length > 0 ? OTHER_SAMPLE : OWN_SAMPLE, random),
     ].map((entry) => this.#assess(entry, means, context));
     const [first, ...rest] = compared;
@@ -151,11 +166,20 @@
     };
   }
 
+  #isBeside({ node }: ServerEntry): boolean {
+    return node.nodeId === this.#options.nodeId;
+  }
+
+  #findDistanceMs(entry: ServerEntry, { holdMs }: ServiceMeans): number {
+    if (this.#isBeside(entry)) return 0;
+    const isOther = entry.node.dataCentre !== this.#options.dataCentre;
+    return holdMs * (HOP_SHARE + (isOther ? OTHER_DATA_CENTRE_SHARE : 0));
+  }
+
   #assess(entry: ServerEntry, means: ServiceMeans, context: SelectionContext): Candidate {
     const key = formatServerKey(entry);
     const observation = this.#options.observations.get(key, context.nowMs);
-    const isOther = entry.node.dataCentre !== this.#options.dataCentre;
-    const distanceMs = isOther ? means.holdMs * OTHER_DATA_CENTRE_SHARE : 0;
+    const distanceMs = this.#findDistanceMs(entry, means);
     const delayMs = this.#expectDelayMs(entry, observation, means, context.nowMs);
     const jitter = 1 + JITTER * (context.random() - 0.5);
     return { entry, key, cost: delayMs * jitter + distanceMs };
--- a/src/request/selectServer/index.ts
+++ b/src/request/selectServer/index.ts
@@ -1,6 +1,7 @@
 /** Choice of the backend server of a request. */
 export { default as RoundRobinSelector } from './RoundRobinSelector.js';
 export { default as LeastDelaySelector } from './LeastDelaySelector.js';
+export type { LeastDelaySelectorOptions } from './LeastDelaySelector.js';
 export { SelectionReason, ServerSelector } from './ServerSelector.js';
 export { default as TwoChoicesSelector } from './TwoChoicesSelector.js';
 export type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
