--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -17,6 +17,7 @@
   'bench',
   'fuzz',
   'scripts',
+  'soak',
   'test',
 ].flatMap((folder) => [`dist/${folder}/**/test.js`, `dist/${folder}/**/*.test.js`]);
 
--- /dev/null
+++ b/soak/_lib/FaultInjector.ts
@@ -0,0 +1,95 @@
+/** Applies planned faults to a cluster of real processes, and takes them back. */
+import { LinkFault } from '../../stand-ins/faultProxy/index.js';
+import { FaultKind, FaultTarget } from '../drawFaults/index.js';
+
+import type { TestCluster } from '../../stand-ins/cluster/index.js';
+import type ManagedProcess from '../../stand-ins/cluster/_lib/ManagedProcess.js';
+import type { FaultProxy } from '../../stand-ins/faultProxy/index.js';
+import type { PlannedFault } from '../drawFaults/index.js';
+
+/** Longer than a heartbeat, shorter than the time after which a connection counts as lost. */
+const DELAY_MS = 150;
+const JITTER_MS = 100;
+
+interface Victim {
+  process: ManagedProcess;
+  /** Proxies of the connections to the process. */
+  proxies: FaultProxy[];
+  /** Starts the process if it has ended. */
+  restart: () => Promise<void>;
+}
+
+const LINK_FAULTS: Partial<Record<FaultKind, LinkFault>> = {
+  [FaultKind.Delay]: LinkFault.Delay,
+  [FaultKind.Reset]: LinkFault.Reset,
+  [FaultKind.OneWay]: LinkFault.OnlyToTarget,
+  [FaultKind.Silence]: LinkFault.HalfOpen,
+};
+
+export default class FaultInjector {
+  readonly #cluster: TestCluster;
+
+  /** Faults in force by victim; a process is resumed or started when its last one ends. */
+  readonly #active = new Map<ManagedProcess, Set<PlannedFault>>();
+
+  constructor(cluster: TestCluster) {
+    this.#cluster = cluster;
+  }
+
+  /** Begins a fault; resolves once it is in force. */
+  async begin(fault: PlannedFault): Promise<void> {
+    const { process, proxies } = this.#findVictim(fault);
+    const active = this.#active.get(process) ?? new Set();
+    this.#active.set(process, active.add(fault));
+    const link = LINK_FAULTS[fault.kind];
+    if (link !== undefined) {
+      proxies.forEach((proxy) =>
+        proxy.setLink({ fault: link, delayMs: DELAY_MS, jitterMs: JITTER_MS }),
+      );
+    } else if (process.isRunning) await FaultInjector.#signal(process, fault.kind);
+  }
+
+  /** Ends a fault. What another one that still lasts has stopped stays stopped. */
+  async end(fault: PlannedFault): Promise<void> {
+    const victim = this.#findVictim(fault);
+    const active = this.#active.get(victim.process);
+    active?.delete(fault);
+    const isLinkFree = ![...(active ?? [])].some(({ kind }) => LINK_FAULTS[kind] !== undefined);
+    if (isLinkFree) victim.proxies.forEach((proxy) => proxy.setLink());
+    if (active && active.size > 0) return;
+    victim.process.resume();
+    await victim.restart();
+  }
+
+  static async #signal(process: ManagedProcess, kind: FaultKind): Promise<void> {
+    if (kind === FaultKind.Pause) process.pause();
+    else if (kind === FaultKind.Reload) process.reload();
+    else if (kind === FaultKind.Kill) await process.kill();
+    else {
+      // A paused process cannot end by itself.
+      process.resume();
+      await process.terminate();
+    }
+  }
+
+  #findVictim({ target, index }: PlannedFault): Victim {
+    const { controls, nodes, backends } = this.#cluster;
+    if (target === FaultTarget.Server) {
+      const backend = backends[index]!;
+      return {
+        process: backend.process,
+        proxies: backend.proxy ? [backend.proxy] : [],
+        restart: async () => {
+          if (!backend.process.isRunning) await this.#cluster.restartBackend(backend);
+        },
+      };
+    }
+    if (target === FaultTarget.Control) {
+      const { process, proxy } = controls[index]!;
+      return { process, proxies: proxy ? [proxy] : [], restart: async () => process.start() };
+    }
+    const { process, forwardProxy, peerProxy } = nodes[index]!;
+    const proxies = [forwardProxy, peerProxy].flatMap((proxy) => (proxy ? [proxy] : []));
+    return { process, proxies, restart: async () => process.start() };
+  }
+}
