Admit brief requests up to their deadline

Cause: calls of running requests were refused once the short target latency of their route could not be met, and the request that made them failed with its slot time wasted.

--- a/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -5,6 +5,8 @@
   isRetry: boolean;
   /** Route whose requests take much longer than those of the quickest route of the server. */
   isSlow: boolean;
+  /** Route whose requests hold a slot for a small part of the time that others of the server do. */
+  isBrief?: boolean;
   /** Least time that the server needs for such a request; 0 when unknown. */
   leastServiceMs?: number;
   /** Mean time that the server needs for such a request; 0 when unknown. */
--- a/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
@@ -6,8 +6,12 @@
 const QUEUE_PER_SLOT = 4;
 const LOWEST_PRIORITY = 9;
 
-const endOf = ({ objectiveAtMs, deadlineMs }: SlotDemand): number =>
-  Math.min(objectiveAtMs ?? deadlineMs, deadlineMs);
+/**
+ * Time by which a request is to be complete. A brief one is worth its slot up to its deadline: it is
+ * mostly a call of a request that already holds a slot elsewhere, and fails with it.
+ */
+const endOf = ({ objectiveAtMs, deadlineMs, isBrief = false }: SlotDemand): number =>
+  isBrief ? deadlineMs : Math.min(objectiveAtMs ?? deadlineMs, deadlineMs);
 
 /** Waits vary; a request that is refused after a wait would better have been refused at once. */
 const WAIT_MARGIN = 1.5;
--- a/src/process/localServers/AdmissionPolicy/test.ts
+++ b/src/process/localServers/AdmissionPolicy/test.ts
@@ -105,3 +105,78 @@
   for (; nowMs < 800 && refusedAtMs === undefined; nowMs += 50) gate.refuseHopeless(nowMs);
   t.ok(refusedAtMs !== undefined && refusedAtMs <= 400, `${refusedAtMs}`);
 });
+
+interface RouteLoad {
+  gapMs: number;
+  serviceMs: number;
+  demand: (arrivedAtMs: number) => SlotDemand;
+}
+
+/** Counts the requests of each route that are refused within 30 s, in simulated time. */
+const countRefused = (loads: RouteLoad[], random: () => number): number[] => {
+  const gate = new SlotGate({
+    slots: SLOTS,
+    limiter: new FixedLimiter(SLOTS),
+    policy: new ObjectivePolicy(),
+  });
+  const events: { atMs: number; run: () => void }[] = [];
+  const schedule = (atMs: number, run: () => void): void => {
+    events.push({ atMs, run });
+    events.sort((left, right) => left.atMs - right.atMs);
+  };
+  const refused = loads.map(() => 0);
+  let nowMs = 0;
+  loads.forEach(({ gapMs, serviceMs, demand }, index) => {
+    Array.from({ length: 30_000 / gapMs }).forEach((_, count) => {
+      const arrivedAtMs = count * gapMs;
+      const asked = demand(arrivedAtMs);
+      schedule(arrivedAtMs, () =>
+        gate.admit(asked, arrivedAtMs, (refusal) => {
+          if (refusal !== undefined) {
+            refused[index] = (refused[index] ?? 0) + 1;
+            return;
+          }
+          const heldMs = serviceMs * (0.5 + random());
+          schedule(nowMs + heldMs, () => gate.release(asked, heldMs, nowMs));
+        }),
+      );
+    });
+  });
+  while (events.length > 0) {
+    const next = events.shift();
+    if (!next) break;
+    nowMs = next.atMs;
+    next.run();
+    gate.refuseHopeless(nowMs);
+  }
+  return refused;
+};
+
+// Guards against refused calls of running requests: each one wastes the slot that its caller holds.
+tap.test('brief calls are served while long requests overload the server', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const createDemand =
+    (objectiveMs: number, deadlineMs: number, meanServiceMs: number, priority: number) =>
+    (arrivedAtMs: number): SlotDemand => ({
+      deadlineMs: arrivedAtMs + deadlineMs,
+      objectiveAtMs: arrivedAtMs + objectiveMs,
+      meanServiceMs,
+      isRetry: false,
+      isSlow: false,
+      isBrief: meanServiceMs < 50,
+      priority,
+    });
+  const brief = createDemand(40, 200, 22, 1);
+  const refused = countRefused(
+    [
+      { gapMs: 16, serviceMs: 22, demand: brief },
+      { gapMs: 60, serviceMs: 220, demand: createDemand(600, 1_500, 220, 2) },
+      { gapMs: 110, serviceMs: 360, demand: createDemand(1_000, 2_500, 360, 2) },
+    ],
+    random,
+  );
+  t.comment(`refused ${refused.join()}`);
+  const [refusedBrief = 0, ...refusedLong] = refused;
+  t.ok(refusedBrief < (30_000 / 16) * 0.02, `${refusedBrief} of ${30_000 / 16}`);
+  t.ok(Math.max(...refusedLong) > 0, 'the load is beyond the slots');
+});
--- a/src/process/localServers/RouteLatencies/index.ts
+++ b/src/process/localServers/RouteLatencies/index.ts
@@ -79,4 +79,17 @@
       .reduce((least, other) => Math.min(least, other.floorMs), Infinity);
     return route.floorMs > quickestMs * SLOW_FACTOR;
   }
+
+  /**
+   * Tells whether requests of a route are brief: another route of the server takes several times as long.
+   *
+   * @param routeName - route of the request
+   */
+  isBrief(routeName: string): boolean {
+    const route = this.#byRoute.get(routeName);
+    if (!route || route.sampleCount < LEAST_SAMPLES) return false;
+    return [...this.#byRoute.values()].some(
+      (other) => other.sampleCount >= LEAST_SAMPLES && other.floorMs > route.floorMs * SLOW_FACTOR,
+    );
+  }
 }
--- a/src/process/localServers/RouteLatencies/test.ts
+++ b/src/process/localServers/RouteLatencies/test.ts
@@ -15,6 +15,9 @@
   t.equal(latencies.isSlow('surveys'), true);
   t.equal(latencies.isSlow('reports'), false, 'too short to starve others');
   t.equal(latencies.isSlow('unseen'), false);
+  t.equal(latencies.isBrief('lookups'), true);
+  t.equal(latencies.isBrief('surveys'), false);
+  t.equal(latencies.isBrief('unseen'), false);
 });
 
 tap.test('an overloaded server does not turn its only route into a slow one', async (t) => {
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -54,6 +54,7 @@
   isRetry: work.isRetry,
   // Orders are as urgent as quick lookups, however long they take.
   isSlow: work.isIdempotent && local.latencies.isSlow(work.routeName),
+  isBrief: work.isIdempotent && local.latencies.isBrief(work.routeName),
   leastServiceMs: (local.latencies.get(work.routeName)?.floorMs ?? 0) * LEAST_SERVICE_SHARE,
   meanServiceMs: local.latencies.get(work.routeName)?.meanMs ?? 0,
   objectiveAtMs: work.objectiveAtMs,
