End a drain with its requests

Causes: Node.js tells only the response whose turn it is that its connection has closed, so a pipelined request whose caller left stayed in flight for good and its work ran on; and a connection on which nothing was asked does not count as idle.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -1,14 +1,18 @@
 import { Agent } from 'node:http';
+import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import tap from 'tap';
 
+import { splitAddress } from '../../connection/splitAddress/index.js';
 import { TestMesh, send } from '../../../test/requestMesh/index.js';
 
 import type { TestNode } from '../../../test/requestMesh/index.js';
 
 const LEAST_REQUESTS = 50;
 const GRACE_MS = 500;
+/** Time that a draining node has in all. */
+const PATIENCE_MS = 3_000;
 
 const isReachable = (node: TestNode): Promise<boolean> =>
   send(node.address).then(
@@ -103,3 +107,21 @@
   t.equal(runs.size, statuses.length);
   t.equal(Math.max(...runs.values()), 1);
 });
+
+// Guards against a restart that takes its whole grace period although nothing is in flight.
+tap.test('a connection without a request does not hold up a drain', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const node = await mesh.startNode('node');
+  const socket = connect(splitAddress(node.address));
+  socket.on('error', () => undefined);
+  t.teardown(() => socket.destroy());
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  await isReachable(node);
+  const startedAtMs = performance.now();
+  await node.requestServer.drain(PATIENCE_MS);
+  const elapsedMs = performance.now() - startedAtMs;
+  t.ok(elapsedMs < PATIENCE_MS / 4, `${Math.round(elapsedMs)} ms`);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -2,7 +2,7 @@
 import { createServer as createHttpsServer, Server as HttpsServer } from 'node:https';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -53,6 +53,8 @@
 /** The server is on the same VM. */
 const SERVER_CONNECT_TIMEOUT_MS = 250;
 const DRAIN_POLL_MS = 10;
+/** The last responses have left the VM within this time. */
+const LAST_BYTES_MS = 100;
 /** Within this time the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
 /** Borrowed slots are renewed in time if this is well below half of their lease. */
@@ -124,6 +126,26 @@
     });
   });
 
+/** Responses that are due on each connection; a pipelined one waits for those before it. */
+const dueBySocket = new WeakMap<Socket, Set<ServerResponse>>();
+
+/**
+ * Has a response close when its connection does. Node.js tells only the response whose turn it is, so
+ * one that waits behind another would never learn that its caller left.
+ */
+const endWithSocket = (socket: Socket, response: ServerResponse): void => {
+  const known = dueBySocket.get(socket);
+  const due = known ?? new Set();
+  due.add(response);
+  response.once('close', () => due.delete(response));
+  if (known) return;
+  dueBySocket.set(socket, due);
+  socket.once('close', () => {
+    const waiting = [...due].filter((one) => one.socket === null);
+    waiting.forEach((one) => one.emit('close'));
+  });
+};
+
 const closeServer = (server: Server): Promise<void> =>
   new Promise((resolve) => {
     server.close(() => resolve());
@@ -324,13 +346,21 @@
     this.#context.localServers.drain();
     await delay(drainGraceMs - drainAnnounceDelayMs);
     const closed = [closeServer(this.#entry), closeServer(this.#owner)];
-    while (this.#inFlight > 0 && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
+    await this.#finishRequests(untilMs);
     this.#entry.closeIdleConnections();
     this.#owner.closeIdleConnections();
     await this.#loans.close(performance.now());
     const leftMs = untilMs - performance.now();
-    const patience = Number.isFinite(leftMs) ? [delay(Math.max(0, leftMs))] : [];
-    await Promise.race([Promise.all(closed), ...patience]);
+    await Promise.race([Promise.all(closed), delay(Math.min(LAST_BYTES_MS, Math.max(0, leftMs)))]);
+    // A connection on which nothing was ever asked does not count as idle, and may bring a request yet.
+    await this.#finishRequests(untilMs);
+    this.#entry.closeAllConnections();
+    this.#owner.closeAllConnections();
+    await Promise.all(closed);
+  }
+
+  async #finishRequests(untilMs: number): Promise<void> {
+    while (this.#inFlight > 0 && performance.now() < untilMs) await delay(DRAIN_POLL_MS);
   }
 
   /** Closes everything at once; requests in flight fail. */
@@ -351,6 +381,7 @@
     const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
     const listener = (request: IncomingMessage, response: ServerResponse) => {
       this.#inFlight += 1;
+      endWithSocket(request.socket, response);
       response.once('close', () => {
         this.#inFlight -= 1;
       });
--- /dev/null
+++ b/src/request/RequestServer/pipelining.test.ts
@@ -0,0 +1,35 @@
+import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import tap from 'tap';
+
+import { splitAddress } from '../../connection/splitAddress/index.js';
+import waitFor from '../../../stand-ins/waitFor/index.js';
+import { TestMesh } from '../../../test/requestMesh/index.js';
+
+/** Time in which the work of a caller that left has to end. */
+const LEAVE_BOUND_MS = 500;
+
+// Guards against requests that stay in flight for good, and run on, after their caller left while they
+// waited behind another one on its connection.
+tap.test('all requests of a connection end with it', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const node = await mesh.startNode('node');
+  const started: string[] = [];
+  const ended: string[] = [];
+  await mesh.startBackend(node, (request, response) => {
+    const path = request.url ?? '';
+    started.push(path);
+    response.on('close', () => ended.push(path));
+  });
+  const socket = connect(splitAddress(node.address));
+  socket.on('error', () => undefined);
+  socket.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n');
+  await waitFor('both requests run', () => started.length === 2);
+  t.equal(node.requestServer.inFlight, 2);
+  socket.destroy();
+  await delay(LEAVE_BOUND_MS);
+  t.strictSame(ended.toSorted(), ['/1', '/2']);
+  t.equal(node.requestServer.inFlight, 0);
+});
