Avoid nodes that do not keep up, and look at slow servers again

Cause: a node on a slowed VM reported free slots, so the requests of others went to it, were not acknowledged and failed; its own callers waited out their deadline. Once a server had reported slow slots, nothing but load brought requests back to it.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -25,6 +25,7 @@
 } from '../idempotency/index.js';
 import { SlotLender } from '../lendSlots/index.js';
 import PeerTracker from '../trackPeers/index.js';
+import LatenessWatch from '../watchLateness/index.js';
 import { OwnDialect } from '../speakDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
@@ -61,6 +62,8 @@
 const MAINTENANCE_INTERVAL_MS = 100;
 /** Rounds of maintenance between two searches for what is no longer known. */
 const FORGET_EVERY = 50;
+/** Rounds of maintenance between two looks at the nodes that share keys; far below the retention. */
+const OBSERVE_EVERY = 10;
 
 /** What a selector can rest its choice on. */
 export type SelectorParts = Pick<
@@ -69,9 +72,13 @@
 >;
 
 type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent';
+/** What the server finds out itself. */
+type OwnContext = 'readLatenessMs';
 
 export interface RequestServerOptions
-  extends Omit<RequestContext, OptionalContext>, Partial<Pick<RequestContext, OptionalContext>> {
+  extends
+    Omit<RequestContext, OptionalContext | OwnContext>,
+    Partial<Pick<RequestContext, OptionalContext>> {
   /** `host:port` for callers. */
   listen: string;
   /** `host:port` for other nodes. */
@@ -198,6 +205,8 @@
 
   readonly #breaker: CircuitBreaker;
 
+  readonly #lateness = new LatenessWatch(MAINTENANCE_INTERVAL_MS);
+
   #maintenanceCount = 0;
 
   #inFlight = 0;
@@ -210,6 +219,7 @@
     this.#options = options;
     this.#context = {
       ...options,
+      readLatenessMs: () => this.#lateness.meanMs,
       random: options.random ?? Math.random,
       getNowMs: options.getNowMs ?? Date.now,
       dialect: options.dialect ?? new OwnDialect(),
@@ -293,6 +303,11 @@
     return this.#isDraining;
   }
 
+  /** Whether the processor cannot keep up with the requests; callers are better off elsewhere. */
+  get isOverloaded(): boolean {
+    return this.#lateness.isOverloaded;
+  }
+
   /** Requests that this node has not finished yet. */
   get inFlight(): number {
     return this.#inFlight;
@@ -415,11 +430,19 @@
     this.#peers.retain((nodeId) => nodeIds.has(nodeId));
   }
 
+  #watchLateness(): void {
+    if (!this.#lateness.note(performance.now())) return;
+    const { isOverloaded, meanMs } = this.#lateness;
+    const facts = { isOverloaded, meanLatenessMs: Math.round(meanMs), inFlight: this.#inFlight };
+    if (isOverloaded) log.warn(facts, 'the processor does not keep up with the requests');
+    else log.info(facts, 'the processor keeps up again');
+  }
+
   #maintain(): void {
     const nowMs = this.#context.getNowMs();
+    this.#watchLateness();
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseHopeless(nowMs));
-    this.#observations.forget(nowMs);
     const { directory, getNowMs } = this.#context;
     askPeers(this.#peers, directory, this.#nodePools, getNowMs).catch((error: unknown) =>
       log.error({ reason: String(error) }, 'silent nodes could not be asked'),
@@ -427,8 +450,13 @@
     this.#lender.expire(performance.now());
     this.#loans.maintain(performance.now());
     this.#maintenanceCount += 1;
-    if (this.#maintenanceCount % FORGET_EVERY === 0) this.#forgetUnknown();
+    if (this.#maintenanceCount % FORGET_EVERY === 0) {
+      this.#observations.forget(nowMs);
+      this.#forgetUnknown();
+    }
     this.#keys.store.expire(nowMs);
-    this.#warmth.observe(this.#context.directory.records(), nowMs);
+    if (this.#maintenanceCount % OBSERVE_EVERY === 1) {
+      this.#warmth.observe(this.#context.directory.records(), nowMs);
+    }
   }
 }
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -32,6 +32,8 @@
 
 const decisions = createLimitedLogger('owner', LINES_PER_SECOND);
 
+/** Times that a request waits for the processor of this node: as it comes, and as it is answered. */
+const PASSES_PER_REQUEST = 2;
 const MAX_DEADLINE_MS = 600_000;
 
 /** Answers requests that other nodes forward to the servers beside this one. */
@@ -130,7 +132,8 @@
 
   #formatLoad(local: LocalServer): string {
     const nowMs = this.#context.getNowMs();
-    const holdMs = local.gate.estimateHoldMs(nowMs);
+    const latenessMs = this.#context.readLatenessMs() * PASSES_PER_REQUEST;
+    const holdMs = local.gate.estimateHoldMs(nowMs) + latenessMs;
     return formatLoad({ load: readOccupancy(local, nowMs), holdMs });
   }
 
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -29,6 +29,8 @@
   callerService: () => string;
   /** Returns a number from 0 up to 1. */
   random: () => number;
+  /** Returns by how much this node is late with what is due, in milliseconds. */
+  readLatenessMs: () => number;
   /** Returns the present time in milliseconds since the epoch. */
   getNowMs: () => number;
 }
--- a/src/request/_lib/askPeers.ts
+++ b/src/request/_lib/askPeers.ts
@@ -44,11 +44,13 @@
   pools: UpstreamPools,
   readNowMs: () => number,
 ): Promise<void> => {
+  const due = peers.listDue(readNowMs());
+  if (due.length === 0) return;
   const addresses = new Map(
     directory.records().map(({ nodeId, forwardAddress }) => [nodeId, forwardAddress]),
   );
   await Promise.all(
-    peers.listDue(readNowMs()).map(async (nodeId) => {
+    due.map(async (nodeId) => {
       const address = addresses.get(nodeId);
       // Counts as the next silence at once, so that the node is not asked twice at a time.
       peers.noteSilent(nodeId, readNowMs());
--- a/src/request/selectServer/LeastDelaySelector.test.ts
+++ b/src/request/selectServer/LeastDelaySelector.test.ts
@@ -169,3 +169,29 @@
   const slow = { ...free, beside: { dataCentre: 'a', load: 0.5, holdMs: 300 } };
   t.equal(countChoices(slow, random).beside, 0);
 });
+
+// Guards against a server that is avoided for good after it was slow for a while.
+tap.test('a server that was slow is tried again later', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const observations = new ServerObservations();
+  const quick = createEntry('quick', 'a');
+  const recovered = createEntry('recovered', 'a');
+  const seen = { sampleCount: 10, reportedLoad: 0.2, reportedLoadAtMs: NOW_MS };
+  Object.assign(observations.get(formatServerKey(recovered), 0), { ...seen, reportedHoldMs: 900 });
+  const breaker = new FailureRateBreaker();
+  const selector = new LeastDelaySelector({
+    dataCentre: 'a',
+    nodeId: OWN_NODE_ID,
+    observations,
+    breaker,
+  });
+  const isTriedAt = (nowMs: number): boolean => {
+    const report = { ...seen, reportedLoad: 0.7, reportedLoadAtMs: nowMs, reportedHoldMs: 100 };
+    Object.assign(observations.get(formatServerKey(quick), 0), report);
+    const context = { service: 'desk', nowMs, random };
+    return selector.select([quick, recovered], context)?.entry === recovered;
+  };
+  t.equal(isTriedAt(NOW_MS + 200), false);
+  const laterMs = Array.from({ length: 60 }, (_, index) => NOW_MS + index * 500);
+  t.ok(laterMs.some(isTriedAt));
+});
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -11,6 +11,13 @@
 const OTHER_SAMPLE = 2;
 /** Reports lose half of their weight against the mean of the service in this time. */
 const REPORT_HALF_LIFE_MS = 1_000;
+/**
+ * Reported service times lose half of their weight against the mean of the service in this time, so
+ * that a server which was slow is tried again.
+ */
+const HOLD_HALF_LIFE_MS = 3_000;
+/** The means of a service are read anew after this time; with many servers that costs more than a choice. */
+const MEANS_LIFE_MS = 100;
 /** A refusal counts as a full queue for this time. */
 const REFUSAL_LIFE_MS = 150;
 /**
@@ -66,6 +73,12 @@
   nodeId: string;
 }
 
+/** Weight of a reported service time; 0 when there is none. */
+const trustHold = (
+  { reportedHoldMs, reportedLoadAtMs }: ServerObservation,
+  nowMs: number,
+): number => (reportedHoldMs === 0 ? 0 : 0.5 ** ((nowMs - reportedLoadAtMs) / HOLD_HALF_LIFE_MS));
+
 /**
  * Chooses the server with the least expected time to a response. Answers of the nodes beside the
  * servers carry how many requests they hold and how long their slots are held, so every entry node
@@ -75,6 +88,8 @@
 export default class LeastDelaySelector extends ServerSelector {
   readonly #options: LeastDelaySelectorOptions;
 
+  readonly #meansByService = new Map<string, ServiceMeans & { readAtMs: number }>();
+
   constructor(options: LeastDelaySelectorOptions) {
     super();
     this.#options = options;
@@ -84,7 +99,7 @@
     const { dataCentre } = this.#options;
     const { random } = context;
     const { healthy, isPanic } = this.#eject(candidates, context.nowMs);
-    const means = this.#readMeans(healthy, context.nowMs);
+    const means = this.#findMeans(healthy, context);
     const own = healthy.filter((entry) => entry.node.dataCentre === dataCentre);
     const others = healthy.filter((entry) => entry.node.dataCentre !== dataCentre);
     const unknown = this.#findUnknown(own, context);
@@ -150,19 +165,31 @@
     return { healthy: isPanic ? candidates : healthy, isPanic };
   }
 
+  #findMeans(entries: ServerEntry[], { service, nowMs }: SelectionContext): ServiceMeans {
+    const known = this.#meansByService.get(service);
+    if (known && nowMs - known.readAtMs < MEANS_LIFE_MS) return known;
+    const means = { ...this.#readMeans(entries, nowMs), readAtMs: nowMs };
+    this.#meansByService.set(service, means);
+    return means;
+  }
+
   #readMeans(entries: ServerEntry[], nowMs: number): ServiceMeans {
     const reported = entries
       .map((entry) => this.#options.observations.get(formatServerKey(entry), nowMs))
       .filter(({ reportedLoadAtMs }) => reportedLoadAtMs > 0);
+    const held = reported.filter(({ reportedHoldMs }) => reportedHoldMs > 0);
+    const weights = held.map((observation) => trustHold(observation, nowMs));
+    const weight = weights.reduce((sum, one) => sum + one, 0);
+    const holdMs = held.reduce(
+      (sum, { reportedHoldMs }, index) => sum + reportedHoldMs * (weights[index] ?? 0),
+      0,
+    );
     return {
       load: mean(
         reported.map(({ reportedLoad }) => reportedLoad),
         0,
       ),
-      holdMs: mean(
-        reported.map(({ reportedHoldMs }) => reportedHoldMs).filter((holdMs) => holdMs > 0),
-        UNKNOWN_HOLD_MS,
-      ),
+      holdMs: weight > 0 ? holdMs / weight : UNKNOWN_HOLD_MS,
     };
   }
 
@@ -200,7 +227,8 @@
     const sentSince = Math.max(0, observation.inFlight - observation.inFlightAtReport);
     const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_LIFE_MS;
     const load = Math.max(reported, isRefusing ? 1 : 0) + sentSince / slots;
-    const holdMs = observation.reportedHoldMs || means.holdMs;
+    const holdTrust = trustHold(observation, nowMs);
+    const holdMs = holdTrust * observation.reportedHoldMs + (1 - holdTrust) * means.holdMs;
     const isCold = nowMs - observation.firstSeenAtMs < WARM_UP_MS && observation.sampleCount === 0;
     const serviceMs = isCold ? holdMs * WARM_UP_FACTOR : holdMs;
     const waitMs = Math.max(0, load + 1 / slots - 1) * holdMs;
