--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -2,12 +2,13 @@
 import { createServer as createHttpsServer, Server as HttpsServer } from 'node:https';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { createLogger } from '../../process/log/index.js';
 import askPeers from '../_lib/askPeers.js';
+import endWithSocket from '../_lib/endWithSocket.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
@@ -133,26 +134,6 @@
     });
   });
 
-/** Responses that are due on each connection; a pipelined one waits for those before it. */
-const dueBySocket = new WeakMap<Socket, Set<ServerResponse>>();
-
-/**
- * Has a response close when its connection does. Node.js tells only the response whose turn it is, so
- * one that waits behind another would never learn that its caller left.
- */
-const endWithSocket = (socket: Socket, response: ServerResponse): void => {
-  const known = dueBySocket.get(socket);
-  const due = known ?? new Set();
-  due.add(response);
-  response.once('close', () => due.delete(response));
-  if (known) return;
-  dueBySocket.set(socket, due);
-  socket.once('close', () => {
-    const waiting = [...due].filter((one) => one.socket === null);
-    waiting.forEach((one) => one.emit('close'));
-  });
-};
-
 const closeServer = (server: Server): Promise<void> =>
   new Promise((resolve) => {
     server.close(() => resolve());
