Wait for the node to know its control VM in a test

Cause: the hub counts a node as attached when its stream opens, the node only with the first message. The test compared both at the same moment and failed once on a busy machine (load 24). It now waits for the node, and fails if the node never attaches there.

--- a/src/connection/distribution/NodeLink/test.ts
+++ b/src/connection/distribution/NodeLink/test.ts
@@ -265,5 +265,6 @@
   await waitUntil('attached to the one of the settings', () => first.hub.isAttached('node-1'));
   await first.stop();
   await waitUntil('attached to the one that was named', () => second.hub.isAttached('node-1'));
-  t.equal(node.link.attachedTo?.address, second.address);
+  // The node learns of it with the first message of the stream, a moment later.
+  await waitUntil('known to the node', () => node.link.attachedTo?.address === second.address);
 });
