--- a/src/process/localServers/AdmissionPolicy/test.ts
+++ b/src/process/localServers/AdmissionPolicy/test.ts
@@ -20,48 +20,76 @@
   heldMs: number;
 }
 
-/** Offers twice the load that the slots carry for 20 s, in simulated time. */
-const replayOverload = (policy: AdmissionPolicy, random: () => number): Outcome => {
+/** One request of a simulated load. */
+interface Arrival {
+  atMs: number;
+  demand: SlotDemand;
+  drawServiceMs: () => number;
+  onRefused: (nowMs: number) => void;
+  onEnded: (nowMs: number) => void;
+}
+
+/** Offers requests to the gate of one server, in simulated time. */
+const simulateGate = (policy: AdmissionPolicy, arrivals: Arrival[]): void => {
   const gate = new SlotGate({ slots: SLOTS, limiter: new FixedLimiter(SLOTS), policy });
-  const events: { atMs: number; run: (nowMs: number) => void }[] = [];
-  const schedule = (atMs: number, run: (nowMs: number) => void): void => {
+  const events: { atMs: number; run: () => void }[] = [];
+  const schedule = (atMs: number, run: () => void): void => {
     events.push({ atMs, run });
     events.sort((left, right) => left.atMs - right.atMs);
   };
-  const outcome: Outcome = { timely: 0, late: 0, refused: 0, heldMs: 0 };
   let nowMs = 0;
-  const arrive = (arrivedAtMs: number): void => {
-    const demand: SlotDemand = {
-      deadlineMs: arrivedAtMs + DEADLINE_MS,
-      objectiveAtMs: arrivedAtMs + OBJECTIVE_MS,
-      meanServiceMs: SERVICE_MS,
-      leastServiceMs: SERVICE_MS / 2,
-      isRetry: false,
-      isSlow: false,
-    };
-    gate.admit(demand, arrivedAtMs, (refusal) => {
-      if (refusal !== undefined) {
-        outcome.refused += 1;
-        outcome.heldMs += nowMs - arrivedAtMs;
-        return;
-      }
-      const serviceMs = -Math.log(1 - random()) * SERVICE_MS;
-      schedule(nowMs + serviceMs, (endMs) => {
-        if (endMs <= arrivedAtMs + OBJECTIVE_MS) outcome.timely += 1;
-        else outcome.late += 1;
-        gate.release(demand, serviceMs, endMs);
-      });
-    });
-  };
-  const gapMs = SERVICE_MS / SLOTS / 2;
-  Array.from({ length: 20_000 / gapMs }).forEach((_, index) => schedule(index * gapMs, arrive));
+  arrivals.forEach(({ atMs, demand, drawServiceMs, onRefused, onEnded }) => {
+    schedule(atMs, () =>
+      gate.admit(demand, atMs, (refusal) => {
+        if (refusal !== undefined) {
+          onRefused(nowMs);
+          return;
+        }
+        const serviceMs = drawServiceMs();
+        schedule(nowMs + serviceMs, () => {
+          onEnded(nowMs);
+          gate.release(demand, serviceMs, nowMs);
+        });
+      }),
+    );
+  });
   while (events.length > 0) {
     const next = events.shift();
     if (!next) break;
     nowMs = next.atMs;
-    next.run(nowMs);
+    next.run();
     gate.refuseHopeless(nowMs);
   }
+};
+
+/** Offers twice the load that the slots carry for 20 s. */
+const replayOverload = (policy: AdmissionPolicy, random: () => number): Outcome => {
+  const outcome: Outcome = { timely: 0, late: 0, refused: 0, heldMs: 0 };
+  const gapMs = SERVICE_MS / SLOTS / 2;
+  const arrivals = Array.from({ length: 20_000 / gapMs }, (_, index): Arrival => {
+    const arrivedAtMs = index * gapMs;
+    return {
+      atMs: arrivedAtMs,
+      demand: {
+        deadlineMs: arrivedAtMs + DEADLINE_MS,
+        objectiveAtMs: arrivedAtMs + OBJECTIVE_MS,
+        meanServiceMs: SERVICE_MS,
+        leastServiceMs: SERVICE_MS / 2,
+        isRetry: false,
+        isSlow: false,
+      },
+      drawServiceMs: () => -Math.log(1 - random()) * SERVICE_MS,
+      onRefused: (nowMs) => {
+        outcome.refused += 1;
+        outcome.heldMs += nowMs - arrivedAtMs;
+      },
+      onEnded: (nowMs) => {
+        if (nowMs <= arrivedAtMs + OBJECTIVE_MS) outcome.timely += 1;
+        else outcome.late += 1;
+      },
+    };
+  });
+  simulateGate(policy, arrivals);
   return { ...outcome, heldMs: outcome.heldMs / Math.max(1, outcome.refused) };
 };
 
@@ -112,43 +140,21 @@
   demand: (arrivedAtMs: number) => SlotDemand;
 }
 
-/** Counts the requests of each route that are refused within 30 s, in simulated time. */
+/** Counts the requests of each route that are refused within 30 s. */
 const countRefused = (loads: RouteLoad[], random: () => number): number[] => {
-  const gate = new SlotGate({
-    slots: SLOTS,
-    limiter: new FixedLimiter(SLOTS),
-    policy: new ObjectivePolicy(),
-  });
-  const events: { atMs: number; run: () => void }[] = [];
-  const schedule = (atMs: number, run: () => void): void => {
-    events.push({ atMs, run });
-    events.sort((left, right) => left.atMs - right.atMs);
-  };
   const refused = loads.map(() => 0);
-  let nowMs = 0;
-  loads.forEach(({ gapMs, serviceMs, demand }, index) => {
-    Array.from({ length: 30_000 / gapMs }).forEach((_, count) => {
-      const arrivedAtMs = count * gapMs;
-      const asked = demand(arrivedAtMs);
-      schedule(arrivedAtMs, () =>
-        gate.admit(asked, arrivedAtMs, (refusal) => {
-          if (refusal !== undefined) {
-            refused[index] = (refused[index] ?? 0) + 1;
-            return;
-          }
-          const heldMs = serviceMs * (0.5 + random());
-          schedule(nowMs + heldMs, () => gate.release(asked, heldMs, nowMs));
-        }),
-      );
-    });
-  });
-  while (events.length > 0) {
-    const next = events.shift();
-    if (!next) break;
-    nowMs = next.atMs;
-    next.run();
-    gate.refuseHopeless(nowMs);
-  }
+  const arrivals = loads.flatMap(({ gapMs, serviceMs, demand }, index) =>
+    Array.from({ length: 30_000 / gapMs }, (_, count): Arrival => ({
+      atMs: count * gapMs,
+      demand: demand(count * gapMs),
+      drawServiceMs: () => serviceMs * (0.5 + random()),
+      onRefused: () => {
+        refused[index] = (refused[index] ?? 0) + 1;
+      },
+      onEnded: () => undefined,
+    })),
+  );
+  simulateGate(new ObjectivePolicy(), arrivals);
   return refused;
 };
 
