Keep one copy of what the change of the platform wrote several times

- the limit of connections to a node stood in three files, although all of them share one pool that keeps the limit of its first use
- noting a report of load, the fading of reports, and the comparison of the floors of routes

--- a/src/process/control/awaitDisk/index.ts
+++ b/src/process/control/awaitDisk/index.ts
@@ -1,6 +1,7 @@
 /** Waits for a disk that refused a write to take writes again. */
 import { open, rm } from 'node:fs/promises';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { createLogger } from '../../log/index.js';
 
@@ -30,11 +31,6 @@
   }
 };
 
-const pause = (): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, PROBE_INTERVAL_MS);
-  });
-
 /**
  * Resolves when the storage of this control VM has failed and its disk takes writes again. A member
  * whose storage failed takes no part until it is opened anew, so its process has to start again.
@@ -43,7 +39,7 @@
  * @param hasFailed - tells whether the storage has failed
  */
 const awaitDisk = async (dataFolder: string, hasFailed: () => boolean): Promise<void> => {
-  while (!hasFailed() || !(await canWrite(dataFolder))) await pause();
+  while (!hasFailed() || !(await canWrite(dataFolder))) await sleep(PROBE_INTERVAL_MS);
   log.warn({ dataFolder }, 'the disk takes writes again; this process has to start anew');
 };
 
--- a/src/process/daemon/runDaemon/index.ts
+++ b/src/process/daemon/runDaemon/index.ts
@@ -5,6 +5,7 @@
 import { describeSettingsFault } from '../../settings/index.js';
 import type { LogSettings, SettingsError } from '../../settings/index.js';
 import type { DaemonError } from '../DaemonError/index.js';
+import printError from '../printError/index.js';
 import waitForStop from '../waitForStop/index.js';
 import type { Stoppable } from '../waitForStop/index.js';
 
@@ -15,10 +16,6 @@
   start: (settings: Settings, nowMs: number) => Promise<Result<Stoppable, DaemonError>>;
 }
 
-const printError = (line: string): void => {
-  process.stderr.write(`foxtailvane: ${line}\n`);
-};
-
 /** Reopens the log on SIGHUP, after a rotation; returns the function that stops doing so. */
 const reopenOnHangup = (log: LogSettings): (() => void) => {
   const reopen = (): void => {
--- a/src/process/localServers/RouteLatencies/index.ts
+++ b/src/process/localServers/RouteLatencies/index.ts
@@ -74,10 +74,7 @@
     if (!route || route.sampleCount < LEAST_SAMPLES || route.meanMs < SLOW_LEAST_MEAN_MS) {
       return false;
     }
-    const quickestMs = [...this.#byRoute.values()]
-      .filter((other) => other.sampleCount >= LEAST_SAMPLES)
-      .reduce((least, other) => Math.min(least, other.floorMs), Infinity);
-    return route.floorMs > quickestMs * SLOW_FACTOR;
+    return this.#hasFloor((otherMs) => route.floorMs > otherMs * SLOW_FACTOR);
   }
 
   /**
@@ -88,8 +85,13 @@
   isBrief(routeName: string): boolean {
     const route = this.#byRoute.get(routeName);
     if (!route || route.sampleCount < LEAST_SAMPLES) return false;
+    return this.#hasFloor((otherMs) => otherMs > route.floorMs * SLOW_FACTOR);
+  }
+
+  /** Tells whether the floor of a sufficiently sampled route satisfies a condition. */
+  #hasFloor(isMet: (floorMs: number) => boolean): boolean {
     return [...this.#byRoute.values()].some(
-      (other) => other.sampleCount >= LEAST_SAMPLES && other.floorMs > route.floorMs * SLOW_FACTOR,
+      ({ sampleCount, floorMs }) => sampleCount >= LEAST_SAMPLES && isMet(floorMs),
     );
   }
 }
--- a/src/request/_lib/LoanClient.ts
+++ b/src/request/_lib/LoanClient.ts
@@ -1,10 +1,10 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { LOANS_HEADER, formatLoans, parseIds } from './callHeader.js';
+import MAX_NODE_CONNECTIONS from './nodeConnections.js';
 
 import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type { LoanMessage, SlotBorrower } from '../borrowSlots/index.js';
 
-const MAX_NODE_CONNECTIONS = 256;
 /** A renewal that takes longer is useless. */
 const LOAN_TIMEOUT_MS = 1_000;
 
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -10,9 +10,11 @@
   formatCallHeader,
   parseLoad,
 } from './callHeader.js';
+import MAX_NODE_CONNECTIONS from './nodeConnections.js';
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
+import { noteReport } from '../observeServers/index.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
 import type {
@@ -38,9 +40,6 @@
  */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
 
-/** Connections to one other node. */
-const MAX_NODE_CONNECTIONS = 256;
-
 /** One attempt of a request at one server. */
 export interface Attempt {
   routed: RoutedRequest;
@@ -91,10 +90,8 @@
   #callBeside(attempt: Attempt, local: LocalServer): Promise<Result<CallSummary, CallError>> {
     const { routed, observation, number, shouldWithhold, tap } = attempt;
     const nowMs = this.#context.getNowMs();
-    observation.reportedLoad = readOccupancy(local, nowMs);
-    observation.reportedLoadAtMs = nowMs;
-    observation.reportedHoldMs = local.gate.estimateHoldMs(nowMs);
-    observation.inFlightAtReport = observation.inFlight;
+    const report = { load: readOccupancy(local, nowMs), holdMs: local.gate.estimateHoldMs(nowMs) };
+    noteReport(observation, report, observation.inFlight, nowMs);
     const work = {
       routeName: routed.route.name,
       isIdempotent: routed.route.idempotent,
@@ -216,11 +213,9 @@
     const { observation } = attempt;
     const report = parseLoad(head.internal?.get(LOAD_HEADER));
     if (report === undefined) return;
-    observation.reportedLoad = report.load;
-    observation.reportedHoldMs = report.holdMs;
-    observation.reportedLoadAtMs = this.#context.getNowMs();
     // The answered request is still counted here, but not any more beside the server.
-    observation.inFlightAtReport = Math.max(0, observation.inFlight - 1);
+    const inFlightAtReport = Math.max(0, observation.inFlight - 1);
+    noteReport(observation, report, inFlightAtReport, this.#context.getNowMs());
   }
 
   #createServerHeaders({ routed, entry, number }: Attempt): string[] {
--- a/src/request/_lib/askPeers.ts
+++ b/src/request/_lib/askPeers.ts
@@ -1,5 +1,6 @@
 import { createLogger } from '../../process/log/index.js';
 import { LOANS_HEADER } from './callHeader.js';
+import MAX_NODE_CONNECTIONS from './nodeConnections.js';
 
 import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type { RequestDirectory } from './RequestContext.js';
@@ -8,14 +9,11 @@
 /** A node that answers this late is of no use to a request. */
 const ANSWER_TIMEOUT_MS = 400;
 
-/** As for requests, since both use the same connections. */
-const MAX_CONNECTIONS = 256;
-
 const log = createLogger('hop');
 
 const isAnswering = async (pools: UpstreamPools, address: string): Promise<boolean> => {
   try {
-    const { body } = await pools.get(address, MAX_CONNECTIONS).request({
+    const { body } = await pools.get(address, MAX_NODE_CONNECTIONS).request({
       method: 'GET',
       path: '/',
       // A report without loans is answered by every node and changes nothing.
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -39,6 +39,28 @@
   return key;
 };
 
+/**
+ * Notes what the node beside a server says of its load.
+ *
+ * @param observation - of the server
+ * @param report - share of slots in use, and the time for which they are held
+ * @param inFlightAtReport - requests of this node that the report includes
+ * @param nowMs - present time in milliseconds since the epoch
+ */
+export const noteReport = (
+  observation: ServerObservation,
+  report: { load: number; holdMs: number },
+  inFlightAtReport: number,
+  nowMs: number,
+): void => {
+  Object.assign(observation, {
+    reportedLoad: report.load,
+    reportedHoldMs: report.holdMs,
+    reportedLoadAtMs: nowMs,
+    inFlightAtReport,
+  });
+};
+
 const createObservation = (nowMs: number): ServerObservation => ({
   inFlight: 0,
   relativeLatency: 1,
--- a/src/request/selectServer/LeastDelaySelector.test.ts
+++ b/src/request/selectServer/LeastDelaySelector.test.ts
@@ -28,6 +28,15 @@
   return { server, node: create(NodeRecordSchema, { nodeId, dataCentre, servers: [server] }) };
 };
 
+/** The selector of a node in data centre a. */
+const createSelector = (observations: ServerObservations): LeastDelaySelector =>
+  new LeastDelaySelector({
+    dataCentre: 'a',
+    nodeId: OWN_NODE_ID,
+    observations,
+    breaker: new FailureRateBreaker(),
+  });
+
 interface Reported {
   load: number;
   holdMs: number;
@@ -49,13 +58,7 @@
     });
     return entry;
   });
-  const breaker = new FailureRateBreaker();
-  const selector = new LeastDelaySelector({
-    dataCentre: 'a',
-    nodeId: OWN_NODE_ID,
-    observations,
-    breaker,
-  });
+  const selector = createSelector(observations);
   const counts: Record<string, number> = Object.fromEntries(
     Object.keys(servers).map((nodeId) => [nodeId, 0]),
   );
@@ -124,13 +127,7 @@
   const report = { reportedLoad: 0.1, reportedHoldMs: 50, sampleCount: 10 };
   Object.assign(observations.get(formatServerKey(known), 0), report);
   Object.assign(observations.get(formatServerKey(slow), 0), { ...report, reportedHoldMs: 200 });
-  const breaker = new FailureRateBreaker();
-  const selector = new LeastDelaySelector({
-    dataCentre: 'a',
-    nodeId: OWN_NODE_ID,
-    observations,
-    breaker,
-  });
+  const selector = createSelector(observations);
   const isTriedAt = (nowMs: number): boolean => {
     [known, slow].forEach((entry) => {
       observations.get(formatServerKey(entry), nowMs).reportedLoadAtMs = nowMs;
@@ -178,13 +175,7 @@
   const recovered = createEntry('recovered', 'a');
   const seen = { sampleCount: 10, reportedLoad: 0.2, reportedLoadAtMs: NOW_MS };
   Object.assign(observations.get(formatServerKey(recovered), 0), { ...seen, reportedHoldMs: 900 });
-  const breaker = new FailureRateBreaker();
-  const selector = new LeastDelaySelector({
-    dataCentre: 'a',
-    nodeId: OWN_NODE_ID,
-    observations,
-    breaker,
-  });
+  const selector = createSelector(observations);
   const isTriedAt = (nowMs: number): boolean => {
     const report = { ...seen, reportedLoad: 0.7, reportedLoadAtMs: nowMs, reportedHoldMs: 100 };
     Object.assign(observations.get(formatServerKey(quick), 0), report);
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -66,8 +66,10 @@
   return [...picked];
 };
 
-const mean = (values: number[], fallback: number): number =>
-  values.length === 0 ? fallback : values.reduce((sum, value) => sum + value, 0) / values.length;
+const sumOf = (values: number[]): number => values.reduce((sum, value) => sum + value, 0);
+
+/** Returns how much a report still counts, halved with each half-life. */
+const fade = (ageMs: number, halfLifeMs: number): number => 0.5 ** (ageMs / halfLifeMs);
 
 export interface LeastDelaySelectorOptions extends TwoChoicesSelectorOptions {
   nodeId: string;
@@ -77,7 +79,7 @@
 const trustHold = (
   { reportedHoldMs, reportedLoadAtMs }: ServerObservation,
   nowMs: number,
-): number => (reportedHoldMs === 0 ? 0 : 0.5 ** ((nowMs - reportedLoadAtMs) / HOLD_HALF_LIFE_MS));
+): number => (reportedHoldMs === 0 ? 0 : fade(nowMs - reportedLoadAtMs, HOLD_HALF_LIFE_MS));
 
 /**
  * Chooses the server with the least expected time to a response. Answers of the nodes beside the
@@ -102,19 +104,15 @@
     const means = this.#findMeans(healthy, context);
     const own = healthy.filter((entry) => entry.node.dataCentre === dataCentre);
     const others = healthy.filter((entry) => entry.node.dataCentre !== dataCentre);
-    const unknown = this.#findUnknown(own, context);
+    const unknown = random() < EXPLORATION_SHARE ? this.#findUnknown(own, context) : undefined;
     if (unknown) {
       const considered = own.map(formatServerKey);
       return { entry: unknown, reason: SelectionReason.Explored, considered };
     }
-    const beside = own.filter((entry) => this.#isBeside(entry));
+    const near = own.filter((entry) => !this.#isBeside(entry));
     const compared = [
-      ...beside,
-      ...sample(
-        beside.length > 0 ? own.filter((entry) => !this.#isBeside(entry)) : own,
-        OWN_SAMPLE,
-        random,
-      ),
+      ...own.filter((entry) => this.#isBeside(entry)),
+      ...sample(near, OWN_SAMPLE, random),
       ...sample(others, own.length > 0 ? OTHER_SAMPLE : OWN_SAMPLE, random),
     ].map((entry) => this.#assess(entry, means, context));
     const [first, ...rest] = compared;
@@ -131,19 +129,17 @@
   }
 
   /**
-   * Returns a warm server that this node knows nothing of yet, for a share of the requests. Its
-   * expected delay is a guess from the others, so a joined server could be passed over for good.
+   * Returns a warm server that this node knows nothing of yet. Its expected delay is a guess from the
+   * others, so a joined server could be passed over for good.
    */
-  #findUnknown(own: ServerEntry[], { nowMs, random }: SelectionContext): ServerEntry | undefined {
+  #findUnknown(own: ServerEntry[], { nowMs }: SelectionContext): ServerEntry | undefined {
     if (own.length < 2) return undefined;
-    const isUnknown = (entry: ServerEntry): boolean => {
+    return own.find((entry) => {
       const seen = this.#options.observations.get(formatServerKey(entry), nowMs);
       const isUnused = seen.reportedLoadAtMs === 0 && seen.inFlight === 0;
       const wasRefused = seen.lastRefusalAtMs > 0;
       return isUnused && !wasRefused && nowMs - seen.firstSeenAtMs >= WARM_UP_MS;
-    };
-    const unknown = own.filter(isUnknown);
-    return unknown.length > 0 && random() < EXPLORATION_SHARE ? unknown[0] : undefined;
+    });
   }
 
   #explain(facts: {
@@ -177,19 +173,11 @@
     const reported = entries
       .map((entry) => this.#options.observations.get(formatServerKey(entry), nowMs))
       .filter(({ reportedLoadAtMs }) => reportedLoadAtMs > 0);
-    const held = reported.filter(({ reportedHoldMs }) => reportedHoldMs > 0);
-    const weights = held.map((observation) => trustHold(observation, nowMs));
-    const weight = weights.reduce((sum, one) => sum + one, 0);
-    const holdMs = held.reduce(
-      (sum, { reportedHoldMs }, index) => sum + reportedHoldMs * (weights[index] ?? 0),
-      0,
-    );
+    const weight = sumOf(reported.map((one) => trustHold(one, nowMs)));
+    const heldMs = sumOf(reported.map((one) => trustHold(one, nowMs) * one.reportedHoldMs));
     return {
-      load: mean(
-        reported.map(({ reportedLoad }) => reportedLoad),
-        0,
-      ),
-      holdMs: weight > 0 ? holdMs / weight : UNKNOWN_HOLD_MS,
+      load: sumOf(reported.map(({ reportedLoad }) => reportedLoad)) / Math.max(1, reported.length),
+      holdMs: weight > 0 ? heldMs / weight : UNKNOWN_HOLD_MS,
     };
   }
 
@@ -220,7 +208,7 @@
     nowMs: number,
   ): number {
     const ageMs = nowMs - observation.reportedLoadAtMs;
-    const trust = observation.reportedLoadAtMs === 0 ? 0 : 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+    const trust = observation.reportedLoadAtMs === 0 ? 0 : fade(ageMs, REPORT_HALF_LIFE_MS);
     const reported = trust * observation.reportedLoad + (1 - trust) * means.load;
     const slots = Math.max(1, server.slots);
     // Requests sent since the report are not in it.
