Let a slow node attach: count progress and extend the attach timeout

Cause: an attempt to attach ended after a fixed time without a whole message.

Change: every part of a response restarts the timeout, and the attach timeout doubles with each failed round, up to 8 times. The silence limit of an attached stream is unchanged.

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -4,6 +4,7 @@
 import { createLogger } from '../../../process/log/index.js';
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
+import computePatience from '../_lib/computePatience.js';
 import { ControlStream } from '../_lib/ControlStream.js';
 import { OwnRecord } from '../_lib/OwnRecord.js';
 import { Readiness } from '../_lib/Readiness.js';
@@ -252,7 +253,8 @@
   async #maintainStream(signal: AbortSignal): Promise<void> {
     let attempt = 0;
     while (!signal.aborted) {
-      const outcome = await this.#tryTargets(this.#selector.select(this.#now()));
+      const patience = computePatience(attempt);
+      const outcome = await this.#tryTargets(this.#selector.select(this.#now()), patience);
       attempt = outcome.wasAttached ? 0 : attempt + 1;
       await sleep(this.#chooseDelayMs(attempt, outcome.retryAfterMs), signal);
     }
@@ -292,23 +294,24 @@
     return (retryAfterMs ?? 0) + computeBackoff(attempt, options);
   }
 
-  async #tryTargets(targets: ControlTarget[]): Promise<AttachOutcome> {
+  async #tryTargets(targets: ControlTarget[], patience: number): Promise<AttachOutcome> {
     const [target, ...rest] = targets;
     if (target === undefined || this.#stopping.signal.aborted) return { wasAttached: false };
-    const stream = this.#openStream(target);
+    const stream = this.#openStream(target, patience);
     const end = await this.#runStream(stream);
-    if (!stream.isAttached) return this.#tryTargets(rest);
+    if (!stream.isAttached) return this.#tryTargets(rest, patience);
     this.#selector.markLost(this.#now());
     this.#logEnd(target, end);
     return { wasAttached: true, ...end.unwrapOr({}) };
   }
 
-  #openStream(target: ControlTarget): ControlStream {
+  #openStream(target: ControlTarget, patience: number): ControlStream {
     return new ControlStream(target, {
       parts: this.#parts,
       ownRecord: this.#ownRecord,
       meter: this.#meter,
       timing: this.#timing,
+      patience,
       now: this.#now,
       tls: this.#tls(),
       cursor: this.#cursor,
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -40,6 +40,8 @@
   ownRecord: OwnRecord;
   meter: ByteMeter;
   timing: LinkTiming;
+  /** Factor on the time within which the control VM must send its first message. */
+  patience: number;
   now: () => number;
   tls: TlsMaterial | undefined;
   /** Position in the endpoint batches, from which a reconnect resumes. */
@@ -153,13 +155,14 @@
    * @returns the retry delay requested by the control VM, if any, or why the stream failed
    */
   async run(): Promise<Result<StreamEnd, LinkError>> {
-    const { timing, tls } = this.#context;
-    const { transport, close } = openTransport(
-      this.target.address,
-      tls ? { tls, peerRole: ProcessRole.Control } : {},
-    );
+    const { timing, patience, tls } = this.#context;
+    let watchdog = setTimeout(() => this.#handleTimeout(), timing.attachTimeoutMs * patience);
+    const { transport, close } = openTransport(this.target.address, {
+      ...(tls && { tls, peerRole: ProcessRole.Control }),
+      // A snapshot may take longer than the limit on a slow link; its parts show progress.
+      onBytesRead: () => watchdog.refresh(),
+    });
     const client = createClient(DistributionService, transport);
-    let watchdog = setTimeout(() => this.#handleTimeout(), timing.attachTimeoutMs);
     const renewals = setInterval(
       () => this.#send({ case: 'renewal', value: {} }),
       timing.heartbeatIntervalMs,
--- a/src/connection/openTransport/_lib/GuardedSessionManager/index.ts
+++ b/src/connection/openTransport/_lib/GuardedSessionManager/index.ts
@@ -39,10 +39,22 @@
 
   readonly #openTimeoutMs: number;
 
+  readonly #onBytesRead: () => void;
+
   #manager: Http2SessionManager;
 
-  /** Takes the arguments of the session manager of connect-es. */
-  constructor(url: string, pingOptions: PingOptions, sessionOptions: SessionManagerArguments[2]) {
+  /**
+   * Takes the arguments of the session manager of connect-es.
+   *
+   * @param onBytesRead - called whenever a part of a response was read
+   */
+  constructor(
+    url: string,
+    pingOptions: PingOptions,
+    sessionOptions: SessionManagerArguments[2],
+    onBytesRead: () => void = () => undefined,
+  ) {
+    this.#onBytesRead = onBytesRead;
     this.#arguments = [url, pingOptions, sessionOptions];
     this.#manager = new Http2SessionManager(...this.#arguments);
     const pingTimeoutMs = pingOptions.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS;
@@ -85,6 +97,7 @@
 
   notifyResponseByteRead(stream: ClientHttp2Stream): void {
     this.#manager.notifyResponseByteRead(stream);
+    this.#onBytesRead();
   }
 
   /** Closes the connection; requests in flight fail. */
--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -29,6 +29,8 @@
   pingIntervalMs?: number;
   /** Time without a ping response after which the connection is closed. */
   pingTimeoutMs?: number;
+  /** Called whenever a part of a response was read, also within a message. */
+  onBytesRead?: () => void;
 }
 
 /** A transport to one other process and a function that closes its connection. */
@@ -95,6 +97,7 @@
       pingTimeoutMs: options.pingTimeoutMs ?? DEFAULT_PING_TIMEOUT_MS,
     },
     material ? createTlsOptions(() => readTls() ?? material, peerRole) : undefined,
+    options.onBytesRead,
   );
   const transport = createConnectTransport({ httpVersion: '2', baseUrl, sessionManager });
   return { transport, close: () => sessionManager.abort() };
--- a/src/process/replication/ReplicatedLog/membership.test.ts
+++ b/src/process/replication/ReplicatedLog/membership.test.ts
@@ -85,6 +85,8 @@
     await cluster.startMember('c3');
     await cluster.waitForLeader();
     await apply(cluster, 'c2', 1);
+    // The change is answered once the leader has committed it; c2 may be a follower.
+    await waitForHistory(cluster, 'c2', [1]);
     t.strictSame(listVersions(cluster, 'c2'), [1]);
   },
 );
