Replicate versions as deltas to the version before

Cause: each change of a few routes sent its whole configuration and document (about 130 KB with 1,000 routes) to every other control VM.

Change: an append request carries an accepted version as operations on the version before it in the log, over the configuration and the inflated document, with a digest of the result.

--- a/src/process/replication/_lib/EntryLog/index.ts
+++ b/src/process/replication/_lib/EntryLog/index.ts
@@ -103,6 +103,13 @@
     this.#entries = [];
   }
 
+  /** Returns the last accepted version before an index, if it is not compacted. */
+  findAcceptedBefore(index: number): LogEntry | undefined {
+    return this.#entries.findLast(
+      (entry) => entry.index < index && entry.change.change.case === 'accepted',
+    );
+  }
+
   /** Returns the newest membership after an index, with the index of its entry. */
   findMembership(afterIndex: number): { index: number; membership: Membership } | undefined {
     const entry = this.from(afterIndex + 1).findLast(
--- a/src/process/replication/_lib/PeerProgress/index.ts
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -32,6 +32,9 @@
 
   answeredSequence = 0;
 
+  /** Whether the last response allows deltas in the next request. */
+  acceptsDeltas = false;
+
   isReachable = false;
 
   /** Whether the peer held all entries committed at the time of the last accepted request. */
@@ -51,6 +54,7 @@
     this.diskIdentity = diskIdentity;
     this.matchIndex = 0;
     this.sentCommitIndex = 0;
+    this.acceptsDeltas = false;
     this.isCaughtUp = false;
     this.contactMs = -Infinity;
     this.sequence = 0;
--- a/src/process/replication/_lib/handleAppend/index.ts
+++ b/src/process/replication/_lib/handleAppend/index.ts
@@ -10,9 +10,9 @@
 } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import { PeerError, PeerErrorCode } from '../../../../connection/replication/PeerError/index.js';
 import { createLogger } from '../../../log/index.js';
-import { decodeEntry } from '../EntryLog/index.js';
 import type { LogEntry } from '../EntryLog/index.js';
 import type { Replica } from '../Replica/index.js';
+import { decodeMissingEntries } from '../appendedEntries/index.js';
 import checkHeader from '../checkHeader/index.js';
 
 const log = createLogger('replication');
@@ -21,6 +21,7 @@
   replica: Replica,
   isAccepted: boolean,
   matchIndex: number,
+  acceptsDeltas = true,
 ): Result<AppendResponse, PeerError> =>
   ok(
     create(AppendResponseSchema, {
@@ -28,6 +29,7 @@
       isAccepted,
       matchIndex,
       diskIdentity: replica.diskIdentity,
+      acceptsDeltas,
     }),
   );
 
@@ -52,23 +54,10 @@
   return ok(undefined);
 };
 
-const decodeMissingEntries = (replica: Replica, request: AppendRequest): LogEntry[] => {
-  const stored = request.entries.map(({ term, payload }, position) => ({
-    index: request.previousIndex + 1 + position,
-    term,
-    payload,
-  }));
-  const firstMissing = stored.findIndex(
-    ({ index, term }) => index > replica.log.baseIndex && replica.log.termAt(index) !== term,
-  );
-  return firstMissing === -1 ? [] : stored.slice(firstMissing).map(decodeEntry);
-};
-
 const appendMissingEntries = async (
   replica: Replica,
-  request: AppendRequest,
+  missing: LogEntry[],
 ): Promise<Result<void, PeerError>> => {
-  const missing = decodeMissingEntries(replica, request);
   const firstIndex = missing[0]?.index ?? Infinity;
   if (firstIndex <= replica.commitIndex) {
     log.error(
@@ -121,7 +110,16 @@
     // Committed entries match the log of every leader, so the leader can continue after them.
     return respond(replica, false, replica.commitIndex);
   }
-  const appended = await appendMissingEntries(replica, request);
+  const missing = await decodeMissingEntries(replica.log, request);
+  if (missing.isErr()) {
+    log.warn(
+      { memberId: replica.memberId, previousIndex: request.previousIndex, reason: missing.error },
+      'cannot apply a delta; asking the leader for whole entries',
+    );
+    replica.recordAnsweredRequest(request.sequence);
+    return respond(replica, false, request.previousIndex, false);
+  }
+  const appended = await appendMissingEntries(replica, missing.value);
   if (appended.isErr()) return err(appended.error);
   const matchIndex = request.previousIndex + request.entries.length;
   replica.commitTo(Math.min(request.commitIndex, matchIndex));
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -8,6 +8,7 @@
 import type { Leadership } from '../Leadership/index.js';
 import type PeerProgress from '../PeerProgress/index.js';
 import type { Replica } from '../Replica/index.js';
+import { encodeEntries } from '../appendedEntries/index.js';
 
 const log = createLogger('replication');
 
@@ -114,6 +115,10 @@
   // A peer whose next entry is compacted gets a request without entries, to probe its match index.
   const isProbe = needsSnapshot(replica, peer);
   const previousIndex = isProbe ? replica.log.lastIndex : peer.nextIndex - 1;
+  const pending = isProbe ? [] : replica.log.batchFrom(peer.nextIndex, MAX_BATCH_BYTES);
+  const entries = await encodeEntries(replica.log, pending, peer.acceptsDeltas);
+  // The header below must not carry a term that began during the encoding.
+  if (!leadership.isActive) return false;
   const sequence = peer.sequence + 1;
   const sentAtMs = replica.readNowMs();
   const { commitIndex } = replica;
@@ -122,7 +127,7 @@
     header: replica.createHeader(peer.diskIdentity),
     previousIndex,
     previousTerm: replica.log.termAt(previousIndex) ?? 0,
-    entries: isProbe ? [] : replica.log.batchFrom(peer.nextIndex, MAX_BATCH_BYTES),
+    entries,
     commitIndex,
     sequence,
     answeredSequence: peer.answeredSequence,
@@ -137,8 +142,8 @@
   setReachable(peer, true, '');
   if (!(await checkResponse(leadership, replica, peer, response.value))) return false;
   recordContact(leadership, peer, sentAtMs);
-  const { isAccepted, matchIndex } = response.value;
-  Object.assign(peer, { answeredSequence: sequence, nextIndex: matchIndex + 1 });
+  const { isAccepted, matchIndex, acceptsDeltas } = response.value;
+  Object.assign(peer, { answeredSequence: sequence, nextIndex: matchIndex + 1, acceptsDeltas });
   if (isAccepted) {
     const isCaughtUp = matchIndex >= commitIndex;
     const isNewlyCaughtUp = isCaughtUp && !peer.isCaughtUp;
