--- a/src/process/replication/ReplicatedLog/discovery.test.ts
+++ b/src/process/replication/ReplicatedLog/discovery.test.ts
@@ -6,18 +6,23 @@
   createChange,
   waitUntil,
 } from '../../../../stand-ins/controlCluster/index.js';
+import type { ControlClusterOptions } from '../../../../stand-ins/controlCluster/index.js';
 import { ApplyOutcome } from '../ControlLog/index.js';
 import readMonotonicNowMs from '../readMonotonicNowMs/index.js';
 
 const SEED = Number(process.env.SEED ?? 12);
 
-const createCluster = async (t: Test): Promise<ControlCluster> => {
+const createCluster = async (
+  t: Test,
+  options: Partial<ControlClusterOptions> = {},
+): Promise<ControlCluster> => {
   t.comment(`seed ${SEED}`);
   const cluster = await ControlCluster.create({
     seed: SEED,
     memberCount: 3,
     isDiscovered: true,
     timings: { replaceAfterMs: 800 },
+    ...options,
   });
   t.teardown(() => cluster.close());
   await Promise.all(cluster.memberIds().map((id) => cluster.startMember(id)));
@@ -94,3 +99,41 @@
   await waitForVoters(cluster, ['c1', 'c2', 'c3']);
   t.equal(cluster.log('c1').members(readMonotonicNowMs()).length, 3);
 });
+
+// Guards against losing what was acknowledged when as many disks are lost as the operators allow: three
+// initial voters bear the loss of one disk only, however many other VMs hold the log.
+tap.test('with five voters the loss of two disks loses no accepted version', async (t) => {
+  const cluster = await createCluster(t, { voterTarget: 5 });
+  await Promise.all(
+    ['c4', 'c5'].map(async (id) => {
+      await cluster.prepareMember(id);
+      await cluster.startMember(id);
+    }),
+  );
+  await waitForVoters(cluster, ['c1', 'c2', 'c3', 'c4', 'c5']);
+  await apply(cluster, 'c4', 1);
+  const [first = '', second = ''] = ['c1', 'c2', 'c3'];
+  await Promise.all([first, second].map((id) => cluster.wipeDisk(id)));
+  await cluster.waitForLeader([first, second]);
+  await apply(cluster, 'c4', 2);
+  await Promise.all([first, second].map((id) => cluster.startMember(id)));
+  await waitForVoters(cluster, ['c1', 'c2', 'c3', 'c4', 'c5']);
+  await waitUntil(
+    () => cluster.log(first).committed()?.holder.version === 2,
+    'a VM with a new disk holds version 2',
+  );
+});
+
+// Guards against clusters of the build before that keep too few voters.
+tap.test(
+  'a cluster founded with three voters is raised to the number of its settings',
+  async (t) => {
+    const founded = await createCluster(t);
+    await founded.prepareMember('c4');
+    await founded.prepareMember('c5');
+    await Promise.all(founded.memberIds().map((id) => founded.stopMember(id)));
+    founded.setVoterTarget(5);
+    await Promise.all(founded.memberIds().map((id) => founded.startMember(id)));
+    await waitForVoters(founded, ['c1', 'c2', 'c3', 'c4', 'c5']);
+  },
+);
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -102,6 +102,11 @@
   address: string;
   /** Addresses of control VMs that receive join requests; some may be wrong or unreachable. */
   contacts: string[];
+  /**
+   * Voters that the cluster keeps, to bear the loss of fewer than half of them; the initial members
+   * by default.
+   */
+  voterTarget?: number;
   /** Whether this may be the first start of the cluster, so that this member may bootstrap it. */
   mayBootstrap: boolean;
 }
@@ -181,6 +186,7 @@
       limits: { ...DEFAULT_LIMITS, ...options.limits },
       readNowMs: options.readNowMs ?? readMonotonicNowMs,
       random: options.random ?? Math.random,
+      voterTarget: settings.discovery && (settings.discovery.voterTarget ?? initialMembers.length),
       metrics: options.metrics ?? new MetricsRegistry(),
     });
     const createClient =
@@ -378,8 +384,8 @@
         await replica.changed.wait(heartbeatMs);
       } else if (replica.isUnused) {
         if (this.#discovery?.mayBootstrap !== false) {
-          const keepsVoterCount = this.#discovery !== undefined;
-          await bootstrapCluster(replica, this.#initialMembers, findClient, { keepsVoterCount });
+          const { voterTarget } = replica.options;
+          await bootstrapCluster(replica, this.#initialMembers, findClient, { voterTarget });
         }
         await replica.changed.wait(heartbeatMs);
       } else if (replica.isVoter && waitMs <= 0) {
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -46,6 +46,8 @@
   limits: ReplicationLimits;
   readNowMs: () => number;
   random: () => number;
+  /** Voters that the cluster keeps if members discover each other; undefined otherwise. */
+  voterTarget?: number | undefined;
   metrics: MetricsRegistry;
 }
 
--- a/src/process/replication/_lib/bootstrapCluster/index.ts
+++ b/src/process/replication/_lib/bootstrapCluster/index.ts
@@ -25,8 +25,11 @@
 }
 
 export interface BootstrapOptions {
-  /** Whether the number of voters stays fixed, so that members that join later stay non-voters. */
-  keepsVoterCount: boolean;
+  /**
+   * Voters that the cluster keeps, at least the initial members; members that join beyond them stay
+   * non-voters. Every member becomes a voter if it is undefined.
+   */
+  voterTarget: number | undefined;
 }
 
 const INITIAL_TERM = 1;
@@ -88,7 +91,8 @@
   if (members.length < initialMembers.length) return;
   await replica.queue.run(async () => {
     if (!replica.isUnused) return;
-    const voterTarget = options.keepsVoterCount ? members.length : 0;
+    const voterTarget =
+      options.voterTarget === undefined ? 0 : Math.max(options.voterTarget, members.length);
     const membership = create(MembershipSchema, { members, clusterId: randomUUID(), voterTarget });
     const change = create(LogChangeSchema, { change: { case: 'membership', value: membership } });
     const payload = toBinary(LogChangeSchema, change);
--- a/src/process/replication/_lib/findNextMembership/index.ts
+++ b/src/process/replication/_lib/findNextMembership/index.ts
@@ -19,25 +19,43 @@
 const hasRoomForVoter = ({ members, voterTarget }: Membership, extra = 0): boolean =>
   voterTarget === 0 || members.filter((member) => member.isVoter).length < voterTarget + extra;
 
+type Peers = Map<string, PeerProgress>;
+
+const hasCaughtUp = (peer: PeerProgress | undefined): peer is PeerProgress =>
+  peer !== undefined && peer.isReachable && peer.isCaughtUp && peer.diskIdentity !== '';
+
+/** Finds a member that has caught up with a new disk; the disk becomes a non-voter. */
+const findNewDisk = ({ members }: Membership, peers: Peers): Member | undefined => {
+  const renewed = members.flatMap((member) => {
+    const peer = peers.get(member.memberId);
+    if (!hasCaughtUp(peer) || peer.diskIdentity === member.diskIdentity) return [];
+    return [create(MemberSchema, { ...member, diskIdentity: peer.diskIdentity, isVoter: false })];
+  });
+  return renewed[0];
+};
+
 /**
- * Returns the change of a member whose peer has caught up: a new disk identity as a non-voter, or
- * the promotion to a voter.
+ * Finds the non-voter to promote next: one that has caught up, of the data centre with the fewest
+ * voters, so that the loss of a data centre costs as few votes as possible.
  */
-const findNextMember = (
-  member: Member,
-  peer: PeerProgress,
-  membership: Membership,
-): Member | undefined => {
-  if (peer.diskIdentity === '') return undefined;
-  const { diskIdentity } = peer;
-  if (member.diskIdentity !== diskIdentity) {
-    return create(MemberSchema, { ...member, diskIdentity, isVoter: false });
-  }
-  const isPromoted = !member.isVoter && hasRoomForVoter(membership);
-  return isPromoted ? create(MemberSchema, { ...member, isVoter: true }) : undefined;
+const findStandby = ({ members }: Membership, peers: Peers): Member | undefined => {
+  const countVoters = (dataCentre: string): number =>
+    members.filter((member) => member.isVoter && member.dataCentre === dataCentre).length;
+  const [standby] = members
+    .filter((member) => {
+      const peer = peers.get(member.memberId);
+      return !member.isVoter && hasCaughtUp(peer) && peer.diskIdentity === member.diskIdentity;
+    })
+    .toSorted((left, right) => countVoters(left.dataCentre) - countVoters(right.dataCentre));
+  return standby && create(MemberSchema, { ...standby, isVoter: true });
 };
 
-type Peers = Map<string, PeerProgress>;
+/** Raises the number of voters of a cluster that was founded with a lower one. */
+const raiseVoterTarget = ({ membership, options }: Replica): Membership | undefined => {
+  const voterTarget = options.voterTarget ?? 0;
+  const isHigher = membership.voterTarget > 0 && voterTarget > membership.voterTarget;
+  return isHigher ? create(MembershipSchema, { ...membership, voterTarget }) : undefined;
+};
 
 /** Reports whether a peer has not answered for `replaceAfterMs`; always false for the leader. */
 const isUnresponsive = (replica: Replica, peers: Peers, member: Member, nowMs: number): boolean => {
@@ -62,12 +80,8 @@
     const members = membership.members.filter((member) => member !== unresponsive);
     return create(MembershipSchema, { ...membership, members });
   }
-  const standby = membership.members.find((member) => {
-    const peer = peers.get(member.memberId);
-    const isCurrent = peer?.isReachable && peer.isCaughtUp;
-    return !member.isVoter && isCurrent && peer.diskIdentity === member.diskIdentity;
-  });
-  return standby && replaceMember(membership, create(MemberSchema, { ...standby, isVoter: true }));
+  const standby = findStandby(membership, peers);
+  return standby && replaceMember(membership, standby);
 };
 
 /**
@@ -87,15 +101,11 @@
   nowMs: number,
 ): Membership | undefined => {
   const { membership } = replica;
-  const changed = membership.members
-    .map((member) => {
-      const peer = peers.get(member.memberId);
-      return peer?.isReachable && peer.isCaughtUp
-        ? findNextMember(member, peer, membership)
-        : undefined;
-    })
-    .find((member) => member !== undefined);
-  return changed ? replaceMember(membership, changed) : findReplacement(replica, peers, nowMs);
+  const changed =
+    findNewDisk(membership, peers) ??
+    (hasRoomForVoter(membership) ? findStandby(membership, peers) : undefined);
+  if (changed) return replaceMember(membership, changed);
+  return raiseVoterTarget(replica) ?? findReplacement(replica, peers, nowMs);
 };
 
 export default findNextMembership;
--- a/stand-ins/controlCluster/index.ts
+++ b/stand-ins/controlCluster/index.ts
@@ -77,11 +77,13 @@
   memberCount: number;
   /** Members discover each other; only the first start of a member may found a cluster. */
   isDiscovered?: boolean;
+  /** Voters that the cluster keeps if members discover each other. */
+  voterTarget?: number;
 }
 
 /** Control VMs that a test can stop, isolate and restart. */
 export class ControlCluster {
-  readonly #options: ControlClusterOptions;
+  #options: ControlClusterOptions;
 
   readonly #members = new Map<string, ClusterMember>();
 
@@ -145,6 +147,11 @@
     return this.#getMember(memberId).log !== undefined;
   }
 
+  /** Sets the voter target of members that start from now on. */
+  setVoterTarget(voterTarget: number): void {
+    this.#options = { ...this.#options, voterTarget };
+  }
+
   /** Prepares a member that is not among the initial ones. */
   async prepareMember(memberId: string): Promise<void> {
     await this.#prepare(memberId);
@@ -152,11 +159,12 @@
 
   async startMember(memberId: string): Promise<ReplicatedLog> {
     const member = this.#getMember(memberId);
-    const { seed, memberCount, isDiscovered = false, ...options } = this.#options;
+    const { seed, memberCount, isDiscovered = false, voterTarget, ...options } = this.#options;
     const isInitial = this.#initialMembers.some((initial) => initial.memberId === memberId);
     const discovery = {
       address: this.initialMember(memberId).address,
       contacts: this.#initialMembers.map(({ address }) => address),
+      ...(voterTarget !== undefined && { voterTarget }),
       mayBootstrap: isInitial && !this.#startedOnce.has(memberId),
     };
     this.#startedOnce.add(memberId);
