Let many nodes retry, and wait for a slow node if nothing else is left

Cause 1: each node takes a part of the retry slack that all nodes share. Change: below one token, a fraction is the probability of a retry, which leaves a debt; the sum stays within the bound.

Cause 2: a lookup failed 450 ms after its owner node had not acknowledged it, although no other server or no retry was left and the answer came in time. Change: an attempt is given up only if the request can be sent elsewhere; the retry is charged before.

--- a/src/request/RequestServer/unresponsiveNode.test.ts
+++ b/src/request/RequestServer/unresponsiveNode.test.ts
@@ -1,8 +1,9 @@
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 
 import tap from 'tap';
 
 import type { Socket } from 'node:net';
+import { splitAddress } from '../../connection/splitAddress/index.js';
 import { TestMesh, listenOnLoopback, send } from '../../../test/requestMesh/index.js';
 
 /** A tenth of the timeout of the route. */
@@ -48,3 +49,33 @@
   later.forEach(({ reply }) => t.equal(reply.body, 'served'));
   t.equal(received, receivedBefore, 'no later lookup reached it');
 });
+
+/** Longer than the time after which a node without an acknowledgement counts as unresponsive. */
+const SLOW_NODE_MS = 900;
+
+// Guards against a lookup that fails although its server answers in time: its node was slow, and no
+// other server or no retry was left.
+tap.test('a lookup that cannot be sent elsewhere waits for a slow node', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = await mesh.startNode('owner');
+  const { forwardAddress } = owner.localServers.record();
+  const { host, port } = splitAddress(forwardAddress);
+  const sockets = new Set<Socket>();
+  const slowLink = createServer((socket) => {
+    const upstream = connect(port, host);
+    [socket, upstream].forEach((end) => sockets.add(end.on('error', () => end.destroy())));
+    setTimeout(() => socket.pipe(upstream), SLOW_NODE_MS);
+    upstream.pipe(socket);
+  });
+  const address = await listenOnLoopback(slowLink);
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    slowLink.close();
+  });
+  await mesh.startBackend(owner, (_, response) => response.end('served'));
+  owner.localServers.setAddresses({ forwardAddress: address, peerAddress: address });
+  const replies = await Promise.all(Array.from({ length: 5 }, () => send(entry.address)));
+  replies.forEach(({ status, body }) => t.same([status, body], [200, 'served']));
+});
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -58,6 +58,8 @@
   /** Number of attempts that may have run. */
   possibleRuns: number;
   lastError: CallError | undefined;
+  /** Whether the next retry is charged already. */
+  isRetryCharged: boolean;
   /** Last error of an attempt that may have run; takes precedence over later refusals. */
   possibleRunError: CallError | undefined;
 }
@@ -186,6 +188,7 @@
       tried: new Set(),
       possibleRuns: 0,
       lastError: undefined,
+      isRetryCharged: false,
       possibleRunError: undefined,
     };
     this.#dependencies.budget.addRequest(routed.service, this.#context.getNowMs());
@@ -227,6 +230,7 @@
       number: routed.outerAttempt + state.tried.size,
       shouldWithhold: ({ statusCode }: { statusCode: number }) =>
         statusCode === SERVICE_UNAVAILABLE && this.#canRunAgain(routed, state.possibleRuns + 1),
+      chargeRetry: () => this.#chargeRetry(routed, state),
     };
     state.tried.add(key);
     observation.inFlight += 1;
@@ -245,6 +249,16 @@
     return isAllowed && exchange.canSendBody && !exchange.isAborted;
   }
 
+  /** Charges a retry before the attempt is given up; returns false if no retry is possible. */
+  #chargeRetry(routed: RoutedRequest, state: AttemptState): boolean {
+    const target = state;
+    target.isRetryCharged =
+      this.#canRunAgain(routed, state.possibleRuns + 1) &&
+      this.#listCandidates(routed, state).length > 0 &&
+      this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
+    return state.isRetryCharged;
+  }
+
   /** Returns whether to retry the request, and charges the retry to the budget. */
   #reserveRetry(routed: RoutedRequest, state: AttemptState, error: CallError): boolean {
     const target = state;
@@ -265,22 +279,31 @@
       error.code === CallErrorCode.NotWritten ||
       (error.code === CallErrorCode.Refused && !error.options.isServerRefusal);
     const hasBudget =
-      isFree || this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
+      isFree ||
+      state.isRetryCharged ||
+      this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
+    target.isRetryCharged = false;
     const { metrics } = this.#context;
     const name = hasBudget ? 'requests_retried' : 'retries_over_budget';
     metrics.counter(name, { reason: error.code }).value += 1;
     return hasBudget;
   }
 
-  #selectServer(routed: RoutedRequest, { tried }: AttemptState): ServerEntry | undefined {
-    const nowMs = this.#context.getNowMs();
+  /** Lists the live servers that were not tried, those on responsive nodes if there are any. */
+  #listCandidates({ service }: RoutedRequest, { tried }: AttemptState): ServerEntry[] {
     const live = this.#context.directory
-      .serversOf(routed.service)
+      .serversOf(service)
       .filter((entry) => isLive(entry) && (tried.size === 0 || !tried.has(formatServerKey(entry))));
     const reachable = live.filter(
       ({ node }) => !this.#dependencies.peers.isUnresponsive(node.nodeId),
     );
-    const candidates = reachable.length > 0 ? reachable : live;
+    return reachable.length > 0 ? reachable : live;
+  }
+
+  #selectServer(routed: RoutedRequest, state: AttemptState): ServerEntry | undefined {
+    const nowMs = this.#context.getNowMs();
+    const { tried } = state;
+    const candidates = this.#listCandidates(routed, state);
     const selection = this.#dependencies.selector.select(candidates, {
       service: routed.service,
       nowMs,
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -51,6 +51,11 @@
   number: number;
   /** Returns whether to withhold a response from the caller because the request is retried. */
   shouldWithhold: (head: ResponseHead) => boolean;
+  /**
+   * Charges a retry to the budget, so that the attempt can be given up; returns false if the request
+   * can't be sent again.
+   */
+  chargeRetry: () => boolean;
   /** Records the response to a request with an Idempotency-Key. */
   tap?: ResponseTap;
 }
@@ -202,18 +207,18 @@
   }
 
   /**
-   * Retires the connections to a node that did not acknowledge a request. An idempotent request fails
-   * and can be retried; any other may be running, and waits on its connection until its deadline.
+   * Retires the connections to a node that did not acknowledge a request. A request that can be sent to
+   * another server is given up here. Any other waits on its connection until its deadline: it may be
+   * running, and the node may only be slow.
    */
-  #handleMissingAcknowledgement({ routed, entry }: Attempt): void {
+  #handleMissingAcknowledgement({ routed, entry, chargeRetry }: Attempt): void {
     const { nodeId, forwardAddress } = entry.node;
     const nowMs = this.#context.getNowMs();
     const isNewlyUnresponsive = this.#dependencies.peers.recordFailure(nodeId, nowMs);
     if (isNewlyUnresponsive)
       log.warn({ nodeId, requestId: routed.requestId }, 'node did not acknowledge a request');
     if (isNewlyUnresponsive) this.#dependencies.nodePools.retire(forwardAddress);
-    if (routed.route.idempotent)
-      routed.exchange.failCall('the node did not acknowledge the request');
+    if (chargeRetry()) routed.exchange.failCall('the node did not acknowledge the request');
   }
 
   #readInternalHeaders(attempt: Attempt, head: ResponseHead, sentAtMs: number): void {
--- a/src/request/budgetRetries/RetryBudget.ts
+++ b/src/request/budgetRetries/RetryBudget.ts
@@ -6,6 +6,8 @@
 export interface RetryBudgetOptions {
   /** Capacity of the token bucket, in retries. */
   burst?: number;
+  /** Returns a number from 0 to 1. */
+  random?: () => number;
 }
 
 const DEFAULT_BURST = 10;
@@ -17,8 +19,11 @@
 
   readonly #burst: number;
 
+  readonly #random: () => number;
+
   constructor(options: RetryBudgetOptions = {}) {
     this.#burst = options.burst ?? DEFAULT_BURST;
+    this.#random = options.random ?? Math.random;
   }
 
   /** Capacity of the token bucket, in retries. */
@@ -33,7 +38,8 @@
   }
 
   /**
-   * Spends one token on a retry.
+   * Spends one token on a retry. With a capacity below one token, as for a part of a budget that many
+   * nodes share, a fraction of a token is the probability of a retry, which leaves a debt.
    *
    * @param service - name of the service
    * @param nowMs - present time in milliseconds since the epoch
@@ -41,7 +47,9 @@
    */
   take(service: string, nowMs: number): boolean {
     const bucket = this.#refill(service, nowMs);
-    if (bucket.tokens < 1) return false;
+    const isFraction = this.burst < 1;
+    const isAllowed = isFraction ? this.#random() < bucket.tokens : bucket.tokens >= 1;
+    if (!isAllowed) return false;
     bucket.tokens -= 1;
     return true;
   }
--- a/src/request/budgetRetries/SharedRetryBudget.ts
+++ b/src/request/budgetRetries/SharedRetryBudget.ts
@@ -1,5 +1,7 @@
 import { RetryBudget } from './RetryBudget.js';
 
+import type { RetryBudgetOptions } from './RetryBudget.js';
+
 /** Shares of the slack allowed as a burst, and evenly over a window; the rest is a margin. */
 const BURST_SHARE = 0.4;
 const STEADY_SHARE = 0.4;
@@ -30,8 +32,12 @@
    * @param bounds - bounds for all nodes together
    * @param countNodes - returns the number of known nodes
    */
-  constructor(bounds: SharedBudgetBounds, countNodes: () => number) {
-    super();
+  constructor(
+    bounds: SharedBudgetBounds,
+    countNodes: () => number,
+    options: Pick<RetryBudgetOptions, 'random'> = {},
+  ) {
+    super(options);
     this.#bounds = bounds;
     this.#countNodes = countNodes;
   }
--- a/src/request/budgetRetries/test.ts
+++ b/src/request/budgetRetries/test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 
+import { createSeededRandom } from '../../../stand-ins/createSeededRandom/index.js';
 import { FixedRetryBudget, RatioRetryBudget, SharedRetryBudget } from './index.js';
 
 import type { RetryBudget } from './index.js';
@@ -58,3 +59,25 @@
   t.ok(maxRetries <= limit, `${maxRetries} of ${limit}`);
   t.ok(maxRetries >= limit / 3, `${maxRetries} of ${limit}`);
 });
+
+// Guards against hundreds of nodes whose parts of the shared slack are each below one retry, so that
+// none of them ever retries.
+tap.test('the parts of many nodes add up to the shared bound', async (t) => {
+  const random = createSeededRandom(7);
+  const bounds = { ratio: 0.2, slack: 420, windowS: 10 };
+  const nodeCount = 620;
+  const nodes = Array.from(
+    { length: nodeCount },
+    () => new SharedRetryBudget(bounds, () => nodeCount, { random }),
+  );
+  const tryAll = (nowMs: number): number => {
+    nodes.forEach((node) => node.addRequest('desk', nowMs));
+    return nodes.filter((node) => node.take('desk', nowMs)).length;
+  };
+  const counts = Array.from({ length: 10 }, (_, second) => tryAll(second * 1_000));
+  const retries = counts.reduce((sum, count) => sum + count, 0);
+  const limit = bounds.ratio * nodeCount * counts.length + bounds.slack;
+  t.ok(retries <= limit, `${retries} of ${limit}`);
+  t.ok(retries >= limit / 3, `${retries} of ${limit}`);
+  t.ok((counts[0] ?? 0) >= bounds.slack / 4, `${counts[0]} in the first second`);
+});
