Hash and compare configurations by their encoded rows

Cause: with each change a node encoded all routes again to verify the hash, and a control VM compared all routes field by field to create the delta.

Change: rows are encoded once and shared by the versions that contain them; the hash is unchanged (property of the encoding, tested). The route index groups routes by host in one pass.

--- a/src/version/compileConfiguration/_lib/RouteIndex.ts
+++ b/src/version/compileConfiguration/_lib/RouteIndex.ts
@@ -49,9 +49,14 @@
 
   /** @param routes - the routes of one version */
   constructor(routes: Route[]) {
-    const hosts = new Set(routes.map((route) => route.host.toLowerCase()));
-    hosts.forEach((host) => {
-      const routesOfHost = routes.filter((route) => route.host.toLowerCase() === host);
+    const routesByHost = new Map<string, Route[]>();
+    routes.forEach((route) => {
+      const host = route.host.toLowerCase();
+      const routesOfHost = routesByHost.get(host);
+      if (routesOfHost) routesOfHost.push(route);
+      else routesByHost.set(host, [route]);
+    });
+    routesByHost.forEach((routesOfHost, host) => {
       this.#hosts.set(host, createHostIndex(routesOfHost));
     });
   }
--- a/src/version/createDelta/index.ts
+++ b/src/version/createDelta/index.ts
@@ -1,13 +1,15 @@
 /** Creates the delta between two configuration versions. */
-import { create, equals } from '@bufbuild/protobuf';
+import { create } from '@bufbuild/protobuf';
 import { err, ok } from 'neverthrow';
 
+import type { DescMessage, Message } from '@bufbuild/protobuf';
 import type { Result } from 'neverthrow';
 import {
   ConfigurationDeltaSchema,
   RouteSchema,
   ServiceSchema,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import encodeRow from '../_lib/encodeRow.js';
 import { ConfigurationError, ConfigurationErrorCode } from '../ConfigurationError/index.js';
 
 import type {
@@ -21,11 +23,13 @@
   name: string;
 }
 
-const selectUpserted = <Row extends NamedRow>(
+const selectUpserted = <Row extends Message & NamedRow>(
+  schema: DescMessage,
   base: Row[],
   next: Row[],
-  isEqual: (left: Row, right: Row) => boolean,
 ): Row[] => {
+  const isEqual = (left: Row, right: Row): boolean =>
+    left === right || Buffer.compare(encodeRow(schema, left), encodeRow(schema, right)) === 0;
   const baseRows = new Map(base.map((row) => [row.name, row]));
   return next.filter((row) => {
     const baseRow = baseRows.get(row.name);
@@ -62,13 +66,9 @@
       baseHash: base.contentHash,
       version: next.version,
       contentHash: next.contentHash,
-      upsertedServices: selectUpserted(base.services, next.services, (left, right) =>
-        equals(ServiceSchema, left, right),
-      ),
+      upsertedServices: selectUpserted(ServiceSchema, base.services, next.services),
       removedServices: selectRemoved(base.services, next.services),
-      upsertedRoutes: selectUpserted(base.routes, next.routes, (left, right) =>
-        equals(RouteSchema, left, right),
-      ),
+      upsertedRoutes: selectUpserted(RouteSchema, base.routes, next.routes),
       removedRoutes: selectRemoved(base.routes, next.routes),
       ...(next.limits && { limits: next.limits }),
     }),
--- a/src/version/hashConfiguration/index.ts
+++ b/src/version/hashConfiguration/index.ts
@@ -1,13 +1,20 @@
 import { createHash } from 'node:crypto';
 
-import { create, toBinary } from '@bufbuild/protobuf';
+import { toBinary } from '@bufbuild/protobuf';
+import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 
 import type {
   CallerLimits,
   Route,
   Service,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
-import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import {
+  CallerLimitsSchema,
+  ConfigurationSchema,
+  RouteSchema,
+  ServiceSchema,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import encodeRow from '../_lib/encodeRow.js';
 
 /** The content of a configuration, without its version number. */
 export interface ConfigurationContent {
@@ -22,20 +29,34 @@
   return left.name < right.name ? -1 : 1;
 };
 
+const FIELDS = ConfigurationSchema.field;
+
 /**
- * Computes the content hash of a configuration, independent of version and row order.
+ * Computes the content hash of a configuration, independent of version and row order: the digest of
+ * the encoded configuration without version and hash, with sorted rows.
  *
- * @param content - services and routes in any order, and limits
+ * @param content - services and routes in any order, and limits; rows must not be modified after the
+ *   call
  * @returns SHA-256 digest, 32 bytes
  *
  * @example
  * hashConfiguration({ services: [], routes: [] }).length; // 32
  */
-export const hashConfiguration = (content: ConfigurationContent): Uint8Array => {
-  const canonical = create(ConfigurationSchema, {
-    services: content.services.toSorted(compareNames),
-    routes: content.routes.toSorted(compareNames),
-    ...(content.limits && { limits: content.limits }),
-  });
-  return createHash('sha256').update(toBinary(ConfigurationSchema, canonical)).digest();
+export const hashConfiguration = ({
+  services,
+  routes,
+  limits,
+}: ConfigurationContent): Uint8Array => {
+  const writer = new BinaryWriter();
+  const write = ({ number }: { number: number }, encoded: Uint8Array): void => {
+    writer.tag(number, WireType.LengthDelimited).bytes(encoded);
+  };
+  services
+    .toSorted(compareNames)
+    .forEach((service) => write(FIELDS.services, encodeRow(ServiceSchema, service)));
+  routes
+    .toSorted(compareNames)
+    .forEach((route) => write(FIELDS.routes, encodeRow(RouteSchema, route)));
+  if (limits) write(FIELDS.limits, toBinary(CallerLimitsSchema, limits));
+  return createHash('sha256').update(writer.finish()).digest();
 };
--- a/src/version/hashConfiguration/test.ts
+++ b/src/version/hashConfiguration/test.ts
@@ -1,7 +1,13 @@
-import { create } from '@bufbuild/protobuf';
+import { createHash } from 'node:crypto';
+
+import { create, toBinary } from '@bufbuild/protobuf';
 import tap from 'tap';
 
-import { ServiceSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import { buildSizedConfiguration } from '../../../stand-ins/configurations/index.js';
+import {
+  ConfigurationSchema,
+  ServiceSchema,
+} from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import { hashConfiguration } from './index.js';
 
 const desk = create(ServiceSchema, { name: 'order-desk', timeoutMs: 500, slots: 20 });
@@ -22,3 +28,17 @@
     t.notSame(first, second);
   },
 );
+
+// Guards against control VMs and nodes of different builds that disagree about the same content.
+tap.test('the hash is that of the encoded configuration with sorted rows', async (t) => {
+  const { services, routes } = buildSizedConfiguration(7, { routes: 300 });
+  const limits = { maxHeaderBytes: 9, maxBodyBytes: 0, headerTimeoutMs: 3, idleTimeoutMs: 4 };
+  const canonical = create(ConfigurationSchema, { services, routes, limits });
+  const expected = createHash('sha256').update(toBinary(ConfigurationSchema, canonical)).digest();
+  const content = {
+    services: services.toReversed(),
+    routes: routes.toReversed(),
+    limits: canonical.limits,
+  };
+  t.equal(Buffer.compare(hashConfiguration(content), expected), 0);
+});
