Announce committed versions without decoding their configurations

Read, not profiled: each entry that is committed after a restart was published with its decoded configuration, up to 64 of them with over 1,000 routes each, in one go; the listeners need the number only. The measurement of convergence decoded the configuration of each reported version too.

Change: listeners receive the holder; findHolder reads a holder alone; the decoded configuration of the version before the newest is kept as the base of the next delta.

--- a/src/process/control/_lib/measureConvergence.ts
+++ b/src/process/control/_lib/measureConvergence.ts
@@ -25,11 +25,11 @@
     if (!report || report.version === 0 || reportedVersions.get(nodeId) === report.version) return;
     const isFirstReport = !reportedVersions.has(nodeId);
     reportedVersions.set(nodeId, report.version);
-    const accepted = log.committedVersion(report.version);
+    const accepted = log.findHolder(report.version);
     // The first report is skipped: a node that has just attached may have installed its version long
     // ago.
     if (isFirstReport || !accepted) return;
-    const elapsedMs = report.inForceAtMs - accepted.holder.acceptedAtMs;
+    const elapsedMs = report.inForceAtMs - accepted.acceptedAtMs;
     histogram.recordValue(Math.max(0, Math.round(elapsedMs * US_PER_MS)));
   });
 };
--- a/src/process/replication/ControlLog/index.ts
+++ b/src/process/replication/ControlLog/index.ts
@@ -79,6 +79,9 @@
   isReachable: boolean;
 }
 
+/** Called with the holder of a version that was committed. */
+export type CommittedListener = (committed: Pick<CommittedConfiguration, 'holder'>) => void;
+
 export abstract class ControlLog {
   /**
    * Submits a configuration version to the leader, which has it accepted by a majority.
@@ -114,12 +117,16 @@
    */
   abstract isConfirmed(nowMs: number): boolean;
 
+  /** Returns the holder of an accepted version. */
+  abstract findHolder(version: number): VersionHolder | undefined;
+
   /**
-   * Calls the listener for each newly committed version, in order.
+   * Calls the listener for each newly committed version, in order. The configurations are not passed:
+   * after a restart there are many versions, and decoding each would delay the first response.
    *
    * @returns a function that removes the listener
    */
-  abstract onCommitted(listener: (committed: CommittedConfiguration) => void): () => void;
+  abstract onCommitted(listener: CommittedListener): () => void;
 
   /** Returns the holders of all accepted versions, oldest first. */
   abstract history(): VersionHolder[];
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -34,6 +34,7 @@
 import type {
   ApplyResult,
   CommittedConfiguration,
+  CommittedListener,
   ConfigurationChange,
   MemberRole,
   MemberStatus,
@@ -293,7 +294,12 @@
     return nowMs < this.#replica.confirmedUntilMs;
   }
 
-  onCommitted(listener: (committed: CommittedConfiguration) => void): () => void {
+  findHolder(version: number): VersionHolder | undefined {
+    const accepted = this.#replica.versions.find(version);
+    return accepted && toHolder(accepted);
+  }
+
+  onCommitted(listener: CommittedListener): () => void {
     return this.#replica.onCommitted(listener);
   }
 
--- a/src/process/replication/_lib/AcceptedVersions/index.ts
+++ b/src/process/replication/_lib/AcceptedVersions/index.ts
@@ -47,6 +47,9 @@
 
   #newestCommitted: CommittedConfiguration | undefined;
 
+  /** The version before, which most nodes hold when a new one is accepted. */
+  #previousCommitted: CommittedConfiguration | undefined;
+
   /** @param maxConfigurations - highest number of configurations kept */
   constructor(maxConfigurations: number) {
     this.#maxConfigurations = maxConfigurations;
@@ -74,6 +77,7 @@
 
   newestCommitted(): CommittedConfiguration | undefined {
     if (this.#newest && this.#newestCommitted?.holder.version !== this.#newest.version) {
+      this.#previousCommitted = this.#newestCommitted;
       this.#newestCommitted = toCommitted(this.#newest);
     }
     return this.#newestCommitted;
@@ -81,6 +85,10 @@
 
   committedVersion(version: number): CommittedConfiguration | undefined {
     if (version === this.#newest?.version) return this.newestCommitted();
+    const known = [this.#previousCommitted, this.#newestCommitted].find(
+      (committed) => committed?.holder.version === version,
+    );
+    if (known) return known;
     const accepted = this.#byVersion.get(version);
     return accepted && accepted.configuration.length > 0 ? toCommitted(accepted) : undefined;
   }
@@ -96,6 +104,7 @@
     this.#configuredVersions = [];
     this.#newest = undefined;
     this.#newestCommitted = undefined;
+    this.#previousCommitted = undefined;
     accepted.forEach((version) => this.#add(version));
   }
 
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -22,8 +22,8 @@
 } from '../../../storage/DurableStorage/index.js';
 import type { StorageError } from '../../../storage/StorageError/index.js';
 import { MemberRole } from '../../ControlLog/index.js';
-import type { CommittedConfiguration } from '../../ControlLog/index.js';
-import { AcceptedVersions } from '../AcceptedVersions/index.js';
+import type { CommittedListener } from '../../ControlLog/index.js';
+import { AcceptedVersions, toHolder } from '../AcceptedVersions/index.js';
 import { EntryLog, decodeEntry } from '../EntryLog/index.js';
 import type { LogEntry } from '../EntryLog/index.js';
 import Notifier from '../Notifier/index.js';
@@ -66,8 +66,6 @@
   atMs: number;
 }
 
-type CommittedListener = (committed: CommittedConfiguration) => void;
-
 /**
  * State of one member, shared by its tasks. Requests of peers and changes of term run one after the
  * other in `queue`; stored state is synced before a response is sent.
@@ -480,11 +478,12 @@
   }
 
   #publish(version: number): void {
-    const committed = this.versions.committedVersion(version);
-    if (!committed) return;
+    const accepted = this.versions.find(version);
+    if (!accepted) return;
+    const holder = toHolder(accepted);
     this.#listeners.forEach((listener) => {
       try {
-        listener(committed);
+        listener({ holder });
       } catch (error) {
         // A failing listener must not keep committed entries from being applied.
         const reason = error instanceof Error ? error.message : String(error);
--- a/stand-ins/FakeControlLog/index.ts
+++ b/stand-ins/FakeControlLog/index.ts
@@ -77,6 +77,10 @@
     return true;
   }
 
+  findHolder(version: number): VersionHolder | undefined {
+    return this.holders.find((holder) => holder.version === version);
+  }
+
   onCommitted(): () => void {
     return () => {};
   }
--- a/stand-ins/distributionCluster/FakeControlLog.ts
+++ b/stand-ins/distributionCluster/FakeControlLog.ts
@@ -65,6 +65,10 @@
     return this.isLeaderKnown;
   }
 
+  override findHolder(version: number): VersionHolder | undefined {
+    return this.#versions.get(version)?.holder;
+  }
+
   override onCommitted(listener: (committed: CommittedConfiguration) => void): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
