--- a/src/process/replication/_lib/bytePatch/index.ts
+++ b/src/process/replication/_lib/bytePatch/index.ts
@@ -115,7 +115,8 @@
   };
   const addOperation = (insertedTo: number): void => {
     const { baseOffset: copyOffset, length: copyLength } = copy;
-    const inserted = to.subarray(insertedFrom, insertedTo);
+    // A copy, since a view would keep the whole target in memory.
+    const inserted = new Uint8Array(to.subarray(insertedFrom, insertedTo));
     operations.push(create(PatchOperationSchema, { copyOffset, copyLength, inserted }));
   };
   let offset = insertedFrom;
