--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -45,6 +45,16 @@
   sequence: number;
   /** Time until which no connection is attempted, because the last attempt failed. */
   unreachableUntilMs: number;
+  /** What the server stated in its last response; undefined before the first one. */
+  notice: ServerNotice | undefined;
+}
+
+/** What a server states about itself in a response. */
+export interface ServerNotice {
+  /** Requests per second that it accepts from all nodes together; undefined without a limit. */
+  maxRequestsPerSecond: number | undefined;
+  /** Whether it is about to stop. */
+  isLeaving: boolean;
 }
 
 /** Newest server instance at an address that is known to have ended. */
@@ -256,6 +266,7 @@
         hint: undefined,
         sequence: announcement.sequence ?? 0,
         unreachableUntilMs: 0,
+        notice: undefined,
       });
       log.info({ serverId, ...createLogFields(server) }, 'server announced');
       this.#publish();
@@ -314,6 +325,24 @@
     if (entry) entry.hint = hint;
   }
 
+  /**
+   * Records what a server stated in a response.
+   *
+   * @param local - the server that responded
+   * @param notice - what it stated
+   */
+  recordNotice(local: LocalServer, notice: ServerNotice): void {
+    const { serverId } = local.server;
+    const { maxRequestsPerSecond, isLeaving } = notice;
+    if (maxRequestsPerSecond !== local.notice?.maxRequestsPerSecond) {
+      log.info({ serverId, maxRequestsPerSecond }, 'server changed its request limit');
+    }
+    if (isLeaving && !local.notice?.isLeaving) {
+      log.info({ serverId }, 'server states that it is about to stop');
+    }
+    Object.assign(local, { notice });
+  }
+
   /** Marks the node as draining, so that none of its servers is selected any more. */
   drain(): void {
     if (!this.isDraining) this.#publish({ draining: true });
--- a/src/process/localServers/index.ts
+++ b/src/process/localServers/index.ts
@@ -10,7 +10,12 @@
 export { discoverServer } from './discoverServer/index.js';
 export type { ExpectedServer } from './discoverServer/index.js';
 export { createLocalServerRoutes } from './createLocalServerRoutes/index.js';
-export type { LoadHint, LocalServer, LocalServersOptions } from './LocalServers/index.js';
+export type {
+  LoadHint,
+  LocalServer,
+  LocalServersOptions,
+  ServerNotice,
+} from './LocalServers/index.js';
 export type { LimiterSample } from './ConcurrencyLimiter/index.js';
 export type { SlotDemand } from './SlotGate/index.js';
 export type { Announcement } from './_lib/parseAnnouncement.js';
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -238,11 +238,7 @@
       getRecords: () => options.directory.records(),
       tls: options.tls,
     });
-    const localCaller = new LocalCaller(
-      this.#serverPools,
-      this.#context.dialect,
-      this.#context.getNowMs,
-    );
+    const localCaller = new LocalCaller(this.#serverPools, this.#context);
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
       observations: this.#observations,
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -17,8 +17,8 @@
   LocalServer,
   SlotDemand,
 } from '../../process/localServers/index.js';
-import type { HttpDialect } from '../httpDialect/index.js';
 import type { Exchange } from './Exchange.js';
+import type { RequestContext } from './RequestContext.js';
 
 const log = createLogger('local-calls');
 
@@ -65,18 +65,17 @@
   isReturn: localRequest.isReturn,
 });
 
+export type LocalCallerContext = Pick<RequestContext, 'dialect' | 'localServers' | 'getNowMs'>;
+
 /** Calls the local backend servers, each with no more concurrent requests than it has slots. */
 export default class LocalCaller {
   readonly #pools: UpstreamPools;
 
-  readonly #dialect: HttpDialect;
-
-  readonly #getNowMs: () => number;
+  readonly #context: LocalCallerContext;
 
-  constructor(pools: UpstreamPools, dialect: HttpDialect, getNowMs: () => number) {
+  constructor(pools: UpstreamPools, context: LocalCallerContext) {
     this.#pools = pools;
-    this.#dialect = dialect;
-    this.#getNowMs = getNowMs;
+    this.#context = context;
   }
 
   /**
@@ -96,7 +95,7 @@
     target: LocalTarget,
     options: Omit<UpstreamCallOptions, 'isNode'> = {},
   ): Promise<Result<CallSummary, CallError>> {
-    const nowMs = this.#getNowMs();
+    const nowMs = this.#context.getNowMs();
     if (nowMs < local.unreachableUntilMs) {
       const retryAfterMs = local.unreachableUntilMs - nowMs;
       const errorOptions = { isWritten: false, retryAfterMs };
@@ -122,7 +121,7 @@
       {
         ...options,
         isNode: false,
-        validateHead: (head) => this.#checkResponse(head, localRequest),
+        validateHead: (head) => this.#checkResponse(head, local, localRequest),
       },
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
@@ -132,13 +131,20 @@
       inFlight,
       result,
     });
-    gate.release(demand, heldMs, this.#getNowMs(), sample);
+    gate.release(demand, heldMs, this.#context.getNowMs(), sample);
     return result;
   }
 
   /** Returns an error if the server did not run the request or its response does not match it. */
-  #checkResponse(head: ResponseHead, localRequest: LocalRequest): CallError | undefined {
-    switch (this.#dialect.classifyResponse(head, localRequest.requestId)) {
+  #checkResponse(
+    head: ResponseHead,
+    local: LocalServer,
+    { requestId }: LocalRequest,
+  ): CallError | undefined {
+    const { dialect, localServers } = this.#context;
+    const notice = dialect.readServerNotice(head, requestId);
+    if (notice) localServers.recordNotice(local, notice);
+    switch (dialect.classifyResponse(head, requestId)) {
       case ResponseKind.NotRun: {
         const message = `the server answered ${head.statusCode}: not run`;
         const options = { isWritten: true, isServerRefusal: true };
@@ -162,7 +168,9 @@
     const local = target;
     const isUnreachable =
       result.isErr() && result.error.code === CallErrorCode.NotWritten && !exchange.isAborted;
-    local.unreachableUntilMs = isUnreachable ? this.#getNowMs() + UNREACHABLE_BACKOFF_MS : 0;
+    local.unreachableUntilMs = isUnreachable
+      ? this.#context.getNowMs() + UNREACHABLE_BACKOFF_MS
+      : 0;
     if (isUnreachable) {
       const { serverId, address } = local.server;
       const reason = result.error.message;
@@ -199,7 +207,7 @@
   ): Promise<GateRefusal | 'GIVEN_UP' | undefined> {
     return new Promise((resolve) => {
       let unsubscribe = () => {};
-      const withdraw = local.gate.admit(demand, this.#getNowMs(), (refusal) => {
+      const withdraw = local.gate.admit(demand, this.#context.getNowMs(), (refusal) => {
         unsubscribe();
         resolve(refusal);
       });
--- a/src/request/httpDialect/HttpDialect.ts
+++ b/src/request/httpDialect/HttpDialect.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResponseHead } from '../../connection/UpstreamCall/index.js';
+import type { ServerNotice } from '../../process/localServers/index.js';
 import type { Refusal } from '../_lib/writeRefusal.js';
 
 /** Request metadata from the headers of a caller. */
@@ -51,4 +52,10 @@
   abstract createServerHeaders(facts: ServerMetadata): string[];
 
   abstract classifyResponse(head: ResponseHead, requestId: string): ResponseKind;
+
+  /**
+   * Returns what a server states about itself in a response; undefined when the response is not
+   * certainly the selected server's response to this request.
+   */
+  abstract readServerNotice(head: ResponseHead, requestId: string): ServerNotice | undefined;
 }
--- a/src/request/httpDialect/OwnDialect.ts
+++ b/src/request/httpDialect/OwnDialect.ts
@@ -35,4 +35,9 @@
   override classifyResponse(): ResponseKind {
     return ResponseKind.Answer;
   }
+
+  /** Servers state their limits and their state in their announcements only. */
+  override readServerNotice(): undefined {
+    return undefined;
+  }
 }
