--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -27,7 +27,7 @@
 import TestDirectory from './TestDirectory.js';
 
 import type { Route, Service } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
-import type { Announcement } from '../../src/process/localServers/index.js';
+import type { Announcement, LocalServersOptions } from '../../src/process/localServers/index.js';
 import type { RequestServerOptions } from '../../src/request/index.js';
 import type { CompiledConfiguration } from '../../src/version/compileConfiguration/types.js';
 
@@ -155,7 +155,10 @@
   /** Starts a node that reads the shared directory. */
   async startNode(
     nodeId: string,
-    options: Partial<RequestServerOptions> & { incarnation?: bigint } = {},
+    options: Partial<RequestServerOptions> & {
+      incarnation?: bigint;
+      servers?: Partial<LocalServersOptions>;
+    } = {},
   ): Promise<TestNode> {
     const dataCentre = options.dataCentre ?? 'a';
     const localServers = new LocalServers({
@@ -164,6 +167,7 @@
       incarnation: options.incarnation ?? 1n,
       // Tests announce only once; expiry is tested elsewhere.
       leaseMs: 600_000,
+      ...options.servers,
     });
     const metrics = new MetricsRegistry();
     const requestServer = new RequestServer({
