Keep the request limit that a server names

All requests to a server pass the gate beside it, so the gate keeps the limit with a token bucket: the sum over all entry nodes cannot exceed it, however they share the load. A request that the limit would delay too long is refused at once with the expected wait, and the load that the node reports counts the limit, so entry nodes prefer servers with room. Entry nodes pass the limit on with their requests, which covers the time between a restart of the node beside the server and its first answer. A limit is lifted by an answer to a later request only.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -47,6 +47,8 @@
   unreachableUntilMs: number;
   /** What the server stated in its last response; undefined before the first one. */
   notice: ServerNotice | undefined;
+  /** Last time that the server named a request limit; undefined when it never did. */
+  limitedAtMs: number | undefined;
 }
 
 /** What a server states about itself in a response. */
@@ -73,6 +75,11 @@
 }
 
 const HINT_TTL_MS = 5_000;
+/**
+ * A limit is lifted by the response to a request sent this long after the limit was last named:
+ * responses overtake each other, and some of a server may not name its limit.
+ */
+const LIMIT_LIFT_DELAY_MS = 500;
 /** Hints never count as full load, so that a server with wrong hints still gets some requests. */
 const MAX_HINTED_LOAD = 0.9;
 
@@ -92,11 +99,16 @@
 /** Occupancy of a server that refuses connections; higher than that of any queue. */
 const UNREACHABLE_OCCUPANCY = 20;
 
-/** Returns the load of a server including its waiting requests, relative to its capacity. */
-export const computeOccupancy = (local: LocalServer, nowMs: number): number =>
-  nowMs < local.unreachableUntilMs
-    ? UNREACHABLE_OCCUPANCY
-    : computeLoad(local, nowMs) + local.gate.waiting / local.gate.capacity;
+/**
+ * Returns the load of a server including its waiting requests, relative to its capacity or to its
+ * rate limit, whichever is scarcer.
+ */
+export const computeOccupancy = (local: LocalServer, nowMs: number): number => {
+  if (nowMs < local.unreachableUntilMs) return UNREACHABLE_OCCUPANCY;
+  const { gate } = local;
+  const slotLoad = computeLoad(local, nowMs) + gate.waiting / gate.capacity;
+  return Math.max(slotLoad, gate.estimateRateLoad(nowMs));
+};
 
 export interface LocalServersOptions {
   nodeId: string;
@@ -267,6 +279,7 @@
         sequence: announcement.sequence ?? 0,
         unreachableUntilMs: 0,
         notice: undefined,
+        limitedAtMs: undefined,
       });
       log.info({ serverId, ...createLogFields(server) }, 'server announced');
       this.#publish();
@@ -330,24 +343,58 @@
    *
    * @param local - the server that responded
    * @param notice - what it stated
+   * @param times - when the request was sent, and the present time, in milliseconds since the epoch
    */
-  recordNotice(local: LocalServer, notice: ServerNotice): void {
+  recordNotice(
+    local: LocalServer,
+    notice: ServerNotice,
+    times: { sentAtMs: number; nowMs: number },
+  ): void {
     const { serverId } = local.server;
-    const { maxRequestsPerSecond, isLeaving } = notice;
-    if (maxRequestsPerSecond !== local.notice?.maxRequestsPerSecond) {
-      log.info({ serverId, maxRequestsPerSecond }, 'server changed its request limit');
-    }
+    const { isLeaving } = notice;
+    this.#applyLimit(local, notice.maxRequestsPerSecond, times);
     if (isLeaving && !local.notice?.isLeaving) {
       log.info({ serverId }, 'server states that it is about to stop');
     }
     Object.assign(local, { notice });
   }
 
+  /**
+   * Limits the requests to a server that has not responded to this node yet, by a limit that it named
+   * to another node.
+   *
+   * @param local - the server
+   * @param maxRequestsPerSecond - limit that the other node knows
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  adoptLimit(local: LocalServer, maxRequestsPerSecond: number, nowMs: number): void {
+    if (local.notice || local.limitedAtMs !== undefined) return;
+    this.#applyLimit(local, maxRequestsPerSecond, { sentAtMs: nowMs, nowMs });
+  }
+
   /** Marks the node as draining, so that none of its servers is selected any more. */
   drain(): void {
     if (!this.isDraining) this.#publish({ draining: true });
   }
 
+  #applyLimit(
+    target: LocalServer,
+    maxRequestsPerSecond: number | undefined,
+    { sentAtMs, nowMs }: { sentAtMs: number; nowMs: number },
+  ): void {
+    const local = target;
+    const isLifted =
+      local.limitedAtMs === undefined || sentAtMs >= local.limitedAtMs + LIMIT_LIFT_DELAY_MS;
+    if (maxRequestsPerSecond === undefined && !isLifted) return;
+    if (maxRequestsPerSecond !== undefined) local.limitedAtMs = nowMs;
+    const { gate, server } = local;
+    const previous = gate.maxRequestsPerSecond;
+    gate.limitRate(maxRequestsPerSecond, nowMs);
+    if (gate.maxRequestsPerSecond === previous) return;
+    const { serverId } = server;
+    log.info({ serverId, maxRequestsPerSecond, previous }, 'server changed its request limit');
+  }
+
   #isOutdated(serverId: string, { address, bornAtMs, sequence }: Announcement): boolean {
     if (bornAtMs === undefined) return false;
     const ended = this.#endedByAddress.get(address);
@@ -399,6 +446,8 @@
     const retired = this.#retiredGates.get(server.address);
     if (!retired) return this.#createGate(server.slots);
     this.#retiredGates.delete(server.address);
+    // The limit was that of the previous server at the address.
+    retired.limitRate(undefined, nowMs);
     retired.open();
     retired.setSlots(server.slots, nowMs);
     return retired;
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -153,3 +153,46 @@
   servers.announce('d1', createNumbered(100, 6), 1_000_001);
   t.equal(servers.list().length, 1);
 });
+
+const limited = { maxRequestsPerSecond: 5, isLeaving: false };
+const unlimited = { maxRequestsPerSecond: undefined, isLeaving: false };
+
+// Guards against a response sent before the limit was named that arrives after it.
+tap.test('only the response to a later request lifts the limit of a server', async (t) => {
+  const servers = createServers();
+  servers.announce('desk-1', desk, START_MS);
+  const local = servers.find('desk-1');
+  if (!local) throw new Error('the server is not announced');
+  servers.recordNotice(local, limited, { sentAtMs: START_MS, nowMs: START_MS + 100 });
+  servers.recordNotice(local, unlimited, { sentAtMs: START_MS + 50, nowMs: START_MS + 900 });
+  t.equal(local.gate.maxRequestsPerSecond, 5);
+  servers.recordNotice(local, unlimited, { sentAtMs: START_MS + 700, nowMs: START_MS + 900 });
+  t.equal(local.gate.maxRequestsPerSecond, undefined);
+});
+
+// Guards against a limit that was named to another node and lifted since.
+tap.test('a limit known to another node counts until the first response only', async (t) => {
+  const servers = createServers();
+  servers.announce('desk-1', desk, START_MS);
+  const local = servers.find('desk-1');
+  if (!local) throw new Error('the server is not announced');
+  servers.adoptLimit(local, 5, START_MS);
+  t.equal(local.gate.maxRequestsPerSecond, 5);
+  servers.recordNotice(local, unlimited, { sentAtMs: START_MS + 600, nowMs: START_MS + 700 });
+  servers.adoptLimit(local, 5, START_MS + 800);
+  t.equal(local.gate.maxRequestsPerSecond, undefined);
+});
+
+// Guards against the limit of a former server at the address.
+tap.test('a new server at the address of a limited one starts without its limit', async (t) => {
+  const servers = createServers();
+  servers.announce('desk-1', { ...desk, bornAtMs: 1 }, START_MS);
+  const former = servers.find('desk-1');
+  if (!former) throw new Error('the server is not announced');
+  servers.recordNotice(former, limited, { sentAtMs: START_MS, nowMs: START_MS });
+  former.gate.limitRate(100, START_MS + 500);
+  former.gate.admit(demand, START_MS + 1_000, () => undefined);
+  servers.announce('desk-2', { ...desk, bornAtMs: 2 }, START_MS + 1_500);
+  t.equal(servers.find('desk-2')?.gate.used, 1, 'the slot of the former server stays in use');
+  t.equal(servers.find('desk-2')?.gate.maxRequestsPerSecond, undefined);
+});
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -1,6 +1,7 @@
 /** Admission control for the slots of one backend server, with a bounded queue. */
 import { QuickFirstPolicy } from '../AdmissionPolicy/index.js';
 import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
+import RateLimit from '../RateLimit/index.js';
 
 import type { AdmissionPolicy, SlotDemand } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter, LimiterSample } from '../ConcurrencyLimiter/index.js';
@@ -40,7 +41,7 @@
 /** Weight of the newest sample in the mean hold time of a slot. */
 const HOLD_SAMPLE_WEIGHT = 0.1;
 /**
- * Admits requests to one server within its slots.
+ * Admits requests to one server within its slots, and within its rate limit while it has one.
  *
  * A policy decides which requests wait, and in which order. Granted slots count as used until they
  * are returned or their lease ended.
@@ -73,6 +74,8 @@
 
   #admittedCount = 0;
 
+  #rateLimit: RateLimit | undefined;
+
   constructor(options: SlotGateOptions) {
     this.#slots = options.slots;
     this.limiter = options.limiter ?? new FixedLimiter(options.slots);
@@ -101,6 +104,11 @@
     return this.#isClosed;
   }
 
+  /** Requests per second that the server accepts; undefined without a limit. */
+  get maxRequestsPerSecond(): number | undefined {
+    return this.#rateLimit?.perSecond;
+  }
+
   /** Number of slots that slow requests cannot use. */
   get reserved(): number {
     return this.#policy.getReservedSlots(this.capacity);
@@ -109,7 +117,20 @@
   setSlots(slots: number, nowMs: number): void {
     this.#slots = slots;
     this.limiter.setSlots(slots);
-    this.#admitWaiters(nowMs);
+    this.admitWaiters(nowMs);
+  }
+
+  /**
+   * Limits the rate at which requests are admitted.
+   *
+   * @param perSecond - requests per second; undefined removes the limit
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  limitRate(perSecond: number | undefined, nowMs: number): void {
+    if (perSecond === undefined) this.#rateLimit = undefined;
+    else if (this.#rateLimit) this.#rateLimit.setRate(perSecond, nowMs);
+    else this.#rateLimit = new RateLimit(perSecond, nowMs);
+    this.admitWaiters(nowMs);
   }
 
   /** Admits requests again after `close`. */
@@ -141,7 +162,7 @@
     const refusal = this.#findRefusal(waiter, nowMs);
     if (refusal !== undefined) {
       this.#settle(waiter, refusal);
-    } else if (this.#hasSlotFor(demand) && !this.#hasPrecedingWaiter(waiter)) {
+    } else if (this.#canAdmit(waiter, nowMs)) {
       this.#occupySlot(waiter, nowMs);
     } else {
       this.#enqueue(waiter, nowMs);
@@ -163,7 +184,7 @@
     this.#startSumMs -= nowMs - heldMs;
     this.#meanHoldMs += HOLD_SAMPLE_WEIGHT * (heldMs - this.#meanHoldMs);
     if (sample) this.limiter.add(sample, nowMs);
-    this.#admitWaiters(nowMs);
+    this.admitWaiters(nowMs);
   }
 
   /**
@@ -178,9 +199,30 @@
   }
 
   /** Estimates the time until a new request would get a slot, in milliseconds. */
-  estimateWaitMs(): number {
-    if (this.used < this.capacity && this.#waiters.length === 0) return 0;
-    return ((this.#waiters.length + 1) * this.#meanHoldMs) / this.capacity;
+  estimateWaitMs(nowMs: number): number {
+    const rateWaitMs = this.#rateLimit?.computeWaitMs(this.#waiters.length, nowMs) ?? 0;
+    if (this.used < this.capacity && this.#waiters.length === 0) return rateWaitMs;
+    return this.#estimateQueueMs(this.#waiters.length, nowMs);
+  }
+
+  /**
+   * Estimates the load that the rate limit causes, as a share: 1 at the limit, and above it in
+   * proportion to the wait.
+   */
+  estimateRateLoad(nowMs: number): number {
+    if (!this.#rateLimit) return 0;
+    const waitMs = this.#rateLimit.computeWaitMs(this.#waiters.length, nowMs);
+    if (waitMs === 0) return this.#rateLimit.computeUse(nowMs);
+    return 1 + waitMs / Math.max(1, this.estimateHoldMs(nowMs));
+  }
+
+  /**
+   * Returns the time after which `admitWaiters` is to be called, in milliseconds; undefined when no
+   * request waits for the rate limit.
+   */
+  computeAdmissionDelayMs(nowMs: number): number | undefined {
+    if (!this.#rateLimit || this.#waiters.length === 0) return undefined;
+    return Math.ceil(this.#rateLimit.computeWaitMs(0, nowMs));
   }
 
   /** Refuses waiting requests that would finish too late; for servers that release no slots. */
@@ -198,7 +240,7 @@
    * @returns number of granted slots, possibly 0
    */
   grant(wanted: number): number {
-    if (this.#isClosed || this.#waiters.length > 0) return 0;
+    if (this.#isClosed || this.#waiters.length > 0 || this.#rateLimit) return 0;
     const idle = this.capacity - this.used - this.reserved;
     const count = Math.max(0, Math.min(wanted, idle));
     this.#granted += count;
@@ -208,7 +250,7 @@
   /** Releases granted slots after the other node returned them or their lease ended. */
   releaseGranted(count: number, nowMs: number): void {
     this.#granted -= count;
-    this.#admitWaiters(nowMs);
+    this.admitWaiters(nowMs);
   }
 
   #findRefusal({ demand }: Waiter, nowMs: number): GateRefusal | undefined {
@@ -216,6 +258,29 @@
     return demand.deadlineMs <= nowMs ? GateRefusal.DeadlinePassed : undefined;
   }
 
+  /** Admits waiting requests to free slots. */
+  admitWaiters(nowMs: number): void {
+    let next = this.#shiftNext(nowMs);
+    while (next) {
+      const { deadlineMs, minServiceMs = 0 } = next.demand;
+      if (deadlineMs <= nowMs) this.#settle(next, GateRefusal.DeadlinePassed);
+      else if (deadlineMs < nowMs + minServiceMs) {
+        this.#settle(next, GateRefusal.DeadlineTooShort);
+      } else this.#occupySlot(next, nowMs);
+      next = this.#shiftNext(nowMs);
+    }
+  }
+
+  #canAdmit(waiter: Waiter, nowMs: number): boolean {
+    if (this.#rateLimit && !this.#rateLimit.hasToken(nowMs)) return false;
+    return this.#hasSlotFor(waiter.demand) && !this.#hasPrecedingWaiter(waiter);
+  }
+
+  #estimateQueueMs(ahead: number, nowMs: number): number {
+    const slotWaitMs = ((ahead + 1) * this.#meanHoldMs) / this.capacity;
+    return Math.max(slotWaitMs, this.#rateLimit?.computeWaitMs(ahead, nowMs) ?? 0);
+  }
+
   #hasSlotFor(demand: SlotDemand): boolean {
     if (this.used >= this.capacity) return false;
     return !demand.isSlow || this.#usedSlow < this.capacity - this.reserved;
@@ -231,6 +296,7 @@
     else this.#usedQuick += 1;
     this.#startSumMs += nowMs;
     this.#admittedCount += 1;
+    this.#rateLimit?.take(nowMs);
     this.#settle(waiter, undefined);
   }
 
@@ -243,7 +309,7 @@
   #enqueue(waiter: Waiter, nowMs: number): void {
     const { demand, rank } = waiter;
     const ahead = this.#waiters.filter((other) => other.rank <= rank).length;
-    const waitMs = ((ahead + 1) * this.#meanHoldMs) / this.capacity;
+    const waitMs = this.#estimateQueueMs(ahead, nowMs);
     if (this.#policy.wouldBeLate(demand, waitMs, nowMs)) {
       this.#settle(waiter, GateRefusal.DeadlineTooShort);
       return;
@@ -268,23 +334,12 @@
   #withdraw(waiter: Waiter, nowMs: number): void {
     if (waiter.isSettled) return;
     this.#waiters = this.#waiters.filter((other) => other !== waiter);
-    this.#admitWaiters(nowMs);
-  }
-
-  #admitWaiters(nowMs: number): void {
-    let next = this.#shiftNext(nowMs);
-    while (next) {
-      const { deadlineMs, minServiceMs = 0 } = next.demand;
-      if (deadlineMs <= nowMs) this.#settle(next, GateRefusal.DeadlinePassed);
-      else if (deadlineMs < nowMs + minServiceMs) {
-        this.#settle(next, GateRefusal.DeadlineTooShort);
-      } else this.#occupySlot(next, nowMs);
-      next = this.#shiftNext(nowMs);
-    }
+    this.admitWaiters(nowMs);
   }
 
   /** Removes and returns the next waiting request that can use a free slot. */
   #shiftNext(nowMs: number): Waiter | undefined {
+    if (this.#rateLimit && !this.#rateLimit.hasToken(nowMs)) return undefined;
     const admissible = this.#waiters.filter((waiter) => this.#hasSlotFor(waiter.demand));
     const admittedCount = this.#admittedCount;
     const next = this.#policy.selectNext(admissible, { admittedCount, nowMs });
--- a/src/process/localServers/SlotGate/test.ts
+++ b/src/process/localServers/SlotGate/test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 
 import createRandom from '../../../../test/requestMesh/createRandom.js';
+import { ObjectivePolicy } from '../AdmissionPolicy/index.js';
 import { GateRefusal, SlotGate } from './index.js';
 
 import type { SlotDemand } from './index.js';
@@ -147,3 +148,31 @@
   requestSlot(gate, quick, decisions, 'late');
   t.strictSame(decisions.slice(1), [`waits:${GateRefusal.Closed}`, `late:${GateRefusal.Closed}`]);
 });
+
+// Guards against requests that wait for a rate limit longer than they have time.
+tap.test(
+  'a request that the rate limit delays beyond its deadline is refused at once',
+  async (t) => {
+    const gate = new SlotGate({ slots: 20, policy: new ObjectivePolicy() });
+    gate.limitRate(2, START_MS);
+    const decisions: string[] = [];
+    requestSlot(gate, { ...quick, deadlineMs: START_MS + 2_000 }, decisions, 'first');
+    requestSlot(gate, { ...quick, deadlineMs: START_MS + 2_000 }, decisions, 'second');
+    requestSlot(gate, { ...quick, deadlineMs: START_MS + 2_000 }, decisions, 'third');
+    t.strictSame(decisions, ['third:DEADLINE_TOO_SHORT']);
+    t.equal(gate.computeAdmissionDelayMs(START_MS), 500);
+    gate.admitWaiters(START_MS + 500);
+    t.strictSame(decisions, ['third:DEADLINE_TOO_SHORT', 'first:admitted']);
+    gate.limitRate(undefined, START_MS + 600);
+    t.strictSame(decisions, ['third:DEADLINE_TOO_SHORT', 'first:admitted', 'second:admitted']);
+  },
+);
+
+// Guards against direct calls of other nodes, which the rate limit does not see.
+tap.test('no slot is granted to another node while the server names a limit', async (t) => {
+  const gate = new SlotGate({ slots: 20 });
+  gate.limitRate(100, START_MS);
+  t.equal(gate.grant(1), 0);
+  gate.limitRate(undefined, START_MS);
+  t.equal(gate.grant(1), 1);
+});
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -16,6 +16,7 @@
   LimiterSample,
   LocalServer,
   SlotDemand,
+  SlotGate,
 } from '../../process/localServers/index.js';
 import type { Exchange } from './Exchange.js';
 import type { RequestContext } from './RequestContext.js';
@@ -73,6 +74,9 @@
 
   readonly #context: LocalCallerContext;
 
+  /** Gates with a timer for their waiting requests. */
+  readonly #admissionTimers = new WeakSet<SlotGate>();
+
   constructor(pools: UpstreamPools, context: LocalCallerContext) {
     this.#pools = pools;
     this.#context = context;
@@ -105,11 +109,12 @@
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
       const code = exchange.isAborted ? CallErrorCode.Cancelled : CallErrorCode.Refused;
-      const retryAfterMs = local.gate.estimateWaitMs();
+      const retryAfterMs = local.gate.estimateWaitMs(this.#context.getNowMs());
       return err(new CallError(code, refusal, { isWritten: false, retryAfterMs }));
     }
     const { server, gate } = local;
     const startedAtMs = performance.now();
+    const sentAtMs = this.#context.getNowMs();
     const inFlight = gate.used;
     const pool = localRequest.isIdempotent
       ? this.#pools.get(server.address, server.connections)
@@ -121,7 +126,10 @@
       {
         ...options,
         isNode: false,
-        validateHead: (head) => this.#checkResponse(head, local, localRequest),
+        validateHead: (head) => {
+          this.#readNotice(head, local, { requestId: localRequest.requestId, sentAtMs });
+          return this.#checkResponse(head, localRequest);
+        },
       },
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
@@ -132,19 +140,23 @@
       result,
     });
     gate.release(demand, heldMs, this.#context.getNowMs(), sample);
+    this.#scheduleAdmission(gate);
     return result;
   }
 
-  /** Returns an error if the server did not run the request or its response does not match it. */
-  #checkResponse(
+  #readNotice(
     head: ResponseHead,
     local: LocalServer,
-    { requestId }: LocalRequest,
-  ): CallError | undefined {
-    const { dialect, localServers } = this.#context;
+    { requestId, sentAtMs }: { requestId: string; sentAtMs: number },
+  ): void {
+    const { dialect, localServers, getNowMs } = this.#context;
     const notice = dialect.readServerNotice(head, requestId);
-    if (notice) localServers.recordNotice(local, notice);
-    switch (dialect.classifyResponse(head, requestId)) {
+    if (notice) localServers.recordNotice(local, notice, { sentAtMs, nowMs: getNowMs() });
+  }
+
+  /** Returns an error if the server did not run the request or its response does not match it. */
+  #checkResponse(head: ResponseHead, { requestId }: LocalRequest): CallError | undefined {
+    switch (this.#context.dialect.classifyResponse(head, requestId)) {
       case ResponseKind.NotRun: {
         const message = `the server answered ${head.statusCode}: not run`;
         const options = { isWritten: true, isServerRefusal: true };
@@ -199,6 +211,23 @@
     return { relativeCost, inFlight, isOverload: false };
   }
 
+  /** Admits the requests that wait for the rate limit of a server as soon as it allows. */
+  #scheduleAdmission(gate: SlotGate): void {
+    if (this.#admissionTimers.has(gate)) return;
+    const delayMs = gate.computeAdmissionDelayMs(this.#context.getNowMs());
+    if (delayMs === undefined) return;
+    const timer = setTimeout(
+      () => {
+        this.#admissionTimers.delete(gate);
+        gate.admitWaiters(this.#context.getNowMs());
+        this.#scheduleAdmission(gate);
+      },
+      Math.max(1, delayMs),
+    );
+    timer.unref();
+    this.#admissionTimers.add(gate);
+  }
+
   /** Resolves with undefined once a slot is acquired, or with the reason why none was. */
   #acquireSlot(
     exchange: Exchange,
@@ -215,6 +244,7 @@
         withdraw();
         resolve('GIVEN_UP');
       });
+      this.#scheduleAdmission(local.gate);
     });
   }
 }
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -10,12 +10,14 @@
   DEADLINE_HEADER,
   GRANT_HEADER,
   GRANT_WANTED_HEADER,
+  LIMIT_HEADER,
   LOAD_HEADER,
   GRANT_UPDATE_HEADER,
   formatLoad,
   parseCallHeader,
   parseCount,
   parseGrantUpdate,
+  parseLimit,
 } from './internalHeaders.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
@@ -74,6 +76,10 @@
       return;
     }
     exchange.requestId = call.requestId;
+    const limit = parseLimit(exchange.internalHeaders.get(LIMIT_HEADER));
+    if (limit !== undefined) {
+      this.#context.localServers.adoptLimit(local, limit, this.#context.getNowMs());
+    }
     // Acknowledges the request to the entry node, however long the server takes to respond.
     response.writeProcessing();
     await this.#callServer(exchange, call, local, request.url ?? '/');
@@ -160,6 +166,7 @@
         usedSlots: gate.used,
         waiting: gate.waiting,
         capacity: gate.capacity,
+        maxRequestsPerSecond: gate.maxRequestsPerSecond,
         holdMs: Math.round(gate.estimateHoldMs(nowMs)),
       }),
       error.code === CallErrorCode.Refused
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -6,6 +6,7 @@
   DEADLINE_HEADER,
   GRANT_HEADER,
   GRANT_WANTED_HEADER,
+  LIMIT_HEADER,
   LOAD_HEADER,
   formatCallHeader,
   parseLoad,
@@ -39,6 +40,7 @@
  * a busy processor. Needed because a connection over a broken link reports no error.
  */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
+const LIMIT_DIGITS = 3;
 
 /** An attempt to serve a request on one server. */
 export interface Attempt {
@@ -106,6 +108,10 @@
       holdMs: local.gate.estimateHoldMs(nowMs),
     };
     recordReport(observation, report, observation.inFlight, nowMs);
+    const { maxRequestsPerSecond } = observation;
+    if (maxRequestsPerSecond !== undefined) {
+      this.#context.localServers.adoptLimit(local, maxRequestsPerSecond, nowMs);
+    }
     const localRequest = {
       routeName: routed.route.name,
       isIdempotent: routed.route.idempotent,
@@ -124,6 +130,7 @@
       shouldWithhold,
       tap,
       onUnframed: () => routed.exchange.delimitByClose(),
+      onHead: (head) => this.#readNotice(attempt, head),
     });
   }
 
@@ -197,6 +204,7 @@
         onHead: (head) => {
           markAlive();
           this.#readInternalHeaders(attempt, head, sentAtMs);
+          this.#readNotice(attempt, head);
         },
       },
     );
@@ -238,6 +246,12 @@
     recordReport(observation, report, inFlightAtReport, this.#context.getNowMs());
   }
 
+  #readNotice({ routed, observation }: Attempt, head: ResponseHead): void {
+    const notice = this.#context.dialect.readServerNotice(head, routed.requestId);
+    const { maxRequestsPerSecond } = notice ?? observation;
+    Object.assign(observation, { maxRequestsPerSecond });
+  }
+
   #createServerHeaders({ routed, entry, number }: Attempt): string[] {
     const { dialect, callerService, getNowMs } = this.#context;
     const facts = {
@@ -250,10 +264,13 @@
     return [...routed.exchange.headers, ...dialect.createServerHeaders(facts)];
   }
 
-  #createNodeHeaders({ routed, number }: Attempt): string[] {
+  #createNodeHeaders({ routed, observation, number }: Attempt): string[] {
     const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
+    const { maxRequestsPerSecond } = observation;
+    if (maxRequestsPerSecond !== undefined)
+      headers.push(LIMIT_HEADER, maxRequestsPerSecond.toFixed(LIMIT_DIGITS));
     return headers;
   }
 }
--- a/src/request/_lib/internalHeaders.ts
+++ b/src/request/_lib/internalHeaders.ts
@@ -11,6 +11,8 @@
 export const GRANT_UPDATE_HEADER = 'foxtailvane-loans';
 /** Load of the server as the owner node counts it: share of slots in use, and slot hold time. */
 export const LOAD_HEADER = 'foxtailvane-load';
+/** Requests per second that the server accepts, as the entry node read it from a response. */
+export const LIMIT_HEADER = 'foxtailvane-limit';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
 /** Expected time until a slot is free, in milliseconds; sent with a refusal. */
 export const RETRY_AFTER_HEADER = 'foxtailvane-retry-after-ms';
@@ -105,6 +107,15 @@
   };
 };
 
+/**
+ * Parses the value of `LIMIT_HEADER`.
+ *
+ * @param value - header value, if present
+ * @returns requests per second, or undefined when the value is absent or malformed
+ */
+export const parseLimit = (value: string | undefined): number | undefined =>
+  value !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(value) ? Number(value) : undefined;
+
 /** Ids of the grants that an entry node renews and returns. */
 export interface GrantUpdate {
   renewed: string[];
--- a/src/request/grantSlots/index.ts
+++ b/src/request/grantSlots/index.ts
@@ -67,6 +67,8 @@
     return ids.filter((id) => {
       const grant = this.#grants.get(id);
       if (!grant || grant.gate.isClosed || grant.gate.waiting > 0) return false;
+      // Direct calls do not pass the gate, which keeps the rate limit of the server.
+      if (grant.gate.maxRequestsPerSecond !== undefined) return false;
       grant.expiresAtMs = nowMs + GRANT_LEASE_MS + GRANT_MAX_CALL_MS;
       return true;
     });
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -25,6 +25,8 @@
   inFlightAtReport: number;
   /** Last time that the server's node refused a request because no slot was free. */
   lastRefusalAtMs: number;
+  /** Requests per second that the server named in its last response; undefined without a limit. */
+  maxRequestsPerSecond: number | undefined;
 }
 
 /** Cached keys; a server message belongs to one node record, so its key never changes. */
@@ -73,6 +75,7 @@
   reportedHoldMs: 0,
   inFlightAtReport: 0,
   lastRefusalAtMs: 0,
+  maxRequestsPerSecond: undefined,
 });
 
 /** Observations per server, and the mean latency per route that they are relative to. */
