Stop sending requests to a server whose answer states its departure

A server says in its answers that it is about to stop; nobody read it, so it got requests until its own announcement had spread, and from a cut-off node after it. The node beside the server now closes the gate and publishes the server as draining with the first such answer, and a later announcement of the same instance cannot open it again. Each entry node also remembers the departures that it passed on, since the node beside the server may have been restarted meanwhile. An instance that starts again under its id is not concerned.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -59,8 +59,8 @@
   isLeaving: boolean;
 }
 
-/** Newest server instance at an address that is known to have ended. */
-interface EndedInstance {
+/** Server instance at an address. */
+interface ServerInstance {
   serverId: string;
   bornAtMs: number;
 }
@@ -179,7 +179,10 @@
   readonly #retiredGates = new Map<string, SlotGate>();
 
   /** Last ended instance per address, so that a late announcement does not add it again. */
-  readonly #endedByAddress = new Map<string, EndedInstance>();
+  readonly #endedByAddress = new Map<string, ServerInstance>();
+
+  /** Instance per address that stated its departure; a late announcement may still call it serving. */
+  readonly #departingByAddress = new Map<string, ServerInstance>();
 
   readonly #listeners = new Set<RecordListener>();
 
@@ -350,12 +353,8 @@
     notice: ServerNotice,
     times: { sentAtMs: number; nowMs: number },
   ): void {
-    const { serverId } = local.server;
-    const { isLeaving } = notice;
     this.#applyLimit(local, notice.maxRequestsPerSecond, times);
-    if (isLeaving && !local.notice?.isLeaving) {
-      log.info({ serverId }, 'server states that it is about to stop');
-    }
+    if (notice.isLeaving && !local.notice?.isLeaving) this.#recordDeparture(local);
     Object.assign(local, { notice });
   }
 
@@ -377,6 +376,30 @@
     if (!this.isDraining) this.#publish({ draining: true });
   }
 
+  /** Stops sending requests to a server that is about to stop, before it announces that itself. */
+  #recordDeparture(target: LocalServer): void {
+    const local = target;
+    const { serverId, address, bornAtMs } = local.server;
+    log.info({ serverId }, 'server states that it is about to stop');
+    this.#departingByAddress.set(address, { serverId, bornAtMs: Number(bornAtMs) });
+    local.gate.close();
+    if (this.#servers.get(serverId) !== local) return;
+    local.server = create(ServerSchema, {
+      ...local.server,
+      state: ServerState.DRAINING,
+      servingSinceMs: 0n,
+    });
+    this.#publish();
+  }
+
+  #isDeparting(serverId: string, { address, bornAtMs = 0 }: Announcement): boolean {
+    const departing = this.#departingByAddress.get(address);
+    if (departing?.serverId !== serverId) return false;
+    // The start time of a server that was found by a probe is known from its next announcement on.
+    if (departing.bornAtMs === 0) departing.bornAtMs = bornAtMs;
+    return bornAtMs === 0 || bornAtMs === departing.bornAtMs;
+  }
+
   #applyLimit(
     target: LocalServer,
     maxRequestsPerSecond: number | undefined,
@@ -471,7 +494,8 @@
     previous: Server | undefined,
     nowMs: number,
   ): Server {
-    const state = STATES[announcement.state];
+    const isDeparting = this.#isDeparting(serverId, announcement);
+    const state = isDeparting ? ServerState.DRAINING : STATES[announcement.state];
     const keepsServing =
       previous?.state === ServerState.SERVING && previous.address === announcement.address;
     const servingSinceMs = keepsServing ? previous.servingSinceMs : BigInt(nowMs);
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -25,6 +25,7 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
+import DepartureTracker from '../trackDepartures/index.js';
 import PeerTracker from '../trackPeers/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
@@ -181,6 +182,8 @@
 
   readonly #peers = new PeerTracker();
 
+  readonly #departures = new DepartureTracker();
+
   readonly #grantor: SlotGrantor;
 
   readonly #grantClient: GrantClient;
@@ -252,6 +255,7 @@
         serverPools: this.#serverPools,
         grantedSlots: this.#grantedSlots,
         peers: this.#peers,
+        departures: this.#departures,
       }),
       selector:
         options.createSelector?.({
@@ -268,6 +272,7 @@
         options.createBudget?.(() => options.directory.records().length) ?? new RatioRetryBudget(),
       guard: this.#idempotencyGuard,
       peers: this.#peers,
+      departures: this.#departures,
     });
     const ownerHandler = new OwnerHandler(this.#context, localCaller, this.#grantor);
     this.#entryListener = this.#createServer((request, response) =>
@@ -442,6 +447,7 @@
     this.#maintenanceRounds += 1;
     if (this.#maintenanceRounds % CLEANUP_INTERVAL_ROUNDS === 0) {
       this.#observations.removeIdle(nowMs);
+      this.#departures.expire(nowMs);
       this.#removeUnknown();
     }
     this.#idempotencyOptions.store.expire(nowMs);
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -26,6 +26,7 @@
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
+import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
@@ -49,6 +50,7 @@
   budget: RetryBudget;
   guard: IdempotencyGuard;
   peers: PeerTracker;
+  departures: DepartureTracker;
 }
 
 /** State of a request over its attempts. */
@@ -289,11 +291,18 @@
     return hasBudget;
   }
 
+  #listLive(service: string): ServerEntry[] {
+    const { departures } = this.#dependencies;
+    return this.#context.directory
+      .serversOf(service)
+      .filter((entry) => isLive(entry) && !departures.isDeparting(entry));
+  }
+
   /** Lists the live servers that were not tried, those on responsive nodes if there are any. */
   #listCandidates({ service }: RoutedRequest, { tried }: AttemptState): ServerEntry[] {
-    const live = this.#context.directory
-      .serversOf(service)
-      .filter((entry) => isLive(entry) && (tried.size === 0 || !tried.has(formatServerKey(entry))));
+    const live = this.#listLive(service).filter(
+      (entry) => tried.size === 0 || !tried.has(formatServerKey(entry)),
+    );
     const reachable = live.filter(
       ({ node }) => !this.#dependencies.peers.isUnresponsive(node.nodeId),
     );
@@ -332,7 +341,7 @@
     this.#entryLog.logNotServed(routed, {
       error: lastError,
       outcome: isKnownNotRun(lastError) ? RequestOutcome.NotRun : RequestOutcome.Unknown,
-      liveServers: this.#context.directory.serversOf(service).filter(isLive).length,
+      liveServers: this.#listLive(service).length,
     });
     if (!lastError && !exchange.isAborted) {
       const message = `no live server of service "${service}"`;
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -29,6 +29,7 @@
 import type { GrantedSlot, GrantedSlotCache } from '../cacheGrantedSlots/index.js';
 import type { ServerObservation } from '../observeServers/index.js';
 import type LocalCaller from './LocalCaller.js';
+import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type { RoutedRequest } from './routeRequest.js';
@@ -69,6 +70,7 @@
   serverPools: UpstreamPools;
   grantedSlots: GrantedSlotCache;
   peers: PeerTracker;
+  departures: DepartureTracker;
 }
 
 /** Calls the selected server: locally, directly with a granted slot, or through its owner node. */
@@ -246,10 +248,13 @@
     recordReport(observation, report, inFlightAtReport, this.#context.getNowMs());
   }
 
-  #readNotice({ routed, observation }: Attempt, head: ResponseHead): void {
+  /** Keeps what the server states about itself for the requests that follow. */
+  #readNotice({ routed, entry, observation }: Attempt, head: ResponseHead): void {
     const notice = this.#context.dialect.readServerNotice(head, routed.requestId);
-    const { maxRequestsPerSecond } = notice ?? observation;
+    if (!notice) return;
+    const { maxRequestsPerSecond, isLeaving } = notice;
     Object.assign(observation, { maxRequestsPerSecond });
+    if (isLeaving) this.#dependencies.departures.record(entry, this.#context.getNowMs());
   }
 
   #createServerHeaders({ routed, entry, number }: Attempt): string[] {
