Log which requests were in progress when a server ended

A lost request was logged by its id alone, which is new with each attempt, and no line told a server that ended from a single lost connection. Nothing is refused yet.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import canConnect from '../../connection/canConnect/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { createLogger } from '../../process/log/index.js';
@@ -26,6 +27,7 @@
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
 import DepartureTracker from '../trackDepartures/index.js';
+import { CrashDetector } from '../trackCrashes/CrashDetector.js';
 import PeerTracker from '../trackPeers/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
@@ -241,7 +243,11 @@
       getRecords: () => options.directory.records(),
       tls: options.tls,
     });
-    const localCaller = new LocalCaller(this.#serverPools, this.#context);
+    const crashDetector = new CrashDetector({
+      isReachable: (address) => canConnect(address, SERVER_CONNECT_TIMEOUT_MS),
+      onCrash: () => undefined,
+    });
+    const localCaller = new LocalCaller(this.#serverPools, this.#context, crashDetector);
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
       observations: this.#observations,
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,6 +8,7 @@
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
+import { fingerprintRequest } from '../fingerprintRequest/index.js';
 
 import type { CallSummary, UpstreamCallOptions } from '../../connection/UpstreamCall/index.js';
 
@@ -174,6 +175,18 @@
     };
   }
 
+  /**
+   * Computes the fingerprints by which repeats of the request are recognized.
+   *
+   * @param path - path with query
+   * @param callerService - service on the VM of the entry node; empty when there is none
+   */
+  computeFingerprints(path: string, callerService: string): bigint[] {
+    const { method, bufferedBody: body } = this;
+    const host = this.#request.headers.host ?? '';
+    return fingerprintRequest({ method, host, path, body, callerService });
+  }
+
   /** Buffers a small body completely; prepares a larger or chunked one for streaming. */
   async readBody(): Promise<BodyState> {
     const lengthBytes = Number(this.#request.headers['content-length'] ?? 0);
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -19,6 +19,7 @@
   SlotGate,
 } from '../../process/localServers/index.js';
 import type { Exchange } from './Exchange.js';
+import type { CrashDetector } from '../trackCrashes/CrashDetector.js';
 import type { RequestContext } from './RequestContext.js';
 
 const log = createLogger('local-calls');
@@ -44,6 +45,8 @@
   /** Whether the request probably repeats a refused one. */
   isReturn: boolean;
   requestId: string;
+  /** Service on the VM of the entry node; empty when there is none. */
+  callerService: string;
 }
 
 /** Path and headers; headers hold the remaining time, so they are created once a slot is acquired. */
@@ -68,6 +71,16 @@
 
 export type LocalCallerContext = Pick<RequestContext, 'dialect' | 'localServers' | 'getNowMs'>;
 
+/** Error codes of a connection that the server's system closed or reset. */
+const LOST_CONNECTION_CODES = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
+
+/** Returns whether the connection of a written request was lost before the response was complete. */
+const isConnectionLost = (exchange: Exchange, { options }: CallError): boolean => {
+  const cause = options.cause as { code?: unknown } | undefined;
+  const isLost = typeof cause?.code === 'string' && LOST_CONNECTION_CODES.has(cause.code);
+  return options.isWritten && isLost && !exchange.isAborted;
+};
+
 /** Calls the local backend servers, each with no more concurrent requests than it has slots. */
 export default class LocalCaller {
   readonly #pools: UpstreamPools;
@@ -77,9 +90,12 @@
   /** Gates with a timer for their waiting requests. */
   readonly #admissionTimers = new WeakSet<SlotGate>();
 
-  constructor(pools: UpstreamPools, context: LocalCallerContext) {
+  readonly #crashes: CrashDetector;
+
+  constructor(pools: UpstreamPools, context: LocalCallerContext, crashes: CrashDetector) {
     this.#pools = pools;
     this.#context = context;
+    this.#crashes = crashes;
   }
 
   /**
@@ -134,6 +150,10 @@
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
     const heldMs = performance.now() - startedAtMs;
+    if (result.isErr() && isConnectionLost(exchange, result.error)) {
+      const fingerprints = exchange.computeFingerprints(path, localRequest.callerService);
+      this.#crashes.recordLoss(local, { requestId: localRequest.requestId, fingerprints });
+    }
     this.#updateReachability(exchange, local, result);
     const sample = this.#createSample(exchange, local, localRequest.routeName, {
       inFlight,
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -110,6 +110,7 @@
       priority: call.priority,
       isReturn: call.isReturn,
       requestId: call.requestId,
+      callerService: call.callerService,
     };
     const createHeaders = (): string[] => [
       ...exchange.headers,
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -123,6 +123,7 @@
       priority: routed.route.priority,
       isReturn: routed.isReturn,
       requestId: routed.requestId,
+      callerService: this.#context.callerService(),
     };
     const target = {
       path: routed.path,
