Send a request that has crashed three servers to no further one

Each attempt has its own id, so nothing related them.

The node beside a server knows which requests were in progress when the server ended. It publishes their fingerprints with a count in its endpoint record; every node adds the counts up, and refuses a request under which three servers ended, at the entry and again at the server's gate. All requests in progress are suspects at first. One that a server has answered is cleared on all nodes, since a request that crashes its servers is never answered.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -371,6 +371,11 @@
     this.#applyLimit(local, maxRequestsPerSecond, { sentAtMs: nowMs, nowMs });
   }
 
+  /** Publishes under which requests servers beside this node ended, and which ones they answered. */
+  publishCrashes(report: Pick<NodeRecord, 'crashSuspects' | 'answeredSuspects'>): void {
+    this.#publish(report);
+  }
+
   /** Marks the node as draining, so that none of its servers is selected any more. */
   drain(): void {
     if (!this.isDraining) this.#publish({ draining: true });
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -27,7 +27,7 @@
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
 import DepartureTracker from '../trackDepartures/index.js';
-import { CrashDetector } from '../trackCrashes/CrashDetector.js';
+import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
@@ -186,6 +186,8 @@
 
   readonly #departures = new DepartureTracker();
 
+  readonly #crashLedger = new CrashLedger();
+
   readonly #grantor: SlotGrantor;
 
   readonly #grantClient: GrantClient;
@@ -245,9 +247,17 @@
     });
     const crashDetector = new CrashDetector({
       isReachable: (address) => canConnect(address, SERVER_CONNECT_TIMEOUT_MS),
-      onCrash: () => undefined,
+      onCrash: (lost) =>
+        this.#crashLedger.recordCrash(
+          lost.flatMap(({ fingerprints }) => fingerprints),
+          options.localServers.record(),
+          this.#context.getNowMs(),
+        ),
+    });
+    const localCaller = new LocalCaller(this.#serverPools, this.#context, {
+      detector: crashDetector,
+      ledger: this.#crashLedger,
     });
-    const localCaller = new LocalCaller(this.#serverPools, this.#context, crashDetector);
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
       observations: this.#observations,
@@ -279,6 +289,7 @@
       guard: this.#idempotencyGuard,
       peers: this.#peers,
       departures: this.#departures,
+      crashLedger: this.#crashLedger,
     });
     const ownerHandler = new OwnerHandler(this.#context, localCaller, this.#grantor);
     this.#entryListener = this.#createServer((request, response) =>
@@ -439,8 +450,17 @@
     else log.info(facts, 'the processor keeps up with the requests again');
   }
 
+  /** Merges what other nodes publish about crashes, and publishes what this node observed. */
+  #exchangeCrashes(nowMs: number): void {
+    const { directory, localServers } = this.#context;
+    this.#crashLedger.merge(directory.records(), nowMs);
+    const report = this.#crashLedger.takeReport(localServers.record());
+    if (report) localServers.publishCrashes(report);
+  }
+
   #maintain(): void {
     const nowMs = this.#context.getNowMs();
+    this.#exchangeCrashes(nowMs);
     this.#updateLateness();
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseLateWaiters(nowMs));
@@ -454,6 +474,7 @@
     if (this.#maintenanceRounds % CLEANUP_INTERVAL_ROUNDS === 0) {
       this.#observations.removeIdle(nowMs);
       this.#departures.expire(nowMs);
+      this.#crashLedger.expire(nowMs);
       this.#removeUnknown();
     }
     this.#idempotencyOptions.store.expire(nowMs);
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -26,6 +26,7 @@
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
+import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
@@ -51,6 +52,7 @@
   guard: IdempotencyGuard;
   peers: PeerTracker;
   departures: DepartureTracker;
+  crashLedger: CrashLedger;
 }
 
 /** State of a request over its attempts. */
@@ -82,6 +84,12 @@
     ({ code }) => code,
   );
 
+const createCrashRefusal = (): Refusal =>
+  createNotRunRefusal(
+    RefusalReason.CrashesServers,
+    'several servers ended while they ran this request',
+  );
+
 const hashSha256 = (content: string | Buffer): Buffer =>
   createHash('sha256').update(content).digest();
 
@@ -141,6 +149,10 @@
     const key = request.headers['idempotency-key'];
     if (body === BodyState.Incomplete) {
       answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
+    } else if (this.#isBlocked(routed)) {
+      const refusal = createCrashRefusal();
+      this.#refuse(exchange, refusal);
+      this.#entryLog.logRefused(request, refusal);
     } else if (typeof key === 'string' && !routed.route.idempotent) {
       await this.#serveWithKey(routed, key);
     } else {
@@ -148,6 +160,14 @@
     }
   }
 
+  /** Returns whether the request has crashed too many servers to be sent to another one. */
+  #isBlocked({ exchange, path }: RoutedRequest): boolean {
+    const { crashLedger } = this.#dependencies;
+    if (crashLedger.isEmpty) return false;
+    const callerService = this.#context.callerService();
+    return crashLedger.isBlocked(exchange.computeFingerprints(path, callerService));
+  }
+
   /** Serves the request if its idempotency key is free; otherwise replays the response or refuses. */
   async #serveWithKey(routed: RoutedRequest, key: string): Promise<void> {
     const { exchange, requestId, host, path } = routed;
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -19,13 +19,15 @@
   SlotGate,
 } from '../../process/localServers/index.js';
 import type { Exchange } from './Exchange.js';
-import type { CrashDetector } from '../trackCrashes/CrashDetector.js';
+import type { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import type { RequestContext } from './RequestContext.js';
 
 const log = createLogger('local-calls');
 
 const SERVICE_UNAVAILABLE = 503;
 const SERVER_UNREACHABLE = 'SERVER_UNREACHABLE';
+/** Reason for a request under which too many servers have ended. */
+const CRASHES_SERVERS = 'CRASHES_SERVERS';
 /** Pause after a failed connection, during which the server may be restarting. */
 const UNREACHABLE_BACKOFF_MS = 200;
 /** Share of a route's latency without queueing below which hardly any request completes. */
@@ -69,6 +71,12 @@
   isReturn: localRequest.isReturn,
 });
 
+/** Detection of servers that end, and what all nodes know about the requests behind it. */
+export interface CrashTracking {
+  detector: CrashDetector;
+  ledger: CrashLedger;
+}
+
 export type LocalCallerContext = Pick<RequestContext, 'dialect' | 'localServers' | 'getNowMs'>;
 
 /** Error codes of a connection that the server's system closed or reset. */
@@ -90,9 +98,9 @@
   /** Gates with a timer for their waiting requests. */
   readonly #admissionTimers = new WeakSet<SlotGate>();
 
-  readonly #crashes: CrashDetector;
+  readonly #crashes: CrashTracking;
 
-  constructor(pools: UpstreamPools, context: LocalCallerContext, crashes: CrashDetector) {
+  constructor(pools: UpstreamPools, context: LocalCallerContext, crashes: CrashTracking) {
     this.#pools = pools;
     this.#context = context;
     this.#crashes = crashes;
@@ -121,6 +129,15 @@
       const errorOptions = { isWritten: false, retryAfterMs };
       return err(new CallError(CallErrorCode.Refused, SERVER_UNREACHABLE, errorOptions));
     }
+    const { ledger } = this.#crashes;
+    const { path } = target;
+    if (
+      !ledger.isEmpty &&
+      ledger.isBlocked(exchange.computeFingerprints(path, localRequest.callerService))
+    ) {
+      const errorOptions = { isWritten: false };
+      return err(new CallError(CallErrorCode.Refused, CRASHES_SERVERS, errorOptions));
+    }
     const demand = createDemand(local, localRequest);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
@@ -135,7 +152,6 @@
     const pool = localRequest.isIdempotent
       ? this.#pools.get(server.address, server.connections)
       : this.#pools.openSingle(server.address);
-    const { path } = target;
     const result = await exchange.call(
       pool,
       { path, headers: target.createHeaders() },
@@ -150,10 +166,7 @@
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
     const heldMs = performance.now() - startedAtMs;
-    if (result.isErr() && isConnectionLost(exchange, result.error)) {
-      const fingerprints = exchange.computeFingerprints(path, localRequest.callerService);
-      this.#crashes.recordLoss(local, { requestId: localRequest.requestId, fingerprints });
-    }
+    this.#trackCrash(exchange, local, { path, localRequest, result });
     this.#updateReachability(exchange, local, result);
     const sample = this.#createSample(exchange, local, localRequest.routeName, {
       inFlight,
@@ -164,6 +177,23 @@
     return result;
   }
 
+  /** Records a request that was lost with its connection, or the answer to a suspected one. */
+  #trackCrash(
+    exchange: Exchange,
+    local: LocalServer,
+    call: { path: string; localRequest: LocalRequest; result: Result<CallSummary, CallError> },
+  ): void {
+    const { path, localRequest, result } = call;
+    const { detector, ledger } = this.#crashes;
+    const { requestId, callerService } = localRequest;
+    if (result.isOk()) {
+      ledger.recordAnswer(exchange.computeFingerprints(path, callerService));
+    } else if (isConnectionLost(exchange, result.error)) {
+      const fingerprints = exchange.computeFingerprints(path, callerService);
+      detector.recordLoss(local, { requestId, fingerprints });
+    }
+  }
+
   #readNotice(
     head: ResponseHead,
     local: LocalServer,
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -25,6 +25,8 @@
   BodyTooLarge = 'BODY_TOO_LARGE',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
+  /** Several servers ended while they ran this request, so it is sent to no other one. */
+  CrashesServers = 'CRASHES_SERVERS',
   NotConnected = 'NOT_CONNECTED',
   NoResponse = 'NO_RESPONSE',
   Truncated = 'TRUNCATED',
--- /dev/null
+++ b/src/request/trackCrashes/CrashLedger.ts
@@ -0,0 +1,187 @@
+import { create } from '@bufbuild/protobuf';
+import { CrashSuspectSchema } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+
+import type { CrashSuspect, NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+
+/** A request under which so many servers ended is refused from then on. */
+const MAX_CRASHES = 3;
+/** Crashes from which on an answer is published: before, only this node needs to know of it. */
+const PUBLISHED_ANSWER_CRASHES = 2;
+/** Time for which a suspect is remembered after the last crash. */
+const RETENTION_MS = 600_000;
+/** Limits the size of the node record, which every node stores. */
+const MAX_PUBLISHED = 128;
+/** Limits the memory; the suspects whose last crash is longest ago are forgotten first. */
+const MAX_SUSPECTS = 4_096;
+/** Number of answered requests that are remembered, in case they become suspects. */
+const MAX_ANSWERED = 2_048;
+
+interface Suspect {
+  /** Servers that ended while they ran the request, by the node process that reported them. */
+  crashesByReporter: Map<string, number>;
+  /** Whether a server answered the request, which therefore does not crash servers by itself. */
+  isAnswered: boolean;
+  isAnsweredHere: boolean;
+  keptUntilMs: number;
+}
+
+/** What this node publishes about suspects in its record. */
+export interface CrashReport {
+  crashSuspects: CrashSuspect[];
+  answeredSuspects: bigint[];
+}
+
+const formatReporter = ({ nodeId, incarnation }: NodeRecord): string => `${nodeId}/${incarnation}`;
+
+const countCrashes = ({ crashesByReporter }: Suspect): number =>
+  [...crashesByReporter.values()].reduce((sum, count) => sum + count, 0);
+
+/**
+ * Counts under which requests servers ended, over all nodes.
+ *
+ * When a server ends, every request that it was running is a suspect. A request that crashes its
+ * servers is never answered, while the other suspects are, when they are repeated.
+ */
+export class CrashLedger {
+  readonly #suspects = new Map<bigint, Suspect>();
+
+  /** Requests that servers beside this node answered, the latest last. */
+  readonly #answered = new Set<bigint>();
+
+  #isReportStale = false;
+
+  /** Record last merged, by node; records are replaced on each change. */
+  readonly #mergedRecords = new Map<string, NodeRecord>();
+
+  /** Whether there is no suspect, so that no fingerprint needs to be computed. */
+  get isEmpty(): boolean {
+    return this.#suspects.size === 0;
+  }
+
+  /**
+   * Records that a server beside this node ended.
+   *
+   * @param fingerprints - fingerprints of the requests that it was running
+   * @param own - current record of this node
+   * @param nowMs - present time in milliseconds
+   */
+  recordCrash(fingerprints: bigint[], own: NodeRecord, nowMs: number): void {
+    const reporter = formatReporter(own);
+    new Set(fingerprints).forEach((fingerprint) => {
+      const suspect = this.#getSuspect(fingerprint, nowMs);
+      const count = suspect.crashesByReporter.get(reporter) ?? 0;
+      suspect.crashesByReporter.set(reporter, count + 1);
+    });
+    this.#isReportStale = true;
+  }
+
+  /** Records that a server beside this node answered a request. */
+  recordAnswer(fingerprints: bigint[]): void {
+    fingerprints.forEach((fingerprint) => {
+      this.#answered.delete(fingerprint);
+      this.#answered.add(fingerprint);
+    });
+    if (this.#answered.size > MAX_ANSWERED) this.#forgetOldestAnswers();
+    fingerprints
+      .flatMap((fingerprint) => this.#suspects.get(fingerprint) ?? [])
+      .filter(({ isAnsweredHere }) => !isAnsweredHere)
+      .forEach((suspect) => {
+        Object.assign(suspect, { isAnswered: true, isAnsweredHere: true });
+        this.#isReportStale = true;
+      });
+  }
+
+  /** Merges what the nodes publish; keeps what a node that is no longer known has published. */
+  merge(records: readonly NodeRecord[], nowMs: number): void {
+    records
+      .filter((record) => this.#mergedRecords.get(record.nodeId) !== record)
+      .forEach((record) => this.#mergeRecord(record, nowMs));
+  }
+
+  /** Returns whether a request has crashed too many servers to be sent to another one. */
+  isBlocked(fingerprints: bigint[]): boolean {
+    return fingerprints.some((fingerprint) => {
+      const suspect = this.#suspects.get(fingerprint);
+      return suspect && !suspect.isAnswered && countCrashes(suspect) >= MAX_CRASHES;
+    });
+  }
+
+  /**
+   * Creates the report of this node, with the newest suspects.
+   *
+   * @param own - current record of this node
+   * @returns the report; undefined when it has not changed since the last call
+   */
+  takeReport(own: NodeRecord): CrashReport | undefined {
+    if (!this.#isReportStale) return undefined;
+    this.#isReportStale = false;
+    const reporter = formatReporter(own);
+    const newestFirst = [...this.#suspects].toReversed();
+    return {
+      crashSuspects: newestFirst
+        .flatMap(([fingerprint, { crashesByReporter }]) => {
+          const crashCount = crashesByReporter.get(reporter);
+          if (crashCount === undefined) return [];
+          return [create(CrashSuspectSchema, { fingerprint, crashCount })];
+        })
+        .slice(0, MAX_PUBLISHED),
+      answeredSuspects: newestFirst
+        .filter(
+          ([, suspect]) =>
+            suspect.isAnsweredHere && countCrashes(suspect) >= PUBLISHED_ANSWER_CRASHES,
+        )
+        .map(([fingerprint]) => fingerprint)
+        .slice(0, MAX_PUBLISHED),
+    };
+  }
+
+  /** Removes the suspects whose retention has ended. */
+  expire(nowMs: number): void {
+    [...this.#suspects]
+      .filter(
+        ([, { keptUntilMs }], index) =>
+          keptUntilMs <= nowMs || index < this.#suspects.size - MAX_SUSPECTS,
+      )
+      .forEach(([fingerprint]) => {
+        this.#suspects.delete(fingerprint);
+        this.#isReportStale = true;
+      });
+  }
+
+  #forgetOldestAnswers(): void {
+    const oldestFirst = [...this.#answered];
+    oldestFirst.slice(0, MAX_ANSWERED / 2).forEach((oldest) => this.#answered.delete(oldest));
+  }
+
+  #mergeRecord(record: NodeRecord, nowMs: number): void {
+    this.#mergedRecords.set(record.nodeId, record);
+    const reporter = formatReporter(record);
+    record.crashSuspects.forEach(({ fingerprint, crashCount }) => {
+      const known = this.#suspects.get(fingerprint)?.crashesByReporter.get(reporter) ?? 0;
+      if (crashCount <= known) return;
+      const suspect = this.#getSuspect(fingerprint, nowMs);
+      suspect.crashesByReporter.set(reporter, crashCount);
+      // The answer of a server beside this node is published from the second crash on.
+      if (suspect.isAnsweredHere) this.#isReportStale = true;
+    });
+    record.answeredSuspects.forEach((fingerprint) => {
+      const suspect = this.#suspects.get(fingerprint) ?? this.#getSuspect(fingerprint, nowMs);
+      suspect.isAnswered = true;
+    });
+  }
+
+  /** Returns the suspect, as the newest, with its retention extended. */
+  #getSuspect(fingerprint: bigint, nowMs: number): Suspect {
+    const isAnswered = this.#answered.has(fingerprint);
+    const suspect = this.#suspects.get(fingerprint) ?? {
+      crashesByReporter: new Map<string, number>(),
+      isAnswered,
+      isAnsweredHere: isAnswered,
+      keptUntilMs: 0,
+    };
+    suspect.keptUntilMs = nowMs + RETENTION_MS;
+    this.#suspects.delete(fingerprint);
+    this.#suspects.set(fingerprint, suspect);
+    return suspect;
+  }
+}
