Recognize a request by its head too, since a repeat may be streamed

The same request may be sent with a length once and in chunks the next time. Its body is unknown then, so its fingerprint differed and each form could crash three servers.

--- a/src/request/fingerprintRequest/index.ts
+++ b/src/request/fingerprintRequest/index.ts
@@ -7,7 +7,7 @@
   host: string;
   /** Path with query. */
   path: string;
-  /** Buffered body; null when there is none, undefined when it is streamed and counts as empty. */
+  /** Buffered body; null when there is none, undefined when it is streamed. */
   body: Buffer | null | undefined;
   /** Service on the VM of the entry node; empty when there is none. */
   callerService: string;
@@ -22,10 +22,14 @@
 };
 
 /**
- * Computes the fingerprints of a request.
+ * Computes the fingerprints of a request, each more specific than the one before.
+ *
+ * The body adds a fingerprint of its own, because a repeat may be streamed, which leaves its body
+ * unknown.
  *
  * @param identity - method, host, path, body and caller of the request
- * @returns one fingerprint that is the same for all callers, and one for this caller
+ * @returns a fingerprint for all callers and bodies, one for this caller, and one for this caller and
+ *   body if the body is buffered
  */
 export const fingerprintRequest = ({
   method,
@@ -34,6 +38,7 @@
   body,
   callerService,
 }: RequestIdentity): bigint[] => {
-  const shared = hash([method, host.toLowerCase(), path, body ?? '']);
-  return [shared, hash([String(shared), callerService])];
+  const shared = hash([method, host.toLowerCase(), path]);
+  const ofCaller = hash([String(shared), callerService]);
+  return body ? [shared, ofCaller, hash([String(ofCaller), body])] : [shared, ofCaller];
 };
