Run no timer for requests that wait for a slot of a limited server

With a token left and every slot in use, the time until the next admission was 0, so the timer for the rate limit fired every millisecond until a slot was released. Such requests are admitted by the release. The new test of SlotGate failed before: it got 0 instead of no time.

--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -218,11 +218,11 @@
 
   /**
    * Returns the time after which `admitWaiters` is to be called, in milliseconds; undefined when no
-   * request waits for the rate limit.
+   * request waits for the rate limit. Those that wait for a slot are admitted when one is released.
    */
   computeAdmissionDelayMs(nowMs: number): number | undefined {
-    if (!this.#rateLimit || this.#waiters.length === 0) return undefined;
-    return Math.ceil(this.#rateLimit.computeWaitMs(0, nowMs));
+    if (this.#waiters.length === 0 || this.#isWithinRate(nowMs)) return undefined;
+    return this.#rateLimit && Math.ceil(this.#rateLimit.computeWaitMs(0, nowMs));
   }
 
   /** Refuses waiting requests that would finish too late; for servers that release no slots. */
@@ -271,8 +271,12 @@
     }
   }
 
+  #isWithinRate(nowMs: number): boolean {
+    return this.#rateLimit?.hasToken(nowMs) ?? true;
+  }
+
   #canAdmit(waiter: Waiter, nowMs: number): boolean {
-    if (this.#rateLimit && !this.#rateLimit.hasToken(nowMs)) return false;
+    if (!this.#isWithinRate(nowMs)) return false;
     return this.#hasSlotFor(waiter.demand) && !this.#hasPrecedingWaiter(waiter);
   }
 
@@ -339,7 +343,7 @@
 
   /** Removes and returns the next waiting request that can use a free slot. */
   #shiftNext(nowMs: number): Waiter | undefined {
-    if (this.#rateLimit && !this.#rateLimit.hasToken(nowMs)) return undefined;
+    if (!this.#isWithinRate(nowMs)) return undefined;
     const admissible = this.#waiters.filter((waiter) => this.#hasSlotFor(waiter.demand));
     const admittedCount = this.#admittedCount;
     const next = this.#policy.selectNext(admissible, { admittedCount, nowMs });
--- a/src/process/localServers/SlotGate/test.ts
+++ b/src/process/localServers/SlotGate/test.ts
@@ -176,3 +176,20 @@
   gate.limitRate(undefined, START_MS);
   t.equal(gate.grant(1), 1);
 });
+
+// Guards against a timer that runs all the time while every slot is in use.
+tap.test('a request that waits for a slot only needs no timer', async (t) => {
+  const gate = new SlotGate({ slots: 1 });
+  gate.limitRate(1_000, START_MS);
+  const decisions: string[] = [];
+  const admit = (name: string) =>
+    gate.admit(quick, START_MS + 100, (refusal) =>
+      decisions.push(`${name}:${refusal ?? 'admitted'}`),
+    );
+  admit('first');
+  admit('second');
+  t.strictSame(decisions, ['first:admitted']);
+  t.equal(gate.computeAdmissionDelayMs(START_MS + 100), undefined);
+  gate.release(quick, 5, START_MS + 105);
+  t.strictSame(decisions, ['first:admitted', 'second:admitted']);
+});
