Hold no record of a node that has left in the count of crashes

The ledger kept the last record of every node that it had seen, so its memory grew with each machine that came and went. It marks records as merged in a weak set.

--- a/src/request/trackCrashes/CrashLedger.ts
+++ b/src/request/trackCrashes/CrashLedger.ts
@@ -50,8 +50,8 @@
 
   #isReportStale = false;
 
-  /** Record last merged, by node; records are replaced on each change. */
-  readonly #mergedRecords = new Map<string, NodeRecord>();
+  /** Records are replaced on each change, so each is merged once. */
+  readonly #mergedRecords = new WeakSet<NodeRecord>();
 
   /** Whether there is no suspect, so that no fingerprint needs to be computed. */
   get isEmpty(): boolean {
@@ -94,7 +94,7 @@
   /** Merges what the nodes publish; keeps what a node that is no longer known has published. */
   merge(records: readonly NodeRecord[], nowMs: number): void {
     records
-      .filter((record) => this.#mergedRecords.get(record.nodeId) !== record)
+      .filter((record) => !this.#mergedRecords.has(record))
       .forEach((record) => this.#mergeRecord(record, nowMs));
   }
 
@@ -154,7 +154,7 @@
   }
 
   #mergeRecord(record: NodeRecord, nowMs: number): void {
-    this.#mergedRecords.set(record.nodeId, record);
+    this.#mergedRecords.add(record);
     const reporter = formatReporter(record);
     record.crashSuspects.forEach(({ fingerprint, crashCount }) => {
       const known = this.#suspects.get(fingerprint)?.crashesByReporter.get(reporter) ?? 0;
