--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -149,7 +149,7 @@
     const key = request.headers['idempotency-key'];
     if (body === BodyState.Incomplete) {
       answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
-    } else if (this.#isBlocked(routed)) {
+    } else if (this.#isRefusedAsCrashing(routed)) {
       const refusal = createCrashRefusal();
       this.#refuse(exchange, refusal);
       this.#entryLog.logRefused(request, refusal);
@@ -160,12 +160,19 @@
     }
   }
 
-  /** Returns whether the request has crashed too many servers to be sent to another one. */
-  #isBlocked({ exchange, path }: RoutedRequest): boolean {
+  /**
+   * Returns whether the request has crashed too many servers to be sent to another one. One that may
+   * be tried once more is bound to the node of the trial.
+   */
+  #isRefusedAsCrashing(routed: RoutedRequest): boolean {
     const { crashLedger } = this.#dependencies;
     if (crashLedger.isEmpty) return false;
-    const callerService = this.#context.callerService();
-    return crashLedger.isBlocked(exchange.computeFingerprints(path, callerService));
+    const { directory, callerService, getNowMs } = this.#context;
+    const fingerprints = routed.exchange.computeFingerprints(routed.path, callerService());
+    if (!crashLedger.isBlocked(fingerprints)) return false;
+    const target = routed;
+    target.trialNodeId = crashLedger.findTrialNode(fingerprints, directory.records(), getNowMs());
+    return target.trialNodeId === undefined;
   }
 
   /** Serves the request if its idempotency key is free; otherwise replays the response or refuses. */
@@ -311,16 +318,17 @@
     return hasBudget;
   }
 
-  #listLive(service: string): ServerEntry[] {
+  #listLive({ service, trialNodeId }: RoutedRequest): ServerEntry[] {
     const { departures } = this.#dependencies;
     return this.#context.directory
       .serversOf(service)
-      .filter((entry) => isLive(entry) && !departures.isDeparting(entry));
+      .filter((entry) => isLive(entry) && !departures.isDeparting(entry))
+      .filter(({ node }) => trialNodeId === undefined || node.nodeId === trialNodeId);
   }
 
   /** Lists the live servers that were not tried, those on responsive nodes if there are any. */
-  #listCandidates({ service }: RoutedRequest, { tried }: AttemptState): ServerEntry[] {
-    const live = this.#listLive(service).filter(
+  #listCandidates(routed: RoutedRequest, { tried }: AttemptState): ServerEntry[] {
+    const live = this.#listLive(routed).filter(
       (entry) => tried.size === 0 || !tried.has(formatServerKey(entry)),
     );
     const reachable = live.filter(
@@ -361,7 +369,7 @@
     this.#entryLog.logNotServed(routed, {
       error: lastError,
       outcome: isKnownNotRun(lastError) ? RequestOutcome.NotRun : RequestOutcome.Unknown,
-      liveServers: this.#listLive(service).length,
+      liveServers: this.#listLive(routed).length,
     });
     if (!lastError && !exchange.isAborted) {
       const message = `no live server of service "${service}"`;
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -131,13 +131,30 @@
     }
     const { ledger } = this.#crashes;
     const { path } = target;
-    if (
-      !ledger.isEmpty &&
-      ledger.isBlocked(exchange.computeFingerprints(path, localRequest.callerService))
-    ) {
+    const suspected = ledger.isEmpty
+      ? []
+      : exchange.computeFingerprints(path, localRequest.callerService);
+    if (!ledger.isBlocked(suspected)) {
+      return this.#callServer(exchange, local, localRequest, target, options);
+    }
+    if (!ledger.beginTrial(suspected, nowMs)) {
       const errorOptions = { isWritten: false };
       return err(new CallError(CallErrorCode.Refused, CRASHES_SERVERS, errorOptions));
     }
+    log.info({ requestId: localRequest.requestId }, 'suspected request is tried once more');
+    const result = await this.#callServer(exchange, local, localRequest, target, options);
+    ledger.endTrial(suspected, { isRun: result.isOk() || result.error.options.isWritten });
+    return result;
+  }
+
+  async #callServer(
+    exchange: Exchange,
+    local: LocalServer,
+    localRequest: LocalRequest,
+    target: LocalTarget,
+    options: Omit<UpstreamCallOptions, 'isNode'>,
+  ): Promise<Result<CallSummary, CallError>> {
+    const { path } = target;
     const demand = createDemand(local, localRequest);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -30,6 +30,8 @@
   isReturn: boolean;
   /** Attempts already made by outer layers; a request with any is not retried here. */
   outerAttempt: number;
+  /** The only node that may run the request, as a trial after crashes; any node if undefined. */
+  trialNodeId?: string | undefined;
   /** Servers tried so far, each with the result of the attempt. */
   attemptResults: string[];
 }
--- a/src/request/trackCrashes/CrashLedger.ts
+++ b/src/request/trackCrashes/CrashLedger.ts
@@ -1,10 +1,12 @@
 import { create } from '@bufbuild/protobuf';
-import { CrashSuspectSchema } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { CrashSuspectSchema, ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 
 import type { CrashSuspect, NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 
 /** A request under which so many servers ended is refused from then on. */
 const MAX_CRASHES = 3;
+/** Time after the last crash until a suspect is tried once more: all nodes count the same by then. */
+const TRIAL_DELAY_MS = 1_000;
 /** Crashes from which on an answer is published: before, only this node needs to know of it. */
 const PUBLISHED_ANSWER_CRASHES = 2;
 /** Time for which a suspect is remembered after the last crash. */
@@ -22,6 +24,9 @@
   /** Whether a server answered the request, which therefore does not crash servers by itself. */
   isAnswered: boolean;
   isAnsweredHere: boolean;
+  lastCrashAtMs: number;
+  /** Whether a server beside this node has been given the request once more. */
+  isTried: boolean;
   keptUntilMs: number;
 }
 
@@ -40,7 +45,8 @@
  * Counts under which requests servers ended, over all nodes.
  *
  * When a server ends, every request that it was running is a suspect. A request that crashes its
- * servers is never answered, while the other suspects are, when they are repeated.
+ * servers is never answered, while the other suspects are, when they are repeated. A suspect that no
+ * server has answered is refused, except for one trial at one node that reported it.
  */
 export class CrashLedger {
   readonly #suspects = new Map<bigint, Suspect>();
@@ -50,6 +56,8 @@
 
   #isReportStale = false;
 
+  #isTrialRunning = false;
+
   /** Records are replaced on each change, so each is merged once. */
   readonly #mergedRecords = new WeakSet<NodeRecord>();
 
@@ -100,10 +108,73 @@
 
   /** Returns whether a request has crashed too many servers to be sent to another one. */
   isBlocked(fingerprints: bigint[]): boolean {
-    return fingerprints.some((fingerprint) => {
-      const suspect = this.#suspects.get(fingerprint);
-      return suspect && !suspect.isAnswered && countCrashes(suspect) >= MAX_CRASHES;
-    });
+    return this.#findBlocking(fingerprints).length > 0;
+  }
+
+  /**
+   * Returns the node at which a blocked request may be tried once more, so that one that was only in
+   * progress during the crashes is told from the one behind them.
+   *
+   * @param fingerprints - fingerprints of a request that `isBlocked`
+   * @param records - records of the known nodes
+   * @param nowMs - present time in milliseconds
+   * @returns id of a node that reported crashes and still runs; undefined when there is none, or
+   *   when the last crash is too recent
+   */
+  findTrialNode(
+    fingerprints: bigint[],
+    records: readonly NodeRecord[],
+    nowMs: number,
+  ): string | undefined {
+    const [suspect] = this.#findBlocking(fingerprints);
+    const [fingerprint = 0n] = fingerprints;
+    if (!suspect || nowMs < suspect.lastCrashAtMs + TRIAL_DELAY_MS) return undefined;
+    const reporters = records
+      .filter(
+        (record) =>
+          suspect.crashesByReporter.has(formatReporter(record)) &&
+          record.servers.some(({ state }) => state === ServerState.SERVING),
+      )
+      .map(({ nodeId }) => nodeId)
+      .toSorted();
+    if (reporters.length === 0) return undefined;
+    return reporters[Number(fingerprint % BigInt(reporters.length))];
+  }
+
+  /**
+   * Takes the trial of a blocked request at this node. One trial runs at a time: two that ran beside
+   * each other would be suspects of the same crash.
+   *
+   * @returns false if the request was tried already, or another trial runs
+   */
+  beginTrial(fingerprints: bigint[], nowMs: number): boolean {
+    const blocking = this.#findBlocking(fingerprints);
+    const isDue = blocking.every(
+      ({ isTried, lastCrashAtMs }) => !isTried && nowMs >= lastCrashAtMs + TRIAL_DELAY_MS,
+    );
+    if (!isDue || this.#isTrialRunning) return false;
+    this.#isTrialRunning = true;
+    blocking.forEach((suspect) => Object.assign(suspect, { isTried: true }));
+    return true;
+  }
+
+  /**
+   * Ends the trial that runs at this node.
+   *
+   * @param isRun - whether the request reached a server; otherwise it may be tried again
+   */
+  endTrial(fingerprints: bigint[], { isRun }: { isRun: boolean }): void {
+    this.#isTrialRunning = false;
+    if (isRun) return;
+    this.#findBlocking(fingerprints).forEach((suspect) =>
+      Object.assign(suspect, { isTried: false }),
+    );
+  }
+
+  #findBlocking(fingerprints: bigint[]): Suspect[] {
+    return fingerprints
+      .flatMap((fingerprint) => this.#suspects.get(fingerprint) ?? [])
+      .filter((suspect) => !suspect.isAnswered && countCrashes(suspect) >= MAX_CRASHES);
   }
 
   /**
@@ -177,8 +248,11 @@
       crashesByReporter: new Map<string, number>(),
       isAnswered,
       isAnsweredHere: isAnswered,
+      lastCrashAtMs: nowMs,
+      isTried: false,
       keptUntilMs: 0,
     };
+    suspect.lastCrashAtMs = nowMs;
     suspect.keptUntilMs = nowMs + RETENTION_MS;
     this.#suspects.delete(fingerprint);
     this.#suspects.set(fingerprint, suspect);
--- a/src/request/trackCrashes/test.ts
+++ b/src/request/trackCrashes/test.ts
@@ -3,7 +3,7 @@
 import { create } from '@bufbuild/protobuf';
 import tap from 'tap';
 
-import { NodeRecordSchema } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import { NodeRecordSchema, ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CrashDetector, CrashLedger } from './index.js';
 
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
@@ -11,6 +11,7 @@
 
 const START_MS = 1_000_000;
 const RETENTION_MS = 600_000;
+const TRIAL_DELAY_MS = 1_000;
 const CRASHING = [1n, 2n];
 const OTHER = [3n, 4n];
 
@@ -21,7 +22,8 @@
   record: NodeRecord;
 
   constructor(nodeId: string, incarnation = 1n) {
-    this.record = create(NodeRecordSchema, { nodeId, incarnation });
+    const servers = [{ serverId: `${nodeId}-server`, state: ServerState.SERVING }];
+    this.record = create(NodeRecordSchema, { nodeId, incarnation, servers });
   }
 
   crash(fingerprints: bigint[], nowMs = START_MS): void {
@@ -91,6 +93,27 @@
   t.equal(entry.ledger.isBlocked(CRASHING), true);
 });
 
+// Guards against refusing for ten minutes a request that was only in progress during the crashes.
+tap.test('a blocked request is tried once, at one node, after the last crash', async (t) => {
+  const nodes = createNodes();
+  nodes.forEach((node) => node.crash(CRASHING));
+  nodes.forEach((node) => node.receive(nodes));
+  const records = nodes.map(({ record }) => record);
+  const chosen = nodes.map(({ ledger }) =>
+    ledger.findTrialNode(CRASHING, records, START_MS + TRIAL_DELAY_MS),
+  );
+  t.equal(new Set(chosen).size, 1, 'all nodes choose the same one');
+  t.equal(nodes[0]?.ledger.findTrialNode(CRASHING, records, START_MS + 10), undefined, 'too early');
+  const node = nodes.find(({ record }) => record.nodeId === chosen[0]);
+  if (!node) throw new Error('no node');
+  t.equal(node.ledger.beginTrial(CRASHING, START_MS + TRIAL_DELAY_MS), true);
+  node.ledger.endTrial(CRASHING, { isRun: false });
+  t.equal(node.ledger.beginTrial(CRASHING, START_MS + TRIAL_DELAY_MS), true, 'it did not run');
+  t.equal(node.ledger.beginTrial(OTHER, START_MS + TRIAL_DELAY_MS), false, 'one at a time');
+  node.ledger.endTrial(CRASHING, { isRun: true });
+  t.equal(node.ledger.beginTrial(CRASHING, START_MS + RETENTION_MS), false, 'only once');
+});
+
 // Guards against a refusal for ever, and against state that grows without bound.
 tap.test('a suspect is forgotten ten minutes after its last crash', async (t) => {
   const [node] = createNodes();
