Send traffic reports, roll-outs and shares of quotas over the existing streams (traffic reports)

Cause: roll-outs and quotas need the counts of every node at every control VM, and the state of roll-outs and the shares of quotas at the nodes.

Change: nodes report their counts (TrafficReporter), control VMs keep and pass them on (TrafficReportTable, FollowerFeed), and send roll-outs and shares (SessionParts). The roll-outs precede the first heartbeat, so a confirmed node holds them; peers without a control VM gossip them. Nothing is sent without the parts.

--- a/src/connection/distribution/ControlExchange/index.ts
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -66,6 +66,10 @@
 
 const log = createLogger('exchange');
 
+const readKind = ({ reports }: FollowResponse): { case: string } => ({
+  case: reports.length > 0 ? 'reports' : 'update',
+});
+
 /** Follows every other control VM and serves those that follow this one. */
 export class ControlExchange {
   readonly #memberId: string;
@@ -120,7 +124,7 @@
   start(): void {
     const heartbeatMs = this.#options.heartbeatIntervalMs ?? timing.HEARTBEAT_INTERVAL_MS;
     const windowMs = this.#options.windowMs ?? timing.ENDPOINT_WINDOW_MS;
-    const { directory, nodeStatuses } = this.#hub;
+    const { directory, nodeStatuses, trafficReports } = this.#hub;
     this.#unsubscribers = [
       directory.onChanged((nodeId) => {
         if (nodeStatuses.isOwn(nodeId))
@@ -129,6 +133,10 @@
       nodeStatuses.onOwnChanged((nodeId) =>
         this.#feeds.forEach((feed) => feed.addChangedReport(nodeId)),
       ),
+      trafficReports.onChanged((nodeId) => {
+        if (nodeStatuses.isOwn(nodeId))
+          this.#feeds.forEach((feed) => feed.addChangedTraffic(nodeId));
+      }),
     ];
     this.#timers = [
       setInterval(() => this.#feeds.forEach((feed) => feed.wakeup.set()), windowMs),
@@ -179,11 +187,11 @@
     signal.addEventListener('abort', () => feed.close());
     try {
       while (!feed.isClosed) {
-        const update = feed.collect(this.#memberId);
+        const update = feed.collect(this.#memberId, this.#now());
         if (update === undefined) {
           await feed.wakeup.wait();
         } else {
-          this.#meter.countSent(FollowResponseSchema, update, { case: 'update' });
+          this.#meter.countSent(FollowResponseSchema, update, readKind(update));
           yield update;
         }
       }
@@ -275,8 +283,8 @@
     const { memberId } = followed.peer;
     if (!followed.isReachable) log.info({ memberId }, 'following control VM');
     Object.assign(followed, { isReachable: true, lastUpdateAtMs: nowMs });
-    this.#meter.countReceived(FollowResponseSchema, update, { case: 'update' });
-    const { directory, nodeStatuses } = this.#hub;
+    this.#meter.countReceived(FollowResponseSchema, update, readKind(update));
+    const { directory, nodeStatuses, trafficReports } = this.#hub;
     // A node missing from a full update may be reconnecting to the peer; its record stays until its
     // lease expires.
     if (update.isFull) followed.attachedNodeIds.clear();
@@ -288,7 +296,11 @@
         directory.remove(stamp.nodeId, stamp, nowMs);
       }
     });
-    followed.attachedNodeIds.forEach((nodeId) => directory.renew(nodeId, nowMs));
+    update.reports.forEach((report) => trafficReports.merge(report, { memberId }, nowMs));
+    followed.attachedNodeIds.forEach((nodeId) => {
+      directory.renew(nodeId, nowMs);
+      trafficReports.renew(nodeId, nowMs);
+    });
     nodeStatuses.extendRetention(memberId, nowMs);
   }
 
--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -12,6 +12,7 @@
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
 import { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
+import { TrafficReportTable } from '../../../process/trafficReports/TrafficReportTable/index.js';
 import { NodeStatusTable } from '../../../process/nodeStatus/NodeStatusTable/index.js';
 import { createLogger } from '../../../process/log/index.js';
 import { requireCaller } from '../../checkAccess/index.js';
@@ -30,6 +31,7 @@
   ReadVersionResponse,
   RecordStamp,
   Refusal,
+  TrafficReport,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { NodeReport } from '../../../process/nodeStatus/NodeStatusTable/index.js';
@@ -37,9 +39,10 @@
 import type { ControlLog } from '../../../process/replication/ControlLog/index.js';
 import type { ControlTarget } from '../NodeLink/types.js';
 import type { SessionContext } from '../_lib/NodeSession.js';
+import type { SessionSources } from '../_lib/SessionParts.js';
 
 /** Limits of a hub; the defaults are in `timing.ts`. */
-export interface HubOptions {
+export interface HubOptions extends SessionSources {
   metrics?: MetricsRegistry;
   /** Uniform in [0, 1). */
   random?: () => number;
@@ -52,6 +55,8 @@
   listControls?: () => ControlTarget[];
   snapshotSlots?: number;
   retryAfterMs?: number;
+  /** Counts of all nodes, for parts that are created before the hub. */
+  trafficReports?: TrafficReportTable;
 }
 
 const log = createLogger('distribution');
@@ -64,6 +69,9 @@
   /** Status of all nodes that this control VM knows. */
   readonly nodeStatuses: NodeStatusTable;
 
+  /** Counts of all nodes that this control VM knows. */
+  readonly trafficReports: TrafficReportTable;
+
   readonly #memberId: string;
 
   readonly #controlLog: ControlLog;
@@ -80,9 +88,11 @@
 
   readonly #sessionContext: SessionContext & { endpoints: EndpointBroadcast };
 
-  #timer: NodeJS.Timeout | undefined;
+  #timers: NodeJS.Timeout[] = [];
+
+  #unsubscribers: (() => void)[] = [];
 
-  #unsubscribe: (() => void) | undefined;
+  #haveReportsChanged = false;
 
   /**
    * @param memberId - name of this control VM
@@ -96,6 +106,7 @@
     this.#silenceMs = options.silenceMs ?? timing.STREAM_SILENCE_MS;
     this.#meter = new ByteMeter(options.metrics, 'control');
     this.directory = new EndpointDirectory({ leaseMs: this.#silenceMs });
+    this.trafficReports = options.trafficReports ?? new TrafficReportTable();
     this.nodeStatuses = new NodeStatusTable(memberId);
     this.#sessionContext = this.#createSessionContext();
   }
@@ -116,14 +127,30 @@
   /** Starts sending heartbeats and expiring leases. */
   start(): void {
     const intervalMs = this.#options.heartbeatIntervalMs ?? timing.HEARTBEAT_INTERVAL_MS;
-    this.#timer = setInterval(() => this.#tick(this.#now()), intervalMs);
-    this.#unsubscribe = this.#controlLog.onCommitted(() => this.#wakeSessions());
+    this.#timers = [setInterval(() => this.#tick(this.#now()), intervalMs)];
+    this.#unsubscribers = [this.#controlLog.onCommitted(() => this.wakeSessions())];
+    if (this.#options.computeShares !== undefined) this.#startShares();
+  }
+
+  #startShares(): void {
+    this.#unsubscribers.push(
+      this.trafficReports.onChanged(() => {
+        this.#haveReportsChanged = true;
+      }),
+    );
+    this.#timers.push(setInterval(() => this.#requestShares(), timing.TRAFFIC_REPORT_INTERVAL_MS));
+  }
+
+  #requestShares(): void {
+    if (!this.#haveReportsChanged) return;
+    this.#haveReportsChanged = false;
+    this.#sessions.forEach((session) => session.requestShares());
   }
 
   /** Ends all sessions. */
   stop(): void {
-    clearInterval(this.#timer);
-    this.#unsubscribe?.();
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#unsubscribers.forEach((unsubscribe) => unsubscribe());
     this.#sessionContext.endpoints.stop();
     this.#sessions.forEach((session) => session.close());
   }
@@ -133,6 +160,11 @@
     return this.#sessions.has(nodeId);
   }
 
+  /** Sends what has changed, such as roll-outs, to all attached nodes. */
+  wakeSessions(): void {
+    this.#sessions.forEach((session) => session.wakeup.set());
+  }
+
   /** Number of attached nodes. */
   get sessionCount(): number {
     return this.#sessions.size;
@@ -173,7 +205,7 @@
         windowMs: options.windowMs ?? timing.ENDPOINT_WINDOW_MS,
         retainedBatches: timing.RETAINED_BATCHES,
         epoch: `${this.#memberId}:${randomUUID()}`,
-        onBatch: () => this.#wakeSessions(),
+        onBatch: () => this.wakeSessions(),
       }),
       admission: new SnapshotAdmission({
         slots: options.snapshotSlots ?? timing.SNAPSHOT_SLOTS,
@@ -184,6 +216,8 @@
       readCommitted: () => this.#controlLog.committed()?.configuration,
       isConfirmed: (nowMs) => this.#controlLog.isConfirmed(nowMs),
       listControls: options.listControls ?? (() => []),
+      readRollouts: options.readRollouts,
+      computeShares: options.computeShares,
     };
   }
 
@@ -195,10 +229,6 @@
     };
   }
 
-  #wakeSessions(): void {
-    this.#sessions.forEach((session) => session.wakeup.set());
-  }
-
   #tick(nowMs: number): void {
     this.#sessions.forEach((session) => {
       if (session.isSilent(this.#silenceMs, nowMs)) {
@@ -213,6 +243,8 @@
     });
     this.nodeStatuses.extendRetention(this.#memberId, nowMs);
     this.nodeStatuses.expire(nowMs);
+    this.#sessions.forEach(({ nodeId }) => this.trafficReports.renew(nodeId, nowMs));
+    this.trafficReports.expire(nowMs);
   }
 
   async *#serve(
@@ -339,10 +371,21 @@
       case 'newer':
         this.notifySuperseded(kind.value);
         break;
+      case 'report':
+        this.#handleReport(kind.value, session, nowMs);
+        break;
       default:
     }
   }
 
+  #handleReport(report: TrafficReport, { nodeId }: NodeSession, nowMs: number): void {
+    if (report.nodeId !== nodeId) {
+      log.warn({ nodeId, reportOf: report.nodeId }, 'traffic report of another node ignored');
+      return;
+    }
+    this.trafficReports.merge(report, { memberId: this.#memberId }, nowMs);
+  }
+
   #handleRecord(record: NodeRecord, session: NodeSession, nowMs: number): void {
     if (record.nodeId !== session.nodeId) {
       log.warn(
--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -17,6 +17,7 @@
 
 import type { TlsMaterial } from '../../openTransport/index.js';
 import type { Confirmation, EndpointCursor, StreamEnd } from '../_lib/ControlStream.js';
+import type { ReportNumbers } from '../_lib/TrafficReporter.js';
 import type { LinkError } from '../LinkError/index.js';
 import type { ReadinessError, ReadyBasis } from '../ReadinessError/index.js';
 import type { ControlTarget, LinkTiming, NodeLinkOptions, NodeLinkParts } from './types.js';
@@ -36,6 +37,7 @@
   callTimeoutMs: timing.CALL_TIMEOUT_MS,
   gossipIntervalMs: timing.GOSSIP_INTERVAL_MS,
   controlWaitMs: timing.CONTROL_WAIT_MS,
+  reportIntervalMs: timing.TRAFFIC_REPORT_INTERVAL_MS,
 };
 
 const log = createLogger('link');
@@ -71,6 +73,8 @@
 
   readonly #cursor: EndpointCursor = { epoch: '', revision: 0, listedNodeIds: new Set() };
 
+  readonly #reportNumbers: ReportNumbers = { sequence: 0 };
+
   readonly #stopping = new AbortController();
 
   #tasks: Promise<void>[] = [];
@@ -205,13 +209,13 @@
   }
 
   #createGossip(fanout: number): PeerGossip {
-    const { nodeId, dataCentre, holder, directory, peerSeeds } = this.#parts;
+    const { nodeId, dataCentre, holder, directory, peerSeeds, rolloutHolder } = this.#parts;
     const isAttached = (): boolean => this.attachedTo !== undefined;
     const onSuperseded = (incarnation: bigint): void => this.#supersede(incarnation);
     const seeds = peerSeeds ?? [];
     const parts = { nodeId, dataCentre, holder, directory, seeds, isAttached, onSuperseded };
     return new PeerGossip(
-      { ...parts, meter: this.#meter },
+      { ...parts, meter: this.#meter, ...(rolloutHolder && { rolloutHolder }) },
       {
         now: this.#now,
         random: this.#random,
@@ -315,6 +319,7 @@
       now: this.#now,
       tls: this.#tls(),
       cursor: this.#cursor,
+      reportNumbers: this.#reportNumbers,
       setListedControls: (controls) => this.#setListedControls(controls),
     });
   }
--- a/src/connection/distribution/NodeLink/types.ts
+++ b/src/connection/distribution/NodeLink/types.ts
@@ -1,7 +1,10 @@
+import type { QuotaShares } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import type { TlsMaterial } from '../../openTransport/index.js';
 import type { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
 import type { ConfigurationHolder } from '../../../process/holder/ConfigurationHolder/index.js';
+import type { RolloutHolder } from '../../../process/holder/RolloutHolder/index.js';
 import type { MetricsRegistry } from '../../../process/metrics/index.js';
+import type { TrafficSource } from '../../../process/trafficReports/types.js';
 import type { RecordSource } from '../_lib/OwnRecord.js';
 
 /** Address and data centre of a control VM. */
@@ -22,6 +25,12 @@
   recordSource: RecordSource;
   /** host:port of peers to contact while no records of peers are known. */
   peerSeeds?: string[];
+  /** Counts to report to the control VM; nothing is reported without it. */
+  trafficSource?: TrafficSource;
+  /** Receives the roll-outs; its revision is part of the reports. */
+  rolloutHolder?: RolloutHolder;
+  /** Receives the shares of quotas that this node may use; each message replaces the former one. */
+  quotaHolder?: { adopt: (shares: QuotaShares, nowMs: number) => void };
 }
 
 /** Intervals and timeouts of a link in milliseconds; the defaults are in `timing.ts`. */
@@ -38,6 +47,8 @@
   callTimeoutMs: number;
   gossipIntervalMs: number;
   controlWaitMs: number;
+  /** Shortest time between two traffic reports. */
+  reportIntervalMs: number;
 }
 
 export interface NodeLinkOptions {
--- a/src/connection/distribution/PeerGossip/index.ts
+++ b/src/connection/distribution/PeerGossip/index.ts
@@ -33,6 +33,8 @@
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import type { NodeRecord } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { EndpointDirectory } from '../../../process/endpoints/EndpointDirectory/index.js';
+import type { RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
+import type { RolloutHolder } from '../../../process/holder/RolloutHolder/index.js';
 import type { ConfigurationHolder } from '../../../process/holder/ConfigurationHolder/index.js';
 import type { TlsMaterial } from '../../openTransport/index.js';
 import type ByteMeter from '../_lib/ByteMeter.js';
@@ -51,6 +53,8 @@
   isAttached: () => boolean;
   /** Called when a peer holds a newer state of the record of this node. */
   onSuperseded: (recordedIncarnation: bigint) => void;
+  /** Roll-outs to offer and adopt; none are sent without it. */
+  rolloutHolder?: RolloutHolder;
 }
 
 export interface GossipOptions {
@@ -69,6 +73,12 @@
   isSameVersion: boolean;
 }
 
+interface PeerState extends HeldVersion {
+  nodeId: string;
+  digest: Uint8Array;
+  rollouts?: RolloutSet;
+}
+
 type GossipInit = MessageInitShape<typeof GossipRequestSchema>;
 
 const log = createLogger('gossip');
@@ -104,6 +114,9 @@
     this.#payloads = new PayloadCache((version) => this.#recentVersions.get(version));
     parts.holder.onInstalled(({ configuration }) => this.#handleInstalled(configuration));
     parts.directory.onChanged((nodeId) => this.#handleRecordChange(nodeId));
+    parts.rolloutHolder?.onAdopted(() => {
+      if (!parts.isAttached()) this.#requestRound();
+    });
   }
 
   /** Adds the service for peers to the router of the process. */
@@ -241,6 +254,7 @@
     this.#parts.meter.countReceived(GossipRequestSchema, request, readKind(request));
     const nowMs = this.#options.now();
     this.#install(request.configuration, nowMs);
+    this.#adoptRollouts(request.rollouts);
     request.records.forEach((record) => this.#merge(record, request.nodeId, nowMs));
     const response = create(GossipResponseSchema, {
       ...this.#describeState(),
@@ -254,6 +268,7 @@
   #handleResponse(response: GossipResponse): void {
     const nowMs = this.#options.now();
     this.#install(response.configuration, nowMs);
+    this.#adoptRollouts(response.rollouts);
     response.records.forEach((record) => this.#merge(record, response.nodeId, nowMs));
   }
 
@@ -266,6 +281,10 @@
     );
   }
 
+  #adoptRollouts(set: RolloutSet | undefined): void {
+    if (set !== undefined) this.#parts.rolloutHolder?.adopt(set);
+  }
+
   // While a control VM is attached, a peer can only update known records and its own: it may still
   // hold records that were removed.
   #merge(record: NodeRecord, senderId: string, nowMs: number): void {
@@ -305,8 +324,11 @@
     return { version: held?.version ?? 0, contentHash: held?.contentHash ?? new Uint8Array() };
   }
 
-  #describeState(): HeldVersion & { nodeId: string; digest: Uint8Array } {
-    return { nodeId: this.#parts.nodeId, ...this.#readHeld(), digest: this.#readDigest() };
+  #describeState(): PeerState {
+    const { nodeId, rolloutHolder } = this.#parts;
+    const rollouts = rolloutHolder?.current();
+    const state = { nodeId, ...this.#readHeld(), digest: this.#readDigest() };
+    return { ...state, ...(rollouts && { rollouts }) };
   }
 
   #readDigest(): Uint8Array {
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -19,6 +19,7 @@
 import { LinkError, LinkErrorCode } from '../LinkError/index.js';
 import { installDelta, installSnapshot } from './installEncoded.js';
 import MessageQueue from './MessageQueue.js';
+import TrafficReporter from './TrafficReporter.js';
 
 import type {
   AttachRequest,
@@ -33,6 +34,7 @@
 import type { ControlTarget, LinkTiming, NodeLinkParts } from '../NodeLink/types.js';
 import type ByteMeter from './ByteMeter.js';
 import type { OwnRecord } from './OwnRecord.js';
+import type { ReportNumbers } from './TrafficReporter.js';
 
 /** State and dependencies that a stream shares with the link that opened it. */
 export interface StreamContext {
@@ -46,6 +48,7 @@
   tls: TlsMaterial | undefined;
   /** Position in the endpoint batches, from which a reconnect resumes. */
   cursor: EndpointCursor;
+  reportNumbers: ReportNumbers;
   /** Called when a heartbeat lists the control VMs. */
   setListedControls: (controls: ControlTarget[]) => void;
 }
@@ -110,6 +113,8 @@
 
   #reportedVersion = 0;
 
+  #reportTimer: NodeJS.Timeout | undefined;
+
   constructor(target: ControlTarget, context: StreamContext) {
     this.target = target;
     this.#context = context;
@@ -182,6 +187,7 @@
       clearTimeout(watchdog);
       clearInterval(renewals);
       clearTimeout(this.#recordTimer);
+      clearInterval(this.#reportTimer);
       this.close();
       close();
     }
@@ -278,6 +284,12 @@
       case 'superseded':
         this.#supersede(kind.value.recordedIncarnation, nowMs);
         break;
+      case 'rollouts':
+        this.#context.parts.rolloutHolder?.adopt(kind.value);
+        break;
+      case 'quotaShares':
+        this.#context.parts.quotaHolder?.adopt(kind.value, nowMs);
+        break;
       default:
     }
   }
@@ -292,6 +304,17 @@
     this.#context.parts.directory.renewAll(nowMs);
     if (this.#sentRecord !== this.#context.ownRecord.current) this.sendRecord();
     this.reportInForce(nowMs);
+    this.#startReports();
+  }
+
+  #startReports(): void {
+    const { parts, ownRecord, reportNumbers: numbers, now, timing } = this.#context;
+    if (parts.trafficSource === undefined && parts.rolloutHolder === undefined) return;
+    const reporter = new TrafficReporter({ parts, ownRecord, numbers });
+    this.#reportTimer = setInterval(() => {
+      const report = reporter.collect(now());
+      if (report !== undefined) this.#send({ case: 'report', value: report });
+    }, timing.reportIntervalMs);
   }
 
   #handleHeartbeat(heartbeat: Heartbeat, nowMs: number): void {
--- a/src/connection/distribution/_lib/FollowerFeed.ts
+++ b/src/connection/distribution/_lib/FollowerFeed.ts
@@ -5,13 +5,16 @@
   NodeProgressSchema,
   RecordStampSchema,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { TRAFFIC_REPORT_INTERVAL_MS } from '../timing.js';
 import Wakeup from './Wakeup.js';
 
 import type {
   FollowResponse,
   NodeProgress,
   RecordStamp,
+  TrafficReport,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { Stamp } from '../../../process/endpoints/_lib/compareStamps.js';
 import type { NodeReport } from '../../../process/nodeStatus/NodeStatusTable/index.js';
 import type { DistributionHub } from '../DistributionHub/index.js';
 
@@ -40,6 +43,13 @@
 
   readonly #newerStamps: RecordStamp[] = [];
 
+  readonly #changedTraffic = new Set<string>();
+
+  /** Stamps of the traffic reports that the follower was sent. */
+  readonly #sentTraffic = new Map<string, Stamp>();
+
+  #sentTrafficAtMs = -Infinity;
+
   #isFullDue = true;
 
   #isRenewalDue = false;
@@ -67,6 +77,10 @@
     this.#changedReports.add(nodeId);
   }
 
+  addChangedTraffic(nodeId: string): void {
+    this.#changedTraffic.add(nodeId);
+  }
+
   /** Adds a state newer than the one that the follower sent, so that its node supersedes it. */
   addNewerStamp(stamp: RecordStamp): void {
     this.#newerStamps.push(stamp);
@@ -77,10 +91,18 @@
     this.wakeup.set();
   }
 
-  /** Returns the next update; undefined when there is nothing to send. */
-  collect(memberId: string): FollowResponse | undefined {
-    if (this.#isFullDue) return this.#collectFull(memberId);
+  /**
+   * Returns the next update; undefined when there is nothing to send.
+   *
+   * @param memberId - name of this control VM
+   * @param nowMs - present time in milliseconds
+   */
+  collect(memberId: string, nowMs: number): FollowResponse | undefined {
+    if (this.#isFullDue) return this.#collectFull(memberId, nowMs);
+    const isTrafficDue =
+      this.#changedTraffic.size > 0 && nowMs - this.#sentTrafficAtMs >= TRAFFIC_REPORT_INTERVAL_MS;
     const hasChanges =
+      isTrafficDue ||
       this.#changedRecords.size > 0 ||
       this.#changedReports.size > 0 ||
       this.#newerStamps.length > 0;
@@ -88,8 +110,10 @@
     const records = [...this.#changedRecords];
     const reports = [...this.#changedReports];
     const newer = this.#newerStamps.splice(0);
+    const traffic = isTrafficDue ? [...this.#changedTraffic] : [];
     this.#clear();
     return create(FollowResponseSchema, {
+      reports: this.#collectTraffic(traffic, nowMs),
       upserted: records.flatMap((nodeId) => this.#hub.directory.find(nodeId) ?? []),
       released: [...records.flatMap((nodeId) => this.#findReleased(nodeId)), ...newer],
       progress: reports.flatMap((nodeId) => {
@@ -105,7 +129,22 @@
     return [create(RecordStampSchema, { nodeId, ...stamp })];
   }
 
-  #collectFull(memberId: string): FollowResponse {
+  // Changes of several reports of a node are sent as one.
+  #collectTraffic(nodeIds: string[], nowMs: number): TrafficReport[] {
+    if (nodeIds.length === 0) return [];
+    this.#sentTrafficAtMs = nowMs;
+    this.#changedTraffic.clear();
+    const reports = nodeIds.flatMap(
+      (nodeId) =>
+        this.#hub.trafficReports.collectSince(nodeId, this.#sentTraffic.get(nodeId)) ?? [],
+    );
+    reports.forEach(({ nodeId, incarnation, sequence }) =>
+      this.#sentTraffic.set(nodeId, { incarnation, sequence }),
+    );
+    return reports;
+  }
+
+  #collectFull(memberId: string, nowMs: number): FollowResponse {
     this.#clear();
     const reports = this.#hub.nodeStatuses.listOwnReports();
     return create(FollowResponseSchema, {
@@ -113,6 +152,10 @@
       isFull: true,
       upserted: reports.flatMap((report) => this.#hub.directory.find(report.nodeId) ?? []),
       progress: reports.map(encodeProgress),
+      reports: this.#collectTraffic(
+        reports.map(({ nodeId }) => nodeId),
+        nowMs,
+      ),
     });
   }
 
--- a/src/connection/distribution/_lib/NodeSession.ts
+++ b/src/connection/distribution/_lib/NodeSession.ts
@@ -6,6 +6,7 @@
   RefusalCode,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { createLogger } from '../../../process/log/index.js';
+import SessionParts from './SessionParts.js';
 import Wakeup from './Wakeup.js';
 
 import type {
@@ -18,10 +19,11 @@
 import type { NodeReport } from '../../../process/nodeStatus/NodeStatusTable/index.js';
 import type { EndpointBroadcast } from './EndpointBroadcast.js';
 import type { HeldVersion, Payload, PayloadCache } from './PayloadCache.js';
+import type { SessionSources } from './SessionParts.js';
 import type { SnapshotAdmission } from './SnapshotAdmission.js';
 
 /** Dependencies of a session, shared by all sessions of a control VM. */
-export interface SessionContext {
+export interface SessionContext extends SessionSources {
   payloads: PayloadCache;
   endpoints: EndpointBroadcast;
   admission: SnapshotAdmission;
@@ -63,6 +65,8 @@
 
   #lastReceivedMs: number;
 
+  readonly #parts: SessionParts;
+
   #isHeartbeatDue = true;
 
   #sentControls = '';
@@ -82,6 +86,7 @@
     this.#endpointEpoch = hello.endpointEpoch;
     this.#endpointRevision = hello.endpointRevision;
     this.#lastReceivedMs = nowMs;
+    this.#parts = new SessionParts(hello.nodeId, context);
   }
 
   get isClosed(): boolean {
@@ -109,6 +114,12 @@
   /** Schedules a heartbeat. */
   requestHeartbeat(): void {
     this.#isHeartbeatDue = true;
+    this.requestShares();
+  }
+
+  /** Schedules a check of the shares of quotas. */
+  requestShares(): void {
+    this.#parts.requestShares();
     this.wakeup.set();
   }
 
@@ -143,11 +154,14 @@
     const configuration = this.#collectConfiguration(nowMs);
     if (this.#isClosed) return configuration;
     this.#isAdmitted = true;
-    // Endpoints precede the configuration, so that a version takes effect only with known servers.
+    // Endpoints precede the configuration, so that a version takes effect only with known servers. All
+    // precede the heartbeat, so that a node that is confirmed holds them.
     return [
       ...this.#pendingMessages.splice(0),
       ...this.#collectEndpoints(),
       ...configuration,
+      ...this.#parts.collectRollouts(),
+      ...this.#parts.collectShares(nowMs),
       ...this.#collectHeartbeat(nowMs),
     ];
   }
--- a/src/connection/distribution/timing.ts
+++ b/src/connection/distribution/timing.ts
@@ -9,6 +9,12 @@
  */
 export const STREAM_SILENCE_MS = 3_000;
 
+/**
+ * Shortest time between two traffic reports of a node, also when they are passed on, and between two
+ * messages with its shares of quotas. Both bear on decisions that are due within seconds.
+ */
+export const TRAFFIC_REPORT_INTERVAL_MS = 250;
+
 /** Window in which endpoint changes are coalesced into one update. */
 export const ENDPOINT_WINDOW_MS = 100;
 
--- a/src/process/control/openControl/index.ts
+++ b/src/process/control/openControl/index.ts
@@ -19,6 +19,7 @@
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
+import { TrafficReportTable } from '../../trafficReports/TrafficReportTable/index.js';
 import measureConvergence from '../_lib/measureConvergence.js';
 
 export interface OpenControlOptions {
@@ -30,6 +31,11 @@
   limits?: ReplicatedLogOptions['limits'];
   /** Timing and window of the streams to nodes and to other control VMs. */
   streams?: Pick<HubOptions, 'heartbeatIntervalMs' | 'silenceMs' | 'windowMs'>;
+  /** Adds the parts that send roll-outs and shares of quotas to nodes; none by default. */
+  createSources?: (
+    log: ReplicatedLog,
+    trafficReports: TrafficReportTable,
+  ) => Pick<HubOptions, 'readRollouts' | 'computeShares'>;
 }
 
 /** The components of an open control VM. */
@@ -100,9 +106,12 @@
     tls: () => tls?.current(),
     ...options.streams,
   };
+  const trafficReports = new TrafficReportTable();
   const hub = new DistributionHub(memberId, log, {
     ...shared,
     listControls: () => listControls(log),
+    trafficReports,
+    ...options.createSources?.(log, trafficReports),
   });
   const exchange = new ControlExchange(memberId, hub, () => listPeers(options.log, log), shared);
   try {
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -3,7 +3,11 @@
 import type { Result } from 'neverthrow';
 
 import { NodeLink } from '../../../connection/distribution/NodeLink/index.js';
-import type { ControlTarget, LinkTiming } from '../../../connection/distribution/NodeLink/index.js';
+import type {
+  ControlTarget,
+  LinkTiming,
+  NodeLinkParts,
+} from '../../../connection/distribution/NodeLink/index.js';
 import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RequestServer } from '../../../request/index.js';
@@ -43,6 +47,8 @@
   readNowMs?: () => number;
   /** Timing of the link to the control VMs. */
   linkTiming?: Partial<LinkTiming>;
+  /** What the node reports to its control VM and receives from it besides the configuration. */
+  distribution?: Pick<NodeLinkParts, 'trafficSource' | 'rolloutHolder' | 'quotaHolder'>;
   /** Limits and admission of the backend servers beside this node. */
   servers?: Pick<
     LocalServersOptions,
@@ -96,7 +102,11 @@
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const link = new NodeLink(
-    { nodeId, dataCentre, controls, holder, directory, recordSource: localServers, peerSeeds },
+    {
+      ...{ nodeId, dataCentre, controls, holder, directory, peerSeeds },
+      recordSource: localServers,
+      ...options.distribution,
+    },
     { metrics, now: readNowMs, timing, tls: () => tls?.current() },
   );
   const server = new RequestServer({
--- a/stand-ins/distributionCluster/index.ts
+++ b/stand-ins/distributionCluster/index.ts
@@ -16,6 +16,7 @@
 import type {
   ControlTarget,
   NodeLinkOptions,
+  NodeLinkParts,
 } from '../../src/connection/distribution/NodeLink/index.js';
 import type { TlsStore } from '../../src/process/tls/TlsStore/index.js';
 import type { RpcServer } from '../../src/connection/startRpcServer/index.js';
@@ -123,6 +124,7 @@
   /** Reused over restarts to prepare a state; in production it does not outlive the process. */
   holder?: ConfigurationHolder;
   tlsStore?: TlsStore;
+  parts?: Pick<NodeLinkParts, 'trafficSource' | 'rolloutHolder' | 'quotaHolder'>;
 }
 
 const createNode = (
@@ -144,6 +146,7 @@
     directory,
     recordSource: source,
     peerSeeds,
+    ...options.parts,
   };
   const { tlsStore } = options;
   const link = new NodeLink(parts, { ...options, tls: () => tlsStore?.current() });
