Workspaces of a configuration

Configurations with tenants were accepted, but the tenants were dropped, so no node knew a key.

A configuration now carries its workspaces: the digests of the keys, priority and limits. They are part of the content hash, of deltas, of the checks and of the comparison for operators, and a compiled version finds the workspace of a digest.

--- a/bench/forwarding/worker.ts
+++ b/bench/forwarding/worker.ts
@@ -59,6 +59,8 @@
     configuration: create(ConfigurationSchema, { version: 1, services, routes: [route] }),
     version: 1,
     findService: () => services[0],
+    hasWorkspaces: false,
+    findWorkspace: () => undefined,
     matchRoute: (_, path) => (path.startsWith('/') ? route : undefined),
   };
 };
--- a/src/version/ConfigurationError/index.ts
+++ b/src/version/ConfigurationError/index.ts
@@ -7,6 +7,8 @@
   DuplicateName = 'DUPLICATE_NAME',
   UnknownService = 'UNKNOWN_SERVICE',
   WeightSum = 'WEIGHT_SUM',
+  DuplicateKey = 'DUPLICATE_KEY',
+  InvalidWorkspace = 'INVALID_WORKSPACE',
 }
 
 /** A configuration or delta that violates a rule. */
--- a/src/version/_lib/encodeRow.ts
+++ b/src/version/_lib/encodeRow.ts
@@ -9,7 +9,7 @@
 const encodedRows = new WeakMap<Message, Uint8Array>();
 
 /**
- * Encodes a route or service once.
+ * Encodes a route, service or workspace once.
  *
  * @param schema - schema of the row
  * @param row - must not be modified after the call
--- a/src/version/applyDelta/index.ts
+++ b/src/version/applyDelta/index.ts
@@ -57,6 +57,7 @@
     services: mergeRows(base.services, delta.upsertedServices, delta.removedServices),
     routes: mergeRows(base.routes, delta.upsertedRoutes, delta.removedRoutes),
     ...(delta.limits && { limits: delta.limits }),
+    workspaces: mergeRows(base.workspaces, delta.upsertedWorkspaces, delta.removedWorkspaces),
   });
   if (!verifyHash(next)) {
     const message = `content of version ${delta.version} does not match its hash after the delta`;
--- a/src/version/applyDelta/test.ts
+++ b/src/version/applyDelta/test.ts
@@ -19,6 +19,11 @@
   { selector: (row) => row.name },
 );
 
+const workspacesArbitrary = fc.uniqueArray(
+  fc.record({ name: fc.constantFrom(...NAMES), ratePerSecond: fc.integer({ min: 0, max: 2 }) }),
+  { selector: (row) => row.name },
+);
+
 const sortByName = <Row extends { name: string }>(rows: Row[]): Row[] =>
   rows.toSorted((left, right) => (left.name < right.name ? -1 : 1));
 
@@ -30,11 +35,18 @@
     rowsArbitrary,
     rowsArbitrary,
     rowsArbitrary,
-    (baseServices, baseRoutes, nextServices, nextRoutes) => {
-      const base = buildConfiguration(1, { services: baseServices, routes: baseRoutes });
+    workspacesArbitrary,
+    workspacesArbitrary,
+    (baseServices, baseRoutes, nextServices, nextRoutes, baseWorkspaces, nextWorkspaces) => {
+      const base = buildConfiguration(1, {
+        services: baseServices,
+        routes: baseRoutes,
+        workspaces: baseWorkspaces,
+      });
       const next = buildConfiguration(2, {
         services: sortByName(nextServices),
         routes: sortByName(nextRoutes),
+        workspaces: sortByName(nextWorkspaces),
       });
       const delta = expectOk(createDelta(base, next));
       return equals(ConfigurationSchema, expectOk(applyDelta(base, delta)), next);
--- a/src/version/compileConfiguration/_lib/checkConfiguration.ts
+++ b/src/version/compileConfiguration/_lib/checkConfiguration.ts
@@ -4,7 +4,11 @@
 import { ConfigurationError, ConfigurationErrorCode } from '../../ConfigurationError/index.js';
 import { verifyHash } from '../../verifyHash/index.js';
 
-import type { Configuration, Route } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type {
+  Configuration,
+  Route,
+  Workspace,
+} from '../../../_generated/foxtailvane/v1/configuration_pb.js';
 
 const WEIGHT_SUM_PERCENT = 100;
 
@@ -51,6 +55,35 @@
   return new ConfigurationError(ConfigurationErrorCode.WeightSum, message);
 };
 
+const DIGEST_BYTES = 32;
+
+const isWorkspaceUsable = ({ keyDigests, ratePerSecond, burst }: Workspace): boolean =>
+  keyDigests.every(({ length }) => length === DIGEST_BYTES) &&
+  [ratePerSecond, burst].every((limit) => Number.isFinite(limit) && limit >= 0);
+
+const findWorkspaceError = (workspaces: Workspace[]): Violation => {
+  const workspace = workspaces.find((candidate) => !isWorkspaceUsable(candidate));
+  if (workspace === undefined) return undefined;
+  const message = `workspace ${workspace.name} has a key that is not a SHA-256 digest, or a limit that is not a number of at least 0`;
+  return new ConfigurationError(ConfigurationErrorCode.InvalidWorkspace, message);
+};
+
+// A key that two workspaces hold would show a server the name of either of them.
+const findSharedKey = (workspaces: Workspace[]): Violation => {
+  const owners = new Map<string, string>();
+  const other = workspaces.find(({ name, keyDigests }) =>
+    keyDigests.some((digest) => {
+      const key = Buffer.from(digest).toString('latin1');
+      const owner = owners.get(key) ?? name;
+      owners.set(key, owner);
+      return owner !== name;
+    }),
+  );
+  if (other === undefined) return undefined;
+  const message = `workspace ${other.name} holds a key of another workspace`;
+  return new ConfigurationError(ConfigurationErrorCode.DuplicateKey, message);
+};
+
 const findHashError = (configuration: Configuration): Violation => {
   if (verifyHash(configuration)) return undefined;
   const message = `content of version ${configuration.version} does not match its hash`;
@@ -78,9 +111,12 @@
     findHashError(configuration) ??
     findDuplicate('service', configuration.services) ??
     findDuplicate('route', configuration.routes) ??
+    findDuplicate('workspace', configuration.workspaces) ??
     findUnknownService(configuration.routes, services) ??
     findWeightError(configuration.routes.filter((route) => !route.hasRelativeWeights)) ??
-    findRelativeWeightError(configuration.routes.filter((route) => route.hasRelativeWeights));
+    findRelativeWeightError(configuration.routes.filter((route) => route.hasRelativeWeights)) ??
+    findWorkspaceError(configuration.workspaces) ??
+    findSharedKey(configuration.workspaces);
   return violation === undefined ? ok(configuration) : err(violation);
 };
 
--- a/src/version/compileConfiguration/index.ts
+++ b/src/version/compileConfiguration/index.ts
@@ -1,6 +1,7 @@
 /** Prepares a configuration version for serving requests. */
 import type { Result } from 'neverthrow';
 import checkConfiguration from './_lib/checkConfiguration.js';
+import indexKeys from './_lib/indexKeys.js';
 import RouteIndex from './_lib/RouteIndex.js';
 
 import type { Configuration } from '../../_generated/foxtailvane/v1/configuration_pb.js';
@@ -14,7 +15,8 @@
  *
  * @param configuration - the version; must not be modified after the call
  * @returns the compiled version, or the first rule that it violates: version number, hash, unique
- *   names, declared services, weights that add up to 100, relative weights of at least 0
+ *   names, declared services, weights that add up to 100, relative weights of at least 0, keys that
+ *   belong to one workspace each
  *
  * @example
  * compileConfiguration(configuration).map((compiled) => compiled.matchRoute('*', '/stock', 'GET'));
@@ -25,9 +27,12 @@
   checkConfiguration(configuration).map((checked) => {
     const services = new Map(checked.services.map((service) => [service.name, service]));
     const routes = new RouteIndex(checked.routes);
+    const workspaces = indexKeys(checked.workspaces);
     return {
       configuration: checked,
       version: checked.version,
+      hasWorkspaces: checked.workspaces.length > 0,
+      findWorkspace: (digestHex) => workspaces.get(digestHex),
       findService: (name) => services.get(name),
       matchRoute: (host, path, method) => routes.match(host, path, method),
     };
--- a/src/version/compileConfiguration/test.ts
+++ b/src/version/compileConfiguration/test.ts
@@ -83,3 +83,43 @@
   t.equal(compiled.matchRoute('other.example', '/stock', 'GET'), undefined);
   t.equal(compiled.matchRoute('desk.example', '/', 'GET'), undefined);
 });
+
+const createDigest = (fill: number): Uint8Array => Buffer.alloc(32, fill);
+
+const toHex = (fill: number): string => Buffer.from(createDigest(fill)).toString('hex');
+
+tap.test('findWorkspace returns the holder of a key', async (t) => {
+  const oak = { name: 'oak', keyDigests: [createDigest(1), createDigest(2)] };
+  const compiled = expectOk(compile({ workspaces: [oak, { name: 'elm' }] }));
+  t.equal(compiled.hasWorkspaces, true);
+  t.equal(compiled.findWorkspace(toHex(2))?.name, 'oak');
+  t.equal(compiled.findWorkspace(toHex(3)), undefined);
+  t.equal(expectOk(compile({ services })).hasWorkspaces, false);
+});
+
+// Guards against a version that finds the keys of the version before it.
+tap.test('a version with a key less does not find that key', async (t) => {
+  const first = buildConfiguration(1, {
+    workspaces: [
+      { name: 'elm', keyDigests: [createDigest(1)] },
+      { name: 'oak', keyDigests: [createDigest(2)] },
+    ],
+  });
+  const second = buildConfiguration(2, {
+    workspaces: [...first.workspaces.slice(0, 1), { name: 'oak' }],
+  });
+  t.equal(expectOk(compileConfiguration(first)).findWorkspace(toHex(2))?.name, 'oak');
+  t.equal(expectOk(compileConfiguration(second)).findWorkspace(toHex(2)), undefined);
+  t.equal(expectOk(compileConfiguration(second)).findWorkspace(toHex(1))?.name, 'elm');
+});
+
+tap.test('a key of two workspaces and what is no digest are refused', async (t) => {
+  const shared = ['elm', 'oak'].map((name) => ({ name, keyDigests: [createDigest(1)] }));
+  t.equal(readCode({ workspaces: shared }), ConfigurationErrorCode.DuplicateKey);
+  const short = [{ name: 'oak', keyDigests: [createDigest(1).subarray(1)] }];
+  t.equal(readCode({ workspaces: short }), ConfigurationErrorCode.InvalidWorkspace);
+  const negative = [{ name: 'oak', ratePerSecond: -1 }];
+  t.equal(readCode({ workspaces: negative }), ConfigurationErrorCode.InvalidWorkspace);
+  const twice = [{ name: 'oak' }, { name: 'oak' }];
+  t.equal(readCode({ workspaces: twice }), ConfigurationErrorCode.DuplicateName);
+});
--- a/src/version/compileConfiguration/types.ts
+++ b/src/version/compileConfiguration/types.ts
@@ -2,12 +2,21 @@
   Configuration,
   Route,
   Service,
+  Workspace,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 
 /** A configuration prepared for serving requests; immutable. */
 export interface CompiledConfiguration {
   readonly configuration: Configuration;
   readonly version: number;
+  /** Whether requests need the key of a workspace, except on keyless routes. */
+  readonly hasWorkspaces: boolean;
+  /**
+   * Returns the workspace that holds a key.
+   *
+   * @param digestHex - SHA-256 of the key, in lower-case hexadecimal
+   */
+  findWorkspace: (digestHex: string) => Workspace | undefined;
   /** Returns the declared service of that name. */
   findService: (name: string) => Service | undefined;
   /**
--- a/src/version/createDelta/index.ts
+++ b/src/version/createDelta/index.ts
@@ -8,6 +8,7 @@
   ConfigurationDeltaSchema,
   RouteSchema,
   ServiceSchema,
+  WorkspaceSchema,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import encodeRow from '../_lib/encodeRow.js';
 import { ConfigurationError, ConfigurationErrorCode } from '../ConfigurationError/index.js';
@@ -71,6 +72,8 @@
       upsertedRoutes: selectUpserted(RouteSchema, base.routes, next.routes),
       removedRoutes: selectRemoved(base.routes, next.routes),
       ...(next.limits && { limits: next.limits }),
+      upsertedWorkspaces: selectUpserted(WorkspaceSchema, base.workspaces, next.workspaces),
+      removedWorkspaces: selectRemoved(base.workspaces, next.workspaces),
     }),
   );
 };
--- a/src/version/createDelta/test.ts
+++ b/src/version/createDelta/test.ts
@@ -47,3 +47,15 @@
     t.equal(expectError(createDelta(version, version)).code, ConfigurationErrorCode.NotNewer);
   },
 );
+
+tap.test('the delta of one changed workspace contains no other one', async (t) => {
+  const kept = { name: 'kept' };
+  const base = buildConfiguration(1, { workspaces: [kept, { name: 'old' }, { name: 'slow' }] });
+  const slower = { name: 'slow', ratePerSecond: 5 };
+  const delta = expectOk(createDelta(base, buildConfiguration(2, { workspaces: [kept, slower] })));
+  t.strictSame(
+    delta.upsertedWorkspaces.map(({ name }) => name),
+    ['slow'],
+  );
+  t.strictSame(delta.removedWorkspaces, ['old']);
+});
--- a/src/version/diffConfigurations/index.ts
+++ b/src/version/diffConfigurations/index.ts
@@ -3,9 +3,10 @@
   Configuration,
   Route,
   Service,
+  Workspace,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 
-/** How a service or route differs. */
+/** How a row differs. */
 export enum DifferenceKind {
   Added = 'added',
   Removed = 'removed',
@@ -20,9 +21,9 @@
   after: string;
 }
 
-/** A service or route that is not the same in both configurations. */
+/** A row that is not the same in both configurations. */
 export interface ConfigurationDifference {
-  subject: 'service' | 'route';
+  subject: 'service' | 'route' | 'workspace';
   name: string;
   kind: DifferenceKind;
   /** Set when the kind is Changed. */
@@ -47,6 +48,18 @@
   max_attempts: String(route.maxAttempts),
 });
 
+/** Enough of a digest for an operator to tell keys apart. */
+const SHOWN_DIGEST_BYTES = 4;
+
+const listWorkspaceFields = (workspace: Workspace): Fields => ({
+  key_digests: workspace.keyDigests
+    .map((digest) => Buffer.from(digest.subarray(0, SHOWN_DIGEST_BYTES)).toString('hex'))
+    .join(', '),
+  priority: workspace.priority === undefined ? '' : String(workspace.priority),
+  rate_per_second: String(workspace.ratePerSecond),
+  burst: String(workspace.burst),
+});
+
 const compareFields = (before: Fields, after: Fields): FieldDifference[] =>
   Object.keys(before)
     .filter((field) => before[field] !== after[field])
@@ -83,7 +96,7 @@
  *
  * @param before - configuration in force; undefined when there is none
  * @param after - intended configuration
- * @returns services, then routes, each sorted by name; empty when both have the same content
+ * @returns services, then routes, then workspaces, each sorted by name; empty when both have the same content
  *
  * @example
  * diffConfigurations(inForce, intended).map(({ kind, name }) => `${kind} ${name}`);
@@ -94,4 +107,5 @@
 ): ConfigurationDifference[] => [
   ...compareAll('service', before?.services ?? [], after.services, listServiceFields),
   ...compareAll('route', before?.routes ?? [], after.routes, listRouteFields),
+  ...compareAll('workspace', before?.workspaces ?? [], after.workspaces, listWorkspaceFields),
 ];
--- a/src/version/diffConfigurations/test.ts
+++ b/src/version/diffConfigurations/test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 
+import { buildConfiguration } from '../../../stand-ins/configurations/index.js';
 import type { Configuration } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import { SheetColumn, parseSheet } from '../parseSheet/index.js';
 import { DifferenceKind, diffConfigurations } from './index.js';
@@ -49,3 +50,15 @@
     [DifferenceKind.Added, DifferenceKind.Added],
   );
 });
+
+tap.test('lists the workspaces whose keys or limits differ', async (t) => {
+  const digest = Buffer.alloc(32, 1);
+  const before = buildConfiguration(1, {
+    workspaces: [{ name: 'elm' }, { name: 'oak', keyDigests: [digest] }],
+  });
+  const after = buildConfiguration(2, { workspaces: [{ name: 'elm', burst: 2 }, { name: 'oak' }] });
+  t.match(diffConfigurations(before, after), [
+    { subject: 'workspace', name: 'elm', fields: [{ field: 'burst', before: '0', after: '2' }] },
+    { name: 'oak', fields: [{ field: 'key_digests', before: '01010101', after: '' }] },
+  ]);
+});
--- a/src/version/hashConfiguration/index.ts
+++ b/src/version/hashConfiguration/index.ts
@@ -7,12 +7,14 @@
   CallerLimits,
   Route,
   Service,
+  Workspace,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import {
   CallerLimitsSchema,
   ConfigurationSchema,
   RouteSchema,
   ServiceSchema,
+  WorkspaceSchema,
 } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import encodeRow from '../_lib/encodeRow.js';
 
@@ -22,6 +24,8 @@
   routes: Route[];
   /** Absent when the defaults apply. */
   limits?: CallerLimits | undefined;
+  /** Absent when requests need no key. */
+  workspaces?: Workspace[] | undefined;
 }
 
 const compareNames = (left: { name: string }, right: { name: string }): number => {
@@ -35,8 +39,8 @@
  * Computes the content hash of a configuration, independent of version and row order: the digest of
  * the encoded configuration without version and hash, with sorted rows.
  *
- * @param content - services and routes in any order, and limits; rows must not be modified after the
- *   call
+ * @param content - services, routes and workspaces in any order, and limits; rows must not be
+ *   modified after the call
  * @returns SHA-256 digest, 32 bytes
  *
  * @example
@@ -46,6 +50,7 @@
   services,
   routes,
   limits,
+  workspaces = [],
 }: ConfigurationContent): Uint8Array => {
   const writer = new BinaryWriter();
   const write = ({ number }: { number: number }, encoded: Uint8Array): void => {
@@ -58,5 +63,8 @@
     .toSorted(compareNames)
     .forEach((route) => write(FIELDS.routes, encodeRow(RouteSchema, route)));
   if (limits) write(FIELDS.limits, toBinary(CallerLimitsSchema, limits));
+  workspaces
+    .toSorted(compareNames)
+    .forEach((workspace) => write(FIELDS.workspaces, encodeRow(WorkspaceSchema, workspace)));
   return createHash('sha256').update(writer.finish()).digest();
 };
--- a/stand-ins/configurations/index.ts
+++ b/stand-ins/configurations/index.ts
@@ -9,7 +9,7 @@
 
 export type ConfigurationRows = Pick<
   MessageInitShape<typeof ConfigurationSchema>,
-  'services' | 'routes'
+  'services' | 'routes' | 'workspaces'
 >;
 
 /** Builds a configuration from its rows, with the content hash set. */
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -39,6 +39,8 @@
 ): CompiledConfiguration => ({
   configuration: create(ConfigurationSchema, { version, routes, services }),
   version,
+  hasWorkspaces: false,
+  findWorkspace: () => undefined,
   findService: (name) => services.find((service) => service.name === name),
   matchRoute: (host, path, method) =>
     routes
