Admit requests by the key of a workspace

Where a configuration has workspaces, requests ran whatever their key was, and the key was passed on to the server.

The entry node now admits a request by the digest of its key: an unknown, absent, malformed or repeated one is answered 401, or 503 while the version is unconfirmed. The node beside the server checks the key again before and after the wait for a slot. The server is shown the name of the workspace; the key and a name that the caller sent are removed on all ways. The priority of the workspace precedes that of the route, and an Idempotency-Key is one of its workspace. Without workspaces headers pass as before.

--- a/bench/forwarding/worker.ts
+++ b/bench/forwarding/worker.ts
@@ -61,6 +61,7 @@
     findService: () => services[0],
     hasWorkspaces: false,
     findWorkspace: () => undefined,
+    findWorkspaceByKeyId: () => undefined,
     matchRoute: (_, path) => (path.startsWith('/') ? route : undefined),
   };
 };
--- a/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/ObjectivePolicy.ts
@@ -4,7 +4,10 @@
 
 /** Bounds the memory of a queue; the objectives bound its waiting time. */
 const QUEUE_PER_SLOT = 4;
-const LOWEST_PRIORITY = 9;
+/** Of a request without a priority. */
+const DEFAULT_PRIORITY = 9;
+/** Bounds the rank. */
+const LOWEST_PRIORITY = 99_999;
 
 /**
  * Returns the time by which a request should be complete. For a brief request that is its deadline:
@@ -31,7 +34,7 @@
  */
 export default class ObjectivePolicy extends AdmissionPolicy {
   override computeRank({ priority, isReturn }: SlotDemand): number {
-    return Math.min(priority ?? LOWEST_PRIORITY, LOWEST_PRIORITY) * 2 + (isReturn ? 0 : 1);
+    return Math.min(priority ?? DEFAULT_PRIORITY, LOWEST_PRIORITY) * 2 + (isReturn ? 0 : 1);
   }
 
   override getReservedSlots(): number {
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -75,7 +75,8 @@
   'observations' | 'breaker' | 'dataCentre' | 'nodeId'
 >;
 
-type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent';
+type OptionalContext =
+  'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent' | 'areKeysProven';
 /** Context that the server provides itself. */
 type InternalContext = 'readLatenessMs';
 
@@ -214,6 +215,7 @@
       dialect: options.dialect ?? new OwnDialect(),
       callerService: options.callerService ?? (() => ''),
       isCurrent: options.isCurrent ?? (() => true),
+      areKeysProven: options.areKeysProven ?? (() => true),
     };
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -180,8 +180,11 @@
       this.#refuse(exchange, refusal);
       return;
     }
+    // Two workspaces may use the same Idempotency-Key for different requests.
+    const workspaces = routed.workspace ? [routed.workspace.name] : [];
+    const scope = [host, exchange.method, path, ...workspaces, key];
     const reserved = await guard.reserve({
-      key: hashSha256([host, exchange.method, path, key].join('\n')).toString('hex'),
+      key: hashSha256(scope.join('\n')).toString('hex'),
       owner: `${this.#incarnation}/${requestId}`,
       bodyHash: exchange.bufferedBody ? hashSha256(exchange.bufferedBody) : new Uint8Array(),
     });
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -45,7 +45,7 @@
   readonly startedAtMs = performance.now();
 
   /** Headers for the next hop, as alternating names and values. */
-  readonly headers: string[];
+  headers: string[];
 
   /** Internal headers of the request, by lower-case name. */
   readonly internalHeaders: ReadonlyMap<string, string>;
@@ -94,6 +94,17 @@
     response.on('close', () => this.#handleClose());
   }
 
+  /**
+   * Removes headers from those for the next hop.
+   *
+   * @param names - lower-case names
+   */
+  dropHeaders(names: ReadonlySet<string>): void {
+    this.headers = this.headers.filter(
+      (_, index, headers) => !names.has((headers[index - (index % 2)] ?? '').toLowerCase()),
+    );
+  }
+
   get isCallerGone(): boolean {
     return this.#isCallerGone;
   }
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -49,6 +49,8 @@
   requestId: string;
   /** Service on the VM of the entry node; empty when there is none. */
   callerService: string;
+  /** Returns why the key of the request admits it no longer; undefined for a request without a key. */
+  findKeyFault?: (() => string | undefined) | undefined;
 }
 
 /** Path and headers; headers hold the remaining time, so they are created once a slot is acquired. */
@@ -89,6 +91,9 @@
   return options.isWritten && isLost && !exchange.isAborted;
 };
 
+const refuse = (reason: string): Result<never, CallError> =>
+  err(new CallError(CallErrorCode.Refused, reason, { isWritten: false }));
+
 /** Calls the local backend servers, each with no more concurrent requests than it has slots. */
 export default class LocalCaller {
   readonly #pools: UpstreamPools;
@@ -135,9 +140,10 @@
       !ledger.isEmpty &&
       ledger.isBlocked(exchange.computeFingerprints(path, localRequest.callerService))
     ) {
-      const errorOptions = { isWritten: false };
-      return err(new CallError(CallErrorCode.Refused, CRASHES_SERVERS, errorOptions));
+      return refuse(CRASHES_SERVERS);
     }
+    const keyFault = localRequest.findKeyFault?.();
+    if (keyFault !== undefined) return refuse(keyFault);
     const demand = createDemand(local, localRequest);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
@@ -146,6 +152,11 @@
       return err(new CallError(code, refusal, { isWritten: false, retryAfterMs }));
     }
     const { server, gate } = local;
+    const laterKeyFault = localRequest.findKeyFault?.();
+    if (laterKeyFault !== undefined) {
+      gate.release(demand, 0, this.#context.getNowMs());
+      return refuse(laterKeyFault);
+    }
     const startedAtMs = performance.now();
     const sentAtMs = this.#context.getNowMs();
     const inFlight = gate.used;
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -11,15 +11,18 @@
   GRANT_HEADER,
   GRANT_WANTED_HEADER,
   LIMIT_HEADER,
+  KEY_HEADER,
   LOAD_HEADER,
   GRANT_UPDATE_HEADER,
   formatLoad,
   parseCallHeader,
   parseCount,
   parseGrantUpdate,
+  parseKeyHeader,
   parseLimit,
 } from './internalHeaders.js';
 import { BodyState, Exchange } from './Exchange.js';
+import createKeyCheck from './createKeyCheck.js';
 import { answerFailure } from './answerFailure.js';
 import { RefusalReason, createNotRunRefusal, writeRefusal } from './writeRefusal.js';
 
@@ -101,6 +104,11 @@
       answerFailure(exchange, undefined);
       return;
     }
+    const key = parseKeyHeader(exchange.internalHeaders.get(KEY_HEADER));
+    const workspace = key && { name: key.workspaceName };
+    // An entry node that does not know of workspaces yet passes the headers of callers on.
+    if (this.#context.current()?.hasWorkspaces)
+      exchange.dropHeaders(this.#context.dialect.workspaceHeaders);
     const localRequest = {
       routeName: call.routeName,
       isIdempotent: call.isIdempotent,
@@ -111,6 +119,11 @@
       isReturn: call.isReturn,
       requestId: call.requestId,
       callerService: call.callerService,
+      findKeyFault: createKeyCheck(this.#context, {
+        version: call.version,
+        workspace,
+        keyId: key?.keyId,
+      }),
     };
     const createHeaders = (): string[] => [
       ...exchange.headers,
@@ -119,6 +132,7 @@
         serverId: call.serverId,
         callerService: call.callerService,
         remainingMs: localRequest.deadlineMs - this.#context.getNowMs(),
+        workspace: workspace?.name,
         attempt,
       }),
     ];
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -19,6 +19,11 @@
   dataCentre: string;
   /** Returns whether a control VM has recently confirmed that this node holds the newest version. */
   isCurrent: () => boolean;
+  /**
+   * Returns whether the version of this node was confirmed so recently that no key in it can have been
+   * withdrawn for longer than the operators allow.
+   */
+  areKeysProven: () => boolean;
   /** Returns the configuration in force, if there is one. */
   current: () => CompiledConfiguration | undefined;
   directory: RequestDirectory;
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -7,10 +7,13 @@
   GRANT_HEADER,
   GRANT_WANTED_HEADER,
   LIMIT_HEADER,
+  KEY_HEADER,
   LOAD_HEADER,
   formatCallHeader,
+  formatKeyHeader,
   parseLoad,
 } from './internalHeaders.js';
+import createKeyCheck from './createKeyCheck.js';
 import MAX_NODE_CONNECTIONS from './maxNodeConnections.js';
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
@@ -120,10 +123,11 @@
       isRetry: number > 0,
       deadlineMs: routed.deadlineMs,
       objectiveAtMs: routed.objectiveAtMs,
-      priority: routed.route.priority,
+      priority: routed.priority,
       isReturn: routed.isReturn,
       requestId: routed.requestId,
       callerService: this.#context.callerService(),
+      findKeyFault: createKeyCheck(this.#context, routed),
     };
     const target = {
       path: routed.path,
@@ -164,7 +168,7 @@
 
   async #forward(attempt: Attempt): Promise<Result<CallSummary, CallError>> {
     const { routed, entry } = attempt;
-    const { exchange, route, objectiveAtMs } = routed;
+    const { exchange, objectiveAtMs } = routed;
     const { nodeId, forwardAddress } = entry.node;
     const headers = this.#createNodeHeaders(attempt);
     const call = {
@@ -175,7 +179,7 @@
       version: routed.version,
       entryNodeId: this.#context.nodeId,
       callerService: this.#context.callerService(),
-      priority: route.priority,
+      priority: routed.priority,
       objectiveMs:
         objectiveAtMs === undefined
           ? 0
@@ -265,6 +269,7 @@
       serverId: entry.server.serverId,
       callerService: callerService(),
       remainingMs: routed.deadlineMs - getNowMs(),
+      workspace: routed.workspace?.name,
       attempt: number,
     };
     return [...routed.exchange.headers, ...dialect.createServerHeaders(facts)];
@@ -274,6 +279,9 @@
     const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
+    const { workspace, keyId } = routed;
+    if (workspace && keyId !== undefined)
+      headers.push(KEY_HEADER, formatKeyHeader(workspace.name, keyId));
     const { maxRequestsPerSecond } = observation;
     if (maxRequestsPerSecond !== undefined)
       headers.push(LIMIT_HEADER, maxRequestsPerSecond.toFixed(LIMIT_DIGITS));
--- a/src/request/_lib/internalHeaders.ts
+++ b/src/request/_lib/internalHeaders.ts
@@ -13,6 +13,8 @@
 export const LOAD_HEADER = 'foxtailvane-load';
 /** Requests per second that the server accepts, as the entry node read it from a response. */
 export const LIMIT_HEADER = 'foxtailvane-limit';
+/** Workspace and key that the entry node has admitted; absent on routes that need no key. */
+export const KEY_HEADER = 'foxtailvane-key';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
 /** Expected time until a slot is free, in milliseconds; sent with a refusal. */
 export const RETRY_AFTER_HEADER = 'foxtailvane-retry-after-ms';
@@ -68,6 +70,18 @@
     call.objectiveMs
   };${call.isReturn ? 1 : 0}`;
 
+/** Formats the value of `KEY_HEADER`. */
+export const formatKeyHeader = (workspaceName: string, keyId: string): string =>
+  `${encodeName(workspaceName)};${keyId}`;
+
+/** Parses the value of `KEY_HEADER`; undefined when it is absent or malformed. */
+export const parseKeyHeader = (
+  value: string | undefined,
+): { workspaceName: string; keyId: string } | undefined => {
+  const [name = '', keyId = ''] = value?.split(';') ?? [];
+  return name === '' || keyId === '' ? undefined : { workspaceName: decodeField(name), keyId };
+};
+
 /**
  * Parses a header value of 1 to 9 decimal digits.
  *
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage } from 'node:http';
+import { admitKey } from '../admitKey/index.js';
+import computePriority from '../computePriority/index.js';
 import { ATTEMPT_HEADER, parseCount } from './internalHeaders.js';
 import { parseTarget } from './parseTarget.js';
 import { RefusalReason, createNotRunRefusal } from './writeRefusal.js';
 
-import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { Route, Workspace } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { Exchange } from './Exchange.js';
 import type TrafficSplit from '../splitTraffic/index.js';
 import type ObjectiveEstimator from '../trackObjectives/index.js';
@@ -28,6 +30,12 @@
   objectiveAtMs: number | undefined;
   /** Whether the request probably repeats a refused one; callers give up after a second refusal. */
   isReturn: boolean;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Workspace that sends the request; undefined on routes that need no key. */
+  workspace?: Workspace;
+  /** Key of the workspace, as other nodes know it. */
+  keyId?: string;
   /** Attempts already made by outer layers; a request with any is not retried here. */
   outerAttempt: number;
   /** Servers tried so far, each with the result of the attempt. */
@@ -73,6 +81,14 @@
     if (!context.isCurrent()) return createNotRunRefusal(RefusalReason.VersionUnconfirmed, message);
     return createNotRunRefusal(RefusalReason.NoRoute, message, { statusCode: 404 });
   }
+  const admitted = admitKey(() => context.dialect.readCallerKey(request), {
+    compiled,
+    route,
+    isCurrent: context.isCurrent,
+    areKeysProven: context.areKeysProven,
+  });
+  if (admitted && 'reason' in admitted) return admitted;
+  if (compiled.hasWorkspaces) exchange.dropHeaders(context.dialect.workspaceHeaders);
   const limitBytes = compiled.configuration.limits?.maxBodyBytes ?? 0;
   if (limitBytes > 0 && Number(request.headers['content-length'] ?? 0) > limitBytes) {
     const message = `the request body exceeds the limit of ${limitBytes} bytes`;
@@ -99,6 +115,8 @@
     deadlineMs: nowMs + Math.min(timeoutMs, callerRemainingMs),
     objectiveAtMs: objective.endsAtMs,
     isReturn: objective.isReturn,
+    priority: computePriority(route, admitted?.workspace),
+    ...admitted,
     attemptResults: [],
     outerAttempt: parseCount(exchange.internalHeaders.get(ATTEMPT_HEADER)) ?? 0,
   };
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -25,6 +25,10 @@
   BodyTooLarge = 'BODY_TOO_LARGE',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
+  /** No key, or one that no workspace holds. */
+  UnknownKey = 'UNKNOWN_KEY',
+  /** The key may have been withdrawn since this node was last confirmed. */
+  KeyUnconfirmed = 'KEY_UNCONFIRMED',
   /** Several servers ended while they ran this request, so it is sent to no other one. */
   CrashesServers = 'CRASHES_SERVERS',
   NotConnected = 'NOT_CONNECTED',
--- a/src/request/httpDialect/HttpDialect.ts
+++ b/src/request/httpDialect/HttpDialect.ts
@@ -18,6 +18,8 @@
   /** Service whose node received the request. */
   callerService: string;
   remainingMs: number;
+  /** Name of the workspace that sends the request, if any. */
+  workspace?: string | undefined;
   /** 0 for a first attempt. */
   attempt: number;
 }
@@ -43,8 +45,17 @@
   /** Lower-case names of headers that only nodes may set; those of callers are removed. */
   abstract readonly reservedHeaders: ReadonlySet<string>;
 
+  /**
+   * Lower-case names of headers that are removed, in addition, from the requests of callers where the
+   * configuration has workspaces.
+   */
+  abstract readonly workspaceHeaders: ReadonlySet<string>;
+
   abstract readCallerMetadata(request: IncomingMessage): CallerMetadata;
 
+  /** Returns the key that a caller presents; undefined when there is not exactly one. */
+  abstract readCallerKey(request: IncomingMessage): string | undefined;
+
   /** Responds to a request that got no response from a server. */
   abstract writeRefusal(response: ServerResponse, refusal: Refusal, options: RefusalOptions): void;
 
--- a/src/version/compileConfiguration/index.ts
+++ b/src/version/compileConfiguration/index.ts
@@ -27,12 +27,13 @@
   checkConfiguration(configuration).map((checked) => {
     const services = new Map(checked.services.map((service) => [service.name, service]));
     const routes = new RouteIndex(checked.routes);
-    const workspaces = indexKeys(checked.workspaces);
+    const keys = indexKeys(checked.workspaces);
     return {
       configuration: checked,
       version: checked.version,
       hasWorkspaces: checked.workspaces.length > 0,
-      findWorkspace: (digestHex) => workspaces.get(digestHex),
+      findWorkspace: (digestHex) => keys.byDigest.get(digestHex),
+      findWorkspaceByKeyId: (keyId) => keys.byKeyId.get(keyId),
       findService: (name) => services.get(name),
       matchRoute: (host, path, method) => routes.match(host, path, method),
     };
--- a/src/version/compileConfiguration/types.ts
+++ b/src/version/compileConfiguration/types.ts
@@ -17,6 +17,12 @@
    * @param digestHex - SHA-256 of the key, in lower-case hexadecimal
    */
   findWorkspace: (digestHex: string) => Workspace | undefined;
+  /**
+   * Returns the workspace that holds a key.
+   *
+   * @param keyId - from `formatKeyId`
+   */
+  findWorkspaceByKeyId: (keyId: string) => Workspace | undefined;
   /** Returns the declared service of that name. */
   findService: (name: string) => Service | undefined;
   /**
--- a/src/version/digestKey/index.ts
+++ b/src/version/digestKey/index.ts
@@ -4,6 +4,9 @@
 /** Longest key, in characters. Bounds what a caller who tries keys can cost. */
 export const MAX_KEY_LENGTH = 256;
 
+/** Bytes of a digest that identify a key between nodes. */
+const KEY_ID_BYTES = 8;
+
 /** Visible ASCII, which a header field carries unchanged. */
 const KEY_PATTERN = /^[\x21-\x7e]+$/;
 
@@ -21,3 +24,13 @@
   key.length <= MAX_KEY_LENGTH && KEY_PATTERN.test(key)
     ? createHash('sha256').update(key, 'latin1').digest()
     : undefined;
+
+/**
+ * Returns the part of a digest by which nodes name a key to each other. It is short, since each
+ * forwarded request carries it; whoever presents a key is checked by the whole digest.
+ *
+ * @param digest - SHA-256 digest
+ * @returns 16 hexadecimal digits
+ */
+export const formatKeyId = (digest: Uint8Array): string =>
+  Buffer.from(digest.subarray(0, KEY_ID_BYTES)).toString('hex');
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -41,6 +41,7 @@
   version,
   hasWorkspaces: false,
   findWorkspace: () => undefined,
+  findWorkspaceByKeyId: () => undefined,
   findService: (name) => services.find((service) => service.name === name),
   matchRoute: (host, path, method) =>
     routes
