Refuse keys on nodes that are not confirmed recently

A node that was cut off or suspended went on to accept the keys of the version that it held, however long ago they had been withdrawn.

With `strict_revoke`, nodes number their renewals and control VMs repeat the number in their heartbeats. A node knows by that how old its confirmation is, on the greater of the steady clock and the time of day. From `revoke` less the lag of a confirmed control VM it answers 503 to requests with a key, at the entry and beside the server, and is not ready. A control VM whose steady clock stood still answers no renewal until a lease has passed. Without the setting the streams carry the same bytes as before.

--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -18,6 +18,7 @@
 import ByteMeter from '../_lib/ByteMeter.js';
 import { EndpointBroadcast } from '../_lib/EndpointBroadcast.js';
 import { NodeSession } from '../_lib/NodeSession.js';
+import PauseGuard from '../_lib/PauseGuard.js';
 import { PayloadCache } from '../_lib/PayloadCache.js';
 import { SnapshotAdmission } from '../_lib/SnapshotAdmission.js';
 import * as timing from '../timing.js';
@@ -45,6 +46,8 @@
   random?: () => number;
   /** Current time in milliseconds since the epoch. */
   now?: () => number;
+  /** Time of day in milliseconds since the epoch; `Date.now` by default. */
+  readWallMs?: () => number;
   heartbeatIntervalMs?: number;
   silenceMs?: number;
   windowMs?: number;
@@ -80,6 +83,8 @@
 
   readonly #sessionContext: SessionContext & { endpoints: EndpointBroadcast };
 
+  readonly #pauseGuard = new PauseGuard(timing.CONFIRMATION_LEASE_MS);
+
   #timer: NodeJS.Timeout | undefined;
 
   #unsubscribe: (() => void) | undefined;
@@ -183,10 +188,16 @@
       }),
       readCommitted: () => this.#controlLog.committed()?.configuration,
       isConfirmed: (nowMs) => this.#controlLog.isConfirmed(nowMs),
+      canRelyOnLease: (nowMs) => this.#canRelyOnLease(nowMs),
       listControls: options.listControls ?? (() => []),
     };
   }
 
+  #canRelyOnLease(nowMs: number): boolean {
+    const wallMs = (this.#options.readWallMs ?? Date.now)();
+    return this.#pauseGuard.canRelyOnLease({ steadyMs: nowMs, wallMs });
+  }
+
   #readVersion(): Omit<ReadVersionResponse, '$typeName'> {
     return {
       memberId: this.#memberId,
@@ -200,6 +211,7 @@
   }
 
   #tick(nowMs: number): void {
+    this.#canRelyOnLease(nowMs);
     this.#sessions.forEach((session) => {
       if (session.isSilent(this.#silenceMs, nowMs)) {
         log.warn({ nodeId: session.nodeId }, 'closing the stream of a silent node');
@@ -336,6 +348,9 @@
       case 'refusal':
         this.#handleRefusal(kind.value, session, nowMs);
         break;
+      case 'renewal':
+        session.handleRenewal(kind.value.sequence);
+        break;
       case 'newer':
         this.notifySuperseded(kind.value);
         break;
--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -5,6 +5,7 @@
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
 import computePatience from '../_lib/computePatience.js';
+import { ConfirmationProof } from '../_lib/ConfirmationProof.js';
 import { ControlStream } from '../_lib/ControlStream.js';
 import { OwnRecord } from '../_lib/OwnRecord.js';
 import { Readiness } from '../_lib/Readiness.js';
@@ -55,6 +56,10 @@
 
   readonly #random: () => number;
 
+  readonly #readWallMs: () => number;
+
+  readonly #proof: ConfirmationProof | undefined;
+
   readonly #tls: () => TlsMaterial | undefined;
 
   readonly #meter: ByteMeter;
@@ -95,6 +100,8 @@
     this.#timing = { ...DEFAULT_TIMING, ...options.timing };
     this.#now = options.now ?? Date.now;
     this.#random = options.random ?? Math.random;
+    this.#readWallMs = options.readWallMs ?? Date.now;
+    this.#proof = options.needsProof ? new ConfirmationProof() : undefined;
     this.#tls = options.tls ?? (() => undefined);
     this.#meter = new ByteMeter(options.metrics, 'node');
     this.#ownRecord = new OwnRecord(parts.recordSource);
@@ -200,6 +207,18 @@
     return isFresh && heldVersion >= confirmation.version;
   }
 
+  /**
+   * Returns the age of the proof that this node holds the newest version, in milliseconds, by a clock
+   * that counts pauses of the VM. Peers prove nothing.
+   *
+   * @param nowMs - current time on the clock of the link
+   * @returns Infinity without a proof, also if the link was created without `needsProof`
+   */
+  getConfirmationAgeMs(nowMs: number): number {
+    const now = { steadyMs: nowMs, wallMs: this.#readWallMs() };
+    return this.#proof?.computeAgeMs(now) ?? Infinity;
+  }
+
   #isControlWaitOver(nowMs: number): boolean {
     return nowMs - this.#startedAtMs >= this.#timing.controlWaitMs;
   }
@@ -313,6 +332,8 @@
       timing: this.#timing,
       patience,
       now: this.#now,
+      proof: this.#proof,
+      readWallMs: this.#readWallMs,
       tls: this.#tls(),
       cursor: this.#cursor,
       setListedControls: (controls) => this.#setListedControls(controls),
--- a/src/connection/distribution/NodeLink/types.ts
+++ b/src/connection/distribution/NodeLink/types.ts
@@ -47,6 +47,10 @@
   random?: () => number;
   /** Current time in milliseconds since the epoch. */
   now?: () => number;
+  /** Time of day in milliseconds since the epoch; `Date.now` by default. */
+  readWallMs?: () => number;
+  /** Whether to ask control VMs for a proof of how recent their confirmations are. */
+  needsProof?: boolean;
   timing?: Partial<LinkTiming>;
   /** Number of peers per gossip round. */
   gossipFanout?: number;
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -32,6 +32,7 @@
 import type { TlsMaterial } from '../../openTransport/index.js';
 import type { ControlTarget, LinkTiming, NodeLinkParts } from '../NodeLink/types.js';
 import type ByteMeter from './ByteMeter.js';
+import type { ConfirmationProof } from './ConfirmationProof.js';
 import type { OwnRecord } from './OwnRecord.js';
 
 /** State and dependencies that a stream shares with the link that opened it. */
@@ -43,6 +44,10 @@
   /** Factor on the time within which the control VM must send its first message. */
   patience: number;
   now: () => number;
+  /** Set if heartbeats must prove how recent a confirmation is. */
+  proof: ConfirmationProof | undefined;
+  /** Time of day in milliseconds since the epoch. */
+  readWallMs: () => number;
   tls: TlsMaterial | undefined;
   /** Position in the endpoint batches, from which a reconnect resumes. */
   cursor: EndpointCursor;
@@ -163,11 +168,10 @@
       onBytesRead: () => watchdog.refresh(),
     });
     const client = createClient(DistributionService, transport);
-    const renewals = setInterval(
-      () => this.#send({ case: 'renewal', value: {} }),
-      timing.heartbeatIntervalMs,
-    );
+    const renewals = setInterval(() => this.#sendRenewal(), timing.heartbeatIntervalMs);
     this.#sendHello();
+    this.#context.proof?.startStream();
+    if (this.#context.proof) this.#sendRenewal();
     try {
       const options = { signal: this.#abort.signal };
       for await (const message of client.attach(this.#queue.iterate(), options)) {
@@ -230,6 +234,12 @@
     });
   }
 
+  #sendRenewal(): void {
+    const { proof, now, readWallMs } = this.#context;
+    const sequence = proof?.recordSent({ steadyMs: now(), wallMs: readWallMs() }) ?? 0;
+    this.#send({ case: 'renewal', value: { sequence } });
+  }
+
   #sendNewestRecord(): void {
     const record = this.#context.ownRecord.current;
     this.#sentRecord = record;
@@ -297,6 +307,8 @@
   #handleHeartbeat(heartbeat: Heartbeat, nowMs: number): void {
     this.#lastHeartbeat = heartbeat;
     if (heartbeat.isConfirmed) this.#confirmedAtMs = nowMs;
+    const heldVersion = this.#context.parts.holder.current()?.version ?? 0;
+    this.#context.proof?.recordAnswer(heartbeat, heldVersion);
     // Any endpoint delta arrives before the first heartbeat.
     this.#hasEndpoints = true;
     if (heartbeat.controls.length > 0) {
--- a/src/connection/distribution/_lib/NodeSession.ts
+++ b/src/connection/distribution/_lib/NodeSession.ts
@@ -29,6 +29,8 @@
   readCommitted: () => Configuration | undefined;
   /** Returns whether the control VM had contact with a leader within the lease. */
   isConfirmed: (nowMs: number) => boolean;
+  /** Returns whether the clock of the lease can be relied on, so that renewals may be answered. */
+  canRelyOnLease: (nowMs: number) => boolean;
   /** Returns the control VMs; empty when nodes know them from their settings. */
   listControls: () => ControlTarget[];
 }
@@ -65,6 +67,9 @@
 
   #isHeartbeatDue = true;
 
+  /** Number of the last renewal; 0 if the node needs no answer. */
+  #lastRenewal = 0;
+
   #sentControls = '';
 
   #isAdmitted = false;
@@ -106,6 +111,12 @@
     return this.#lastReceivedMs + silenceMs <= nowMs;
   }
 
+  /** Records a renewal for the next heartbeat; the first one is answered at once. */
+  handleRenewal(sequence: number): void {
+    if (this.#lastRenewal === 0 && sequence > 0) this.requestHeartbeat();
+    this.#lastRenewal = sequence;
+  }
+
   /** Schedules a heartbeat. */
   requestHeartbeat(): void {
     this.#isHeartbeatDue = true;
@@ -221,6 +232,7 @@
     const value = create(HeartbeatSchema, {
       version: this.#context.readCommitted()?.version ?? 0,
       isConfirmed: this.#context.isConfirmed(nowMs),
+      answeredRenewal: this.#context.canRelyOnLease(nowMs) ? this.#lastRenewal : 0,
       controls: this.#collectControls(),
     });
     return [create(AttachResponseSchema, { kind: { case: 'heartbeat', value } })];
--- a/src/connection/distribution/timing.ts
+++ b/src/connection/distribution/timing.ts
@@ -72,3 +72,13 @@
 
 /** Largest message accepted from another process: far above any sheet, far below the memory budget. */
 export const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
+
+/**
+ * Time by which a version that a control VM confirms may be older than its heartbeat: a confirmed
+ * follower lags behind the leader by at most one lease. The rest is a margin for clocks that differ
+ * in rate.
+ */
+export const CONFIRMATION_LAG_MS = 650;
+
+/** At least the lease of the replicated log. */
+export const CONFIRMATION_LEASE_MS = 600;
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -4,7 +4,10 @@
 
 import { NodeLink } from '../../../connection/distribution/NodeLink/index.js';
 import type { ControlTarget, LinkTiming } from '../../../connection/distribution/NodeLink/index.js';
-import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
+import {
+  CONFIRMATION_LAG_MS,
+  UNLISTED_RECORD_MS,
+} from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
@@ -16,6 +19,7 @@
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
+import createKeyProof from '../_lib/createKeyProof.js';
 
 /** Addresses of a node, each `IP:port`. */
 export interface NodeListeners {
@@ -41,6 +45,11 @@
   tls?: TlsStore | undefined;
   /** Clock for leases and deadlines, in whole milliseconds; `Date.now` by default. */
   readNowMs?: () => number;
+  /**
+   * Time after which a withdrawn key is refused even if no control VM can be reached, in milliseconds;
+   * without it, a node that is cut off accepts the keys of the version that it holds.
+   */
+  withdrawalBoundMs?: number | undefined;
   /** Timing of the link to the control VMs. */
   linkTiming?: Partial<LinkTiming>;
   /** Limits and admission of the backend servers beside this node. */
@@ -70,6 +79,8 @@
   localServers: LocalServers;
   link: NodeLink;
   server: RequestServer;
+  /** Returns whether requests with a key can be admitted; true if none needs one. */
+  canAdmitKeys: () => boolean;
   /** Stops all components; requests in flight fail. */
   close: () => Promise<void>;
 }
@@ -82,7 +93,7 @@
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
-  const { nodeId, dataCentre, tls, readNowMs = Date.now } = options;
+  const { nodeId, dataCentre, tls, withdrawalBoundMs, readNowMs = Date.now } = options;
   const metrics = new MetricsRegistry();
   registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
@@ -97,13 +108,22 @@
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const link = new NodeLink(
     { nodeId, dataCentre, controls, holder, directory, recordSource: localServers, peerSeeds },
-    { metrics, now: readNowMs, timing, tls: () => tls?.current() },
+    {
+      ...{ metrics, now: readNowMs, timing, tls: () => tls?.current() },
+      needsProof: withdrawalBoundMs !== undefined,
+    },
   );
+  const readAgeMs = (): number => link.getConfirmationAgeMs(readNowMs());
+  const areKeysProven = createKeyProof({
+    maxAgeMs: withdrawalBoundMs && withdrawalBoundMs - CONFIRMATION_LAG_MS,
+    readAgeMs,
+  });
   const server = new RequestServer({
     nodeId,
     dataCentre,
     current: () => (link.isReadyToServe(readNowMs()).isOk() ? holder.current() : undefined),
     isCurrent: () => link.isCurrent(readNowMs()),
+    areKeysProven,
     directory: {
       serversOf: (service) => directory.serversOf(service),
       records: () => directory.records(),
@@ -118,10 +138,12 @@
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  if (withdrawalBoundMs !== undefined) metrics.gauge('confirmation_age_ms', readAgeMs);
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
   holder.onInstalled(({ configuration }) => server.applyLimits(configuration.limits));
-  return { metrics, holder, directory, localServers, link, server };
+  const canAdmitKeys = (): boolean => !holder.current()?.hasWorkspaces || areKeysProven();
+  return { metrics, holder, directory, localServers, link, server, canAdmitKeys };
 };
 
 /**
