Test keys of workspaces with the platform programs

Nothing ran the withdrawal of a key with real processes. One test now freezes a node while a key is withdrawn, freezes the control VM, and searches logs, metrics, error messages and the requests of workers for keys.

--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -28,6 +28,8 @@
   seedIps: string[];
   /** Service of the worker beside the node; unset without a worker. */
   service?: string;
+  /** Bounds in the settings, in addition to the default ones. */
+  bounds?: object;
 }
 
 export default class PlatformMachine {
@@ -88,6 +90,11 @@
     await ended;
   }
 
+  /** Freezes the program or lets it run on. */
+  setFrozen(isFrozen: boolean): void {
+    this.#child?.kill(isFrozen ? 'SIGSTOP' : 'SIGCONT');
+  }
+
   /** Kills the program and deletes its folder. */
   async remove(): Promise<void> {
     await this.stop('SIGKILL');
@@ -116,7 +123,10 @@
         seeds: seedIps.map((seedIp) => `${seedIp}:${PLATFORM_PORTS.control}`),
       },
       terms: {
-        bounds: { retry_budget_ratio: 0.2, retry_budget_slack: 64, grace: '6s' },
+        bounds: {
+          ...{ retry_budget_ratio: 0.2, retry_budget_slack: 64, grace: '6s' },
+          ...this.#options.bounds,
+        },
       },
     };
   }
--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -25,6 +25,7 @@
   attemptId: string;
   path: string;
   callerService: string;
+  rawHeaders: string[];
   atMs: number;
 }
 
@@ -116,7 +117,8 @@
     }
     const attemptId = String(headers['attempt-id'] ?? '');
     const callerService = String(headers['caller-service'] ?? '');
-    this.runs.push({ attemptId, path: url, callerService, atMs: performance.now() });
+    const { rawHeaders } = incoming;
+    this.runs.push({ attemptId, path: url, callerService, rawHeaders, atMs: performance.now() });
     setTimeout(() => {
       response.writeHead(200, { 'attempt-id': attemptId, 'server-stamp': `s.${instanceId}` });
       response.end(`${instanceId} ${url}`);
--- a/stand-ins/platform/clients.ts
+++ b/stand-ins/platform/clients.ts
@@ -33,7 +33,13 @@
 /** Sends one client attempt through a node. */
 export const sendAttempt = async (
   outbound: string,
-  options: { path: string; method?: 'GET' | 'POST'; host?: string; remainingMs?: number },
+  options: {
+    path: string;
+    method?: 'GET' | 'POST';
+    host?: string;
+    remainingMs?: number;
+    headers?: Record<string, string>;
+  },
 ): Promise<AttemptReply> => {
   const { path, method = 'GET', host = 'shop.example', remainingMs = 2_000 } = options;
   const attemptId = randomUUID();
@@ -45,6 +51,7 @@
       'deadline-remaining': String(remainingMs),
       // Only nodes may set this header; they replace a value that a client sends.
       'caller-service': 'forged',
+      ...options.headers,
     },
     body: method === 'POST' ? 'one bundle' : null,
   });
--- /dev/null
+++ b/test/platform/workspaces.test.ts
@@ -0,0 +1,165 @@
+/** Keys of workspaces, with the platform programs as separate processes. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import tap from 'tap';
+import type { Test } from 'tap';
+import { request } from 'undici';
+
+import {
+  PlatformMachine,
+  PlatformProgram,
+  PlatformWorker,
+  callControl,
+  createConfigurationDocument,
+  sendAttempt,
+} from '../../stand-ins/platform/index.js';
+import waitFor from '../../stand-ins/waitFor/index.js';
+
+const CONTROL_IP = '127.0.73.1';
+const NODE_IPS = ['127.0.74.1', '127.0.74.2'];
+const SERVICE = 'desk';
+const KEPT_KEY = 'kept-dedev3nax7u27';
+const WITHDRAWN_KEY = 'gone-2rrytapjsujq';
+/** Time after which a withdrawn key must run nothing. */
+const REVOKE_MS = 2_500;
+
+interface TestPlatform {
+  control: PlatformMachine;
+  nodes: PlatformMachine[];
+  workers: PlatformWorker[];
+}
+
+const createDocument = (version: number, baseVersion: number, keys: string[]): object => {
+  const document = createConfigurationDocument(version, baseVersion, [SERVICE]);
+  const open = { name: 'open', path_prefix: '/open/', auth_exempt: true, service: SERVICE };
+  const routes = [...document.routes, { ...document.routes[0], ...open }];
+  return { ...document, routes, tenants: [{ name: 'oak', api_keys: keys }] };
+};
+
+const start = async (t: Test): Promise<TestPlatform> => {
+  const shared = { seedIps: [CONTROL_IP], zone: 'zone-a' };
+  const control = new PlatformMachine({
+    ...{ ...shared, program: PlatformProgram.Control, ip: CONTROL_IP },
+  });
+  const bounds = { strict_revoke: true, revoke: `${REVOKE_MS}ms` };
+  const nodes = NODE_IPS.map(
+    (ip) =>
+      new PlatformMachine({
+        ...{ ...shared, program: PlatformProgram.Node, ip, service: SERVICE, bounds },
+      }),
+  );
+  const workers = nodes.map(
+    (node, index) =>
+      new PlatformWorker({
+        ...{ instanceId: `i-${index}`, service: SERVICE, zone: 'zone-a' },
+        ...{ address: node.address('app'), control: node.address('control') },
+      }),
+  );
+  t.teardown(async () => {
+    await Promise.all(workers.map((worker) => worker.stop()));
+    await Promise.all([control, ...nodes].map((machine) => machine.remove()));
+  });
+  await Promise.all(workers.map((worker) => worker.start()));
+  await Promise.all([control, ...nodes].map((machine) => machine.start()));
+  return { control, nodes, workers };
+};
+
+const replace = ({ control }: TestPlatform, document: object): Promise<unknown> =>
+  waitFor('acknowledged configuration', async () => {
+    const reply = await callControl(control.address('control'), 'configuration.replace', document);
+    return reply.status === 200;
+  });
+
+const sendWith = async (
+  node: PlatformMachine | undefined,
+  key: string | undefined,
+  path = '/desk/1',
+): Promise<number> => {
+  const headers = {
+    'tenant-id': 'forged',
+    ...(key !== undefined && { authorization: `Token ${key}` }),
+  };
+  const options = { path, headers, remainingMs: 4_000 };
+  return (await sendAttempt(node?.address('outbound') ?? '', options)).status;
+};
+
+tap.test('keys of workspaces', async (t) => {
+  const platform = await start(t);
+  const { control, nodes, workers } = platform;
+  const [first, second] = nodes;
+  const countRuns = (): number => workers.reduce((sum, { runs }) => sum + runs.length, 0);
+  const waitUntilServed = (key: string): Promise<unknown> =>
+    Promise.all(
+      nodes.map((node) => waitFor('served', async () => (await sendWith(node, key)) === 200)),
+    );
+  await replace(platform, createDocument(2, 0, [KEPT_KEY, WITHDRAWN_KEY]));
+  await waitUntilServed(WITHDRAWN_KEY);
+
+  await t.test('strangers are refused and run nothing', async (t2) => {
+    const before = countRuns();
+    t2.equal(await sendWith(first, 'unknown'), 401);
+    t2.equal(await sendWith(first, undefined), 401);
+    t2.equal(countRuns(), before);
+    t2.equal(await sendWith(first, undefined, '/open/1'), 200);
+  });
+
+  // Guards against a withdrawn key that goes on to work at a node which was frozen meanwhile.
+  await t.test(
+    'a key that was withdrawn while a node was frozen runs nothing there',
+    async (t2) => {
+      second?.setFrozen(true);
+      await replace(platform, createDocument(5, 2, [KEPT_KEY]));
+      await delay(REVOKE_MS);
+      const before = countRuns();
+      const replies = [WITHDRAWN_KEY, WITHDRAWN_KEY].map((key) => sendWith(second, key));
+      await delay(100);
+      second?.setFrozen(false);
+      const statuses = await Promise.all(replies);
+      t2.ok(
+        statuses.every((status) => status === 401 || status === 503),
+        statuses.join(),
+      );
+      t2.equal(await sendWith(first, WITHDRAWN_KEY), 401);
+      t2.equal(countRuns(), before);
+      await waitUntilServed(KEPT_KEY);
+    },
+  );
+
+  // Guards against a node that is cut off and cannot learn that a key was withdrawn.
+  await t.test(
+    'nodes without a control VM refuse keys in time, and accept them again',
+    async (t2) => {
+      control.setFrozen(true);
+      await delay(REVOKE_MS);
+      const before = countRuns();
+      t2.equal(await sendWith(first, KEPT_KEY), 503);
+      t2.equal(await sendWith(second, KEPT_KEY), 503);
+      t2.equal(countRuns(), before);
+      t2.equal(await sendWith(first, undefined, '/open/1'), 200, 'other routes are served');
+      control.setFrozen(false);
+      await waitUntilServed(KEPT_KEY);
+    },
+  );
+
+  // Guards against keys in logs, metrics and error messages, and against forged names.
+  await t.test('nobody is shown a key', async (t2) => {
+    const invalid = { ...createDocument(9, 5, [KEPT_KEY]), tenants: [{ api_keys: [KEPT_KEY] }] };
+    const refused = await callControl(control.address('control'), 'configuration.replace', invalid);
+    t2.equal(refused.status, 400);
+    const metrics = await Promise.all(
+      [first?.address('ready'), control.address('control')].map(async (address) =>
+        (await request(`http://${address}/metrics`)).body.text(),
+      ),
+    );
+    const runs = workers.flatMap((worker) => worker.runs);
+    const keyed = runs.filter(({ path }) => path.startsWith('/desk/'));
+    const outputs = [control, ...nodes].map(({ output }) => output);
+    const shown = [refused.body, ...metrics, ...outputs, JSON.stringify(runs)].join('\n');
+    t2.notOk(shown.includes(KEPT_KEY) || shown.includes(WITHDRAWN_KEY));
+    t2.match(shown, /UNKNOWN_KEY/, 'refusals are logged');
+    t2.notMatch(JSON.stringify(runs), 'forged"', 'a forged name is removed');
+    t2.ok(
+      keyed.every(({ rawHeaders }) => rawHeaders[rawHeaders.indexOf('tenant-id') + 1] === 'oak'),
+    );
+  });
+});
