--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -19,6 +19,7 @@
 import ByteMeter from '../_lib/ByteMeter.js';
 import { EndpointBroadcast } from '../_lib/EndpointBroadcast.js';
 import { NodeSession } from '../_lib/NodeSession.js';
+import PauseGuard from '../_lib/PauseGuard.js';
 import { PayloadCache } from '../_lib/PayloadCache.js';
 import { SnapshotAdmission } from '../_lib/SnapshotAdmission.js';
 import * as timing from '../timing.js';
@@ -48,6 +49,8 @@
   random?: () => number;
   /** Current time in milliseconds since the epoch. */
   now?: () => number;
+  /** Time of day in milliseconds since the epoch; `Date.now` by default. */
+  readWallMs?: () => number;
   heartbeatIntervalMs?: number;
   silenceMs?: number;
   windowMs?: number;
@@ -88,6 +91,8 @@
 
   readonly #sessionContext: SessionContext & { endpoints: EndpointBroadcast };
 
+  readonly #pauseGuard = new PauseGuard(timing.CONFIRMATION_LEASE_MS);
+
   #timers: NodeJS.Timeout[] = [];
 
   #unsubscribers: (() => void)[] = [];
@@ -215,12 +220,18 @@
       }),
       readCommitted: () => this.#controlLog.committed()?.configuration,
       isConfirmed: (nowMs) => this.#controlLog.isConfirmed(nowMs),
+      canRelyOnLease: (nowMs) => this.#canRelyOnLease(nowMs),
       listControls: options.listControls ?? (() => []),
       readRollouts: options.readRollouts,
       computeShares: options.computeShares,
     };
   }
 
+  #canRelyOnLease(nowMs: number): boolean {
+    const wallMs = (this.#options.readWallMs ?? Date.now)();
+    return this.#pauseGuard.canRelyOnLease({ steadyMs: nowMs, wallMs });
+  }
+
   #readVersion(): Omit<ReadVersionResponse, '$typeName'> {
     return {
       memberId: this.#memberId,
@@ -230,6 +241,7 @@
   }
 
   #tick(nowMs: number): void {
+    this.#canRelyOnLease(nowMs);
     this.#sessions.forEach((session) => {
       if (session.isSilent(this.#silenceMs, nowMs)) {
         log.warn({ nodeId: session.nodeId }, 'closing the stream of a silent node');
@@ -368,6 +380,9 @@
       case 'refusal':
         this.#handleRefusal(kind.value, session, nowMs);
         break;
+      case 'renewal':
+        session.handleRenewal(kind.value.sequence);
+        break;
       case 'newer':
         this.notifySuperseded(kind.value);
         break;
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -8,7 +8,10 @@
   LinkTiming,
   NodeLinkParts,
 } from '../../../connection/distribution/NodeLink/index.js';
-import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
+import {
+  CONFIRMATION_LAG_MS,
+  UNLISTED_RECORD_MS,
+} from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
@@ -20,6 +23,7 @@
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
+import createKeyProof from '../_lib/createKeyProof.js';
 
 /** Addresses of a node, each `IP:port`. */
 export interface NodeListeners {
@@ -45,6 +49,11 @@
   tls?: TlsStore | undefined;
   /** Clock for leases and deadlines, in whole milliseconds; `Date.now` by default. */
   readNowMs?: () => number;
+  /**
+   * Time after which a withdrawn key is refused even if no control VM can be reached, in milliseconds;
+   * without it, a node that is cut off accepts the keys of the version that it holds.
+   */
+  withdrawalBoundMs?: number | undefined;
   /** Timing of the link to the control VMs. */
   linkTiming?: Partial<LinkTiming>;
   /** What the node reports to its control VM and receives from it besides the configuration. */
@@ -76,6 +85,8 @@
   localServers: LocalServers;
   link: NodeLink;
   server: RequestServer;
+  /** Returns whether requests with a key can be admitted; true if none needs one. */
+  canAdmitKeys: () => boolean;
   /** Stops all components; requests in flight fail. */
   close: () => Promise<void>;
 }
@@ -88,7 +99,7 @@
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
-  const { nodeId, dataCentre, tls, readNowMs = Date.now } = options;
+  const { nodeId, dataCentre, tls, withdrawalBoundMs, readNowMs = Date.now } = options;
   const metrics = new MetricsRegistry();
   registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
@@ -107,13 +118,22 @@
       recordSource: localServers,
       ...options.distribution,
     },
-    { metrics, now: readNowMs, timing, tls: () => tls?.current() },
+    {
+      ...{ metrics, now: readNowMs, timing, tls: () => tls?.current() },
+      needsProof: withdrawalBoundMs !== undefined,
+    },
   );
+  const readAgeMs = (): number => link.getConfirmationAgeMs(readNowMs());
+  const areKeysProven = createKeyProof({
+    maxAgeMs: withdrawalBoundMs && withdrawalBoundMs - CONFIRMATION_LAG_MS,
+    readAgeMs,
+  });
   const server = new RequestServer({
     nodeId,
     dataCentre,
     current: () => (link.isReadyToServe(readNowMs()).isOk() ? holder.current() : undefined),
     isCurrent: () => link.isCurrent(readNowMs()),
+    areKeysProven,
     directory: {
       serversOf: (service) => directory.serversOf(service),
       records: () => directory.records(),
@@ -128,10 +148,12 @@
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
+  if (withdrawalBoundMs !== undefined) metrics.gauge('confirmation_age_ms', readAgeMs);
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
   holder.onInstalled(({ configuration }) => server.applyLimits(configuration.limits));
-  return { metrics, holder, directory, localServers, link, server };
+  const canAdmitKeys = (): boolean => !holder.current()?.hasWorkspaces || areKeysProven();
+  return { metrics, holder, directory, localServers, link, server, canAdmitKeys };
 };
 
 /**
