Replicate orders and steps of roll-outs

Nothing held roll-outs durably. Orders and steps are entries of the replicated log now, applied by RolloutBook, which ignores steps that do not follow from the state before. checkOrder recognizes repeats and refuses with a typed reason what cannot be taken. Configurations and their version numbers are untouched.

--- a/src/process/replication/ControlLog/index.ts
+++ b/src/process/replication/ControlLog/index.ts
@@ -2,6 +2,9 @@
 import type { Result } from 'neverthrow';
 
 import type { Configuration } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { Rollout, RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
+import type { RolloutBook } from '../../rollouts/RolloutBook/index.js';
+import type { RolloutResult } from '../../rollouts/types.js';
 import type { ReplicationError } from '../ReplicationError/index.js';
 
 /** Outcome of an `apply`. */
@@ -132,4 +135,35 @@
   abstract history(): VersionHolder[];
 
   abstract members(nowMs: number): MemberStatus[];
+
+  /**
+   * Submits an order (`step` 0) or the next step of a roll-out to the leader. Neither changes the
+   * configuration, its version numbers or their base versions.
+   *
+   * @param rollout - the order, or the whole state after the step
+   * @param nowMs - current time in milliseconds since the epoch; recorded with an order
+   * @returns the outcome once a majority has synced it; never throws for an expected failure
+   */
+  abstract proposeRollout(rollout: Rollout, nowMs: number): Promise<RolloutResult>;
+
+  /** Returns the committed roll-outs known to this member, as nodes need them. */
+  abstract rollouts(): RolloutSet;
+
+  /** The committed roll-outs known to this member; only to be read. */
+  abstract readonly rolloutBook: Omit<RolloutBook, 'apply' | 'replace'>;
+
+  /**
+   * Returns all kept roll-outs, oldest first, which a majority confirms after the call.
+   *
+   * @param timeoutMs - timeout in milliseconds
+   * @returns Unconfirmed if no majority answered
+   */
+  abstract readRollouts(timeoutMs: number): Promise<Result<Rollout[], ReplicationError>>;
+
+  /**
+   * Calls the listener after each change of a roll-out.
+   *
+   * @returns a function that removes the listener
+   */
+  abstract onRolloutsChanged(listener: () => void): () => void;
 }
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -23,11 +23,15 @@
   ReadIndexResponse,
 } from '../../../_generated/foxtailvane/v1/replication_pb.js';
 import ConnectPeerClient from '../../../connection/replication/ConnectPeerClient/index.js';
+import type { Rollout, RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
 import type PeerClient from '../../../connection/replication/PeerClient/index.js';
 import { PeerError, PeerErrorCode } from '../../../connection/replication/PeerError/index.js';
 import registerReplication from '../../../connection/replication/registerReplication/index.js';
 import type { OpenTransportOptions } from '../../../connection/openTransport/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
+import type { RolloutBook } from '../../rollouts/RolloutBook/index.js';
+import { RolloutOutcome } from '../../rollouts/types.js';
+import type { RolloutResult } from '../../rollouts/types.js';
 import { DurableStorage } from '../../storage/DurableStorage/index.js';
 import type FileOperations from '../../storage/FileOperations/index.js';
 import { ApplyOutcome, ControlLog } from '../ControlLog/index.js';
@@ -57,6 +61,7 @@
 import { handleJoin, requestJoin, shouldRequestJoin } from '../_lib/joinCluster/index.js';
 import { proposeChange } from '../_lib/proposeChange/index.js';
 import type { ReplicationContext } from '../_lib/proposeChange/index.js';
+import proposeRollout from '../_lib/proposeRollout/index.js';
 import { DEFAULT_LIMITS, DEFAULT_TIMINGS } from '../_lib/timings/index.js';
 import type { ReplicationLimits, ReplicationTimings } from '../_lib/timings/index.js';
 import validateChange from '../_lib/validateChange/index.js';
@@ -311,6 +316,38 @@
     return describeMembers(this.#replica, this.#findActiveLeadership(), this.isConfirmed(nowMs));
   }
 
+  async proposeRollout(rollout: Rollout, nowMs: number): Promise<RolloutResult> {
+    const replica = this.#replica;
+    const orderedAtMs = BigInt(Math.max(0, Math.floor(nowMs)));
+    const deadlineMs = replica.readNowMs() + replica.options.timings.proposalTimeoutMs;
+    const proposed = rollout.step === 0 ? { ...rollout, orderedAtMs } : rollout;
+    const result = await proposeRollout(this.#createContext(), proposed, deadlineMs);
+    const { outcome } = result;
+    replica.options.metrics.counter('rollout_proposals_total', { outcome }).value += 1;
+    return result;
+  }
+
+  rollouts(): RolloutSet {
+    return this.#replica.rollouts.set();
+  }
+
+  get rolloutBook(): Omit<RolloutBook, 'apply' | 'replace'> {
+    return this.#replica.rollouts;
+  }
+
+  async readRollouts(timeoutMs: number): Promise<Result<Rollout[], ReplicationError>> {
+    const replica = this.#replica;
+    if (await awaitReadIndex(this.#createContext(), replica.readNowMs() + timeoutMs)) {
+      return ok(replica.rollouts.list());
+    }
+    const message = 'no majority of control VMs has confirmed the newest roll-outs';
+    return err(new ReplicationError(ReplicationErrorCode.Unconfirmed, message));
+  }
+
+  onRolloutsChanged(listener: () => void): () => void {
+    return this.#replica.onRolloutsChanged(listener);
+  }
+
   /**
    * Adds a VM as a non-voter; it is promoted to a voter once it has caught up. Must be called on
    * the leader.
@@ -422,7 +459,8 @@
     const checked = checkHeader(this.#replica, request.header);
     if (checked.isErr()) return err(checked.error);
     const leadership = this.#findActiveLeadership();
-    const { change } = request;
+    const { change, rollout } = request;
+    if (leadership && rollout) return this.#handleForwardedRollout(leadership, rollout, request);
     if (!leadership || !change) return ok(create(ForwardResponseSchema, { isLeader: false }));
     const deadlineMs = this.#replica.readNowMs() + request.timeoutMs;
     const { result, mayHaveRun } = await leadership.propose(change, deadlineMs);
@@ -439,6 +477,18 @@
     );
   }
 
+  async #handleForwardedRollout(
+    leadership: Leadership,
+    rollout: Rollout,
+    { timeoutMs }: ForwardRequest,
+  ): Promise<Result<ForwardResponse, PeerError>> {
+    const deadlineMs = this.#replica.readNowMs() + timeoutMs;
+    const { result, mayHaveRun } = await leadership.proposeRollout(rollout, deadlineMs);
+    if (!result && !mayHaveRun) return ok(create(ForwardResponseSchema, { isLeader: false }));
+    const { outcome, message } = result ?? { outcome: RolloutOutcome.Unknown, message: '' };
+    return ok(create(ForwardResponseSchema, { isLeader: true, outcome, message }));
+  }
+
   async #handleReadIndex(request: ReadIndexRequest): Promise<Result<ReadIndexResponse, PeerError>> {
     const checked = checkHeader(this.#replica, request.header);
     if (checked.isErr()) return err(checked.error);
--- a/src/process/replication/_lib/Leadership/index.ts
+++ b/src/process/replication/_lib/Leadership/index.ts
@@ -20,6 +20,11 @@
 import { computeQuorumValue } from '../quorum/index.js';
 import replicateToPeer from '../replicateToPeer/index.js';
 import { createBaseMismatch, findFinalResult, hasSameContent } from '../findFinalResult/index.js';
+import type { Rollout } from '../../../../_generated/foxtailvane/v1/rollouts_pb.js';
+import { checkOrder, checkStep } from '../../../rollouts/checkOrder/index.js';
+import { FIRST_STEP } from '../../../rollouts/RolloutBook/index.js';
+import { RolloutOutcome } from '../../../rollouts/types.js';
+import type { RolloutResult } from '../../../rollouts/types.js';
 
 const log = createLogger('replication');
 
@@ -31,10 +36,18 @@
   mayHaveRun: boolean;
 }
 
+/** Result of one attempt to have an order or a step of a roll-out accepted by the leader. */
+export interface RolloutAttempt {
+  /** Set if the outcome is final. */
+  result?: RolloutResult;
+  /** Whether it may have been appended, so that it can still be accepted. */
+  mayHaveRun: boolean;
+}
+
 /** Limit of voters and non-voters together; replicating to more members slows the leader down. */
 const MAX_MEMBERS = 15;
 
-const NOT_RUN: AttemptResult = { mayHaveRun: false };
+const NOT_RUN: { mayHaveRun: false } = { mayHaveRun: false };
 
 const toAcceptedChange = (accepted: AcceptedVersion): LogChange['change'] => ({
   case: 'accepted',
@@ -161,6 +174,36 @@
       : { result: createBaseMismatch(versions, change), mayHaveRun: false };
   }
 
+  /**
+   * Appends an order or a step of a roll-out and waits until it is committed or refused. Waits for
+   * those before it, so that each is checked against the state that it changes.
+   *
+   * @param rollout - an order if its `step` is 0, otherwise the whole state after the step
+   * @param deadlineMs - monotonic time at which the wait ends
+   */
+  async proposeRollout(rollout: Rollout, deadlineMs: number): Promise<RolloutAttempt> {
+    await this.#waitWhile(
+      () => this.isActive && (!this.isReady || this.#hasPendingRollout()),
+      deadlineMs,
+    );
+    const canAppend = this.isActive && this.isReady && !this.#hasPendingRollout();
+    if (!canAppend || !this.#hasLease()) return NOT_RUN;
+    const { rollouts, versions } = this.#replica;
+    const isOrder = rollout.step < FIRST_STEP;
+    const result = isOrder
+      ? checkOrder(rollouts, rollout, versions.newestCommitted()?.configuration)
+      : checkStep(rollouts, rollout);
+    if (result) return { result, mayHaveRun: false };
+    const value = isOrder ? { ...rollout, id: rollouts.lastId + 1, step: FIRST_STEP } : rollout;
+    const index = this.append({ case: 'rollout', value });
+    await this.#waitForCommit(index, deadlineMs);
+    const isCommitted =
+      this.#replica.commitIndex >= index && this.#replica.log.termAt(index) === this.term;
+    if (!isCommitted) return { mayHaveRun: true };
+    const message = `roll-out ${value.id} of ${value.service}, step ${value.step}, was accepted`;
+    return { result: { outcome: RolloutOutcome.Accepted, message }, mayHaveRun: false };
+  }
+
   /**
    * Confirms with a majority that this member still leads.
    *
@@ -222,6 +265,12 @@
     if (this.#pendingConfirmCount > 0) this.#replica.changed.notify();
   }
 
+  #hasPendingRollout(): boolean {
+    return this.#replica.log
+      .from(this.#replica.commitIndex + 1)
+      .some(({ change }) => change.change.case === 'rollout');
+  }
+
   #hasLease(): boolean {
     return this.#replica.readNowMs() < this.leaseUntilMs;
   }
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -13,6 +13,7 @@
 } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import { createLogger } from '../../../log/index.js';
 import type { MetricsRegistry } from '../../../metrics/index.js';
+import { RolloutBook } from '../../../rollouts/RolloutBook/index.js';
 import SerialQueue from '../../../storage/SerialQueue/index.js';
 import type {
   DurableStorage,
@@ -79,6 +80,8 @@
 
   readonly versions: AcceptedVersions;
 
+  readonly rollouts = new RolloutBook();
+
   readonly queue = new SerialQueue();
 
   /** Notified when the role, term, commit index or membership changes. */
@@ -120,6 +123,8 @@
 
   readonly #listeners = new Set<CommittedListener>();
 
+  readonly #rolloutListeners = new Set<() => void>();
+
   constructor({ storage, recovered }: OpenedStorage, options: ReplicaOptions) {
     this.options = options;
     this.storage = storage;
@@ -394,6 +399,7 @@
     const snapshot = create(LogSnapshotSchema, {
       membership: this.#committedMembership,
       accepted: this.versions.list(),
+      rollouts: this.rollouts.list(),
     });
     return {
       lastIndex,
@@ -424,6 +430,7 @@
       .list()
       .filter(({ version }) => version > previousVersion)
       .forEach(({ version }) => this.#publish(version));
+    this.#publishRollouts();
     this.changed.notify();
     return ok(undefined);
   }
@@ -433,6 +440,11 @@
     return () => this.#listeners.delete(listener);
   }
 
+  onRolloutsChanged(listener: () => void): () => void {
+    this.#rolloutListeners.add(listener);
+    return () => this.#rolloutListeners.delete(listener);
+  }
+
   /** Builds the header of a request to a peer. */
   createHeader(targetDiskIdentity: string): Omit<PeerHeader, '$typeName' | '$unknown'> {
     return {
@@ -461,6 +473,7 @@
   #loadSnapshot(snapshot: StoredSnapshot): void {
     const decoded = fromBinary(LogSnapshotSchema, snapshot.payload);
     this.versions.replace(decoded.accepted);
+    this.rollouts.replace(decoded.rollouts, snapshot.lastIndex);
     this.#committedMembership = decoded.membership ?? create(MembershipSchema);
     this.#committedMembershipIndex = snapshot.lastIndex;
   }
@@ -475,6 +488,21 @@
     if (change.case === 'accepted' && this.versions.apply(change.value, entry.index)) {
       this.#publish(change.value.version);
     }
+    if (change.case === 'rollout' && this.rollouts.apply(change.value, entry.index)) {
+      this.#publishRollouts();
+    }
+  }
+
+  #publishRollouts(): void {
+    this.#rolloutListeners.forEach((listener) => {
+      try {
+        listener();
+      } catch (error) {
+        // A failing listener must not keep committed entries from being applied.
+        const reason = error instanceof Error ? error.message : String(error);
+        log.error({ memberId: this.memberId, reason }, 'a listener for roll-outs failed');
+      }
+    });
   }
 
   #publish(version: number): void {
--- a/stand-ins/FakeControlLog/index.ts
+++ b/stand-ins/FakeControlLog/index.ts
@@ -11,6 +11,7 @@
   MemberStatus,
   VersionHolder,
 } from '../../src/process/replication/ControlLog/index.js';
+import type { Rollout, RolloutSet } from '../../src/_generated/foxtailvane/v1/rollouts_pb.js';
 import type { Configuration } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
 import { ConfigurationSchema } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
 import { hashConfiguration } from '../../src/version/hashConfiguration/index.js';
@@ -20,6 +21,10 @@
   MemberRole,
 } from '../../src/process/replication/ControlLog/index.js';
 
+import { RolloutBook } from '../../src/process/rollouts/RolloutBook/index.js';
+import { RolloutOutcome } from '../../src/process/rollouts/types.js';
+import type { RolloutResult } from '../../src/process/rollouts/types.js';
+
 export const FAKE_HOLDER: VersionHolder = {
   version: 4,
   contentHash: 'ab',
@@ -92,4 +97,36 @@
   members(): MemberStatus[] {
     return MEMBERS;
   }
+
+  readonly rolloutBook = new RolloutBook();
+
+  /** Proposed orders and steps of roll-outs; those answered with Accepted are applied. */
+  readonly proposedRollouts: Rollout[] = [];
+
+  rolloutResult: RolloutResult = { outcome: RolloutOutcome.Accepted, message: 'done' };
+
+  readonly #rolloutListeners = new Set<() => void>();
+
+  proposeRollout(rollout: Rollout): Promise<RolloutResult> {
+    this.proposedRollouts.push(rollout);
+    if (this.rolloutResult.outcome === RolloutOutcome.Accepted) {
+      const order = { ...rollout, id: this.rolloutBook.lastId + 1, step: 1 };
+      this.rolloutBook.apply(rollout.step === 0 ? order : rollout, this.proposedRollouts.length);
+      this.#rolloutListeners.forEach((listener) => listener());
+    }
+    return Promise.resolve(this.rolloutResult);
+  }
+
+  rollouts(): RolloutSet {
+    return this.rolloutBook.set();
+  }
+
+  readRollouts(): Promise<Result<Rollout[], never>> {
+    return Promise.resolve(ok(this.rolloutBook.list()));
+  }
+
+  onRolloutsChanged(listener: () => void): () => void {
+    this.#rolloutListeners.add(listener);
+    return () => this.#rolloutListeners.delete(listener);
+  }
 }
--- a/stand-ins/distributionCluster/FakeControlLog.ts
+++ b/stand-ins/distributionCluster/FakeControlLog.ts
@@ -9,8 +9,13 @@
   MemberStatus,
   VersionHolder,
 } from '../../src/process/replication/ControlLog/index.js';
+import type { Rollout, RolloutSet } from '../../src/_generated/foxtailvane/v1/rollouts_pb.js';
 import type { Configuration } from '../../src/_generated/foxtailvane/v1/configuration_pb.js';
 
+import { RolloutBook } from '../../src/process/rollouts/RolloutBook/index.js';
+import { RolloutOutcome } from '../../src/process/rollouts/types.js';
+import type { RolloutResult } from '../../src/process/rollouts/types.js';
+
 /** Control log without replication; tests commit versions directly. */
 export default class FakeControlLog extends ControlLog {
   isLeaderKnown = true;
@@ -81,4 +86,34 @@
   override members(): MemberStatus[] {
     return [];
   }
+
+  override readonly rolloutBook = new RolloutBook();
+
+  readonly #rolloutListeners = new Set<() => void>();
+
+  /** Commits an order or a step of a roll-out, as if the leader had replicated it. */
+  commitRollout(rollout: Rollout, logIndex: number): void {
+    this.rolloutBook.apply(rollout, logIndex);
+    this.#rolloutListeners.forEach((listener) => listener());
+  }
+
+  override async proposeRollout(): Promise<RolloutResult> {
+    return {
+      outcome: RolloutOutcome.Unavailable,
+      message: 'the fake log accepts no proposals',
+    };
+  }
+
+  override rollouts(): RolloutSet {
+    return this.rolloutBook.set();
+  }
+
+  override async readRollouts(): Promise<Result<Rollout[], never>> {
+    return ok(this.rolloutBook.list());
+  }
+
+  override onRolloutsChanged(listener: () => void): () => void {
+    this.#rolloutListeners.add(listener);
+    return () => this.#rolloutListeners.delete(listener);
+  }
 }
