--- a/src/process/replication/_lib/proposeRollout/index.ts
+++ b/src/process/replication/_lib/proposeRollout/index.ts
@@ -16,8 +16,10 @@
 
 const NOT_RUN: RolloutAttempt = { mayHaveRun: false };
 
+const OUTCOMES: string[] = Object.values(RolloutOutcome);
+
 const toOutcome = (text: string): RolloutOutcome =>
-  Object.values(RolloutOutcome).find((outcome) => outcome === text) ?? RolloutOutcome.Unknown;
+  OUTCOMES.includes(text) ? (text as RolloutOutcome) : RolloutOutcome.Unknown;
 
 const forward = async (
   { replica, findClient }: ReplicationContext,
