--- a/src/process/rollouts/VersionComparison/index.ts
+++ b/src/process/rollouts/VersionComparison/index.ts
@@ -25,6 +25,7 @@
   targetRequests: number;
   targetFailures: number;
   otherRequests: number;
+  otherFailures: number;
   /** Answers of the target version whose durations were compared. */
   comparedAnswers: number;
   /** Routes with a fair part of the requests on which the target version has hardly had one. */
@@ -105,6 +106,7 @@
       targetRequests: this.#target.requests,
       targetFailures: this.#target.failures,
       otherRequests: this.#others.requests,
+      otherFailures: this.#others.failures,
       comparedAnswers: this.#comparedAnswers,
       untestedRoutes: routes
         .filter(([, comparison]) => this.#isUntested(comparison))
--- a/src/process/rollouts/decideRollout/index.ts
+++ b/src/process/rollouts/decideRollout/index.ts
@@ -25,6 +25,15 @@
 /** Part of the limit of a test below which nothing suspicious was seen. */
 const CLEAR_SUSPICION = 0.4;
 
+/** Bad answers from which on operators count the time until a bad version gets no more requests. */
+export const COUNTED_BAD_ANSWERS = 50;
+
+/** Part of that time after which a version that fails a little more than the others is taken back. */
+const WEAK_EVIDENCE_PART = 0.4;
+
+/** Excess of the portion of failures that is little but, with so many answers, not by chance. */
+const WEAK_EXCESS = 0.03;
+
 /** Time before the deadline at which the last step must be on its way to the nodes. */
 const LAST_STEP_MS = 300;
 
@@ -50,6 +59,8 @@
   /** Time since a server of the target version was first seen; undefined if none was. */
   targetAgeMs: number | undefined;
   verdict: Verdict;
+  /** Time since the 50th failure of the version; undefined before it. */
+  manyFailuresForMs: number | undefined;
   /** Time for which every node that is not lost has had the last step in force; undefined if not. */
   inForceForMs: number | undefined;
 }
@@ -94,9 +105,27 @@
   return { first: hasFirst ? Math.ceil(later * FIRST_SHARE) : later, later };
 };
 
+/** Whether a version not yet found good has had more requests than it may, with half of the slack. */
+const isOverexposed = ({ limits, verdict }: RolloutSituation): boolean => {
+  const { targetRequests, otherRequests } = verdict;
+  const allowed = limits.exposedShare * (targetRequests + otherRequests);
+  return targetRequests > allowed + limits.exposedSlack / 2;
+};
+
+/** Whether a version has failed for long and above the others, though below what the tests look for. */
+const isWeaklyBad = ({ limits, verdict, manyFailuresForMs = -1 }: RolloutSituation): boolean => {
+  const { targetRequests, targetFailures, otherRequests, otherFailures } = verdict;
+  const others = otherFailures / Math.max(1, otherRequests);
+  return (
+    manyFailuresForMs >= limits.rollbackMs * WEAK_EVIDENCE_PART &&
+    targetFailures / Math.max(1, targetRequests) > others + WEAK_EXCESS
+  );
+};
+
 /** Starts the exposure once servers of the version have warmed up, or had the time for it. */
 const decideFirstShare = (situation: RolloutSituation): RolloutStep | undefined => {
   const { plan, ageMs, targetAgeMs = 0 } = situation;
+  if (isOverexposed(situation)) return undefined;
   if (targetAgeMs >= plan.warmUpMs) {
     return useShare(computeShares(situation).first, 'servers of the version have warmed up');
   }
@@ -111,7 +140,7 @@
   const { later } = computeShares(situation);
   const doubt = findDoubt(verdict);
   const isGood = doubt === '' && ageMs >= plan.judgeFromMs && stepAgeMs >= SETTLE_MS;
-  if (ageMs >= plan.promoteByMs && sharePermille <= later) {
+  if (ageMs >= plan.promoteByMs) {
     // Untested routes alone do not stop a version; it goes on being watched while it is promoted.
     const isTested = verdict.targetRequests >= MIN_REQUESTS && verdict.suspicion < CLEAR_SUSPICION;
     return isTested
@@ -119,8 +148,11 @@
       : rollBack(`no verdict in time: ${doubt}; ${verdict.evidence}`);
   }
   if (sharePermille === 0) return decideFirstShare(situation);
+  if (sharePermille <= later && isOverexposed(situation)) {
+    return useShare(0, `more requests than the share allows; ${verdict.evidence}`);
+  }
   if (sharePermille > later) {
-    return stepAgeMs >= plan.rampMs && (doubt === '' || ageMs >= plan.promoteByMs)
+    return stepAgeMs >= plan.rampMs && doubt === ''
       ? promote(`found good beside the others; ${verdict.evidence}`)
       : undefined;
   }
@@ -157,6 +189,9 @@
   const { stage, durationMs } = rollout;
   if (stage !== RolloutStage.CANARY && stage !== RolloutStage.PROMOTING) return undefined;
   if (verdict.isBad) return rollBack(`found bad; ${verdict.evidence}`);
+  if (isWeaklyBad(situation)) {
+    return rollBack(`${COUNTED_BAD_ANSWERS} failures, above the others; ${verdict.evidence}`);
+  }
   const next = stage === RolloutStage.CANARY ? decideCanary(situation) : decidePromoting(situation);
   const isLate = ageMs >= durationMs - LAST_STEP_MS;
   if (!isLate || next?.stage === RolloutStage.ROLLED_BACK) return next;
