Serve orders and reads of roll-outs on the platform

The platform's rollouts.start and rollouts.read had no handlers. They are served, and the controller runs, where the contract rollout is in force; elsewhere the calls answer 404 as before and nothing is sent to nodes.

--- a/src/process/control/openControl/index.ts
+++ b/src/process/control/openControl/index.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
+import type { RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
 import { ControlExchange } from '../../../connection/distribution/ControlExchange/index.js';
 import type { ExchangePeer } from '../../../connection/distribution/ControlExchange/index.js';
 import { DistributionHub } from '../../../connection/distribution/DistributionHub/index.js';
@@ -11,6 +12,7 @@
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
+import type { RolloutLimits } from '../../rollouts/decideRollout/index.js';
 import { ReplicatedLog } from '../../replication/ReplicatedLog/index.js';
 import type {
   ReplicatedLogOptions,
@@ -20,6 +22,7 @@
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
 import { TrafficReportTable } from '../../trafficReports/TrafficReportTable/index.js';
+import createRolloutController from '../_lib/createRolloutController.js';
 import measureConvergence from '../_lib/measureConvergence.js';
 
 export interface OpenControlOptions {
@@ -31,6 +34,8 @@
   limits?: ReplicatedLogOptions['limits'];
   /** Timing and window of the streams to nodes and to other control VMs. */
   streams?: Pick<HubOptions, 'heartbeatIntervalMs' | 'silenceMs' | 'windowMs'>;
+  /** Limits of roll-outs; without them no roll-out is observed, decided or sent to nodes. */
+  rollouts?: RolloutLimits | undefined;
   /** Adds the parts that send roll-outs and shares of quotas to nodes; none by default. */
   createSources?: (
     log: ReplicatedLog,
@@ -63,6 +68,15 @@
 const listControls = (log: ReplicatedLog): ControlTarget[] =>
   log.members(readMonotonicNowMs()).map(({ address, dataCentre }) => ({ address, dataCentre }));
 
+/**
+ * Returns the roll-outs for nodes; undefined while this control VM may not have read its log, so that
+ * a node does not take an empty set for the state.
+ */
+const readRollouts = (log: ReplicatedLog): RolloutSet | undefined => {
+  const set = log.rollouts();
+  return set.revision > 0 || log.isConfirmed(readMonotonicNowMs()) ? set : undefined;
+};
+
 const openLog = async (
   options: OpenControlOptions,
   metrics: MetricsRegistry,
@@ -111,8 +125,11 @@
     ...shared,
     listControls: () => listControls(log),
     trafficReports,
+    ...(options.rollouts && { readRollouts: () => readRollouts(log) }),
     ...options.createSources?.(log, trafficReports),
   });
+  const rollouts = options.rollouts && createRolloutController(log, hub, options.rollouts, metrics);
+  if (rollouts) log.onRolloutsChanged(() => hub.wakeSessions());
   const exchange = new ControlExchange(memberId, hub, () => listPeers(options.log, log), shared);
   try {
     const rpc = await startRpcServer(options.listen, {
@@ -130,9 +147,11 @@
       log.start();
       hub.start();
       exchange.start();
+      rollouts?.start();
     };
     const close = async (): Promise<void> => {
       stopMeasuring();
+      rollouts?.stop();
       hub.stop();
       await exchange.stop();
       await log.stop();
