Let operators order and list roll-outs by API and command line

Operators of the product had no call for roll-outs. /v1/rollouts and foxtailvane rollout start, status and history serve them where the section [rollouts] of the control settings sets limits.

--- a/src/process/cli/commands/apply.ts
+++ b/src/process/cli/commands/apply.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto';
-import { userInfo } from 'node:os';
 
 import type { Command } from 'commander';
 import { ApplyOutcome } from '../../replication/ControlLog/index.js';
 import { addConnectionOptions, parseDurationMs, withClient } from '../_lib/connectionOptions.js';
+import getOperatorName from '../_lib/getOperatorName.js';
 import { formatSheetFault, readSheetFile } from '../_lib/readSheetFile.js';
 import { sendApply } from '../_lib/sendApply.js';
 import CommandError from '../CommandError.js';
@@ -94,15 +94,6 @@
   ]);
 };
 
-const getOperatorName = (): string => {
-  try {
-    return userInfo().username.replaceAll(/[^A-Za-z0-9._@-]/g, '_') || 'operator';
-  } catch {
-    // In containers the user id may have no name.
-    return 'operator';
-  }
-};
-
 const runApply = async (path: string, options: ApplyOptions, terminal: Terminal): Promise<void> => {
   const { bytes, configuration } = await readSheetFile(path, options.version);
   const sent: VersionSubmission = {
--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -7,6 +7,7 @@
 import addDaemonCommands from './commands/daemons.js';
 import addHistoryCommand from './commands/history.js';
 import addMembersCommand from './commands/members.js';
+import addRolloutCommand from './commands/rollout.js';
 import addServersCommand from './commands/servers.js';
 import addSheetCommand from './commands/sheet.js';
 import addStatusCommand from './commands/status.js';
@@ -29,6 +30,7 @@
   addExplainCommand,
   addHistoryCommand,
   addMembersCommand,
+  addRolloutCommand,
   addTraceCommand,
 ];
 
--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -69,6 +69,7 @@
     listen: settings.listen,
     tls,
     timings: settings.timing,
+    rollouts: settings.rollouts,
   });
   if (opened.isErr()) return err(opened.error);
   const { metrics, log, hub, exchange } = opened.value;
@@ -86,6 +87,7 @@
     metrics,
     token: token.value,
     nowMs: readMonotonicNowMs,
+    hasRollouts: settings.rollouts !== undefined,
     ...createMembershipActions(log),
   });
   const operatorListener = await serveHttp(api, settings.operatorListen);
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -16,6 +16,13 @@
 import checkToken from './_lib/checkToken.js';
 import listServers from './_lib/listServers.js';
 import RateLimiter from './_lib/RateLimiter.js';
+import {
+  READ_TIMEOUT_MS,
+  STATUS_BY_ROLLOUT_OUTCOME,
+  orderRollout,
+  parseRolloutOrder,
+  toListedRollout,
+} from './_lib/rolloutRoutes.js';
 import { ApiErrorCode, RequestExecution } from './types.js';
 
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
@@ -30,7 +37,9 @@
   ApiErrorResponse,
   ApplyResponse,
   ConvergenceStatus,
+  ListedRollout,
   ListedServer,
+  RolloutResponse,
   StatusResponse,
   VersionCount,
 } from './types.js';
@@ -69,6 +78,8 @@
   addMember?: (member: NewMember, nowMs: number) => Promise<MembershipResult>;
   /** Removes a control VM. Without it, `POST /v1/members/remove` responds with 404. */
   removeMember?: (memberId: string, nowMs: number) => Promise<MembershipResult>;
+  /** Whether operators may order roll-outs. Without it, `/v1/rollouts` responds with 404. */
+  hasRollouts?: boolean;
   rateLimit?: RateLimiterOptions;
 }
 
@@ -187,6 +198,31 @@
   return context.json(response, STATUS_BY_OUTCOME[response.outcome]);
 };
 
+const createRolloutHandler = (options: OperatorApiOptions) => async (context: Context) => {
+  const service = context.req.param('service') ?? '';
+  const requestId = context.req.header(REQUEST_ID_HEADER) ?? '';
+  const operator = context.req.header(OPERATOR_HEADER) ?? DEFAULT_OPERATOR;
+  const order = parseRolloutOrder(await context.req.text());
+  if (!order || !IDENTIFIER_PATTERN.test(requestId) || !IDENTIFIER_PATTERN.test(operator)) {
+    const message =
+      `the body must be JSON with targetVersion and durationMs, and ${REQUEST_ID_HEADER} must be 1 to ` +
+      '128 letters, digits, ".", "_", "@" or "-"';
+    return respondWithError(context, ApiErrorCode.BadRequest, message);
+  }
+  const fields = { service, requestId, operator };
+  const response = await orderRollout(options.log, fields, order, Date.now());
+  return context.json(response, STATUS_BY_ROLLOUT_OUTCOME[response.outcome]);
+};
+
+const createRolloutListHandler = (options: OperatorApiOptions) => async (context: Context) => {
+  const read = await options.log.readRollouts(READ_TIMEOUT_MS);
+  if (read.isErr()) {
+    logger.warn({ reason: read.error.message }, 'read of roll-outs refused');
+    return respondWithError(context, ApiErrorCode.Unavailable, read.error.message);
+  }
+  return context.json(read.value.map(toListedRollout));
+};
+
 const createConfigurationHandler = (options: OperatorApiOptions) => (context: Context) => {
   const committed = options.log.committed();
   if (!committed) {
@@ -277,6 +313,10 @@
   app.post('/v1/versions/:number', createApplyHandler(options));
   addReadRoutes(app, options);
   addMemberRoutes(app, options);
+  if (options.hasRollouts === true) {
+    app.get('/v1/rollouts', createRolloutListHandler(options));
+    app.post('/v1/rollouts/:service', createRolloutHandler(options));
+  }
   addErrorHandlers(app);
   return app;
 };
--- a/src/process/operatorApi/types.ts
+++ b/src/process/operatorApi/types.ts
@@ -1,5 +1,6 @@
 /** Response bodies of the operator API. */
 import type { ApplyOutcome, MemberStatus, VersionHolder } from '../replication/ControlLog/index.js';
+import type { RolloutOutcome } from '../rollouts/types.js';
 import type { NodeStatus } from '../nodeStatus/types.js';
 import type { SheetFault } from '../../version/validateSheet/index.js';
 
@@ -23,6 +24,34 @@
   faults?: SheetFault[];
 }
 
+/** Body of every response to `POST /v1/rollouts/{service}` that is not an error. */
+export interface RolloutResponse {
+  outcome: RolloutOutcome;
+  ran: RequestExecution;
+  message: string;
+  requestId: string;
+  service: string;
+  targetVersion: string;
+  durationMs: number;
+}
+
+/** One row of `GET /v1/rollouts`. */
+export interface ListedRollout {
+  id: number;
+  service: string;
+  targetVersion: string;
+  /** Name of a `RolloutStage`. */
+  stage: string;
+  sharePermille: number;
+  step: number;
+  orderedAtMs: number;
+  durationMs: number;
+  operator: string;
+  requestId: string;
+  /** Why the last step was taken. */
+  reason: string;
+}
+
 /** Why a request failed outside of the replicated log. */
 export enum ApiErrorCode {
   Unauthorized = 'UNAUTHORIZED',
--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -8,6 +8,7 @@
 const MAX_PORT = 65_535;
 const MAX_DURATION_MS = 86_400_000;
 const MAX_QUEUE_PER_SLOT = 100;
+const MAX_REQUEST_COUNT = 1_000_000;
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
 const ADDRESS_PATTERN = /^(?:\[([^\]]+)\]|([^:]+)):([1-9][0-9]{0,4})$/;
@@ -100,6 +101,12 @@
 /** Duration in milliseconds. */
 export const durationField = createIntegerField(1, MAX_DURATION_MS, 'milliseconds');
 
+/** Part of the requests, in thousandths. */
+export const permilleField = createIntegerField(1, 1_000, 'thousandths');
+
+/** Number of requests. */
+export const requestCountField = createIntegerField(0, MAX_REQUEST_COUNT, 'requests');
+
 /** Maximum number of queued requests per slot. */
 export const queuePerSlotField = createIntegerField(0, MAX_QUEUE_PER_SLOT, 'requests');
 
--- a/src/process/settings/_lib/parseControlSettings.ts
+++ b/src/process/settings/_lib/parseControlSettings.ts
@@ -14,6 +14,7 @@
   logSchema,
   membersSchema,
   operatorSchema,
+  rolloutsSchema,
   timingSchema,
   tlsSchema,
 } from './sectionSchemas.js';
@@ -133,10 +134,13 @@
   tls: parseSection(sections, 'tls', tlsSchema),
   log: parseSection(sections, 'log', logSchema),
   timing: parseSection(sections, 'timing', timingSchema),
+  rollouts: parseSection(sections, 'rollouts', rolloutsSchema),
 });
 
 const REQUIRED_SECTIONS = ['control', 'members', 'operator'];
-const OPTIONAL_SECTIONS = ['tls', 'log', 'timing'];
+const OPTIONAL_SECTIONS = ['tls', 'log', 'timing', 'rollouts'];
+
+const PERMILLE = 1_000;
 
 /**
  * Parses the settings of a control VM without checking the files they refer to.
@@ -153,6 +157,7 @@
   const ini = parseIni(text);
   const read = parseControlSections(ini.sections);
   const control = read.control.value;
+  const rollouts = read.rollouts.value;
   const members = listMembers(read.members.value);
   const timing = omitUndefined<TimingSettings>({
     heartbeatMs: read.timing.value?.heartbeat_ms,
@@ -188,5 +193,12 @@
     ...(read.tls.value ? { tls: resolveTlsPaths(read.tls.value, baseFolder) } : {}),
     log: resolveLogSettings(read.log.value, baseFolder),
     timing,
+    ...(rollouts && {
+      rollouts: {
+        exposedShare: rollouts.exposed_permille / PERMILLE,
+        exposedSlack: rollouts.exposed_slack,
+        rollbackMs: rollouts.rollback_ms,
+      },
+    }),
   });
 };
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -10,7 +10,9 @@
   memberField,
   nameField,
   pathField,
+  permilleField,
   queuePerSlotField,
+  requestCountField,
   advertisedAddressField,
 } from './fields.js';
 
@@ -43,6 +45,12 @@
   proposal_timeout_ms: v.optional(durationField),
 });
 
+export const rolloutsSchema = v.object({
+  exposed_permille: permilleField,
+  exposed_slack: requestCountField,
+  rollback_ms: durationField,
+});
+
 export const nodeSchema = v.object({
   name: nameField,
   data_centre: nameField,
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -31,6 +31,10 @@
 destination = log.txt
 [timing]
 heartbeat_ms = 50
+[rollouts]
+exposed_permille = 50
+exposed_slack = 20
+rollback_ms = 4000
 `;
 
 const NODE = `
@@ -68,6 +72,7 @@
       operator: { tokenFile: '/etc/foxtailvane/token' },
       log: { level: LogLevel.Debug, destination: '/etc/foxtailvane/log.txt' },
       timing: { heartbeatMs: 50 },
+      rollouts: { exposedShare: 0.05, exposedSlack: 20, rollbackMs: 4_000 },
     });
   },
 );
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -1,5 +1,6 @@
 /** The settings of the two daemons. Addresses are `IP:port`, with IPv6 as `[IP]:port`. */
 import type { LogLevel } from '../log/index.js';
+import type { RolloutLimits } from '../rollouts/decideRollout/index.js';
 import type { ReplicationTimings } from '../replication/ReplicatedLog/index.js';
 
 /** Standard streams that can be a log destination. */
@@ -46,6 +47,8 @@
   tls?: TlsSettings;
   log: LogSettings;
   timing: TimingSettings;
+  /** Limits of roll-outs; without them none can be ordered. */
+  rollouts?: RolloutLimits;
 }
 
 /** Addresses of the control VMs of one data centre. */
