--- a/src/process/rollouts/VersionComparison/index.ts
+++ b/src/process/rollouts/VersionComparison/index.ts
@@ -54,7 +54,7 @@
  * sequential tests: one over all routes and one for each, so that a version that is bad on one route
  * is found too. Portions up to what one bad machine may cause are tolerated. Over 240 seeded roll-outs
  * of 40 s for each kind in the test, with 150 and 600 requests/s, no bad version was missed, and
- * 0.3% of the good ones were taken for bad, nearly all of them within a burst or a cut.
+ * 0.4% of the good ones were taken for bad, nearly all of them within a burst or a cut.
  *
  * @example
  * comparison.add([{ route: 'orders', target, others }], { comparesDurations: true }, nowMs);
