Choose servers by software version where roll-outs are ordered, and count evidence

Cause: during a roll-out, servers of a second version run beside those of the first; nodes chose among all of them, and nothing told a bad version from a good one.

Change: servers state their software version. RolloutPolicy narrows the servers of a request: the share of a canary by a counter per node, the target once it is promoted, never a version that was rolled back or not ordered. EvidenceCollector counts attempts by service, version and route while a roll-out is in progress.

--- a/src/process/holder/RolloutHolder/index.ts
+++ b/src/process/holder/RolloutHolder/index.ts
@@ -1,7 +1,15 @@
 /** Holds the roll-outs that a node uses. */
 import { createLogger } from '../../log/index.js';
 
-import type { RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
+import type { Rollout, RolloutSet } from '../../../_generated/foxtailvane/v1/rollouts_pb.js';
+
+const NO_ROLLOUTS: readonly Rollout[] = [];
+
+const groupByService = (rollouts: readonly Rollout[]): Map<string, Rollout[]> => {
+  const services = new Set(rollouts.map(({ service }) => service));
+  const listOf = (name: string): Rollout[] => rollouts.filter(({ service }) => service === name);
+  return new Map([...services].map((service) => [service, listOf(service)]));
+};
 
 const log = createLogger('rollouts');
 
@@ -15,6 +23,8 @@
 export class RolloutHolder {
   #current: RolloutSet | undefined;
 
+  #byService = new Map<string, Rollout[]>();
+
   readonly #listeners = new Set<RolloutListener>();
 
   /** Returns the newest set; undefined before the first one. */
@@ -22,6 +32,11 @@
     return this.#current;
   }
 
+  /** Returns the roll-outs of a service, the newest of each target version; none before the first set. */
+  listOf(service: string): readonly Rollout[] {
+    return this.#byService.get(service) ?? NO_ROLLOUTS;
+  }
+
   /**
    * Adopts a set that is newer than the held one.
    *
@@ -31,6 +46,7 @@
   adopt(set: RolloutSet): boolean {
     if (this.#current !== undefined && set.revision <= this.#current.revision) return false;
     this.#current = set;
+    this.#byService = groupByService(set.rollouts);
     const { revision, rollouts } = set;
     if (rollouts.length > 0) log.info({ revision, count: rollouts.length }, 'adopted roll-outs');
     this.#listeners.forEach((listener) => listener(set));
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -137,10 +137,19 @@
   left.connections === right.connections &&
   left.state === right.state &&
   left.bornAtMs === right.bornAtMs &&
+  left.softwareVersion === right.softwareVersion &&
   left.servingSinceMs === right.servingSinceMs;
 
-const createLogFields = ({ service, address, slots, state, bornAtMs }: Server): LogContext => ({
+const createLogFields = ({
   service,
+  softwareVersion,
+  address,
+  slots,
+  state,
+  bornAtMs,
+}: Server): LogContext => ({
+  service,
+  ...(softwareVersion !== '' && { softwareVersion }),
   address,
   slots,
   state: ServerState[state],
@@ -516,6 +525,7 @@
       state,
       servingSinceMs: state === ServerState.SERVING ? servingSinceMs : 0n,
       bornAtMs: BigInt(announcement.bornAtMs ?? 0),
+      softwareVersion: announcement.softwareVersion ?? '',
     });
   }
 
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -51,6 +51,17 @@
   t.equal(servers.record().servers[0]?.state, ServerState.DRAINING);
 });
 
+// Guards against a server that stays without a version because it was found by a probe at first.
+tap.test('a server that states its software version later is published again', async (t) => {
+  const servers = createServers();
+  servers.announce('desk-1', desk, START_MS);
+  t.equal(servers.record().servers[0]?.softwareVersion, '');
+  const { sequence } = servers.record();
+  servers.announce('desk-1', { ...desk, softwareVersion: 'v2' }, START_MS + 1_000);
+  t.equal(servers.record().servers[0]?.softwareVersion, 'v2');
+  t.equal(servers.record().sequence, sequence + 1);
+});
+
 // Guards against a slow start at each renewal.
 tap.test('a renewal does not change the time since which a server has been serving', async (t) => {
   const servers = createServers();
--- a/src/process/localServers/_lib/parseAnnouncement.ts
+++ b/src/process/localServers/_lib/parseAnnouncement.ts
@@ -54,6 +54,8 @@
   state: v.enum(AnnouncedState, 'must be "starting", "serving" or "draining"'),
   bornAtMs: v.optional(timeSchema),
   sequence: v.optional(timeSchema),
+  /** Version of the server's software; roll-outs move requests between versions. */
+  softwareVersion: v.optional(nameSchema),
 });
 
 /** Body of `PUT /v1/servers/{serverId}`. */
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -10,10 +10,13 @@
 } from '../../../connection/distribution/NodeLink/index.js';
 import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
+import { RolloutPolicy } from '../../../request/chooseVersion/index.js';
+import { EvidenceCollector } from '../../../request/collectEvidence/index.js';
 import { RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
+import { RolloutHolder } from '../../holder/RolloutHolder/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
 import { LocalServers } from '../../localServers/index.js';
 import type { LocalServersOptions } from '../../localServers/index.js';
@@ -49,6 +52,8 @@
   linkTiming?: Partial<LinkTiming>;
   /** What the node reports to its control VM and receives from it besides the configuration. */
   distribution?: Pick<NodeLinkParts, 'trafficSource' | 'rolloutHolder' | 'quotaHolder'>;
+  /** Whether servers are chosen by software version; off by default. */
+  hasRollouts?: boolean;
   /** Limits and admission of the backend servers beside this node. */
   servers?: Pick<
     LocalServersOptions,
@@ -87,6 +92,30 @@
 
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
+interface RolloutParts {
+  rolloutHolder: RolloutHolder;
+  evidence: EvidenceCollector;
+}
+
+const createRolloutParts = (metrics: MetricsRegistry): RolloutParts => {
+  const rolloutHolder = new RolloutHolder();
+  return { rolloutHolder, evidence: new EvidenceCollector(rolloutHolder, metrics) };
+};
+
+/** Adds the evidence to the other counts that the node reports. */
+const joinDistribution = (
+  { rolloutHolder, evidence }: RolloutParts,
+  distribution: OpenNodeOptions['distribution'],
+): OpenNodeOptions['distribution'] => ({
+  rolloutHolder,
+  trafficSource: {
+    collect: (nowMs) => ({
+      evidence: evidence.list(),
+      usage: distribution?.trafficSource?.collect(nowMs).usage ?? [],
+    }),
+  },
+});
+
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
   const { nodeId, dataCentre, tls, readNowMs = Date.now } = options;
   const metrics = new MetricsRegistry();
@@ -101,11 +130,13 @@
     ...options.servers,
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
+  const rollouts = options.hasRollouts === true ? createRolloutParts(metrics) : undefined;
   const link = new NodeLink(
     {
       ...{ nodeId, dataCentre, controls, holder, directory, peerSeeds },
       recordSource: localServers,
       ...options.distribution,
+      ...(rollouts && joinDistribution(rollouts, options.distribution)),
     },
     { metrics, now: readNowMs, timing, tls: () => tls?.current() },
   );
@@ -125,6 +156,14 @@
     startedAtMs: options.startedAtMs,
     getNowMs: readNowMs,
     ...options.requests,
+    ...(rollouts && {
+      evidence: rollouts.evidence,
+      versions: new RolloutPolicy({
+        rollouts: rollouts.rolloutHolder,
+        isConfirmed: () => link.isCurrent(readNowMs()),
+        random: Math.random,
+      }),
+    }),
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -32,6 +32,7 @@
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
+import { AnyVersionPolicy } from '../chooseVersion/index.js';
 import { TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { CallerLimits } from '../../_generated/foxtailvane/v1/configuration_pb.js';
@@ -39,6 +40,8 @@
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
+import type { VersionPolicy } from '../chooseVersion/index.js';
+import type { EvidenceCollector } from '../collectEvidence/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
 import type { LeastDelaySelectorOptions, ServerSelector } from '../selectServer/index.js';
 
@@ -94,6 +97,10 @@
   createSelector?: (dependencies: SelectorDependencies) => ServerSelector;
   /** `FailureRateBreaker` by default. */
   breaker?: CircuitBreaker;
+  /** Narrows the servers of a request by software version; `AnyVersionPolicy` by default. */
+  versions?: VersionPolicy;
+  /** Counts how attempts end by software version. */
+  evidence?: EvidenceCollector;
   /** Creates the retry budget, given a count of the known nodes; `RatioRetryBudget` by default. */
   createBudget?: (countNodes: () => number) => RetryBudget;
   /**
@@ -290,6 +297,8 @@
       peers: this.#peers,
       departures: this.#departures,
       crashLedger: this.#crashLedger,
+      versions: options.versions ?? new AnyVersionPolicy(),
+      evidence: options.evidence,
     });
     const ownerHandler = new OwnerHandler(this.#context, localCaller, this.#grantor);
     this.#entryListener = this.#createServer((request, response) =>
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -15,6 +15,7 @@
 import createKeyRefusal from './createKeyRefusal.js';
 import { recordOutcome } from './recordOutcome.js';
 import { routeRequest } from './routeRequest.js';
+import { Reach } from '../chooseVersion/index.js';
 import computeRetryDelay from '../computeRetryDelay/index.js';
 import ObjectiveEstimator from '../trackObjectives/index.js';
 import TrafficSplit from '../splitTraffic/index.js';
@@ -25,12 +26,15 @@
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
+import type { VersionChoice, VersionPolicy } from '../chooseVersion/index.js';
+import type { EvidenceCollector } from '../collectEvidence/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
+import type { Attempt } from './ServerCaller.js';
 import type { OutcomeRecorders } from './recordOutcome.js';
 import type { RoutedRequest } from './routeRequest.js';
 import type { Refusal } from './writeRefusal.js';
@@ -53,10 +57,15 @@
   peers: PeerTracker;
   departures: DepartureTracker;
   crashLedger: CrashLedger;
+  versions: VersionPolicy;
+  /** Counts how attempts end by software version; undefined without roll-outs. */
+  evidence?: EvidenceCollector | undefined;
 }
 
 /** State of a request over its attempts. */
 interface AttemptState {
+  /** Servers that the last attempt could be sent to. */
+  choice: VersionChoice | undefined;
   /** Keys of the servers tried so far. */
   tried: Set<string>;
   /** Number of attempts that may have run. */
@@ -78,6 +87,22 @@
 const isKnownNotRun = (error: CallError | undefined): boolean =>
   !error || isNotRunError(error) || !error.options.isWritten;
 
+/** Errors that the server, or the node beside it, has caused after the server got the request. */
+const SERVER_ERRORS = new Set([
+  CallErrorCode.Shed,
+  CallErrorCode.TimedOut,
+  CallErrorCode.Truncated,
+]);
+
+const findReach = (result: Result<CallSummary, CallError>): Reach =>
+  result.match(
+    () => Reach.Certain,
+    (error) => {
+      if (SERVER_ERRORS.has(error.code) || error.options.isServerRefusal) return Reach.Certain;
+      return isKnownNotRun(error) ? Reach.None : Reach.Possible;
+    },
+  );
+
 const formatResult = (result: Result<CallSummary, CallError>): string =>
   result.match(
     ({ statusCode }) => String(statusCode),
@@ -207,6 +232,7 @@
     tap?: ResponseTap,
   ): Promise<Result<CallSummary, CallError | undefined>> {
     const state: AttemptState = {
+      choice: undefined,
       tried: new Set(),
       possibleRuns: 0,
       lastError: undefined,
@@ -243,12 +269,12 @@
     const nowMs = this.#context.getNowMs();
     const key = formatServerKey(entry);
     const observation = observations.get(key, nowMs);
-    const attempt = {
+    const attempt: Attempt = {
       routed,
       entry,
       key,
       observation,
-      tap,
+      ...(tap && { tap }),
       number: routed.outerAttempt + state.tried.size,
       shouldWithhold: ({ statusCode }: { statusCode: number }) =>
         statusCode === SERVICE_UNAVAILABLE && this.#canRunAgain(routed, state.possibleRuns + 1),
@@ -260,11 +286,31 @@
     breaker.addRequest(key, nowMs);
     const result = await caller.call(attempt);
     observation.inFlight -= 1;
+    this.#recordVersion(attempt, result, state.choice);
     recordOutcome(attempt, result, this.#dependencies, this.#context.getNowMs());
     routed.attemptResults.push(`${key} ${formatResult(result)}`);
     return result;
   }
 
+  #recordVersion(
+    { routed, entry, hop }: Attempt,
+    result: Result<CallSummary, CallError>,
+    choice: VersionChoice | undefined,
+  ): void {
+    const { versions, evidence } = this.#dependencies;
+    const { service, route, exchange } = routed;
+    if (choice) versions.recordAttempt(service, choice, findReach(result));
+    evidence?.record({
+      service,
+      softwareVersion: entry.server.softwareVersion,
+      route: route.name,
+      result,
+      isForwarded: hop !== undefined,
+      isAcknowledged: hop?.isAcknowledged === true,
+      isPastDeadline: exchange.isPastDeadline,
+    });
+  }
+
   /** Returns whether a request that may have run can be sent to another server. */
   #canRunAgain({ exchange, route, outerAttempt }: RoutedRequest, runs: number): boolean {
     const isAllowed = route.idempotent && runs < route.maxAttempts && outerAttempt === 0;
@@ -276,7 +322,7 @@
     const target = state;
     target.isRetryCharged =
       this.#canRunAgain(routed, state.possibleRuns + 1) &&
-      this.#listCandidates(routed, state).length > 0 &&
+      this.#findCandidates(routed, state, false).entries.length > 0 &&
       this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
     return state.isRetryCharged;
   }
@@ -318,26 +364,37 @@
       .filter((entry) => isLive(entry) && !departures.isDeparting(entry));
   }
 
-  /** Lists the live servers that were not tried, those on responsive nodes if there are any. */
-  #listCandidates({ service }: RoutedRequest, { tried }: AttemptState): ServerEntry[] {
-    const live = this.#listLive(service).filter(
+  /**
+   * Finds the live servers of the right version that were not tried, those on responsive nodes if
+   * there are any.
+   */
+  #findCandidates(routed: RoutedRequest, state: AttemptState, canExpose: boolean): VersionChoice {
+    const { service } = routed;
+    const { tried } = state;
+    const { versions, peers } = this.#dependencies;
+    const choice = versions.choose(service, this.#listLive(service), canExpose);
+    const untried = choice.entries.filter(
       (entry) => tried.size === 0 || !tried.has(formatServerKey(entry)),
     );
-    const reachable = live.filter(
-      ({ node }) => !this.#dependencies.peers.isUnresponsive(node.nodeId),
-    );
-    return reachable.length > 0 ? reachable : live;
+    const reachable = untried.filter(({ node }) => !peers.isUnresponsive(node.nodeId));
+    if (choice.exposure && reachable.length === 0)
+      return this.#findCandidates(routed, state, false);
+    return { ...choice, entries: reachable.length > 0 ? reachable : untried };
   }
 
   #selectServer(routed: RoutedRequest, state: AttemptState): ServerEntry | undefined {
     const nowMs = this.#context.getNowMs();
     const { tried } = state;
-    const candidates = this.#listCandidates(routed, state);
-    const selection = this.#dependencies.selector.select(candidates, {
-      service: routed.service,
+    const isFirst = tried.size === 0 && routed.outerAttempt === 0;
+    const choice = this.#findCandidates(routed, state, isFirst);
+    const selection = this.#dependencies.selector.select(choice.entries, {
+      // The few servers of a share would distort the means of all servers.
+      service: choice.exposure ? `${routed.service} ${choice.softwareVersion}` : routed.service,
       nowMs,
       random: this.#context.random,
     });
+    Object.assign(state, { choice });
+    if (selection) this.#dependencies.versions.charge(choice);
     if (!isLogged(LogLevel.Debug)) return selection?.entry;
     const { requestId, version, route, service } = routed;
     log.info(
@@ -349,6 +406,8 @@
         server: selection && formatServerKey(selection.entry),
         considered: selection?.considered,
         reason: selection?.reason ?? RefusalReason.NoServer,
+        softwareVersion: selection?.entry.server.softwareVersion,
+        versionReason: choice.reason,
         attempt: tried.size,
       },
       'server chosen',
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -61,6 +61,8 @@
   chargeRetry: () => boolean;
   /** Records the response to a request with an Idempotency-Key. */
   tap?: ResponseTap;
+  /** Set when the request is sent to the node beside the server. */
+  hop?: { isAcknowledged: boolean };
 }
 
 export interface ServerCallerDependencies {
@@ -191,7 +193,10 @@
       () => this.#handleMissingAcknowledgement(attempt),
       ACKNOWLEDGEMENT_TIMEOUT_MS,
     );
+    const hop = { isAcknowledged: false };
+    Object.assign(attempt, { hop });
     const markAlive = (): void => {
+      hop.isAcknowledged = true;
       clearTimeout(acknowledgementTimer);
       peers.recordResponse(nodeId);
     };
