Explain the choice of software versions, and switch it on in the settings of nodes

Cause: an operator could not see which version requests use, and only the platform's nodes could use roll-outs.

Change: explain names the version and the reason, on a node also the share of a roll-out; [requests] rollouts = on; GET /v1/servers lists the software version.

--- a/src/process/cli/_lib/createServerIndex.ts
+++ b/src/process/cli/_lib/createServerIndex.ts
@@ -19,6 +19,7 @@
     serverId: server.serverId,
     service: server.service,
     state: STATE_BY_NAME[server.state] ?? ServerState.UNSPECIFIED,
+    softwareVersion: server.softwareVersion,
   }),
   node: create(NodeRecordSchema, {
     nodeId: server.node,
--- a/src/process/cli/commands/explain.ts
+++ b/src/process/cli/commands/explain.ts
@@ -76,9 +76,10 @@
     ...(candidates.length === 0
       ? []
       : formatTable(
-          ['server', 'node', 'data centre', 'state', 'can be chosen', 'reason'],
+          ['server', 'software', 'node', 'data centre', 'state', 'can be chosen', 'reason'],
           candidates.map((candidate) => [
             candidate.serverId,
+            candidate.softwareVersion ?? '-',
             candidate.nodeId,
             candidate.dataCentre,
             candidate.state,
--- a/src/process/node/_lib/createLocalApi.ts
+++ b/src/process/node/_lib/createLocalApi.ts
@@ -7,6 +7,7 @@
 import type { LocalServers } from '../../localServers/index.js';
 import type { MetricsRegistry } from '../../metrics/index.js';
 import { explainRoute } from './explainRoute.js';
+import type { VersionExplainer } from './explainRoute.js';
 
 export interface LocalApiComponents {
   link: NodeLink;
@@ -14,6 +15,8 @@
   directory: EndpointDirectory;
   localServers: LocalServers;
   metrics: MetricsRegistry;
+  /** Choice of software versions; undefined without roll-outs. */
+  versions?: VersionExplainer;
 }
 
 /** Creates the app served on `local_listen`: announcements, metrics, health and `/explain`. */
@@ -31,7 +34,8 @@
   });
   app.get('/explain', (context) => {
     const { host = '*', path = '/', method = 'GET' } = context.req.query();
-    return context.json(explainRoute(holder.current(), directory, { host, path, method }));
+    const query = { host, path, method };
+    return context.json(explainRoute(holder.current(), directory, query, components.versions));
   });
   return app;
 };
--- a/src/process/node/_lib/explainRoute.ts
+++ b/src/process/node/_lib/explainRoute.ts
@@ -1,5 +1,6 @@
 import { ServerState } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { CompiledConfiguration } from '../../../version/compileConfiguration/types.js';
+import type { VersionExplanation } from '../../../request/chooseVersion/index.js';
 import type { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import type { ServerEntry } from '../../endpoints/types.js';
 
@@ -16,6 +17,8 @@
   nodeId: string;
   dataCentre: string;
   state: string;
+  /** Absent when the server states none. */
+  softwareVersion?: string;
   canBeChosen: boolean;
   reason: string;
 }
@@ -35,17 +38,46 @@
   targets: ExplainedTarget[];
 }
 
-const describeCandidate = ({ server, node }: ServerEntry): ExplainedCandidate => {
+/** Explains the choice of software versions. */
+export interface VersionExplainer {
+  explain: (service: string, live: ServerEntry[]) => VersionExplanation;
+}
+
+const isLive = ({ server, node }: ServerEntry): boolean =>
+  server.state === ServerState.SERVING && !node.draining;
+
+const describeVersion = (
+  { server }: ServerEntry,
+  { entries, exposure, softwareVersion = 'none', reason }: VersionExplanation,
+): { canBeChosen: boolean; reason: string } => {
+  if (entries.some((entry) => entry.server === server)) {
+    return { canBeChosen: true, reason: `serving (${reason})` };
+  }
+  if (exposure?.targetVersion === server.softwareVersion) {
+    const share = `at most ${exposure.sharePermille} of 1000 requests`;
+    return { canBeChosen: true, reason: `version ${exposure.targetVersion} gets ${share}` };
+  }
+  return { canBeChosen: false, reason: `requests use version ${softwareVersion} (${reason})` };
+};
+
+const describeCandidate = (
+  entry: ServerEntry,
+  versions: VersionExplanation | undefined,
+): ExplainedCandidate => {
+  const { server, node } = entry;
   const isServing = server.state === ServerState.SERVING;
-  const canBeChosen = isServing && !node.draining;
+  const canBeChosen = isLive(entry);
   const exclusionReason = isServing ? 'its node is draining' : 'it is not serving';
+  const { softwareVersion } = server;
   return {
     serverId: server.serverId,
     nodeId: node.nodeId,
     dataCentre: node.dataCentre,
     state: ServerState[server.state].toLowerCase(),
+    ...(softwareVersion !== '' && { softwareVersion }),
     canBeChosen,
     reason: canBeChosen ? 'serving' : exclusionReason,
+    ...(versions && canBeChosen && describeVersion(entry, versions)),
   };
 };
 
@@ -55,12 +87,14 @@
  * @param compiled - configuration in force, if any
  * @param directory - known servers
  * @param query - host, path and method of the request
+ * @param versions - choice of software versions; undefined without roll-outs
  * @returns the matching route with all candidates of its targets, or why there is none
  */
 export const explainRoute = (
   compiled: CompiledConfiguration | undefined,
   directory: Pick<EndpointDirectory, 'serversOf'>,
   query: ExplainQuery,
+  versions?: VersionExplainer,
 ): Explanation => {
   const host = query.host.toLowerCase();
   const method = query.method.toUpperCase();
@@ -68,11 +102,12 @@
   if (!compiled) return { ...base, reason: 'no configuration version is in force' };
   const route = compiled.matchRoute(host, query.path, method);
   if (!route) return { ...base, reason: 'no route matches host, path and method' };
-  const targets = route.targets.map(({ service, weightPercent }) => ({
-    service,
-    weightPercent,
-    candidates: directory.serversOf(service).map(describeCandidate),
-  }));
+  const targets = route.targets.map(({ service, weightPercent }) => {
+    const entries = directory.serversOf(service);
+    const explained = versions?.explain(service, entries.filter(isLive));
+    const candidates = entries.map((entry) => describeCandidate(entry, explained));
+    return { service, weightPercent, candidates };
+  });
   return {
     ...base,
     route: route.name,
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -81,6 +81,8 @@
   localServers: LocalServers;
   link: NodeLink;
   server: RequestServer;
+  /** Choice of software versions; undefined without roll-outs. */
+  versions?: RolloutPolicy | undefined;
   /** Stops all components; requests in flight fail. */
   close: () => Promise<void>;
 }
@@ -140,6 +142,13 @@
     },
     { metrics, now: readNowMs, timing, tls: () => tls?.current() },
   );
+  const versions =
+    rollouts &&
+    new RolloutPolicy({
+      rollouts: rollouts.rolloutHolder,
+      isConfirmed: () => link.isCurrent(readNowMs()),
+      random: Math.random,
+    });
   const server = new RequestServer({
     nodeId,
     dataCentre,
@@ -156,21 +165,15 @@
     startedAtMs: options.startedAtMs,
     getNowMs: readNowMs,
     ...options.requests,
-    ...(rollouts && {
-      evidence: rollouts.evidence,
-      versions: new RolloutPolicy({
-        rollouts: rollouts.rolloutHolder,
-        isConfirmed: () => link.isCurrent(readNowMs()),
-        random: Math.random,
-      }),
-    }),
+    ...(rollouts && { evidence: rollouts.evidence }),
+    ...(versions && { versions }),
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
   holder.onInstalled(({ configuration }) => server.applyLimits(configuration.limits));
-  return { metrics, holder, directory, localServers, link, server };
+  return { metrics, holder, directory, localServers, link, server, versions };
 };
 
 /**
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -54,7 +54,7 @@
   const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
-  const { queuePerSlot, ...requests } = settings.requests;
+  const { queuePerSlot, hasRollouts = false, ...requests } = settings.requests;
   const opened = await openNode({
     nodeId,
     dataCentre,
@@ -68,12 +68,16 @@
     startedAtMs: nowMs,
     tls,
     servers: { ...(queuePerSlot !== undefined && { queuePerSlot }) },
+    hasRollouts,
     requests,
   });
   if (opened.isErr()) return err(opened.error);
   const { metrics, holder, directory, localServers, link, server } = opened.value;
-  const { listen, forwardListen, peerListen, close } = opened.value;
-  const api = createLocalApi({ link, holder, directory, localServers, metrics });
+  const { listen, forwardListen, peerListen, versions, close } = opened.value;
+  const api = createLocalApi({
+    ...{ link, holder, directory, localServers, metrics },
+    ...(versions && { versions }),
+  });
   const localListener = await serveHttp(api, settings.localListen);
   if (localListener.isErr()) {
     await close();
--- a/src/process/operatorApi/_lib/listServers.ts
+++ b/src/process/operatorApi/_lib/listServers.ts
@@ -29,6 +29,7 @@
         slots: server.slots,
         connections: server.connections,
         isNodeDraining: record.draining,
+        softwareVersion: server.softwareVersion,
       })),
     )
     .toSorted(
--- a/src/process/operatorApi/types.ts
+++ b/src/process/operatorApi/types.ts
@@ -96,4 +96,6 @@
   slots: number;
   connections: number;
   isNodeDraining: boolean;
+  /** Empty when the server states none. */
+  softwareVersion: string;
 }
--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -103,6 +103,16 @@
 /** Maximum number of queued requests per slot. */
 export const queuePerSlotField = createIntegerField(0, MAX_QUEUE_PER_SLOT, 'requests');
 
+const SWITCH_STATES: Record<string, boolean> = { on: true, off: false };
+const SWITCH_EXPECTED = `one of ${Object.keys(SWITCH_STATES).join(', ')}`;
+
+/** Whether an optional part is used. */
+export const switchField = v.pipe(
+  v.string(SWITCH_EXPECTED),
+  v.check((value) => Object.hasOwn(SWITCH_STATES, value), SWITCH_EXPECTED),
+  v.transform((value) => SWITCH_STATES[value] === true),
+);
+
 const LEVELS: Record<string, LogLevel> = {
   trace: LogLevel.Trace,
   debug: LogLevel.Debug,
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -11,6 +11,7 @@
   nameField,
   pathField,
   queuePerSlotField,
+  switchField,
   advertisedAddressField,
 } from './fields.js';
 
@@ -62,4 +63,5 @@
   idempotency_retention_ms: v.optional(durationField),
   queue_per_slot: v.optional(queuePerSlotField),
   probe_interval_ms: v.optional(durationField),
+  rollouts: v.optional(switchField),
 });
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -47,6 +47,7 @@
 dc-west = [::1]:7400
 [requests]
 queue_per_slot = 4
+rollouts = on
 `;
 
 const OPTIONS = { baseFolder: '/etc/foxtailvane' };
@@ -82,7 +83,7 @@
       { dataCentre: 'dc-west', addresses: ['[::1]:7400'] },
     ],
     log: { level: LogLevel.Info, destination: 'stdout' },
-    requests: { queuePerSlot: 4 },
+    requests: { queuePerSlot: 4, hasRollouts: true },
   });
 });
 
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -62,6 +62,8 @@
   queuePerSlot?: number;
   /** Interval between two probes of a server. */
   probeIntervalMs?: number;
+  /** Whether servers are chosen by software version, as operators order it; off by default. */
+  hasRollouts?: boolean;
 }
 
 /** Settings of `foxtailvane node`. */
--- a/src/request/chooseVersion/RolloutPolicy.ts
+++ b/src/request/chooseVersion/RolloutPolicy.ts
@@ -1,14 +1,14 @@
 import { RolloutStage } from '../../_generated/foxtailvane/v1/rollouts_pb.js';
 import { createLogger } from '../../process/log/index.js';
 import ExposureCounter from './_lib/ExposureCounter.js';
-import { decideVersion } from './_lib/decideVersion.js';
+import { VersionReason, decideVersion } from './_lib/decideVersion.js';
 import selectExposed from './_lib/selectExposed.js';
 import { Reach, VersionPolicy } from './VersionPolicy.js';
 
 import type { Rollout } from '../../_generated/foxtailvane/v1/rollouts_pb.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RolloutHolder } from '../../process/holder/RolloutHolder/index.js';
-import type { VersionDecision, VersionReason } from './_lib/decideVersion.js';
+import type { VersionDecision } from './_lib/decideVersion.js';
 import type { VersionChoice } from './VersionPolicy.js';
 
 const log = createLogger('rollouts');
@@ -28,6 +28,9 @@
   return starts;
 };
 
+/** The choice for requests outside of shares, and the roll-out that a share is used of. */
+export type VersionExplanation = VersionChoice;
+
 export interface RolloutPolicyOptions {
   rollouts: Pick<RolloutHolder, 'listOf'>;
   /** Returns whether a control VM has recently confirmed that this node is not behind. */
@@ -54,12 +57,7 @@
   }
 
   override choose(service: string, live: ServerEntry[], canExpose: boolean): VersionChoice {
-    const decision = decideVersion({
-      rollouts: this.#options.rollouts.listOf(service),
-      startsByVersion: findStarts(live),
-      formerBase: this.#bases.get(service),
-      canExpose: canExpose && this.#mayExpose(service),
-    });
+    const decision = this.#decide(service, live, canExpose && this.#mayExpose(service));
     this.#keepBase(service, decision);
     const { softwareVersion, reason, exposure } = decision;
     return { entries: this.#narrow(live, decision), softwareVersion, reason, exposure };
@@ -76,6 +74,28 @@
     if (canary && reach === Reach.Certain) this.#exposures.addReached(canary);
   }
 
+  /**
+   * Explains the present choice for a service; changes nothing.
+   *
+   * @param service - name of the service
+   * @param live - all live servers of the service
+   */
+  explain(service: string, live: ServerEntry[]): VersionExplanation {
+    const decision = this.#decide(service, live, false);
+    const { softwareVersion, reason } = decision;
+    const exposure = this.#options.isConfirmed() ? this.#findCanary(service) : undefined;
+    return { entries: this.#narrow(live, decision), softwareVersion, reason, exposure };
+  }
+
+  #decide(service: string, live: ServerEntry[], canExpose: boolean): VersionDecision {
+    return decideVersion({
+      rollouts: this.#options.rollouts.listOf(service),
+      startsByVersion: findStarts(live),
+      formerBase: this.#bases.get(service),
+      canExpose,
+    });
+  }
+
   #findCanary(service: string): Rollout | undefined {
     return this.#options.rollouts
       .listOf(service)
@@ -100,9 +120,10 @@
   #keepBase(service: string, { base, reason, exposure }: VersionDecision): void {
     // A request within the share leaves the version of the others as it is.
     if (exposure) return;
-    const isNew = this.#reasons.get(service) !== reason;
-    if (base !== undefined && (isNew || this.#bases.get(service) !== base)) {
-      const formerVersion = this.#bases.get(service);
+    const formerReason = this.#reasons.get(service) ?? VersionReason.AnyVersion;
+    const formerVersion = this.#bases.get(service);
+    const isNew = formerVersion !== undefined && formerVersion !== base;
+    if (base !== undefined && (isNew || formerReason !== reason)) {
       log.info({ service, softwareVersion: base, formerVersion, reason }, 'version in use');
     }
     this.#reasons.set(service, reason);
