Use no share that was taken away

Cause: the controller may set a share of 0 for a while; what a node had saved up before would still have allowed one request.

Change: a share of 0 allows no request.

--- a/src/request/chooseVersion/_lib/ExposureCounter.ts
+++ b/src/request/chooseVersion/_lib/ExposureCounter.ts
@@ -31,7 +31,7 @@
 
   /** Returns whether the next request may go to the target version. */
   hasShare(rollout: Rollout): boolean {
-    return this.#get(rollout).permille >= PERMILLE_PER_REQUEST;
+    return rollout.sharePermille > 0 && this.#get(rollout).permille >= PERMILLE_PER_REQUEST;
   }
 
   /** Adds the share of a request that reached a server of the service, of whatever version. */
--- a/src/request/chooseVersion/test.ts
+++ b/src/request/chooseVersion/test.ts
@@ -167,6 +167,15 @@
   t.ok(exposed > 40, `${exposed}`);
 });
 
+// Guards against requests that were saved up under an earlier share, after the share was taken away.
+tap.test('a share of 0 allows no request', async (t) => {
+  const node = createNode([order(1, 'v2', RolloutStage.CANARY, 900)], () => 0.999);
+  sendRequest(node, [...OLD, ...NEW]);
+  node.rollouts = [order(1, 'v2', RolloutStage.CANARY, 0)];
+  const choices = Array.from({ length: 50 }, () => sendRequest(node, [...OLD, ...NEW]));
+  t.ok(choices.every(({ exposure }) => exposure === undefined));
+});
+
 // Guards against a bad version that looks good because each of its servers is nearly idle, and
 // against one bad machine that is taken for a bad version.
 tap.test('a share goes to the same few servers from every node', async (t) => {
