--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -28,6 +28,8 @@
   seedIps: string[];
   /** Service of the worker beside the node; unset without a worker. */
   service?: string;
+  /** Duties in force besides the usual ones. */
+  contracts?: string[];
 }
 
 export default class PlatformMachine {
@@ -95,7 +97,7 @@
   }
 
   #createSettings(isFirstStart: boolean): object {
-    const { ip, zone, service, program, seedIps } = this.#options;
+    const { ip, zone, service, program, seedIps, contracts = [] } = this.#options;
     const isNode = program === PlatformProgram.Node;
     return {
       self: {
@@ -116,6 +118,7 @@
         seeds: seedIps.map((seedIp) => `${seedIp}:${PLATFORM_PORTS.control}`),
       },
       terms: {
+        contracts: ['base', ...contracts],
         bounds: { retry_budget_ratio: 0.2, retry_budget_slack: 64, grace: '6s' },
       },
     };
--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -16,6 +16,10 @@
   slots?: number;
   /** Execution time of a request. */
   workMs?: number;
+  /** Version of its software. */
+  version?: string;
+  /** Returns the status of the next answer; always 200 by default. */
+  findStatus?: () => number;
 }
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -84,7 +88,15 @@
    * @returns the HTTP status of the acknowledgement
    */
   async sendHeartbeat(changes: object = {}): Promise<number> {
-    const { instanceId, service, address, zone, control, slots = 4 } = this.#options;
+    const {
+      instanceId,
+      service,
+      address,
+      zone,
+      control,
+      slots = 4,
+      version = 'v1',
+    } = this.#options;
     this.#sequence += 1;
     const { statusCode, body } = await request(
       `http://${control}/-/rpc?call=instances.heartbeat&of=${instanceId}`,
@@ -92,7 +104,7 @@
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({
-          ...{ service, address, zone, version: 'v1', slots, state: this.#state },
+          ...{ service, address, zone, version, slots, state: this.#state },
           ...{ cold_remaining: '0ms', sequence: this.#sequence, born: this.#bornAtMs },
           ...changes,
         }),
@@ -103,7 +115,7 @@
   }
 
   #handleRequest(incoming: IncomingMessage, response: ServerResponse): void {
-    const { instanceId, workMs = 5 } = this.#options;
+    const { instanceId, workMs = 5, findStatus = () => 200 } = this.#options;
     const { headers, url = '' } = incoming;
     if (url === '/health') {
       response.writeHead(this.#state === 'ready' ? 200 : 503, { 'instance-id': instanceId }).end();
@@ -118,7 +130,10 @@
     const callerService = String(headers['caller-service'] ?? '');
     this.runs.push({ attemptId, path: url, callerService, atMs: performance.now() });
     setTimeout(() => {
-      response.writeHead(200, { 'attempt-id': attemptId, 'server-stamp': `s.${instanceId}` });
+      response.writeHead(findStatus(), {
+        'attempt-id': attemptId,
+        'server-stamp': `s.${instanceId}`,
+      });
       response.end(`${instanceId} ${url}`);
     }, workMs);
   }
--- a/stand-ins/platform/clients.ts
+++ b/stand-ins/platform/clients.ts
@@ -11,7 +11,11 @@
 /** Sends an operator call to a control VM. */
 export const callControl = async (
   control: string,
-  call: 'configuration.replace' | 'configuration.read',
+  call:
+    | 'configuration.replace'
+    | 'configuration.read'
+    | 'rollouts.start'
+    | `rollouts.read&of=${string}`,
   document: object | string = '',
 ): Promise<ControlReply> => {
   const { statusCode, body } = await request(`http://${control}/-/rpc?call=${call}`, {
