--- a/src/process/operatorApi/types.ts
+++ b/src/process/operatorApi/types.ts
@@ -125,4 +125,6 @@
   slots: number;
   connections: number;
   isNodeDraining: boolean;
+  /** Empty when the server states none. */
+  softwareVersion: string;
 }
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -13,6 +13,7 @@
   permilleField,
   queuePerSlotField,
   requestCountField,
+  switchField,
   advertisedAddressField,
 } from './fields.js';
 
@@ -70,4 +71,5 @@
   idempotency_retention_ms: v.optional(durationField),
   queue_per_slot: v.optional(queuePerSlotField),
   probe_interval_ms: v.optional(durationField),
+  rollouts: v.optional(switchField),
 });
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -30,6 +30,8 @@
   service?: string;
   /** Bounds in the settings, in addition to the default ones. */
   bounds?: object;
+  /** Duties in force besides the usual ones. */
+  contracts?: string[];
 }
 
 export default class PlatformMachine {
@@ -102,7 +104,7 @@
   }
 
   #createSettings(isFirstStart: boolean): object {
-    const { ip, zone, service, program, seedIps } = this.#options;
+    const { ip, zone, service, program, seedIps, contracts = [] } = this.#options;
     const isNode = program === PlatformProgram.Node;
     return {
       self: {
@@ -123,6 +125,7 @@
         seeds: seedIps.map((seedIp) => `${seedIp}:${PLATFORM_PORTS.control}`),
       },
       terms: {
+        contracts: ['base', ...contracts],
         bounds: {
           ...{ retry_budget_ratio: 0.2, retry_budget_slack: 64, grace: '6s' },
           ...this.#options.bounds,
