--- a/test/platform/workspaces.test.ts
+++ b/test/platform/workspaces.test.ts
@@ -15,8 +15,8 @@
 } from '../../stand-ins/platform/index.js';
 import waitFor from '../../stand-ins/waitFor/index.js';
 
-const CONTROL_IP = '127.0.73.1';
-const NODE_IPS = ['127.0.74.1', '127.0.74.2'];
+const CONTROL_IP = '127.0.75.1';
+const NODE_IPS = ['127.0.76.1', '127.0.76.2'];
 const SERVICE = 'desk';
 const KEPT_KEY = 'kept-dedev3nax7u27';
 const WITHDRAWN_KEY = 'gone-2rrytapjsujq';
