Let the proof of the entry node admit keys beside the server

The entry node now sends how long its own proof lasts, and the node beside the server accepts it, unless that node has just been suspended: the request may then have waited in its buffers. Its own proof is enough as before.

--- a/src/connection/distribution/NodeLink/index.ts
+++ b/src/connection/distribution/NodeLink/index.ts
@@ -5,7 +5,7 @@
 import ByteMeter from '../_lib/ByteMeter.js';
 import { computeBackoff } from '../_lib/computeBackoff.js';
 import computePatience from '../_lib/computePatience.js';
-import { ConfirmationProof } from '../_lib/ConfirmationProof.js';
+import ConfirmationProof from '../_lib/ConfirmationProof.js';
 import { ControlStream } from '../_lib/ControlStream.js';
 import { OwnRecord } from '../_lib/OwnRecord.js';
 import { Readiness } from '../_lib/Readiness.js';
--- a/src/connection/distribution/_lib/ConfirmationProof.test.ts
+++ b/src/connection/distribution/_lib/ConfirmationProof.test.ts
@@ -1,8 +1,8 @@
 import tap from 'tap';
 
-import { ConfirmationProof } from './ConfirmationProof.js';
+import ConfirmationProof from './ConfirmationProof.js';
 
-import type { Instant } from './ConfirmationProof.js';
+import type { Instant } from '../../../process/measureElapsed/index.js';
 
 const at = (steadyMs: number, wallStepMs = 0): Instant => ({
   steadyMs,
--- a/src/connection/distribution/_lib/ConfirmationProof.ts
+++ b/src/connection/distribution/_lib/ConfirmationProof.ts
@@ -1,22 +1,11 @@
-import type { Heartbeat } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import { measureElapsedMs } from '../../../process/measureElapsed/index.js';
 
-/**
- * A moment on two clocks. The steady clock may stand still while the VM is suspended; the time of day
- * may be set. The greater difference is never less than the time that has passed, unless a VM is
- * suspended and its time of day is set back by as much.
- */
-export interface Instant {
-  steadyMs: number;
-  /** Time of day in milliseconds since the epoch. */
-  wallMs: number;
-}
+import type { Heartbeat } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import type { Instant } from '../../../process/measureElapsed/index.js';
 
 /** Renewals without an answer that are remembered; a stream without answers ends far earlier. */
 const MAX_UNANSWERED = 64;
 
-const computeElapsedMs = (from: Instant, to: Instant): number =>
-  Math.max(to.steadyMs - from.steadyMs, to.wallMs - from.wallMs);
-
 /**
  * Proof that this node holds the newest version, and its age.
  *
@@ -24,7 +13,7 @@
  * withdrawn key. The age counts from the sending of the renewal that the control VM has answered, so
  * a heartbeat that waited in a buffer while this node was suspended does not renew the proof.
  */
-export class ConfirmationProof {
+class ConfirmationProof {
   #lastSequence = 0;
 
   /** Sending times of the renewals on the present stream, by number. */
@@ -74,6 +63,8 @@
 
   /** Returns the age of the proof in milliseconds; Infinity without one. */
   computeAgeMs(now: Instant): number {
-    return this.#provenAt ? computeElapsedMs(this.#provenAt, now) : Infinity;
+    return this.#provenAt ? measureElapsedMs(this.#provenAt, now) : Infinity;
   }
 }
+
+export default ConfirmationProof;
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -32,7 +32,7 @@
 import type { TlsMaterial } from '../../openTransport/index.js';
 import type { ControlTarget, LinkTiming, NodeLinkParts } from '../NodeLink/types.js';
 import type ByteMeter from './ByteMeter.js';
-import type { ConfirmationProof } from './ConfirmationProof.js';
+import type ConfirmationProof from './ConfirmationProof.js';
 import type { OwnRecord } from './OwnRecord.js';
 
 /** State and dependencies that a stream shares with the link that opened it. */
--- a/src/connection/distribution/_lib/PauseGuard.ts
+++ b/src/connection/distribution/_lib/PauseGuard.ts
@@ -1,4 +1,4 @@
-import type { Instant } from './ConfirmationProof.js';
+import type { Instant } from '../../../process/measureElapsed/index.js';
 
 /** Above the error of setting a clock gradually, and far below any lease. */
 const MAX_GAP_MS = 500;
--- a/src/process/node/_lib/createKeyProof.ts
+++ b/src/process/node/_lib/createKeyProof.ts
@@ -10,24 +10,26 @@
 }
 
 /**
- * Creates the check whether a withdrawn key would be known on this node. A node that is cut off holds
- * an old version, in which keys may be valid that were withdrawn since.
+ * Creates the measure of how long a withdrawn key would still be known on this node. A node that is
+ * cut off holds an old version, in which keys may be valid that were withdrawn since.
  *
- * @returns the check; logs when its result changes
+ * @returns reads the time for which keys can be accepted, in milliseconds; not above 0 if they
+ *   cannot, Infinity without a limit; logs when that changes
  */
-const createKeyProof = ({ maxAgeMs, readAgeMs }: KeyProofOptions): (() => boolean) => {
-  if (maxAgeMs === undefined) return () => true;
+const createKeyProof = ({ maxAgeMs, readAgeMs }: KeyProofOptions): (() => number) => {
+  if (maxAgeMs === undefined) return () => Infinity;
   let wasProven = false;
   return () => {
     const ageMs = readAgeMs();
-    const isProven = ageMs < maxAgeMs;
+    const leftMs = maxAgeMs - ageMs;
+    const isProven = leftMs > 0;
     if (isProven !== wasProven) {
       const facts = { ageMs: Math.round(ageMs), maxAgeMs };
       if (isProven) log.info(facts, 'keys are accepted: the version was confirmed recently');
       else log.warn(facts, 'keys are refused: the version was not confirmed recently');
     }
     wasProven = isProven;
-    return isProven;
+    return leftMs;
   };
 };
 
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -114,7 +114,7 @@
     },
   );
   const readAgeMs = (): number => link.getConfirmationAgeMs(readNowMs());
-  const areKeysProven = createKeyProof({
+  const readKeyProofLeftMs = createKeyProof({
     maxAgeMs: withdrawalBoundMs && withdrawalBoundMs - CONFIRMATION_LAG_MS,
     readAgeMs,
   });
@@ -123,7 +123,7 @@
     dataCentre,
     current: () => (link.isReadyToServe(readNowMs()).isOk() ? holder.current() : undefined),
     isCurrent: () => link.isCurrent(readNowMs()),
-    areKeysProven,
+    readKeyProofLeftMs,
     directory: {
       serversOf: (service) => directory.serversOf(service),
       records: () => directory.records(),
@@ -142,7 +142,7 @@
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
   holder.onInstalled(({ configuration }) => server.applyLimits(configuration.limits));
-  const canAdmitKeys = (): boolean => !holder.current()?.hasWorkspaces || areKeysProven();
+  const canAdmitKeys = (): boolean => !holder.current()?.hasWorkspaces || readKeyProofLeftMs() > 0;
   return { metrics, holder, directory, localServers, link, server, canAdmitKeys };
 };
 
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -29,6 +29,7 @@
 import DepartureTracker from '../trackDepartures/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
+import PauseWatch from '../watchPauses/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
@@ -37,6 +38,7 @@
 import type { CallerLimits } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
+import type { Instant } from '../../process/measureElapsed/index.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
@@ -76,9 +78,9 @@
 >;
 
 type OptionalContext =
-  'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent' | 'areKeysProven';
+  'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent' | 'readKeyProofLeftMs';
 /** Context that the server provides itself. */
-type InternalContext = 'readLatenessMs';
+type InternalContext = 'readLatenessMs' | 'isAfterPause';
 
 /** Options of a request server. */
 export interface RequestServerOptions
@@ -197,6 +199,8 @@
 
   readonly #lateness = new LatenessMonitor(MAINTENANCE_INTERVAL_MS);
 
+  readonly #pauses = new PauseWatch();
+
   #maintenanceRounds = 0;
 
   #inFlight = 0;
@@ -215,7 +219,8 @@
       dialect: options.dialect ?? new OwnDialect(),
       callerService: options.callerService ?? (() => ''),
       isCurrent: options.isCurrent ?? (() => true),
-      areKeysProven: options.areKeysProven ?? (() => true),
+      readKeyProofLeftMs: options.readKeyProofLeftMs ?? (() => Infinity),
+      isAfterPause: () => this.#pauses.isAfterPause(this.#readInstant()),
     };
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
@@ -444,6 +449,10 @@
     this.#peers.retain((nodeId) => nodeIds.has(nodeId));
   }
 
+  #readInstant(): Instant {
+    return { steadyMs: performance.now(), wallMs: Date.now() };
+  }
+
   #updateLateness(): void {
     if (!this.#lateness.recordRun(performance.now())) return;
     const { isOverloaded, meanMs } = this.#lateness;
@@ -464,6 +473,7 @@
     const nowMs = this.#context.getNowMs();
     this.#exchangeCrashes(nowMs);
     this.#updateLateness();
+    this.#pauses.recordRun(this.#readInstant());
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseLateWaiters(nowMs));
     const { directory, getNowMs } = this.#context;
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -123,6 +123,7 @@
         version: call.version,
         workspace,
         keyId: key?.keyId,
+        proofLeftMs: key?.proofLeftMs,
       }),
     };
     const createHeaders = (): string[] => [
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -20,10 +20,12 @@
   /** Returns whether a control VM has recently confirmed that this node holds the newest version. */
   isCurrent: () => boolean;
   /**
-   * Returns whether the version of this node was confirmed so recently that no key in it can have been
-   * withdrawn for longer than the operators allow.
+   * Returns the time, in milliseconds, until a key of this node's version may have been withdrawn for
+   * longer than the operators allow; not above 0 if that may be so, Infinity without a limit.
    */
-  areKeysProven: () => boolean;
+  readKeyProofLeftMs: () => number;
+  /** Returns whether a request that is read now may have waited while this process did not run. */
+  isAfterPause: () => boolean;
   /** Returns the configuration in force, if there is one. */
   current: () => CompiledConfiguration | undefined;
   directory: RequestDirectory;
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -280,8 +280,11 @@
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
     const { workspace, keyId } = routed;
-    if (workspace && keyId !== undefined)
-      headers.push(KEY_HEADER, formatKeyHeader(workspace.name, keyId));
+    if (workspace && keyId !== undefined) {
+      const proofLeftMs = this.#context.readKeyProofLeftMs();
+      const key = { workspaceName: workspace.name, keyId, proofLeftMs };
+      headers.push(KEY_HEADER, formatKeyHeader(key));
+    }
     const { maxRequestsPerSecond } = observation;
     if (maxRequestsPerSecond !== undefined)
       headers.push(LIMIT_HEADER, maxRequestsPerSecond.toFixed(LIMIT_DIGITS));
--- a/src/request/_lib/internalHeaders.ts
+++ b/src/request/_lib/internalHeaders.ts
@@ -70,18 +70,6 @@
     call.objectiveMs
   };${call.isReturn ? 1 : 0}`;
 
-/** Formats the value of `KEY_HEADER`. */
-export const formatKeyHeader = (workspaceName: string, keyId: string): string =>
-  `${encodeName(workspaceName)};${keyId}`;
-
-/** Parses the value of `KEY_HEADER`; undefined when it is absent or malformed. */
-export const parseKeyHeader = (
-  value: string | undefined,
-): { workspaceName: string; keyId: string } | undefined => {
-  const [name = '', keyId = ''] = value?.split(';') ?? [];
-  return name === '' || keyId === '' ? undefined : { workspaceName: decodeField(name), keyId };
-};
-
 /**
  * Parses a header value of 1 to 9 decimal digits.
  *
@@ -91,6 +79,28 @@
 export const parseCount = (value: string | undefined): number | undefined =>
   value !== undefined && /^\d{1,9}$/.test(value) ? Number(value) : undefined;
 
+/** A key that the entry node has admitted. */
+export interface ForwardedKeyHeader {
+  workspaceName: string;
+  keyId: string;
+  /** Time for which the entry node can accept the key without another confirmation. */
+  proofLeftMs: number;
+}
+
+/** Formats the value of `KEY_HEADER`. */
+export const formatKeyHeader = (key: ForwardedKeyHeader): string =>
+  `${encodeName(key.workspaceName)};${key.keyId};${
+    key.proofLeftMs === Infinity ? '' : Math.max(0, Math.floor(key.proofLeftMs))
+  }`;
+
+/** Parses the value of `KEY_HEADER`; undefined when it is absent or malformed. */
+export const parseKeyHeader = (value: string | undefined): ForwardedKeyHeader | undefined => {
+  const [name = '', keyId = '', leftText] = value?.split(';') ?? [];
+  if (name === '' || keyId === '') return undefined;
+  const proofLeftMs = leftText === '' ? Infinity : (parseCount(leftText) ?? 0);
+  return { workspaceName: decodeField(name), keyId, proofLeftMs };
+};
+
 /**
  * Parses the value of `CALL_HEADER`.
  *
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -85,7 +85,7 @@
     compiled,
     route,
     isCurrent: context.isCurrent,
-    areKeysProven: context.areKeysProven,
+    readKeyProofLeftMs: context.readKeyProofLeftMs,
   });
   if (admitted && 'reason' in admitted) return admitted;
   if (compiled.hasWorkspaces) exchange.dropHeaders(context.dialect.workspaceHeaders);
--- a/src/request/admitKey/index.ts
+++ b/src/request/admitKey/index.ts
@@ -12,8 +12,8 @@
   route: Route;
   /** Whether a control VM has recently confirmed that this node holds the newest version. */
   isCurrent: () => boolean;
-  /** Whether the last confirmation is recent enough for keys that may have been withdrawn since. */
-  areKeysProven: () => boolean;
+  /** From `RequestContext`. */
+  readKeyProofLeftMs: () => number;
 }
 
 /** The workspace that sends a request, and the key by which it was recognized. */
@@ -46,14 +46,14 @@
  */
 export const admitKey = (
   readKey: () => string | undefined,
-  { compiled, route, isCurrent, areKeysProven }: KeyFacts,
+  { compiled, route, isCurrent, readKeyProofLeftMs }: KeyFacts,
 ): AdmittedKey | Refusal | undefined => {
   if (!compiled.hasWorkspaces || route.isKeyless) return undefined;
   const key = readKey();
   const digest = key === undefined ? undefined : digestKey(key);
   const workspace = digest && compiled.findWorkspace(digest.toString('hex'));
   if (!workspace) return refuseUnknownKey(isCurrent());
-  if (!areKeysProven()) {
+  if (readKeyProofLeftMs() <= 0) {
     const message = 'this node has not been told recently whether the key is still valid';
     return createNotRunRefusal(RefusalReason.KeyUnconfirmed, message);
   }
@@ -74,15 +74,15 @@
  *
  * @param forwarded - the key as the entry node admitted it
  * @param compiled - version in force on this node, if there is one
- * @param areKeysProven - whether the last confirmation of this node is recent enough
+ * @param isProven - whether the confirmation of the entry node or of this one is recent enough
  * @returns the reason why the request must not run; undefined if it may
  */
 export const findKeyFault = (
   { workspaceName, keyId, version }: ForwardedKey,
   compiled: CompiledConfiguration | undefined,
-  areKeysProven: boolean,
+  isProven: boolean,
 ): RefusalReason | undefined => {
-  if (!areKeysProven) return RefusalReason.KeyUnconfirmed;
+  if (!isProven) return RefusalReason.KeyUnconfirmed;
   // The entry node may hold a newer version, in which the key was added.
   if (!compiled?.hasWorkspaces || compiled.version < version) return undefined;
   const holder = compiled.findWorkspaceByKeyId(keyId);
--- a/src/request/admitKey/test.ts
+++ b/src/request/admitKey/test.ts
@@ -35,7 +35,7 @@
 
 const admit = (key: string | undefined, facts: Partial<KeyFacts> = {}) => {
   if (!keyed) throw new Error('the configuration has no route');
-  const all = { compiled, route: keyed, isCurrent: () => true, areKeysProven: () => true };
+  const all = { compiled, route: keyed, isCurrent: () => true, readKeyProofLeftMs: () => 1 };
   return admitKey(() => key, { ...all, ...facts });
 };
 
@@ -51,12 +51,12 @@
 
 tap.test('a route without keys admits every request', async (t) => {
   if (!open) throw new Error('the configuration has no route');
-  t.equal(admit(undefined, { route: open, areKeysProven: () => false }), undefined);
+  t.equal(admit(undefined, { route: open, readKeyProofLeftMs: () => 0 }), undefined);
 });
 
 // Guards against a node that is cut off and goes on with a key that has been withdrawn.
 tap.test('a known key is refused while the node cannot prove that it is valid', async (t) => {
-  const refused = admit('k1', { areKeysProven: () => false });
+  const refused = admit('k1', { readKeyProofLeftMs: () => 0 });
   t.match(refused, { reason: RefusalReason.KeyUnconfirmed, statusCode: 503 });
 });
 
