--- a/src/process/localServers/AdmissionPolicy/test.ts
+++ b/src/process/localServers/AdmissionPolicy/test.ts
@@ -186,3 +186,16 @@
   t.ok(refusedBrief < (30_000 / 16) * 0.02, `${refusedBrief} of ${30_000 / 16}`);
   t.ok(Math.max(...refusedLong) > 0, 'the load exceeds the capacity');
 });
+
+// Guards against priorities of workspaces, which are above those of routes, that all count the same.
+tap.test('priorities above 9 keep their order', async (t) => {
+  const policy = new ObjectivePolicy();
+  const ranks = [9, 10, 21, 10_009].map((priority) =>
+    policy.computeRank({ deadlineMs: 1, isRetry: false, isSlow: false, priority, isReturn: false }),
+  );
+  t.strictSame(
+    ranks,
+    ranks.toSorted((left, right) => left - right),
+  );
+  t.equal(new Set(ranks).size, ranks.length);
+});
--- a/src/process/log/_lib/redactSecrets.ts
+++ b/src/process/log/_lib/redactSecrets.ts
@@ -1,6 +1,6 @@
 /** Redacts fields whose name indicates a secret. */
 
-const SECRET_PATTERN = /token|authorization|secret|password|passphrase|cookie|private/i;
+const SECRET_PATTERN = /token|authorization|secret|password|passphrase|cookie|private|api_?key/i;
 const REDACTED = '[hidden]';
 
 /** Limits the cache in case field names come from input; those from the source code are few. */
--- a/src/process/log/test.ts
+++ b/src/process/log/test.ts
@@ -54,7 +54,13 @@
   const path = join(t.testdir(), 'log');
   await configureLog({ level: LogLevel.Info, destination: path });
   createLogger('api').info(
-    { operatorToken: 'abc', Authorization: 'Bearer abc', tlsPrivateKey: 'abc', path: '/abc' },
+    {
+      operatorToken: 'abc',
+      Authorization: 'Bearer abc',
+      tlsPrivateKey: 'abc',
+      api_keys: 'abc',
+      path: '/abc',
+    },
     'request',
   );
   await closeLog();
--- a/src/request/_lib/internalHeaders.test.ts
+++ b/src/request/_lib/internalHeaders.test.ts
@@ -4,8 +4,10 @@
   formatCallHeader,
   formatLoad,
   formatGrantUpdate,
+  formatKeyHeader,
   parseCallHeader,
   parseCount,
+  parseKeyHeader,
   parseLoad,
   parseGrantUpdate,
 } from './internalHeaders.js';
@@ -48,3 +50,13 @@
   const update = { renewed: ['a.1', 'a.2'], returned: [] };
   t.strictSame(parseGrantUpdate(formatGrantUpdate(update)), update);
 });
+
+tap.test('a key header round-trips, and a malformed one proves nothing', async (t) => {
+  const key = { workspaceName: 'oak; 1', keyId: '0123456789abcdef', proofLeftMs: 4_000 };
+  t.strictSame(parseKeyHeader(formatKeyHeader(key)), key);
+  const unlimited = { ...key, proofLeftMs: Infinity };
+  t.strictSame(parseKeyHeader(formatKeyHeader(unlimited)), unlimited);
+  t.equal(parseKeyHeader('oak;0123;-5')?.proofLeftMs, 0);
+  t.equal(parseKeyHeader('oak;0123')?.proofLeftMs, 0);
+  [undefined, '', 'oak', ';0123'].forEach((value) => t.equal(parseKeyHeader(value), undefined));
+});
