Order waiting requests by the shares of their workspaces

Cause: a workspace that sends a multiple of its usual requests takes the slots of all others, and one of low priority gets none.

--- a/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -17,6 +17,8 @@
   priority?: number;
   /** Whether the request is probably the caller's retry after a refusal. */
   isReturn?: boolean;
+  /** Workspace that sends the request; absent on routes that need no key. */
+  workspace?: string | undefined;
 }
 
 /** A waiting request. */
@@ -46,6 +48,9 @@
    */
   abstract wouldBeLate(demand: SlotDemand, waitMs: number, nowMs: number): boolean;
 
+  /** Takes note that a request got a slot or was refused; does nothing by default. */
+  recordDecision(_demand: SlotDemand, _isServed: boolean): void {}
+
   /**
    * Selects the waiting request that gets a free slot.
    *
--- a/src/process/localServers/AdmissionPolicy/test.ts
+++ b/src/process/localServers/AdmissionPolicy/test.ts
@@ -3,7 +3,8 @@
 import createRandom from '../../../../test/requestMesh/createRandom.js';
 import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
 import { SlotGate } from '../SlotGate/index.js';
-import { ObjectivePolicy, QuickFirstPolicy } from './index.js';
+import WorkspaceShares from '../WorkspaceShares/index.js';
+import { FairSharePolicy, ObjectivePolicy, QuickFirstPolicy } from './index.js';
 
 import type { AdmissionPolicy, SlotDemand } from './index.js';
 
@@ -186,3 +187,55 @@
   t.ok(refusedBrief < (30_000 / 16) * 0.02, `${refusedBrief} of ${30_000 / 16}`);
   t.ok(Math.max(...refusedLong) > 0, 'the load exceeds the capacity');
 });
+
+/** Sends the requests of ten workspaces, the first of them `factor` times as many as the others. */
+const simulateWorkspaces = (
+  policy: AdmissionPolicy,
+  random: () => number,
+  { factor, getPriority }: { factor: number; getPriority: (index: number) => number },
+): number[] => {
+  const served = Array.from({ length: 10 }, () => 0);
+  const offered = Array.from({ length: 10 }, () => 0);
+  const arrivals = Array.from({ length: 2_000 }, (_, index): Arrival => {
+    const atMs = (index * SERVICE_MS) / SLOTS / 1.6;
+    const workspace = Math.max(0, Math.floor(random() * (9 + factor)) - factor + 1);
+    offered[workspace] = (offered[workspace] ?? 0) + 1;
+    const demand = {
+      ...{ deadlineMs: atMs + DEADLINE_MS, objectiveAtMs: atMs + OBJECTIVE_MS },
+      ...{ meanServiceMs: SERVICE_MS, minServiceMs: SERVICE_MS / 2 },
+      ...{ isRetry: false, isSlow: false, priority: getPriority(workspace) },
+      workspace: `w${workspace}`,
+    };
+    const onEnded = (): void => {
+      served[workspace] = (served[workspace] ?? 0) + 1;
+    };
+    return { atMs, demand, drawServiceMs: () => SERVICE_MS, onRefused: () => undefined, onEnded };
+  });
+  simulateGate(policy, arrivals);
+  return served.map((count, workspace) => count / (offered[workspace] ?? 1));
+};
+
+const createFairPolicy = (): AdmissionPolicy =>
+  new FairSharePolicy(new ObjectivePolicy(), new WorkspaceShares(() => 1));
+
+// Guards against a workspace whose excess takes the slots of the others.
+tap.test('a workspace with seven times its requests displaces few of the others', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const load = { factor: 7, getPriority: () => 1 };
+  const [, ...before] = simulateWorkspaces(new ObjectivePolicy(), random, load);
+  const [hot, ...others] = simulateWorkspaces(createFairPolicy(), random, load);
+  t.comment(`by objective ${Math.min(...before)}, by shares ${Math.min(...others)}, hot ${hot}`);
+  t.ok(Math.min(...others) > 0.8, 'the others are served');
+  t.ok(Math.min(...others) > Math.min(...before) + 0.2);
+});
+
+// Guards against less urgent workspaces that get no slot at all.
+tap.test('a less urgent workspace is served at least a quarter as often as all', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const load = { factor: 1, getPriority: (index: number) => (index > 6 ? 1 : 0) };
+  const before = simulateWorkspaces(new ObjectivePolicy(), random, load);
+  const served = simulateWorkspaces(createFairPolicy(), random, load);
+  t.comment(`by objective ${Math.min(...before)}, with a floor ${Math.min(...served)}`);
+  const mean = served.reduce((sum, share) => sum + share, 0) / served.length;
+  t.ok(Math.min(...served) > mean / 4, `${Math.min(...served)} of ${mean}`);
+});
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -307,6 +307,7 @@
   #settle(waiter: Waiter, refusal: GateRefusal | undefined): void {
     const settled = waiter;
     settled.isSettled = true;
+    this.#policy.recordDecision(waiter.demand, refusal === undefined);
     settled.onDecided(refusal);
   }
 
