--- a/src/process/control/openControl/index.ts
+++ b/src/process/control/openControl/index.ts
@@ -16,6 +16,8 @@
   ReplicatedLogOptions,
   ReplicatedLogSettings,
 } from '../../replication/ReplicatedLog/index.js';
+import createShareSource from '../../quotas/createShareSource/index.js';
+import type { ShareSource, ShareSourceOptions } from '../../quotas/createShareSource/index.js';
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
@@ -31,6 +33,8 @@
   limits?: ReplicatedLogOptions['limits'];
   /** Timing and window of the streams to nodes and to other control VMs. */
   streams?: Pick<HubOptions, 'heartbeatIntervalMs' | 'silenceMs' | 'windowMs'>;
+  /** Bounds of the quotas of workspaces; without them, nodes get no shares. */
+  quotas?: Pick<ShareSourceOptions, 'bounds' | 'keyLifetimeMs'> | undefined;
   /** Adds the parts that send roll-outs and shares of quotas to nodes; none by default. */
   createSources?: (
     log: ReplicatedLog,
@@ -46,6 +50,8 @@
   log: ReplicatedLog;
   hub: DistributionHub;
   exchange: ControlExchange;
+  /** Undefined without quotas. */
+  shareSource: ShareSource | undefined;
   /** Starts elections, distribution and the exchange with other control VMs. */
   start: () => void;
   close: () => Promise<void>;
@@ -107,10 +113,14 @@
     ...options.streams,
   };
   const trafficReports = new TrafficReportTable();
+  const { quotas } = options;
+  const shareSource =
+    quotas && createShareSource({ ...quotas, memberId, controlLog: log, trafficReports, metrics });
   const hub = new DistributionHub(memberId, log, {
     ...shared,
     listControls: () => listControls(log),
     trafficReports,
+    ...(shareSource && { computeShares: shareSource.computeShares }),
     ...options.createSources?.(log, trafficReports),
   });
   const exchange = new ControlExchange(memberId, hub, () => listPeers(options.log, log), shared);
@@ -138,7 +148,7 @@
       await log.stop();
       await rpc.close();
     };
-    return ok({ listen: rpc.address, metrics, log, hub, exchange, start, close });
+    return ok({ listen: rpc.address, metrics, log, hub, exchange, shareSource, start, close });
   } catch (error) {
     await log.stop();
     const reason = error instanceof Error ? error.message : String(error);
--- a/src/process/quotas/ShareComputer/index.ts
+++ b/src/process/quotas/ShareComputer/index.ts
@@ -39,6 +39,8 @@
   isConfirmed: boolean;
   /** Other control VMs that have not been heard from for a while. */
   silentMemberIds: ReadonlySet<string>;
+  /** Least number of nodes that may admit requests, as far as known without their reports. */
+  minNodeCount?: number;
 }
 
 export interface ShareComputerOptions {
@@ -165,10 +167,11 @@
     );
     this.#silentNodeIds = silentNodeIds;
     const silence = { nodeIds: silentNodeIds, newNodeIds };
+    const nodeCount = Math.max(activeNodeIds.size, input.minNodeCount ?? 1);
     const mayRise = input.isConfirmed && input.silentMemberIds.size === 0;
     this.#workspaces.forEach((state) => {
       this.#assumeSpending(state, silence, elapsedMs);
-      this.#divide(state, activeNodeIds.size, mayRise);
+      this.#divide(state, nodeCount, mayRise);
     });
     this.#sent.forEach((_shares, nodeId) => {
       if (!this.#ownNodeIds.has(nodeId)) this.#sent.delete(nodeId);
