Refuse requests of workspaces over their quota at entry nodes

Cause: a workspace could use the capacity of all others. Change: the entry node charges a request with a workspace to its share of the quota, answers 429 beyond it, gives the charge back when the request certainly did not run, and reports what it has charged. Measurement: unit tests; RequestServer tests pass.

--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -10,6 +10,7 @@
 } from '../../../connection/distribution/NodeLink/index.js';
 import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
+import WorkspaceLimiter from '../../../request/limitWorkspaces/index.js';
 import { RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
@@ -19,6 +20,7 @@
 import type { LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
+import type { QuotaBounds } from '../../quotas/types.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
 
 /** Addresses of a node, each `IP:port`. */
@@ -49,6 +51,8 @@
   linkTiming?: Partial<LinkTiming>;
   /** What the node reports to its control VM and receives from it besides the configuration. */
   distribution?: Pick<NodeLinkParts, 'trafficSource' | 'rolloutHolder' | 'quotaHolder'>;
+  /** Bounds of the quotas of workspaces over all nodes; without them, quotas do not count. */
+  quotaBounds?: QuotaBounds | undefined;
   /** Limits and admission of the backend servers beside this node. */
   servers?: Pick<
     LocalServersOptions,
@@ -85,6 +89,19 @@
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
 };
 
+/** Adds the use of quotas to what the node reports, and takes its shares in. */
+const createQuotaParts = (
+  limiter: WorkspaceLimiter | undefined,
+  { distribution }: OpenNodeOptions,
+): Pick<NodeLinkParts, 'trafficSource' | 'quotaHolder'> => {
+  if (!limiter) return {};
+  const collect = (nowMs: number) => ({
+    evidence: distribution?.trafficSource?.collect(nowMs).evidence ?? [],
+    usage: limiter.collectUsage(),
+  });
+  return { trafficSource: { collect }, quotaHolder: limiter };
+};
+
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
@@ -101,11 +118,20 @@
     ...options.servers,
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
+  const { quotaBounds } = options;
+  const workspaceLimiter =
+    quotaBounds &&
+    new WorkspaceLimiter({
+      bounds: quotaBounds,
+      countNodes: () => directory.records().length,
+      random: Math.random,
+    });
   const link = new NodeLink(
     {
       ...{ nodeId, dataCentre, controls, holder, directory, peerSeeds },
       recordSource: localServers,
       ...options.distribution,
+      ...createQuotaParts(workspaceLimiter, options),
     },
     { metrics, now: readNowMs, timing, tls: () => tls?.current() },
   );
@@ -120,6 +146,7 @@
     },
     localServers,
     metrics,
+    workspaceLimiter,
     listen: options.listen,
     forwardListen: options.forwardListen,
     startedAtMs: options.startedAtMs,
--- a/src/process/quotas/ShareComputer/test.ts
+++ b/src/process/quotas/ShareComputer/test.ts
@@ -111,7 +111,6 @@
     const limiter = new WorkspaceLimiter({
       bounds: BOUNDS,
       countNodes: () => nodeCount,
-      getConfirmationAgeMs: (nowMs) => nowMs - node.confirmedAtMs,
       random,
     });
     return Object.assign(node, { limiter });
@@ -127,7 +126,7 @@
     node.answeredAtMs = nowMs;
     if (members[node.member]?.isConfirmed) node.confirmedAtMs = nowMs;
     const { nodeId, incarnation, member } = node;
-    const { usage } = node.limiter.collect();
+    const usage = node.limiter.collectUsage().map((count) => ({ ...count }));
     const entry = { nodeId, incarnation, usage, memberId: `c${member}`, seenAtMs: nowMs };
     members[member]?.known.set(nodeId, entry);
     const shares = members[member]?.computer.computeShares(nodeId) ?? [];
@@ -180,7 +179,8 @@
       tally.owed += 1;
       tally.level -= 1;
     }
-    if (!node.limiter.admit(workspace(quota), nowMs)) tally.admittedAtMs.push(nowMs);
+    const isConfirmed = nowMs - node.confirmedAtMs <= 1_000;
+    if (!node.limiter.admit(workspace(quota), nowMs, isConfirmed)) tally.admittedAtMs.push(nowMs);
   };
   Array.from({ length: lengthMs / STEP_MS }, (_, step) => (step + 1) * STEP_MS).forEach((nowMs) => {
     nodes.forEach((_, index) => {
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -40,6 +40,7 @@
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
+import type WorkspaceLimiter from '../limitWorkspaces/index.js';
 import type { LeastDelaySelectorOptions, ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
@@ -96,6 +97,8 @@
   breaker?: CircuitBreaker;
   /** Creates the retry budget, given a count of the known nodes; `RatioRetryBudget` by default. */
   createBudget?: (countNodes: () => number) => RetryBudget;
+  /** Limits the requests of workspaces to this node's shares of their quotas; none by default. */
+  workspaceLimiter?: WorkspaceLimiter | undefined;
   /**
    * Time for which a repeat with the same Idempotency-Key is recognized. A holder accepts no key for
    * this time after its start, so a longer retention delays the first keyed requests.
@@ -265,6 +268,7 @@
     };
     const entryHandler = new EntryHandler(this.#context, {
       ...recorders,
+      workspaceLimiter: options.workspaceLimiter,
       caller: new ServerCaller(this.#context, {
         localCaller,
         nodePools: this.#nodePools,
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -25,6 +25,7 @@
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
+import type WorkspaceLimiter from '../limitWorkspaces/index.js';
 import type { ServerSelector } from '../selectServer/index.js';
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
@@ -44,6 +45,7 @@
 const ID_RADIX = 36;
 const MAX_KEY_LENGTH = 255;
 const BAD_REQUEST = 400;
+const TOO_MANY_REQUESTS = 429;
 
 export interface EntryHandlerDependencies extends OutcomeRecorders {
   caller: ServerCaller;
@@ -53,6 +55,8 @@
   peers: PeerTracker;
   departures: DepartureTracker;
   crashLedger: CrashLedger;
+  /** Undefined where quotas do not count. */
+  workspaceLimiter: WorkspaceLimiter | undefined;
 }
 
 /** State of a request over its attempts. */
@@ -145,11 +149,19 @@
     const nowMs = this.#context.getNowMs();
     exchange.startDeadline(routed.deadlineMs - nowMs);
     if (routed.objectiveAtMs !== undefined) exchange.setObjective(routed.objectiveAtMs - nowMs);
+    const quotaRefusal = this.#chargeQuota(routed, nowMs);
+    if (quotaRefusal) {
+      this.#refuse(exchange, quotaRefusal);
+      this.#entryLog.logRefused(request, quotaRefusal);
+      return;
+    }
     const body = await exchange.readBody();
     const key = request.headers['idempotency-key'];
     if (body === BodyState.Incomplete) {
+      this.#returnQuota(routed);
       answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
     } else if (this.#isRefusedAsCrashing(routed)) {
+      this.#returnQuota(routed);
       const refusal = createCrashRefusal();
       this.#refuse(exchange, refusal);
       this.#entryLog.logRefused(request, refusal);
@@ -175,11 +187,36 @@
     return target.trialNodeId === undefined;
   }
 
+  /** Charges the request to the quota of its workspace; returns the refusal if that is used up. */
+  #chargeQuota({ workspace }: RoutedRequest, nowMs: number): Refusal | undefined {
+    const { workspaceLimiter } = this.#dependencies;
+    if (!workspace || !workspaceLimiter) return undefined;
+    const refused = workspaceLimiter.admit(workspace, nowMs, this.#context.isCurrent());
+    if (!refused) return undefined;
+    const message = `workspace ${workspace.name} is over its quota`;
+    const { retryAfterMs } = refused;
+    const options = { statusCode: TOO_MANY_REQUESTS, retryAfterMs };
+    return createNotRunRefusal(RefusalReason.OverQuota, message, options);
+  }
+
+  /** Returns what was charged for a request that certainly did not run. */
+  #returnQuota({ workspace }: RoutedRequest): void {
+    if (!workspace) return;
+    this.#dependencies.workspaceLimiter?.giveBack(workspace.name, this.#context.getNowMs());
+  }
+
+  /** Charges a further attempt, as it may run at a second server. */
+  #chargeRepeat({ workspace }: RoutedRequest): void {
+    if (!workspace) return;
+    this.#dependencies.workspaceLimiter?.addRepeat(workspace.name, this.#context.getNowMs());
+  }
+
   /** Serves the request if its idempotency key is free; otherwise replays the response or refuses. */
   async #serveWithKey(routed: RoutedRequest, key: string): Promise<void> {
     const { exchange, requestId, host, path } = routed;
     const { guard } = this.#dependencies;
     if (key.length === 0 || key.length > MAX_KEY_LENGTH) {
+      this.#returnQuota(routed);
       const message = `Idempotency-Key must be 1 to ${MAX_KEY_LENGTH} characters long`;
       const refusal = createNotRunRefusal(RefusalReason.BadRequest, message, {
         statusCode: BAD_REQUEST,
@@ -193,10 +230,12 @@
       bodyHash: exchange.bufferedBody ? hashSha256(exchange.bufferedBody) : new Uint8Array(),
     });
     if (reserved.isErr()) {
+      this.#returnQuota(routed);
       this.#refuse(exchange, createKeyRefusal(reserved.error));
       return;
     }
     if (!('holders' in reserved.value)) {
+      this.#returnQuota(routed);
       replayResponse(exchange.response, reserved.value);
       return;
     }
@@ -229,6 +268,7 @@
       if (result.isOk()) return result;
       state.lastError = result.error;
       mayContinue = this.#reserveRetry(routed, state, result.error);
+      if (mayContinue && !isNotRunError(result.error)) this.#chargeRepeat(routed);
     }
     return err(state.possibleRunError ?? state.lastError);
   }
@@ -237,7 +277,10 @@
     if (result.isOk()) {
       this.#recordAddedLatency(routed, result.value);
       this.#entryLog.logAnswered(routed, result.value);
-    } else this.#handleFailure(routed, result.error);
+    } else {
+      if (isKnownNotRun(result.error)) this.#returnQuota(routed);
+      this.#handleFailure(routed, result.error);
+    }
   }
 
   async #attempt(
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -3,7 +3,7 @@
 import { parseTarget } from './parseTarget.js';
 import { RefusalReason, createNotRunRefusal } from './writeRefusal.js';
 
-import type { Route } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { Route, Workspace } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { Exchange } from './Exchange.js';
 import type TrafficSplit from '../splitTraffic/index.js';
 import type ObjectiveEstimator from '../trackObjectives/index.js';
@@ -19,6 +19,8 @@
   version: number;
   route: Route;
   service: string;
+  /** Workspace that sends the request; undefined on routes that need no key. */
+  workspace?: Workspace;
   host: string;
   /** Path with query. */
   path: string;
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -25,6 +25,8 @@
   BodyTooLarge = 'BODY_TOO_LARGE',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
+  /** The workspace uses more than its quota. */
+  OverQuota = 'OVER_QUOTA',
   /** Several servers ended while they ran this request, so it is sent to no other one. */
   CrashesServers = 'CRASHES_SERVERS',
   NotConnected = 'NOT_CONNECTED',
--- a/src/request/limitWorkspaces/index.ts
+++ b/src/request/limitWorkspaces/index.ts
@@ -11,10 +11,11 @@
 import type { NodeShare, QuotaBounds } from '../../process/quotas/types.js';
 
 const MS_PER_SECOND = 1_000;
-/** Age of the last confirmation after which shares count as outdated. */
-const OUTDATED_MS = 1_000;
-/** Part of an outdated share that is certain to lie within the quota, as control VMs grant up to 1.5 times it. */
-const OUTDATED_SHARE = 0.6;
+/**
+ * Part of its share that a node uses without a confirmation, since control VMs grant up to half as
+ * much again while a workspace uses little.
+ */
+const UNCONFIRMED_SHARE = 0.6;
 /** Time for which a token that was given back stands for a later admission. */
 const CREDIT_LIFETIME_MS = 1_000;
 /** Longest pause that a refused caller is told to make. */
@@ -24,8 +25,6 @@
   bounds: QuotaBounds;
   /** Returns the number of known nodes, this one included. */
   countNodes: () => number;
-  /** Returns the age of the proof that this node hears from a control VM, in milliseconds. */
-  getConfirmationAgeMs: (nowMs: number) => number;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -44,6 +43,8 @@
   creditsEndAtMs: number;
   level: number;
   updatedAtMs: number;
+  /** The counts as they were last reported. */
+  usage: WorkspaceUsage;
 }
 
 /**
@@ -83,11 +84,13 @@
    *
    * @param workspace - workspace of the request, of the configuration in force
    * @param nowMs - present time in milliseconds
+   * @param isConfirmed - whether this node has lately heard from a control VM that knows the newest
+   *   version, so that its shares are of use
    * @returns undefined when the request may run
    */
-  admit(workspace: Workspace, nowMs: number): QuotaRefusal | undefined {
+  admit(workspace: Workspace, nowMs: number, isConfirmed: boolean): QuotaRefusal | undefined {
     if (workspace.ratePerSecond <= 0) return undefined;
-    const share = this.#findShare(workspace, nowMs);
+    const share = this.#findShare(workspace, isConfirmed);
     const bucket = this.#getBucket(workspace.name, share, nowMs);
     bucket.offered += 1;
     WorkspaceLimiter.#refill(bucket, share, nowMs);
@@ -119,15 +122,10 @@
   }
 
   /** Returns the counts of all workspaces, for the report of this node. */
-  collect(): { evidence: []; usage: WorkspaceUsage[] } {
-    const usage = [...this.#buckets].map(([workspace, { offered, admitted }]) =>
-      create(WorkspaceUsageSchema, {
-        workspace,
-        offered: BigInt(offered),
-        admitted: BigInt(admitted),
-      }),
+  collectUsage(): WorkspaceUsage[] {
+    return [...this.#buckets.values()].map(({ usage, offered, admitted }) =>
+      Object.assign(usage, { offered: BigInt(offered), admitted: BigInt(admitted) }),
     );
-    return { evidence: [], usage };
   }
 
   /** Counts only grow, so a token that was given back stands for the next admission. */
@@ -147,6 +145,7 @@
       creditsEndAtMs: 0,
       level: share.burst,
       updatedAtMs: nowMs,
+      usage: create(WorkspaceUsageSchema, { workspace: name }),
     };
     this.#buckets.set(name, bucket);
     return bucket;
@@ -160,14 +159,13 @@
     bucket.updatedAtMs = nowMs;
   }
 
-  #findShare(workspace: Workspace, nowMs: number): NodeShare {
+  #findShare(workspace: Workspace, isConfirmed: boolean): NodeShare {
     const share = this.#shares?.get(workspace.name) ?? this.#createDefault(workspace);
     // A version with a lower quota may arrive before the shares that follow from it.
     const ratePerSecond = Math.min(share.ratePerSecond, workspace.ratePerSecond * 2);
-    const isOutdated = this.#options.getConfirmationAgeMs(nowMs) > OUTDATED_MS;
     return {
       ...share,
-      ratePerSecond: isOutdated ? ratePerSecond * OUTDATED_SHARE : ratePerSecond,
+      ratePerSecond: isConfirmed ? ratePerSecond : ratePerSecond * UNCONFIRMED_SHARE,
     };
   }
 
--- a/src/request/limitWorkspaces/test.ts
+++ b/src/request/limitWorkspaces/test.ts
@@ -15,7 +15,6 @@
   new WorkspaceLimiter({
     bounds: { windowS: 5, overage: 0.1, slack: 20 },
     countNodes: () => 10,
-    getConfirmationAgeMs: () => 0,
     random: () => 0.999,
     ...options,
   });
@@ -25,15 +24,24 @@
   limiter.adopt({ shares: [share] }, 0);
 };
 
+interface Sending {
+  count: number;
+  intervalMs: number;
+  isConfirmed?: boolean;
+}
+
 /** Sends requests at even intervals and returns how many are admitted. */
-const countAdmitted = (limiter: WorkspaceLimiter, count: number, intervalMs: number): number =>
+const countAdmitted = (
+  limiter: WorkspaceLimiter,
+  { count, intervalMs, isConfirmed = true }: Sending,
+): number =>
   Array.from({ length: count }).filter(
-    (_, index) => !limiter.admit(createWorkspace(100), index * intervalMs),
+    (_, index) => !limiter.admit(createWorkspace(100), index * intervalMs, isConfirmed),
   ).length;
 
 // Guards against a node that uses the whole quota before it has heard from a control VM.
 tap.test('a node without shares uses an even part of a large quota', async (t) => {
-  t.equal(countAdmitted(createLimiter(), 100, 1), 10);
+  t.equal(countAdmitted(createLimiter(), { count: 100, intervalMs: 1 }), 10);
 });
 
 // Guards against a share below one request that is never used, or used by each of many nodes.
@@ -42,16 +50,16 @@
   const admitted = Array.from({ length: 2_000 }).filter(() => {
     const limiter = createLimiter({ random });
     adoptShare(limiter, 0.05, 0.25);
-    return !limiter.admit(createWorkspace(100), 0);
+    return !limiter.admit(createWorkspace(100), 0, true);
   });
   t.ok(Math.abs(admitted.length - 500) < 100, `${admitted.length} of 2,000 are admitted`);
 });
 
 // Guards against shares that stay in full use after their control VM has gone.
-tap.test('an outdated share is used in part', async (t) => {
-  const limiter = createLimiter({ getConfirmationAgeMs: () => 2_000 });
+tap.test('a node that is not confirmed uses part of its share', async (t) => {
+  const limiter = createLimiter();
   adoptShare(limiter, 10, 2);
-  const admitted = countAdmitted(limiter, 100, 100);
+  const admitted = countAdmitted(limiter, { count: 100, intervalMs: 100, isConfirmed: false });
   t.ok(admitted > 50 && admitted < 70, `${admitted} of 100 are admitted`);
 });
 
@@ -59,16 +67,16 @@
 tap.test('a token that is given back serves another request and is counted once', async (t) => {
   const limiter = createLimiter();
   adoptShare(limiter, 0.001, 1);
-  t.equal(limiter.admit(createWorkspace(100), 0), undefined);
-  t.equal(limiter.admit(createWorkspace(100), 1)?.retryAfterMs, 5_000);
+  t.equal(limiter.admit(createWorkspace(100), 0, true), undefined);
+  t.equal(limiter.admit(createWorkspace(100), 1, true)?.retryAfterMs, 5_000);
   limiter.giveBack('harbour', 2);
-  t.equal(limiter.admit(createWorkspace(100), 3), undefined);
-  t.match(limiter.collect().usage, [{ offered: 3n, admitted: 1n }]);
+  t.equal(limiter.admit(createWorkspace(100), 3, true), undefined);
+  t.match(limiter.collectUsage(), [{ offered: 3n, admitted: 1n }]);
 });
 
 // Guards against state for workspaces that have no limit or no requests.
 tap.test('a workspace without a limit has no state', async (t) => {
   const limiter = createLimiter();
-  t.equal(limiter.admit(createWorkspace(0), 0), undefined);
-  t.strictSame(limiter.collect().usage, []);
+  t.equal(limiter.admit(createWorkspace(0), 0, true), undefined);
+  t.strictSame(limiter.collectUsage(), []);
 });
