Divide slots among workspaces where quotas count

Cause: see FairSharePolicy. Change: nodes whose settings bound quotas weigh waiting requests of equal priority by workspace. A request without a workspace ranks as before. The name has to reach the node beside the server with the key of the request.

--- a/src/process/localServers/index.ts
+++ b/src/process/localServers/index.ts
@@ -1,5 +1,10 @@
 /** The backend servers that a node serves: announcements, leases, probes and slots. */
-export { AdmissionPolicy, ObjectivePolicy, QuickFirstPolicy } from './AdmissionPolicy/index.js';
+export {
+  AdmissionPolicy,
+  FairSharePolicy,
+  ObjectivePolicy,
+  QuickFirstPolicy,
+} from './AdmissionPolicy/index.js';
 export { AnnouncementError, AnnouncementErrorCode } from './AnnouncementError/index.js';
 export { AdaptiveLimiter, ConcurrencyLimiter, FixedLimiter } from './ConcurrencyLimiter/index.js';
 export { LocalServers, computeLoad, computeOccupancy } from './LocalServers/index.js';
@@ -7,6 +12,7 @@
 export { ServerProbes } from './ServerProbes/index.js';
 export { GateRefusal, SlotGate } from './SlotGate/index.js';
 export { AnnouncedState } from './_lib/parseAnnouncement.js';
+export { default as WorkspaceShares } from './WorkspaceShares/index.js';
 export { discoverServer } from './discoverServer/index.js';
 export type { ExpectedServer } from './discoverServer/index.js';
 export { createLocalServerRoutes } from './createLocalServerRoutes/index.js';
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -16,7 +16,7 @@
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
-import { LocalServers } from '../../localServers/index.js';
+import { FairSharePolicy, LocalServers, WorkspaceShares } from '../../localServers/index.js';
 import type { LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
@@ -102,6 +102,19 @@
   return { trafficSource: { collect }, quotaHolder: limiter };
 };
 
+/** Divides slots among workspaces where quotas count, in proportion to their quotas. */
+const createFairPolicy = (
+  { servers, quotaBounds }: OpenNodeOptions,
+  holder: ConfigurationHolder,
+): Pick<LocalServersOptions, 'admissionPolicy'> => {
+  if (!quotaBounds || !servers?.admissionPolicy) return {};
+  const getWeight = (name: string): number =>
+    holder.current()?.configuration.workspaces.find((workspace) => workspace.name === name)
+      ?.ratePerSecond ?? 0;
+  const shares = new WorkspaceShares(getWeight);
+  return { admissionPolicy: new FairSharePolicy(servers.admissionPolicy, shares) };
+};
+
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
@@ -116,6 +129,7 @@
     incarnation: BigInt(options.startedAtMs),
     findService: (name) => holder.current()?.findService(name),
     ...options.servers,
+    ...createFairPolicy(options, holder),
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const { quotaBounds } = options;
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -44,6 +44,8 @@
   objectiveAtMs: number | undefined;
   /** 0 is the most urgent. */
   priority: number;
+  /** Workspace that sends the request; undefined on routes that need no key. */
+  workspace?: string | undefined;
   /** Whether the request probably repeats a refused one. */
   isReturn: boolean;
   requestId: string;
@@ -68,6 +70,7 @@
   meanServiceMs: local.latencies.get(localRequest.routeName)?.meanMs ?? 0,
   objectiveAtMs: localRequest.objectiveAtMs,
   priority: localRequest.priority,
+  workspace: localRequest.workspace,
   isReturn: localRequest.isReturn,
 });
 
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -121,6 +121,7 @@
       deadlineMs: routed.deadlineMs,
       objectiveAtMs: routed.objectiveAtMs,
       priority: routed.route.priority,
+      workspace: routed.workspace?.name,
       isReturn: routed.isReturn,
       requestId: routed.requestId,
       callerService: this.#context.callerService(),
