--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -27,6 +27,10 @@
   DeadlinePassed = 'DEADLINE_PASSED',
   /** The workspace uses more than its quota. */
   OverQuota = 'OVER_QUOTA',
+  /** No key, or one that no workspace holds. */
+  UnknownKey = 'UNKNOWN_KEY',
+  /** The key may have been withdrawn since this node was last confirmed. */
+  KeyUnconfirmed = 'KEY_UNCONFIRMED',
   /** Several servers ended while they ran this request, so it is sent to no other one. */
   CrashesServers = 'CRASHES_SERVERS',
   NotConnected = 'NOT_CONNECTED',
