--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -15,16 +15,18 @@
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
 import { RolloutPolicy } from '../../../request/chooseVersion/index.js';
 import { EvidenceCollector } from '../../../request/collectEvidence/index.js';
+import WorkspaceLimiter from '../../../request/limitWorkspaces/index.js';
 import { RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { RolloutHolder } from '../../holder/RolloutHolder/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
-import { LocalServers } from '../../localServers/index.js';
+import { FairSharePolicy, LocalServers, WorkspaceShares } from '../../localServers/index.js';
 import type { LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
+import type { QuotaBounds } from '../../quotas/types.js';
 import type { TlsStore } from '../../tls/TlsStore/index.js';
 import createKeyProof from '../_lib/createKeyProof.js';
 
@@ -63,6 +65,8 @@
   distribution?: Pick<NodeLinkParts, 'trafficSource' | 'rolloutHolder' | 'quotaHolder'>;
   /** Whether servers are chosen by software version; off by default. */
   hasRollouts?: boolean;
+  /** Bounds of the quotas of workspaces over all nodes; without them, quotas do not count. */
+  quotaBounds?: QuotaBounds | undefined;
   /** Limits and admission of the backend servers beside this node. */
   servers?: Pick<
     LocalServersOptions,
@@ -103,6 +107,19 @@
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
 };
 
+/** Divides slots among workspaces where quotas count, in proportion to their quotas. */
+const createFairPolicy = (
+  { servers, quotaBounds }: OpenNodeOptions,
+  holder: ConfigurationHolder,
+): Pick<LocalServersOptions, 'admissionPolicy'> => {
+  if (!quotaBounds || !servers?.admissionPolicy) return {};
+  const getWeight = (name: string): number =>
+    holder.current()?.configuration.workspaces.find((workspace) => workspace.name === name)
+      ?.ratePerSecond ?? 0;
+  const shares = new WorkspaceShares(getWeight);
+  return { admissionPolicy: new FairSharePolicy(servers.admissionPolicy, shares) };
+};
+
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
 
 interface RolloutParts {
@@ -115,19 +132,27 @@
   return { rolloutHolder, evidence: new EvidenceCollector(rolloutHolder, metrics) };
 };
 
-/** Adds the evidence to the other counts that the node reports. */
-const joinDistribution = (
-  { rolloutHolder, evidence }: RolloutParts,
-  distribution: OpenNodeOptions['distribution'],
-): OpenNodeOptions['distribution'] => ({
-  rolloutHolder,
-  trafficSource: {
-    collect: (nowMs) => ({
-      evidence: evidence.list(),
-      usage: distribution?.trafficSource?.collect(nowMs).usage ?? [],
-    }),
-  },
-});
+/** Joins what the parts of the node report, and hands out what they receive. */
+const createDistribution = (
+  { distribution = {} }: OpenNodeOptions,
+  rollouts: RolloutParts | undefined,
+  limiter: WorkspaceLimiter | undefined,
+): NonNullable<OpenNodeOptions['distribution']> => {
+  if (!rollouts && !limiter) return distribution;
+  const collect = (nowMs: number) => {
+    const others = distribution.trafficSource?.collect(nowMs);
+    return {
+      evidence: rollouts?.evidence.list() ?? others?.evidence ?? [],
+      usage: limiter?.collectUsage() ?? others?.usage ?? [],
+    };
+  };
+  return {
+    ...distribution,
+    trafficSource: { collect },
+    ...(rollouts && { rolloutHolder: rollouts.rolloutHolder }),
+    ...(limiter && { quotaHolder: limiter }),
+  };
+};
 
 const createComponents = (options: OpenNodeOptions): NodeComponents => {
   const { nodeId, dataCentre, tls, withdrawalBoundMs, readNowMs = Date.now } = options;
@@ -141,15 +166,23 @@
     incarnation: BigInt(options.startedAtMs),
     findService: (name) => holder.current()?.findService(name),
     ...options.servers,
+    ...createFairPolicy(options, holder),
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const rollouts = options.hasRollouts === true ? createRolloutParts(metrics) : undefined;
+  const { quotaBounds } = options;
+  const workspaceLimiter =
+    quotaBounds &&
+    new WorkspaceLimiter({
+      bounds: quotaBounds,
+      countNodes: () => directory.records().length,
+      random: Math.random,
+    });
   const link = new NodeLink(
     {
       ...{ nodeId, dataCentre, controls, holder, directory, peerSeeds },
       recordSource: localServers,
-      ...options.distribution,
-      ...(rollouts && joinDistribution(rollouts, options.distribution)),
+      ...createDistribution(options, rollouts, workspaceLimiter),
     },
     {
       ...{ metrics, now: readNowMs, timing, tls: () => tls?.current() },
@@ -180,6 +213,7 @@
     },
     localServers,
     metrics,
+    workspaceLimiter,
     listen: options.listen,
     forwardListen: options.forwardListen,
     startedAtMs: options.startedAtMs,
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -45,6 +45,7 @@
 import type { VersionPolicy } from '../chooseVersion/index.js';
 import type { EvidenceCollector } from '../collectEvidence/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
+import type WorkspaceLimiter from '../limitWorkspaces/index.js';
 import type { LeastDelaySelectorOptions, ServerSelector } from '../selectServer/index.js';
 
 export type { RequestDirectory };
@@ -106,6 +107,8 @@
   evidence?: EvidenceCollector;
   /** Creates the retry budget, given a count of the known nodes; `RatioRetryBudget` by default. */
   createBudget?: (countNodes: () => number) => RetryBudget;
+  /** Limits the requests of workspaces to this node's shares of their quotas; none by default. */
+  workspaceLimiter?: WorkspaceLimiter | undefined;
   /**
    * Time for which a repeat with the same Idempotency-Key is recognized. A holder accepts no key for
    * this time after its start, so a longer retention delays the first keyed requests.
@@ -279,6 +282,7 @@
     };
     const entryHandler = new EntryHandler(this.#context, {
       ...recorders,
+      workspaceLimiter: options.workspaceLimiter,
       caller: new ServerCaller(this.#context, {
         localCaller,
         nodePools: this.#nodePools,
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -116,6 +116,7 @@
       deadlineMs: nowMs + remainingMs,
       objectiveAtMs: call.objectiveMs > 0 ? nowMs + call.objectiveMs : undefined,
       priority: call.priority,
+      workspace: workspace?.name,
       isReturn: call.isReturn,
       requestId: call.requestId,
       callerService: call.callerService,
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -125,6 +125,7 @@
       isRetry: number > 0,
       deadlineMs: routed.deadlineMs,
       objectiveAtMs: routed.objectiveAtMs,
+      workspace: routed.workspace?.name,
       priority: routed.priority,
       isReturn: routed.isReturn,
       requestId: routed.requestId,
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -25,6 +25,8 @@
   BodyTooLarge = 'BODY_TOO_LARGE',
   DeadlineTooShort = 'DEADLINE_TOO_SHORT',
   DeadlinePassed = 'DEADLINE_PASSED',
+  /** The workspace uses more than its quota. */
+  OverQuota = 'OVER_QUOTA',
   /** No key, or one that no workspace holds. */
   UnknownKey = 'UNKNOWN_KEY',
   /** The key may have been withdrawn since this node was last confirmed. */
