Choose servers by reported work, pace and expected cost, and let calls in first

Requests that look alike cost different amounts of work, servers differ in speed, and a call of a running request waited behind new requests of the service that it calls.

The node beside a server recognizes calls by their origin, learns the cost of requests as a distribution apart from the pace of the server, and reports load, wait and pace; nodes of a data centre pass these reports on. Off unless the settings ask for it.

--- a/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -3,6 +3,8 @@
   /** Time by which the response must be complete, in milliseconds. */
   deadlineMs: number;
   isRetry: boolean;
+  /** Route of the request, by which its cost is known. */
+  routeName?: string;
   /** Whether requests of the route take much longer than those of the server's quickest route. */
   isSlow: boolean;
   /** Whether requests of the route hold a slot much shorter than those of another route. */
@@ -17,6 +19,8 @@
   priority?: number;
   /** Whether the request is probably the caller's retry after a refusal. */
   isReturn?: boolean;
+  /** Whether a running request made it as a call, and holds a slot elsewhere until it is answered. */
+  isCall?: boolean;
 }
 
 /** A waiting request. */
--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -11,6 +11,7 @@
 import type { LogContext } from '../../log/index.js';
 import { AnnouncementError, AnnouncementErrorCode } from '../AnnouncementError/index.js';
 import { AdaptiveLimiter } from '../ConcurrencyLimiter/index.js';
+import ServerWork from '../ServerWork/index.js';
 import { RouteLatencies } from '../RouteLatencies/index.js';
 import { SlotGate } from '../SlotGate/index.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
@@ -19,6 +20,7 @@
 import type { NodeRecord, Server } from '../../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { AdmissionPolicy } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter } from '../ConcurrencyLimiter/index.js';
+import type RouteCosts from '../RouteCosts/index.js';
 import type { Announcement } from '../_lib/parseAnnouncement.js';
 
 const DEFAULT_LEASE_MS = 3_000;
@@ -125,6 +127,8 @@
   queuePerSlot?: number | undefined;
   /** Order in which requests wait for a slot; `QuickFirstPolicy` by default. */
   admissionPolicy?: AdmissionPolicy | undefined;
+  /** Costs of requests, by which the waits at servers are estimated; the mean hold time by default. */
+  routeCosts?: RouteCosts | undefined;
 }
 
 type RecordListener = (record: NodeRecord) => void;
@@ -171,6 +175,8 @@
 
   readonly #admissionPolicy: AdmissionPolicy | undefined;
 
+  readonly #routeCosts: RouteCosts | undefined;
+
   readonly #findService: (name: string) => Service | undefined;
 
   readonly #servers = new Map<string, LocalServer>();
@@ -195,6 +201,7 @@
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.#queuePerSlot = options.queuePerSlot;
     this.#admissionPolicy = options.admissionPolicy;
+    this.#routeCosts = options.routeCosts;
     this.#findService = options.findService ?? (() => undefined);
     this.#record = create(NodeRecordSchema, {
       nodeId: options.nodeId,
@@ -490,6 +497,7 @@
       limiter,
       ...(queuePerSlot !== undefined && { queuePerSlot }),
       ...(policy && { policy }),
+      ...(this.#routeCosts && { work: new ServerWork(this.#routeCosts) }),
     });
   }
 
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -3,6 +3,7 @@
 import { FixedLimiter } from '../ConcurrencyLimiter/index.js';
 import RateLimit from '../RateLimit/index.js';
 
+import type ServerWork from '../ServerWork/index.js';
 import type { AdmissionPolicy, SlotDemand } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter, LimiterSample } from '../ConcurrencyLimiter/index.js';
 
@@ -36,6 +37,8 @@
   queuePerSlot?: number;
   /** Order in which requests wait; `QuickFirstPolicy` by default. */
   policy?: AdmissionPolicy;
+  /** Estimates waits from the work in progress, instead of from the mean hold time. */
+  work?: ServerWork | undefined;
 }
 
 /** Weight of the newest sample in the mean hold time of a slot. */
@@ -53,6 +56,8 @@
 export class SlotGate {
   readonly limiter: ConcurrencyLimiter;
 
+  readonly work: ServerWork | undefined;
+
   readonly #policy: AdmissionPolicy;
 
   #waiters: Waiter[] = [];
@@ -78,6 +83,7 @@
 
   constructor(options: SlotGateOptions) {
     this.#slots = options.slots;
+    this.work = options.work;
     this.limiter = options.limiter ?? new FixedLimiter(options.slots);
     this.#policy = options.policy ?? new QuickFirstPolicy(options.queuePerSlot);
   }
@@ -182,6 +188,7 @@
     if (demand.isSlow) this.#usedSlow -= 1;
     else this.#usedQuick -= 1;
     this.#startSumMs -= nowMs - heldMs;
+    this.work?.end(demand, heldMs, sample !== undefined && !sample.isOverload);
     this.#meanHoldMs += HOLD_SAMPLE_WEIGHT * (heldMs - this.#meanHoldMs);
     if (sample) this.limiter.add(sample, nowMs);
     this.admitWaiters(nowMs);
@@ -202,7 +209,7 @@
   estimateWaitMs(nowMs: number): number {
     const rateWaitMs = this.#rateLimit?.computeWaitMs(this.#waiters.length, nowMs) ?? 0;
     if (this.used < this.capacity && this.#waiters.length === 0) return rateWaitMs;
-    return this.#estimateQueueMs(this.#waiters.length, nowMs);
+    return this.#estimateQueueMs(this.#waiters, nowMs);
   }
 
   /**
@@ -280,9 +287,16 @@
     return this.#hasSlotFor(waiter.demand) && !this.#hasPrecedingWaiter(waiter);
   }
 
-  #estimateQueueMs(ahead: number, nowMs: number): number {
-    const slotWaitMs = ((ahead + 1) * this.#meanHoldMs) / this.capacity;
-    return Math.max(slotWaitMs, this.#rateLimit?.computeWaitMs(ahead, nowMs) ?? 0);
+  #estimateQueueMs(ahead: readonly Waiter[], nowMs: number): number {
+    const { capacity, work } = this;
+    const slotWaitMs = work
+      ? work.estimateWaitMs(
+          ahead.map(({ demand }) => demand),
+          capacity,
+          nowMs,
+        )
+      : ((ahead.length + 1) * this.#meanHoldMs) / capacity;
+    return Math.max(slotWaitMs, this.#rateLimit?.computeWaitMs(ahead.length, nowMs) ?? 0);
   }
 
   #hasSlotFor(demand: SlotDemand): boolean {
@@ -299,6 +313,7 @@
     if (waiter.demand.isSlow) this.#usedSlow += 1;
     else this.#usedQuick += 1;
     this.#startSumMs += nowMs;
+    this.work?.start(waiter.demand, nowMs);
     this.#admittedCount += 1;
     this.#rateLimit?.take(nowMs);
     this.#settle(waiter, undefined);
@@ -312,7 +327,7 @@
 
   #enqueue(waiter: Waiter, nowMs: number): void {
     const { demand, rank } = waiter;
-    const ahead = this.#waiters.filter((other) => other.rank <= rank).length;
+    const ahead = this.#waiters.filter((other) => other.rank <= rank);
     const waitMs = this.#estimateQueueMs(ahead, nowMs);
     if (this.#policy.wouldBeLate(demand, waitMs, nowMs)) {
       this.#settle(waiter, GateRefusal.DeadlineTooShort);
--- a/src/process/localServers/index.ts
+++ b/src/process/localServers/index.ts
@@ -1,9 +1,16 @@
 /** The backend servers that a node serves: announcements, leases, probes and slots. */
-export { AdmissionPolicy, ObjectivePolicy, QuickFirstPolicy } from './AdmissionPolicy/index.js';
+export {
+  AdmissionPolicy,
+  ExpectedCostPolicy,
+  ObjectivePolicy,
+  QuickFirstPolicy,
+} from './AdmissionPolicy/index.js';
 export { AnnouncementError, AnnouncementErrorCode } from './AnnouncementError/index.js';
 export { AdaptiveLimiter, ConcurrencyLimiter, FixedLimiter } from './ConcurrencyLimiter/index.js';
 export { LocalServers, computeLoad, computeOccupancy } from './LocalServers/index.js';
+export { default as RouteCosts } from './RouteCosts/index.js';
 export { RouteLatencies } from './RouteLatencies/index.js';
+export { default as ServerWork } from './ServerWork/index.js';
 export { ServerProbes } from './ServerProbes/index.js';
 export { GateRefusal, SlotGate } from './SlotGate/index.js';
 export { AnnouncedState } from './_lib/parseAnnouncement.js';
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -6,12 +6,12 @@
 import type { ControlTarget, LinkTiming } from '../../../connection/distribution/NodeLink/index.js';
 import { UNLISTED_RECORD_MS } from '../../../connection/distribution/timing.js';
 import { startRpcServer } from '../../../connection/startRpcServer/index.js';
-import { RequestServer } from '../../../request/index.js';
+import { Placement, RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
-import { LocalServers } from '../../localServers/index.js';
+import { ExpectedCostPolicy, LocalServers, RouteCosts } from '../../localServers/index.js';
 import type { LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
@@ -48,6 +48,8 @@
     LocalServersOptions,
     'createLimiter' | 'leaseMs' | 'queuePerSlot' | 'admissionPolicy'
   >;
+  /** `LeastDelay` leaves the choice to the options of request handling; the default. */
+  placement?: Placement;
   /** Options of request handling. */
   requests?: Pick<
     RequestServerOptions,
@@ -87,12 +89,15 @@
   registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
+  const isByCost = options.placement === Placement.ExpectedCost;
+  const routeCosts = isByCost ? new RouteCosts() : undefined;
   const localServers = new LocalServers({
     nodeId,
     dataCentre,
     incarnation: BigInt(options.startedAtMs),
     findService: (name) => holder.current()?.findService(name),
     ...options.servers,
+    ...(routeCosts && { routeCosts, admissionPolicy: new ExpectedCostPolicy() }),
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const link = new NodeLink(
@@ -115,6 +120,7 @@
     startedAtMs: options.startedAtMs,
     getNowMs: readNowMs,
     ...options.requests,
+    routeCosts,
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -54,7 +54,7 @@
   const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
-  const { queuePerSlot, ...requests } = settings.requests;
+  const { queuePerSlot, placement, ...requests } = settings.requests;
   const opened = await openNode({
     nodeId,
     dataCentre,
@@ -68,6 +68,7 @@
     startedAtMs: nowMs,
     tls,
     servers: { ...(queuePerSlot !== undefined && { queuePerSlot }) },
+    ...(placement !== undefined && { placement }),
     requests,
   });
   if (opened.isErr()) return err(opened.error);
--- a/src/process/settings/_lib/fields.ts
+++ b/src/process/settings/_lib/fields.ts
@@ -3,6 +3,7 @@
 
 import * as v from 'valibot';
 
+import Placement from '../../../request/placement/index.js';
 import { LogLevel } from '../../log/index.js';
 
 const MAX_PORT = 65_535;
@@ -103,6 +104,16 @@
 /** Maximum number of queued requests per slot. */
 export const queuePerSlotField = createIntegerField(0, MAX_QUEUE_PER_SLOT, 'requests');
 
+const PLACEMENTS: string[] = Object.values(Placement);
+const PLACEMENT_EXPECTED = PLACEMENTS.join(' or ');
+
+/** How a node chooses servers. */
+export const placementField = v.pipe(
+  v.string(PLACEMENT_EXPECTED),
+  v.check((value) => PLACEMENTS.includes(value), PLACEMENT_EXPECTED),
+  v.transform((value) => value as Placement),
+);
+
 const LEVELS: Record<string, LogLevel> = {
   trace: LogLevel.Trace,
   debug: LogLevel.Debug,
--- a/src/process/settings/_lib/parseNodeSettings.ts
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -87,6 +87,7 @@
     ? {}
     : { idempotencyRetentionMs: value.idempotency_retention_ms }),
   ...(value?.queue_per_slot === undefined ? {} : { queuePerSlot: value.queue_per_slot }),
+  ...(value?.placement === undefined ? {} : { placement: value.placement }),
   ...(value?.probe_interval_ms === undefined ? {} : { probeIntervalMs: value.probe_interval_ms }),
 });
 
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -10,6 +10,7 @@
   memberField,
   nameField,
   pathField,
+  placementField,
   queuePerSlotField,
   advertisedAddressField,
 } from './fields.js';
@@ -61,5 +62,6 @@
 export const requestsSchema = v.object({
   idempotency_retention_ms: v.optional(durationField),
   queue_per_slot: v.optional(queuePerSlotField),
+  placement: v.optional(placementField),
   probe_interval_ms: v.optional(durationField),
 });
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import tap from 'tap';
 
+import Placement from '../../request/placement/index.js';
 import { LogLevel } from '../log/index.js';
 import {
   parseControlSettings,
@@ -47,6 +48,7 @@
 dc-west = [::1]:7400
 [requests]
 queue_per_slot = 4
+placement = expected-cost
 `;
 
 const OPTIONS = { baseFolder: '/etc/foxtailvane' };
@@ -82,7 +84,7 @@
       { dataCentre: 'dc-west', addresses: ['[::1]:7400'] },
     ],
     log: { level: LogLevel.Info, destination: 'stdout' },
-    requests: { queuePerSlot: 4 },
+    requests: { queuePerSlot: 4, placement: Placement.ExpectedCost },
   });
 });
 
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -1,4 +1,5 @@
 /** The settings of the two daemons. Addresses are `IP:port`, with IPv6 as `[IP]:port`. */
+import type Placement from '../../request/placement/index.js';
 import type { LogLevel } from '../log/index.js';
 import type { ReplicationTimings } from '../replication/ReplicatedLog/index.js';
 
@@ -60,6 +61,8 @@
   idempotencyRetentionMs?: number;
   /** Maximum number of queued requests per slot of a server. */
   queuePerSlot?: number;
+  /** How servers are chosen; `LeastDelay` by default. */
+  placement?: Placement;
   /** Interval between two probes of a server. */
   probeIntervalMs?: number;
 }
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -26,17 +26,20 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
+import { ReportExchange } from '../shareReports/index.js';
 import DepartureTracker from '../trackDepartures/index.js';
+import CallRoutes from '../recognizeCalls/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
-import { TwoChoicesSelector } from '../selectServer/index.js';
+import { ExpectedCostSelector, TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { CallerLimits } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
+import type { RouteCosts } from '../../process/localServers/index.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyRoutesOptions } from '../idempotency/index.js';
@@ -77,7 +80,7 @@
 
 type OptionalContext = 'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent';
 /** Context that the server provides itself. */
-type InternalContext = 'readLatenessMs';
+type InternalContext = 'readLatenessMs' | 'costs';
 
 /** Options of a request server. */
 export interface RequestServerOptions
@@ -92,6 +95,8 @@
   tls?: () => TlsMaterial;
   /** Creates the selector from the observations of this node; `TwoChoicesSelector` by default. */
   createSelector?: (dependencies: SelectorDependencies) => ServerSelector;
+  /** Costs of requests that this node learns; servers are selected by them if set. */
+  routeCosts?: RouteCosts | undefined;
   /** `FailureRateBreaker` by default. */
   breaker?: CircuitBreaker;
   /** Creates the retry budget, given a count of the known nodes; `RatioRetryBudget` by default. */
@@ -214,6 +219,10 @@
       dialect: options.dialect ?? new OwnDialect(),
       callerService: options.callerService ?? (() => ''),
       isCurrent: options.isCurrent ?? (() => true),
+      costs: options.routeCosts && {
+        routeCosts: options.routeCosts,
+        exchange: new ReportExchange(this.#observations, options.localServers),
+      },
     };
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
@@ -254,10 +263,12 @@
           this.#context.getNowMs(),
         ),
     });
-    const localCaller = new LocalCaller(this.#serverPools, this.#context, {
-      detector: crashDetector,
-      ledger: this.#crashLedger,
-    });
+    const localCaller = new LocalCaller(
+      this.#serverPools,
+      this.#context,
+      { detector: crashDetector, ledger: this.#crashLedger },
+      options.routeCosts && new CallRoutes(),
+    );
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
       observations: this.#observations,
@@ -274,6 +285,7 @@
         departures: this.#departures,
       }),
       selector:
+        this.#createExpectedCostSelector() ??
         options.createSelector?.({
           ...recorders,
           dataCentre: options.dataCentre,
@@ -399,6 +411,14 @@
     await Promise.all([...closed, this.#serverPools.destroy(), this.#nodePools.destroy()]);
   }
 
+  #createExpectedCostSelector(): ServerSelector | undefined {
+    const { routeCosts, dataCentre, nodeId } = this.#options;
+    if (!routeCosts) return undefined;
+    const observations = this.#observations;
+    const breaker = this.#breaker;
+    return new ExpectedCostSelector({ observations, breaker, dataCentre, nodeId, routeCosts });
+  }
+
   #createServer(
     handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
     tls?: TlsMaterial,
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -335,6 +335,7 @@
     const candidates = this.#listCandidates(routed, state);
     const selection = this.#dependencies.selector.select(candidates, {
       service: routed.service,
+      routeName: routed.route.name,
       nowMs,
       random: this.#context.random,
     });
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -20,6 +20,7 @@
 } from '../../process/localServers/index.js';
 import type { Exchange } from './Exchange.js';
 import type { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
+import type CallRoutes from '../recognizeCalls/index.js';
 import type { RequestContext } from './RequestContext.js';
 
 const log = createLogger('local-calls');
@@ -57,9 +58,14 @@
   createHeaders: () => string[];
 }
 
-const createDemand = (local: LocalServer, localRequest: LocalRequest): SlotDemand => ({
+const createDemand = (
+  local: LocalServer,
+  localRequest: LocalRequest,
+  isCall: boolean,
+): SlotDemand => ({
   deadlineMs: localRequest.deadlineMs,
   isRetry: localRequest.isRetry,
+  routeName: localRequest.routeName,
   // Non-idempotent requests, such as orders, count as urgent however long they take.
   isSlow: localRequest.isIdempotent && local.latencies.isSlow(localRequest.routeName),
   isBrief: localRequest.isIdempotent && local.latencies.isBrief(localRequest.routeName),
@@ -69,6 +75,7 @@
   objectiveAtMs: localRequest.objectiveAtMs,
   priority: localRequest.priority,
   isReturn: localRequest.isReturn,
+  isCall,
 });
 
 /** Detection of servers that end, and what all nodes know about the requests behind it. */
@@ -100,10 +107,19 @@
 
   readonly #crashes: CrashTracking;
 
-  constructor(pools: UpstreamPools, context: LocalCallerContext, crashes: CrashTracking) {
+  /** Set when requests are let in by expected cost. */
+  readonly #callRoutes: CallRoutes | undefined;
+
+  constructor(
+    pools: UpstreamPools,
+    context: LocalCallerContext,
+    crashes: CrashTracking,
+    callRoutes?: CallRoutes,
+  ) {
     this.#pools = pools;
     this.#context = context;
     this.#crashes = crashes;
+    this.#callRoutes = callRoutes;
   }
 
   /**
@@ -138,7 +154,10 @@
       const errorOptions = { isWritten: false };
       return err(new CallError(CallErrorCode.Refused, CRASHES_SERVERS, errorOptions));
     }
-    const demand = createDemand(local, localRequest);
+    const { routeName, callerService } = localRequest;
+    this.#callRoutes?.record(routeName, callerService);
+    const isCall = this.#callRoutes?.isCallRoute(routeName) ?? false;
+    const demand = createDemand(local, localRequest, isCall);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
       const code = exchange.isAborted ? CallErrorCode.Cancelled : CallErrorCode.Refused;
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -12,6 +12,8 @@
   GRANT_WANTED_HEADER,
   LIMIT_HEADER,
   LOAD_HEADER,
+  REPORTS_HEADER,
+  WORK_HEADER,
   GRANT_UPDATE_HEADER,
   formatLoad,
   parseCallHeader,
@@ -19,6 +21,7 @@
   parseGrantUpdate,
   parseLimit,
 } from './internalHeaders.js';
+import { formatAnswerReport } from '../shareReports/index.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
 import { RefusalReason, createNotRunRefusal, writeRefusal } from './writeRefusal.js';
@@ -92,6 +95,7 @@
     path: string,
   ): Promise<void> {
     const nowMs = this.#context.getNowMs();
+    const { costs } = this.#context;
     const remainingMs =
       parseCount(exchange.internalHeaders.get(DEADLINE_HEADER)) ?? MAX_DEADLINE_MS;
     const attempt = parseCount(exchange.internalHeaders.get(ATTEMPT_HEADER)) ?? 0;
@@ -112,27 +116,32 @@
       requestId: call.requestId,
       callerService: call.callerService,
     };
-    const createHeaders = (): string[] => [
-      ...exchange.headers,
-      ...this.#context.dialect.createServerHeaders({
-        requestId: call.requestId,
-        serverId: call.serverId,
-        callerService: call.callerService,
-        remainingMs: localRequest.deadlineMs - this.#context.getNowMs(),
-        attempt,
-      }),
-    ];
+    let startedAtMs: number | undefined;
+    const createHeaders = (): string[] => {
+      startedAtMs = this.#context.getNowMs();
+      return [
+        ...exchange.headers,
+        ...this.#context.dialect.createServerHeaders({
+          requestId: call.requestId,
+          serverId: call.serverId,
+          callerService: call.callerService,
+          remainingMs: localRequest.deadlineMs - startedAtMs,
+          attempt,
+        }),
+      ];
+    };
     const target = { path, createHeaders };
+    costs?.exchange.absorb(exchange.internalHeaders.get(REPORTS_HEADER), nowMs);
     const result = await this.#caller.call(exchange, local, localRequest, target, {
       onUnframed: (head) => head.headers.push(UNFRAMED_HEADER, '1'),
       onHead: (head) => {
         head.headers.push(LOAD_HEADER, this.#formatLoad(local));
+        head.headers.push(...this.#createWorkHeaders(exchange, local, startedAtMs));
         if (exchange.internalHeaders.has(GRANT_WANTED_HEADER)) this.#grantSlot(local, head.headers);
       },
     });
     if (result.isErr()) {
-      if (!exchange.response.headersSent)
-        exchange.response.setHeader(LOAD_HEADER, this.#formatLoad(local));
+      if (!exchange.response.headersSent) this.#setLoadHeaders(exchange, local);
       answerFailure(exchange, result.error);
       this.#logFailure(call, local, result.error);
       if (result.error.code === CallErrorCode.Refused) {
@@ -148,6 +157,32 @@
     return formatLoad({ load: computeOccupancy(local, nowMs), holdMs });
   }
 
+  /** Attaches the load to an answer of this node itself. */
+  #setLoadHeaders(exchange: Exchange, local: LocalServer): void {
+    const { response } = exchange;
+    response.setHeader(LOAD_HEADER, this.#formatLoad(local));
+    const work = this.#createWorkHeaders(exchange, local, undefined);
+    work.forEach((name, index) => {
+      const value = work[index + 1];
+      if (index % 2 === 0 && value !== undefined) response.setHeader(name, value);
+    });
+  }
+
+  /** Returns headers, as alternating names and values; a request without reports is from afar. */
+  #createWorkHeaders(
+    exchange: Exchange,
+    local: LocalServer,
+    startedAtMs: number | undefined,
+  ): string[] {
+    const { costs } = this.#context;
+    if (!costs) return [];
+    const nowMs = this.#context.getNowMs();
+    const heldMs = startedAtMs === undefined ? 0 : nowMs - startedAtMs;
+    const own = [WORK_HEADER, formatAnswerReport(local, heldMs, nowMs)];
+    if (!exchange.internalHeaders.has(REPORTS_HEADER)) return own;
+    return [...own, REPORTS_HEADER, costs.exchange.format(nowMs)];
+  }
+
   #logFailure(call: ForwardedCall, { gate }: LocalServer, error: CallError): void {
     const nowMs = this.#context.getNowMs();
     failureLog.info(
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -1,7 +1,8 @@
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
-import type { LocalServers } from '../../process/localServers/index.js';
+import type { LocalServers, RouteCosts } from '../../process/localServers/index.js';
 import type { MetricsRegistry } from '../../process/metrics/index.js';
+import type { ReportExchange } from '../shareReports/index.js';
 import type { HttpDialect } from '../httpDialect/index.js';
 import type { CompiledConfiguration } from '../../version/compileConfiguration/types.js';
 
@@ -13,6 +14,12 @@
   records: () => readonly NodeRecord[];
 }
 
+/** What nodes learn of the cost of requests, and how they tell each other. */
+export interface CostSharing {
+  routeCosts: RouteCosts;
+  exchange: ReportExchange;
+}
+
 /** Dependencies that the request handlers of a node share. */
 export interface RequestContext {
   nodeId: string;
@@ -28,6 +35,8 @@
   dialect: HttpDialect;
   /** Returns the service on the VM of this node; empty when there is none. */
   callerService: () => string;
+  /** Set when servers are selected by expected cost. */
+  costs: CostSharing | undefined;
   /** Returns a random number in [0, 1). */
   random: () => number;
   /** Returns the mean delay of timers on this node, in milliseconds. */
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -8,6 +8,8 @@
   GRANT_WANTED_HEADER,
   LIMIT_HEADER,
   LOAD_HEADER,
+  REPORTS_HEADER,
+  WORK_HEADER,
   formatCallHeader,
   parseLoad,
 } from './internalHeaders.js';
@@ -15,6 +17,7 @@
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
+import { parseAnswerReport } from '../shareReports/index.js';
 import { recordReport } from '../observeServers/index.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
@@ -42,6 +45,7 @@
  */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
 const LIMIT_DIGITS = 3;
+const FIRST_SERVER_ERROR = 500;
 
 /** An attempt to serve a request on one server. */
 export interface Attempt {
@@ -242,6 +246,7 @@
       );
     }
     const { observation } = attempt;
+    this.#readWork(attempt, head);
     const report = parseLoad(head.internal?.get(LOAD_HEADER));
     if (report === undefined) return;
     // The answered request still counts as in flight here, but no longer on the owner node.
@@ -249,6 +254,18 @@
     recordReport(observation, report, inFlightAtReport, this.#context.getNowMs());
   }
 
+  /** Keeps what the node beside the server reports of its work, and of that at other servers. */
+  #readWork({ routed, key, observation }: Attempt, { internal, statusCode }: ResponseHead): void {
+    const { costs } = this.#context;
+    if (!costs) return;
+    const nowMs = this.#context.getNowMs();
+    const answer = parseAnswerReport(internal?.get(WORK_HEADER), nowMs);
+    if (answer) costs.exchange.recordAnswer(key, observation, answer.report);
+    if (answer && answer.heldMs > 0 && statusCode < FIRST_SERVER_ERROR)
+      costs.routeCosts.addAnswer(routed.route.name, answer.heldMs);
+    costs.exchange.absorb(internal?.get(REPORTS_HEADER), nowMs);
+  }
+
   /** Keeps what the server states about itself for the requests that follow. */
   #readNotice({ routed, entry, observation }: Attempt, head: ResponseHead): void {
     const notice = this.#context.dialect.readServerNotice(head, routed.requestId);
@@ -270,9 +287,12 @@
     return [...routed.exchange.headers, ...dialect.createServerHeaders(facts)];
   }
 
-  #createNodeHeaders({ routed, observation, number }: Attempt): string[] {
+  #createNodeHeaders({ routed, entry, observation, number }: Attempt): string[] {
     const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
+    const { costs, dataCentre } = this.#context;
+    if (costs && entry.node.dataCentre === dataCentre)
+      headers.push(REPORTS_HEADER, costs.exchange.format(this.#context.getNowMs()));
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
     const { maxRequestsPerSecond } = observation;
     if (maxRequestsPerSecond !== undefined)
--- a/src/request/_lib/internalHeaders.ts
+++ b/src/request/_lib/internalHeaders.ts
@@ -11,6 +11,10 @@
 export const GRANT_UPDATE_HEADER = 'foxtailvane-loans';
 /** Load of the server as the owner node counts it: share of slots in use, and slot hold time. */
 export const LOAD_HEADER = 'foxtailvane-load';
+/** Work at the server, and the cost of the answered request, as its node measured them. */
+export const WORK_HEADER = 'foxtailvane-work';
+/** Work at several servers, as the sender knows it. */
+export const REPORTS_HEADER = 'foxtailvane-reports';
 /** Requests per second that the server accepts, as the entry node read it from a response. */
 export const LIMIT_HEADER = 'foxtailvane-limit';
 export const ATTEMPT_HEADER = 'foxtailvane-attempt';
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -7,6 +7,18 @@
 /** Observations of a server that was not used for this long are removed. */
 const MAX_IDLE_MS = 60_000;
 
+/** What the node beside a server reports of its work. */
+export interface WorkReport {
+  /** Share of the slots in use, waiting requests included. */
+  load: number;
+  /** Expected time until a slot is free for a new request, in milliseconds. */
+  waitMs: number;
+  /** Time that the server takes for requests, relative to the mean of its service. */
+  pace: number;
+  /** Time of the report, on the clock of this node. */
+  atMs: number;
+}
+
 /** Observations of one server. */
 export interface ServerObservation {
   inFlight: number;
@@ -23,6 +35,10 @@
   reportedHoldMs: number;
   /** Requests of this node that the reported load includes. */
   inFlightAtReport: number;
+  /** Newest report of the work at the server; undefined before the first one. */
+  work: WorkReport | undefined;
+  /** Requests of this node that the newest report includes. */
+  inFlightAtWork: number;
   /** Last time that the server's node refused a request because no slot was free. */
   lastRefusalAtMs: number;
   /** Requests per second that the server named in its last response; undefined without a limit. */
@@ -74,6 +90,8 @@
   reportedLoadAtMs: 0,
   reportedHoldMs: 0,
   inFlightAtReport: 0,
+  work: undefined,
+  inFlightAtWork: 0,
   lastRefusalAtMs: 0,
   maxRequestsPerSecond: undefined,
 });
--- /dev/null
+++ b/src/request/selectServer/ExpectedCostSelector.ts
@@ -0,0 +1,79 @@
+import LeastDelaySelector from './LeastDelaySelector.js';
+
+import type { RouteCosts } from '../../process/localServers/index.js';
+import type { ServerObservation, WorkReport } from '../observeServers/index.js';
+import type { DelayFacts, LeastDelaySelectorOptions } from './LeastDelaySelector.js';
+
+/** Half-life of a reported wait and load: slots change hands a few times a second. */
+const WAIT_HALF_LIFE_MS = 700;
+/** Half-life of a reported pace: the speed of a server lasts, a slow phase passes in seconds. */
+const PACE_HALF_LIFE_MS = 6_000;
+/** Time after a refusal during which the server counts as full. */
+const REFUSAL_TTL_MS = 150;
+/** Cost at full load, as a share of the cost of a request: the last free slot may be taken meanwhile. */
+const FULL_LOAD_COST_SHARE = 0.6;
+const FULL_LOAD_COST_EXPONENT = 5;
+/** Servers that were seen for a shorter time and have no report are taken for cold ones. */
+const WARM_UP_MS = 3_000;
+const COLD_PACE = 2;
+
+export interface ExpectedCostSelectorOptions extends LeastDelaySelectorOptions {
+  routeCosts: RouteCosts;
+}
+
+const computeDecay = (ageMs: number, halfLifeMs: number): number =>
+  0.5 ** (Math.max(0, ageMs) / halfLifeMs);
+
+/**
+ * Selects the server with the lowest expected time to the answer: the wait for a slot that its node
+ * reports, and the expected cost of this request at the pace of that server.
+ *
+ * Answers load on servers of unequal speed and requests of unequal cost: a share of slots in use does
+ * not tell when a slot is free, and a mean over all routes does not tell a slow server from one that
+ * gets the long requests.
+ */
+export default class ExpectedCostSelector extends LeastDelaySelector {
+  readonly #routeCosts: RouteCosts;
+
+  constructor(options: ExpectedCostSelectorOptions) {
+    super(options);
+    this.#routeCosts = options.routeCosts;
+  }
+
+  protected override estimateDelayMs({ entry, observation, means, context }: DelayFacts): number {
+    const { nowMs, routeName } = context;
+    const { work } = observation;
+    if (!work) {
+      const isCold = nowMs - observation.firstSeenAtMs < WARM_UP_MS;
+      const delayMs = super.estimateDelayMs({ entry, observation, means, context });
+      return isCold ? delayMs * COLD_PACE : delayMs;
+    }
+    const costMs = (routeName && this.#routeCosts.getMeanMs(routeName)) || means.holdMs;
+    const slots = Math.max(1, entry.server.slots);
+    const wait = this.#estimateWaitMs(work, observation, { slots, meanLoad: means.load, nowMs });
+    const paceWeight = computeDecay(nowMs - work.atMs, PACE_HALF_LIFE_MS);
+    const pace = paceWeight * work.pace + (1 - paceWeight);
+    const loadCostMs =
+      FULL_LOAD_COST_SHARE * Math.min(1, wait.load) ** FULL_LOAD_COST_EXPONENT * means.holdMs;
+    return wait.waitSlots * means.holdMs * pace + wait.waitMs + costMs * pace + loadCostMs * pace;
+  }
+
+  /** Estimates the wait for a slot: what was reported, and what this node has sent since. */
+  #estimateWaitMs(
+    work: WorkReport,
+    observation: ServerObservation,
+    { slots, meanLoad, nowMs }: { slots: number; meanLoad: number; nowMs: number },
+  ): { load: number; waitMs: number; waitSlots: number } {
+    const weight = computeDecay(nowMs - work.atMs, WAIT_HALF_LIFE_MS);
+    const sentSince = Math.max(0, observation.inFlight - observation.inFlightAtWork);
+    const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_TTL_MS;
+    const reportedLoad = weight * work.load + (1 - weight) * meanLoad;
+    const load = Math.max(reportedLoad, isRefusing ? 1 : 0) + sentSince / slots;
+    const isFull = work.waitMs > 0;
+    return {
+      load,
+      waitMs: weight * work.waitMs,
+      waitSlots: isFull ? sentSince / slots : Math.max(0, load + 1 / slots - 1),
+    };
+  }
+}
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -43,11 +43,19 @@
 const DEFAULT_HOLD_MS = 100;
 
 /** Means of the reports about the servers of one service. */
-interface ServiceMeans {
+export interface ServiceMeans {
   load: number;
   holdMs: number;
 }
 
+/** What the delay of a server is estimated from. */
+export interface DelayFacts {
+  entry: ServerEntry;
+  observation: ServerObservation;
+  means: ServiceMeans;
+  context: SelectionContext;
+}
+
 interface Candidate {
   entry: ServerEntry;
   key: string;
@@ -200,18 +208,15 @@
     const key = formatServerKey(entry);
     const observation = this.#options.observations.get(key, context.nowMs);
     const networkCostMs = this.#computeNetworkCostMs(entry, means);
-    const delayMs = this.#estimateDelayMs(entry, observation, means, context.nowMs);
+    const delayMs = this.estimateDelayMs({ entry, observation, means, context });
     const jitter = 1 + JITTER_WIDTH * (context.random() - 0.5);
     return { entry, key, cost: delayMs * jitter + networkCostMs };
   }
 
   /** Estimates the time to wait for a slot plus the time in it, in milliseconds. */
-  #estimateDelayMs(
-    { server }: ServerEntry,
-    observation: ServerObservation,
-    means: ServiceMeans,
-    nowMs: number,
-  ): number {
+  protected estimateDelayMs({ entry, observation, means, context }: DelayFacts): number {
+    const { server } = entry;
+    const { nowMs } = context;
     const ageMs = nowMs - observation.reportedLoadAtMs;
     const loadWeight =
       observation.reportedLoadAtMs === 0 ? 0 : computeDecay(ageMs, REPORT_HALF_LIFE_MS);
--- a/src/request/selectServer/ServerSelector.ts
+++ b/src/request/selectServer/ServerSelector.ts
@@ -23,6 +23,8 @@
 /** Inputs of a selection besides the candidates. */
 export interface SelectionContext {
   service: string;
+  /** Route of the request, by which its cost is known. */
+  routeName?: string;
   /** Present time in milliseconds since the epoch. */
   nowMs: number;
   /** Returns a uniform random number in [0, 1). */
--- a/src/request/selectServer/index.ts
+++ b/src/request/selectServer/index.ts
@@ -1,4 +1,5 @@
 /** Selection of the backend server for a request. */
+export { default as ExpectedCostSelector } from './ExpectedCostSelector.js';
 export { default as RoundRobinSelector } from './RoundRobinSelector.js';
 export { default as LeastDelaySelector } from './LeastDelaySelector.js';
 export type { LeastDelaySelectorOptions } from './LeastDelaySelector.js';
--- /dev/null
+++ b/src/request/shareReports/index.ts
@@ -0,0 +1,197 @@
+/** Reports of the work at servers, as nodes attach them to requests and answers between them. */
+import { computeOccupancy } from '../../process/localServers/index.js';
+import { formatServerKey } from '../observeServers/index.js';
+
+import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import type { LocalServer } from '../../process/localServers/index.js';
+import type { ServerObservation, ServerObservations, WorkReport } from '../observeServers/index.js';
+
+/** Reports of other servers per message: about 40 bytes each. */
+const RELAYED_REPORTS = 5;
+/** Older reports say too little of a wait to be passed on. */
+const MAX_AGE_MS = 600;
+/** Reports that are kept to be passed on. */
+const MAX_KEPT = 64;
+const FIELD_SEPARATOR = '~';
+const REPORT_SEPARATOR = ',';
+const PACE_DIGITS = 2;
+const REPORT_PATTERN = /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,6})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})$/;
+
+/** Report of one server, with the cost of the request that it answered. */
+export interface AnswerReport {
+  report: WorkReport;
+  /** Time for which the answered request held its slot, in milliseconds; 0 when unknown. */
+  heldMs: number;
+}
+
+const formatFields = ({ load, waitMs, pace }: WorkReport): string =>
+  [
+    load.toFixed(PACE_DIGITS),
+    Math.min(999_999, Math.round(waitMs)),
+    pace.toFixed(PACE_DIGITS),
+  ].join(FIELD_SEPARATOR);
+
+/** Parses the fields of a report and its last number; undefined if malformed. */
+const parseFields = (
+  text: string,
+  nowMs: number,
+): { report: WorkReport; last: number } | undefined => {
+  const match = REPORT_PATTERN.exec(text);
+  if (!match) return undefined;
+  const [, load, waitMs, pace, last] = match.map(Number);
+  return {
+    report: { load: load ?? 0, waitMs: waitMs ?? 0, pace: pace ?? 1, atMs: nowMs },
+    last: last ?? 0,
+  };
+};
+
+/** Decodes the key of a server; empty if malformed. */
+const decodeKey = (text: string): string => {
+  if (!text.includes('%')) return text;
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return '';
+  }
+};
+
+const measure = (local: LocalServer, nowMs: number): WorkReport => {
+  const { gate } = local;
+  return {
+    load: computeOccupancy(local, nowMs),
+    waitMs: gate.estimateWaitMs(nowMs),
+    pace: gate.work?.estimatePace(nowMs) ?? 1,
+    atMs: nowMs,
+  };
+};
+
+/**
+ * Formats the report of the server that answered a request.
+ *
+ * @param local - the server
+ * @param heldMs - time for which the request held its slot
+ * @param nowMs - present time in milliseconds
+ */
+export const formatAnswerReport = (local: LocalServer, heldMs: number, nowMs: number): string =>
+  `${formatFields(measure(local, nowMs))}${FIELD_SEPARATOR}${Math.round(heldMs)}`;
+
+/**
+ * Parses the report of the server that answered a request.
+ *
+ * @param text - header value, if present
+ * @param nowMs - present time in milliseconds
+ * @returns the report; undefined when the value is absent or malformed
+ */
+export const parseAnswerReport = (
+  text: string | undefined,
+  nowMs: number,
+): AnswerReport | undefined => {
+  const parsed = parseFields(text ?? '', nowMs);
+  return parsed && { report: parsed.report, heldMs: parsed.last };
+};
+
+/** Records a report of a server unless a newer one is known. */
+export const recordWork = (target: ServerObservation, report: WorkReport): boolean => {
+  const observation = target;
+  if (observation.work && observation.work.atMs >= report.atMs) return false;
+  observation.work = report;
+  // A request that was sent after the report is not part of it.
+  const isUsedSince = observation.lastUsedAtMs >= report.atMs;
+  observation.inFlightAtWork = Math.max(0, observation.inFlight - (isUsedSince ? 1 : 0));
+  return true;
+};
+
+/**
+ * Passes reports of servers on between the nodes of a data centre.
+ *
+ * An entry node with few requests a second hears of each server of a large service once in several
+ * seconds, while load changes within a fraction of one. Each request and each answer between nodes of one
+ * data centre carries the reports of the sender's own servers and the newest that it knows of others.
+ */
+export class ReportExchange {
+  readonly #observations: ServerObservations;
+
+  readonly #listOwn: () => readonly LocalServer[];
+
+  readonly #readOwnRecord: () => NodeRecord;
+
+  /** Newest reports by server key, in the order in which they were learned. */
+  readonly #newest = new Map<string, WorkReport>();
+
+  /**
+   * @param observations - observations of this node, which the reports update
+   * @param localServers - the servers beside this node, and their record
+   */
+  constructor(
+    observations: ServerObservations,
+    localServers: { list: () => readonly LocalServer[]; record: () => NodeRecord },
+  ) {
+    this.#observations = observations;
+    this.#listOwn = () => localServers.list();
+    this.#readOwnRecord = () => localServers.record();
+  }
+
+  /**
+   * Records the report that came with an answer, to pass it on.
+   *
+   * @param key - key of the server
+   * @param observation - observation of the server; updated in place
+   * @param report - what its node reported
+   */
+  recordAnswer(key: string, observation: ServerObservation, report: WorkReport): void {
+    if (recordWork(observation, report)) this.#keep(key, report);
+  }
+
+  /**
+   * Formats the reports for another node: those of the own servers, then the newest of others.
+   *
+   * @param nowMs - present time in milliseconds
+   */
+  format(nowMs: number): string {
+    const node = this.#readOwnRecord();
+    const own = this.#listOwn().map((local): [string, WorkReport] => [
+      formatServerKey({ server: local.server, node }),
+      measure(local, nowMs),
+    ]);
+    const others = [...this.#newest]
+      .slice(-RELAYED_REPORTS)
+      .filter(([, { atMs }]) => nowMs - atMs <= MAX_AGE_MS);
+    return [...own, ...others]
+      .map(([key, report]) => {
+        const fields = [
+          encodeURIComponent(key),
+          formatFields(report),
+          Math.round(nowMs - report.atMs),
+        ];
+        return fields.join(FIELD_SEPARATOR);
+      })
+      .join(REPORT_SEPARATOR);
+  }
+
+  /**
+   * Records the reports of another node.
+   *
+   * @param text - header value, if present; malformed reports are left out
+   * @param nowMs - present time in milliseconds
+   */
+  absorb(text: string | undefined, nowMs: number): void {
+    if (text === undefined) return;
+    const ownPrefix = `${this.#readOwnRecord().nodeId}/`;
+    text.split(REPORT_SEPARATOR).forEach((item) => {
+      const keyEnd = item.indexOf(FIELD_SEPARATOR);
+      const key = decodeKey(item.slice(0, Math.max(0, keyEnd)));
+      const parsed = parseFields(item.slice(keyEnd + 1), nowMs);
+      if (!parsed || key === '' || key.startsWith(ownPrefix)) return;
+      const report = { ...parsed.report, atMs: nowMs - parsed.last };
+      if (recordWork(this.#observations.get(key, nowMs), report)) this.#keep(key, report);
+    });
+  }
+
+  #keep(key: string, report: WorkReport): void {
+    this.#newest.delete(key);
+    this.#newest.set(key, report);
+    if (this.#newest.size <= MAX_KEPT) return;
+    const [oldest] = this.#newest.keys();
+    if (oldest !== undefined) this.#newest.delete(oldest);
+  }
+}
