Refuse at the entry node when fresh reports show no room in time

Under load past the capacity each request was sent to up to three nodes to be refused there, which fills links of 2 Mbit/s; forwarded requests then stay unacknowledged for over 450 ms.

The reports name the wait by priority; a request that even the best server would answer too late is refused at once with that wait. Calls are exempt: the node beside the server says which routes are those of calls.

--- a/src/process/localServers/CostDistribution/index.ts
+++ b/src/process/localServers/CostDistribution/index.ts
@@ -5,6 +5,8 @@
 const BUCKET_COUNT = 34;
 /** The weights are halved beyond this many samples, so that the distribution follows the load. */
 const MAX_SAMPLES = 600;
+/** Samples after which the means above each bucket are computed anew. */
+const MEANS_INTERVAL = 16;
 /** A request beyond all samples is expected to run for this share of its age again. */
 const UNKNOWN_REST_SHARE = 0.5;
 
@@ -30,6 +32,11 @@
 
   #total = 0;
 
+  /** Mean of the costs in each bucket and above, in milliseconds; 0 where there are none. */
+  #meansAbove: readonly number[] = [];
+
+  #samplesSinceMeans = MEANS_INTERVAL;
+
   /** Number of samples, less what has decayed. */
   get sampleCount(): number {
     return this.#total;
@@ -46,6 +53,7 @@
     this.#weights[bucket] = (this.#weights[bucket] ?? 0) + 1;
     this.#sums[bucket] = (this.#sums[bucket] ?? 0) + costMs;
     this.#total += 1;
+    this.#samplesSinceMeans += 1;
     if (this.#total > MAX_SAMPLES) this.#halve();
   }
 
@@ -57,9 +65,25 @@
    */
   estimateRestMs(ageMs: number): number {
     const first = findBucket(ageMs) + (ageMs > 0 ? 1 : 0);
-    const weight = computeSum(this.#weights.slice(first));
-    if (weight === 0) return ageMs * UNKNOWN_REST_SHARE;
-    return Math.max(1, computeSum(this.#sums.slice(first)) / weight - ageMs);
+    const meanAboveMs = this.#getMeansAbove()[first] ?? 0;
+    return meanAboveMs === 0 ? ageMs * UNKNOWN_REST_SHARE : Math.max(1, meanAboveMs - ageMs);
+  }
+
+  /** Rests are asked for several times a request, so the means are computed once in some samples. */
+  #getMeansAbove(): readonly number[] {
+    if (this.#samplesSinceMeans < MEANS_INTERVAL) return this.#meansAbove;
+    this.#samplesSinceMeans = 0;
+    const above = { weight: 0, sum: 0 };
+    this.#meansAbove = this.#weights
+      .map((weight, bucket) => ({ weight, sum: this.#sums[bucket] ?? 0 }))
+      .reverse()
+      .map(({ weight, sum }) => {
+        above.weight += weight;
+        above.sum += sum;
+        return above.weight === 0 ? 0 : above.sum / above.weight;
+      })
+      .reverse();
+    return this.#meansAbove;
   }
 
   #halve(): void {
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -212,6 +212,21 @@
     return this.#estimateQueueMs(this.#waiters, nowMs);
   }
 
+  /**
+   * Estimates the time until a request would get a slot, in milliseconds, behind those of its rank.
+   *
+   * @param demand - the request; only what its rank depends on is read
+   * @param nowMs - present time in milliseconds since the epoch
+   */
+  estimateRankedWaitMs(demand: SlotDemand, nowMs: number): number {
+    if (this.used < this.capacity && this.#waiters.length === 0) return this.estimateWaitMs(nowMs);
+    const rank = this.#policy.computeRank(demand);
+    return this.#estimateQueueMs(
+      this.#waiters.filter((other) => other.rank <= rank),
+      nowMs,
+    );
+  }
+
   /**
    * Estimates the load that the rate limit causes, as a share: 1 at the limit, and above it in
    * proportion to the wait.
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -222,6 +222,8 @@
       costs: options.routeCosts && {
         routeCosts: options.routeCosts,
         exchange: new ReportExchange(this.#observations, options.localServers),
+        callRoutes: new CallRoutes(),
+        reportedCallRoutes: new Set(),
       },
     };
     this.#nodePools = new UpstreamPools({
@@ -267,7 +269,7 @@
       this.#serverPools,
       this.#context,
       { detector: crashDetector, ledger: this.#crashLedger },
-      options.routeCosts && new CallRoutes(),
+      this.#context.costs?.callRoutes,
     );
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -5,7 +5,7 @@
 import { err } from 'neverthrow';
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
-import { CallErrorCode } from '../../connection/CallError/index.js';
+import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
@@ -16,16 +16,16 @@
 import { recordOutcome } from './recordOutcome.js';
 import { routeRequest } from './routeRequest.js';
 import computeRetryDelay from '../computeRetryDelay/index.js';
+import isTooBusy from '../judgeWait/index.js';
 import ObjectiveEstimator from '../trackObjectives/index.js';
 import TrafficSplit from '../splitTraffic/index.js';
 import { RefusalReason, RequestOutcome, createNotRunRefusal } from './writeRefusal.js';
 
-import type { CallError } from '../../connection/CallError/index.js';
 import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { IdempotencyGuard } from '../idempotency/index.js';
-import type { ServerSelector } from '../selectServer/index.js';
+import type { Selection, ServerSelector } from '../selectServer/index.js';
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
@@ -39,6 +39,8 @@
 
 /** Maximum number of servers tried for a request that certainly did not run. */
 const MAX_SERVERS_TRIED = 3;
+/** No server is expected to have a free slot in time. */
+const NO_ROOM_IN_TIME = 'NO_ROOM_IN_TIME';
 const SERVICE_UNAVAILABLE = 503;
 const US_PER_MS = 1_000;
 const ID_RADIX = 36;
@@ -216,8 +218,9 @@
     this.#dependencies.budget.addRequest(routed.service, this.#context.getNowMs());
     let mayContinue = true;
     while (mayContinue) {
-      const entry = this.#selectServer(routed, state);
-      if (!entry) break;
+      const selection = this.#selectServer(routed, state);
+      if (!selection || this.#isTooBusy(routed, selection, state)) break;
+      const { entry } = selection;
       const result = await this.#attempt(routed, entry, state, tap);
       if (result.isOk()) return result;
       state.lastError = result.error;
@@ -329,17 +332,33 @@
     return reachable.length > 0 ? reachable : live;
   }
 
-  #selectServer(routed: RoutedRequest, state: AttemptState): ServerEntry | undefined {
+  /** Refuses a new request at once if even the best server is known to have no room in time. */
+  #isTooBusy(routed: RoutedRequest, { expected }: Selection, state: AttemptState): boolean {
+    const { costs } = this.#context;
+    if (!costs || costs.reportedCallRoutes.has(routed.route.name)) return false;
+    const nowMs = this.#context.getNowMs();
+    const { objectiveAtMs, deadlineMs } = routed;
+    const objectiveMs = objectiveAtMs === undefined ? undefined : objectiveAtMs - nowMs;
+    if (!isTooBusy(expected, { objectiveMs, untilDeadlineMs: deadlineMs - nowMs })) return false;
+    const options = { isWritten: false, retryAfterMs: expected?.waitMs };
+    const target = state;
+    target.lastError = new CallError(CallErrorCode.Refused, NO_ROOM_IN_TIME, options);
+    return true;
+  }
+
+  #selectServer(routed: RoutedRequest, state: AttemptState): Selection | undefined {
     const nowMs = this.#context.getNowMs();
     const { tried } = state;
     const candidates = this.#listCandidates(routed, state);
+    this.#context.costs?.exchange.observeOwn(routed.service, nowMs);
     const selection = this.#dependencies.selector.select(candidates, {
       service: routed.service,
       routeName: routed.route.name,
+      priority: routed.route.priority,
       nowMs,
       random: this.#context.random,
     });
-    if (!isLogged(LogLevel.Debug)) return selection?.entry;
+    if (!isLogged(LogLevel.Debug)) return selection;
     const { requestId, version, route, service } = routed;
     log.info(
       {
@@ -354,7 +373,7 @@
       },
       'server chosen',
     );
-    return selection?.entry;
+    return selection;
   }
 
   #handleFailure(routed: RoutedRequest, lastError: CallError | undefined): void {
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -136,12 +136,12 @@
       onUnframed: (head) => head.headers.push(UNFRAMED_HEADER, '1'),
       onHead: (head) => {
         head.headers.push(LOAD_HEADER, this.#formatLoad(local));
-        head.headers.push(...this.#createWorkHeaders(exchange, local, startedAtMs));
+        head.headers.push(...this.#createWorkHeaders(exchange, local, { call, startedAtMs }));
         if (exchange.internalHeaders.has(GRANT_WANTED_HEADER)) this.#grantSlot(local, head.headers);
       },
     });
     if (result.isErr()) {
-      if (!exchange.response.headersSent) this.#setLoadHeaders(exchange, local);
+      if (!exchange.response.headersSent) this.#setLoadHeaders(exchange, local, call);
       answerFailure(exchange, result.error);
       this.#logFailure(call, local, result.error);
       if (result.error.code === CallErrorCode.Refused) {
@@ -158,10 +158,10 @@
   }
 
   /** Attaches the load to an answer of this node itself. */
-  #setLoadHeaders(exchange: Exchange, local: LocalServer): void {
+  #setLoadHeaders(exchange: Exchange, local: LocalServer, call: ForwardedCall): void {
     const { response } = exchange;
     response.setHeader(LOAD_HEADER, this.#formatLoad(local));
-    const work = this.#createWorkHeaders(exchange, local, undefined);
+    const work = this.#createWorkHeaders(exchange, local, { call, startedAtMs: undefined });
     work.forEach((name, index) => {
       const value = work[index + 1];
       if (index % 2 === 0 && value !== undefined) response.setHeader(name, value);
@@ -172,13 +172,14 @@
   #createWorkHeaders(
     exchange: Exchange,
     local: LocalServer,
-    startedAtMs: number | undefined,
+    { call, startedAtMs }: { call: ForwardedCall; startedAtMs: number | undefined },
   ): string[] {
     const { costs } = this.#context;
     if (!costs) return [];
     const nowMs = this.#context.getNowMs();
     const heldMs = startedAtMs === undefined ? 0 : nowMs - startedAtMs;
-    const own = [WORK_HEADER, formatAnswerReport(local, heldMs, nowMs)];
+    const isCall = costs.callRoutes.isCallRoute(call.routeName);
+    const own = [WORK_HEADER, formatAnswerReport(local, { heldMs, isCall }, nowMs)];
     if (!exchange.internalHeaders.has(REPORTS_HEADER)) return own;
     return [...own, REPORTS_HEADER, costs.exchange.format(nowMs)];
   }
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -3,6 +3,7 @@
 import type { LocalServers, RouteCosts } from '../../process/localServers/index.js';
 import type { MetricsRegistry } from '../../process/metrics/index.js';
 import type { ReportExchange } from '../shareReports/index.js';
+import type CallRoutes from '../recognizeCalls/index.js';
 import type { HttpDialect } from '../httpDialect/index.js';
 import type { CompiledConfiguration } from '../../version/compileConfiguration/types.js';
 
@@ -18,6 +19,10 @@
 export interface CostSharing {
   routeCosts: RouteCosts;
   exchange: ReportExchange;
+  /** Recognizes calls at the servers beside this node. */
+  callRoutes: CallRoutes;
+  /** Routes that other nodes recognized as those of calls. */
+  reportedCallRoutes: Set<string>;
 }
 
 /** Dependencies that the request handlers of a node share. */
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -46,6 +46,7 @@
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
 const LIMIT_DIGITS = 3;
 const FIRST_SERVER_ERROR = 500;
+const MAX_CALL_ROUTES = 512;
 
 /** An attempt to serve a request on one server. */
 export interface Attempt {
@@ -77,6 +78,12 @@
   departures: DepartureTracker;
 }
 
+/** Keeps which routes are those of calls; the number of routes bounds the memory. */
+const recordCallRoute = (routes: Set<string>, routeName: string, isCall: boolean): void => {
+  if (isCall && routes.size < MAX_CALL_ROUTES) routes.add(routeName);
+  else routes.delete(routeName);
+};
+
 /** Calls the selected server: locally, directly with a granted slot, or through its owner node. */
 export default class ServerCaller {
   readonly #context: RequestContext;
@@ -261,6 +268,7 @@
     const nowMs = this.#context.getNowMs();
     const answer = parseAnswerReport(internal?.get(WORK_HEADER), nowMs);
     if (answer) costs.exchange.recordAnswer(key, observation, answer.report);
+    if (answer) recordCallRoute(costs.reportedCallRoutes, routed.route.name, answer.isCall);
     if (answer && answer.heldMs > 0 && statusCode < FIRST_SERVER_ERROR)
       costs.routeCosts.addAnswer(routed.route.name, answer.heldMs);
     costs.exchange.absorb(internal?.get(REPORTS_HEADER), nowMs);
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -11,14 +11,18 @@
 export interface WorkReport {
   /** Share of the slots in use, waiting requests included. */
   load: number;
-  /** Expected time until a slot is free for a new request, in milliseconds. */
-  waitMs: number;
+  /** Expected time until a slot is free for a new request, in milliseconds, by its priority. */
+  waitsMs: readonly number[];
   /** Time that the server takes for requests, relative to the mean of its service. */
   pace: number;
   /** Time of the report, on the clock of this node. */
   atMs: number;
 }
 
+/** Returns the wait for a request of a priority; those beyond the last one wait as long as it. */
+export const getReportedWaitMs = ({ waitsMs }: WorkReport, priority: number): number =>
+  waitsMs[Math.min(priority, waitsMs.length - 1)] ?? 0;
+
 /** Observations of one server. */
 export interface ServerObservation {
   inFlight: number;
--- a/src/request/selectServer/ExpectedCostSelector.ts
+++ b/src/request/selectServer/ExpectedCostSelector.ts
@@ -1,7 +1,10 @@
+import { getReportedWaitMs } from '../observeServers/index.js';
 import LeastDelaySelector from './LeastDelaySelector.js';
 
+import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RouteCosts } from '../../process/localServers/index.js';
 import type { ServerObservation, WorkReport } from '../observeServers/index.js';
+import type { ExpectedAnswer, SelectionContext } from './ServerSelector.js';
 import type { DelayFacts, LeastDelaySelectorOptions } from './LeastDelaySelector.js';
 
 /** Half-life of a reported wait and load: slots change hands a few times a second. */
@@ -16,6 +19,17 @@
 /** Servers that were seen for a shorter time and have no report are taken for cold ones. */
 const WARM_UP_MS = 3_000;
 const COLD_PACE = 2;
+/** Age up to which a reported wait is taken as it is. */
+const FRESH_MS = 400;
+
+interface WaitFacts {
+  slots: number;
+  /** Wait for a request of this priority, as it was reported. */
+  reportedMs: number;
+  /** Mean of the reported loads of the service. */
+  meanLoad: number;
+  nowMs: number;
+}
 
 export interface ExpectedCostSelectorOptions extends LeastDelaySelectorOptions {
   routeCosts: RouteCosts;
@@ -50,7 +64,9 @@
     }
     const costMs = (routeName && this.#routeCosts.getMeanMs(routeName)) || means.holdMs;
     const slots = Math.max(1, entry.server.slots);
-    const wait = this.#estimateWaitMs(work, observation, { slots, meanLoad: means.load, nowMs });
+    const reportedMs = getReportedWaitMs(work, context.priority ?? 0);
+    const facts = { slots, reportedMs, meanLoad: means.load, nowMs };
+    const wait = this.#estimateWaitMs(work, observation, facts);
     const paceWeight = computeDecay(nowMs - work.atMs, PACE_HALF_LIFE_MS);
     const pace = paceWeight * work.pace + (1 - paceWeight);
     const loadCostMs =
@@ -58,21 +74,32 @@
     return wait.waitSlots * means.holdMs * pace + wait.waitMs + costMs * pace + loadCostMs * pace;
   }
 
+  /** Only a report that is fresh tells that a server has no room. */
+  protected override expectAnswer(
+    entry: ServerEntry,
+    { nowMs, routeName, priority = 0 }: SelectionContext,
+  ): ExpectedAnswer | undefined {
+    const { work } = this.observe(entry, nowMs);
+    const meanMs = routeName === undefined ? undefined : this.#routeCosts.getMeanMs(routeName);
+    if (!work || meanMs === undefined || nowMs - work.atMs > FRESH_MS) return undefined;
+    return { waitMs: getReportedWaitMs(work, priority), costMs: meanMs * work.pace };
+  }
+
   /** Estimates the wait for a slot: what was reported, and what this node has sent since. */
   #estimateWaitMs(
     work: WorkReport,
     observation: ServerObservation,
-    { slots, meanLoad, nowMs }: { slots: number; meanLoad: number; nowMs: number },
+    { slots, reportedMs, meanLoad, nowMs }: WaitFacts,
   ): { load: number; waitMs: number; waitSlots: number } {
     const weight = computeDecay(nowMs - work.atMs, WAIT_HALF_LIFE_MS);
     const sentSince = Math.max(0, observation.inFlight - observation.inFlightAtWork);
     const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_TTL_MS;
     const reportedLoad = weight * work.load + (1 - weight) * meanLoad;
     const load = Math.max(reportedLoad, isRefusing ? 1 : 0) + sentSince / slots;
-    const isFull = work.waitMs > 0;
+    const isFull = reportedMs > 0;
     return {
       load,
-      waitMs: weight * work.waitMs,
+      waitMs: weight * reportedMs,
       waitSlots: isFull ? sentSince / slots : Math.max(0, load + 1 / slots - 1),
     };
   }
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -3,7 +3,7 @@
 
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { ServerObservation } from '../observeServers/index.js';
-import type { Selection, SelectionContext } from './ServerSelector.js';
+import type { ExpectedAnswer, Selection, SelectionContext } from './ServerSelector.js';
 import type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
 
 /** Numbers of servers compared per request: of the local data centre, and of others. */
@@ -135,7 +135,8 @@
       hasLocal: local.length > 0,
       count: compared.length,
     });
-    return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key) };
+    const expected = this.expectAnswer(chosen.entry, context);
+    return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key), expected };
   }
 
   /**
@@ -194,6 +195,18 @@
     };
   }
 
+  protected observe(entry: ServerEntry, nowMs: number): ServerObservation {
+    return this.#options.observations.get(formatServerKey(entry), nowMs);
+  }
+
+  /** Returns when a server is expected to answer; undefined where it is not estimated. */
+  protected expectAnswer(
+    _entry: ServerEntry,
+    _context: SelectionContext,
+  ): ExpectedAnswer | undefined {
+    return undefined;
+  }
+
   #isOnThisNode({ node }: ServerEntry): boolean {
     return node.nodeId === this.#options.nodeId;
   }
--- a/src/request/selectServer/ServerSelector.ts
+++ b/src/request/selectServer/ServerSelector.ts
@@ -18,6 +18,16 @@
   reason: SelectionReason;
   /** Keys of the servers that were compared. */
   considered: string[];
+  /** What is expected of the server; undefined when too little is known. */
+  expected?: ExpectedAnswer | undefined;
+}
+
+/** When a server is expected to answer a request. */
+export interface ExpectedAnswer {
+  /** Time until it has a free slot, in milliseconds. */
+  waitMs: number;
+  /** Time for which the request will hold the slot, in milliseconds. */
+  costMs: number;
 }
 
 /** Inputs of a selection besides the candidates. */
@@ -25,6 +35,8 @@
   service: string;
   /** Route of the request, by which its cost is known. */
   routeName?: string;
+  /** 0 is the most urgent. */
+  priority?: number;
   /** Present time in milliseconds since the epoch. */
   nowMs: number;
   /** Returns a uniform random number in [0, 1). */
--- a/src/request/selectServer/index.ts
+++ b/src/request/selectServer/index.ts
@@ -6,4 +6,4 @@
 export { SelectionReason, ServerSelector } from './ServerSelector.js';
 export { default as TwoChoicesSelector } from './TwoChoicesSelector.js';
 export type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
-export type { Selection, SelectionContext } from './ServerSelector.js';
+export type { ExpectedAnswer, Selection, SelectionContext } from './ServerSelector.js';
--- a/src/request/shareReports/index.ts
+++ b/src/request/shareReports/index.ts
@@ -6,8 +6,8 @@
 import type { LocalServer } from '../../process/localServers/index.js';
 import type { ServerObservation, ServerObservations, WorkReport } from '../observeServers/index.js';
 
-/** Reports of other servers per message: about 40 bytes each. */
-const RELAYED_REPORTS = 5;
+/** Reports of other servers per message: about 45 bytes each, on links of a few Mbit/s. */
+const RELAYED_REPORTS = 3;
 /** Older reports say too little of a wait to be passed on. */
 const MAX_AGE_MS = 600;
 /** Reports that are kept to be passed on. */
@@ -15,33 +15,53 @@
 const FIELD_SEPARATOR = '~';
 const REPORT_SEPARATOR = ',';
 const PACE_DIGITS = 2;
-const REPORT_PATTERN = /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,6})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})$/;
+const WAIT_SEPARATOR = '.';
+/** Waits are reported for the priorities from 0 to this one. */
+const LAST_PRIORITY = 2;
+const MAX_WAIT_MS = 99_999;
+const REPORT_PATTERN =
+  /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,5}(?:\.\d{1,5}){0,7})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})(~c)?$/;
+const CALL_SUFFIX = '~c';
 
 /** Report of one server, with the cost of the request that it answered. */
 export interface AnswerReport {
   report: WorkReport;
   /** Time for which the answered request held its slot, in milliseconds; 0 when unknown. */
   heldMs: number;
+  /** Whether the answered request was a call of a running one. */
+  isCall: boolean;
 }
 
-const formatFields = ({ load, waitMs, pace }: WorkReport): string =>
-  [
-    load.toFixed(PACE_DIGITS),
-    Math.min(999_999, Math.round(waitMs)),
-    pace.toFixed(PACE_DIGITS),
-  ].join(FIELD_SEPARATOR);
+/** Formats one wait if all are the same, as at a server with idle slots. */
+const formatWaits = (waitsMs: readonly number[]): string => {
+  const [first = 0, ...rest] = waitsMs.map((waitMs) => Math.min(MAX_WAIT_MS, Math.round(waitMs)));
+  return (rest.every((waitMs) => waitMs === first) ? [first] : [first, ...rest]).join(
+    WAIT_SEPARATOR,
+  );
+};
+
+const formatFields = ({ load, waitsMs, pace }: WorkReport): string =>
+  [load.toFixed(PACE_DIGITS), formatWaits(waitsMs), pace.toFixed(PACE_DIGITS)].join(
+    FIELD_SEPARATOR,
+  );
 
 /** Parses the fields of a report and its last number; undefined if malformed. */
 const parseFields = (
   text: string,
   nowMs: number,
-): { report: WorkReport; last: number } | undefined => {
+): { report: WorkReport; last: number; isCall: boolean } | undefined => {
   const match = REPORT_PATTERN.exec(text);
   if (!match) return undefined;
-  const [, load, waitMs, pace, last] = match.map(Number);
+  const [, load, waits = '', pace, last, callSuffix] = match;
   return {
-    report: { load: load ?? 0, waitMs: waitMs ?? 0, pace: pace ?? 1, atMs: nowMs },
-    last: last ?? 0,
+    report: {
+      load: Number(load),
+      waitsMs: waits.split(WAIT_SEPARATOR).map(Number),
+      pace: Number(pace),
+      atMs: nowMs,
+    },
+    last: Number(last),
+    isCall: callSuffix !== undefined,
   };
 };
 
@@ -55,25 +75,40 @@
   }
 };
 
+const measured = new WeakMap<LocalServer, WorkReport>();
+
+/** Measures the work at a server at most once a millisecond, since it is reported in each message. */
 const measure = (local: LocalServer, nowMs: number): WorkReport => {
+  const known = measured.get(local);
+  if (known?.atMs === nowMs) return known;
   const { gate } = local;
-  return {
+  const report = {
     load: computeOccupancy(local, nowMs),
-    waitMs: gate.estimateWaitMs(nowMs),
+    waitsMs: Array.from({ length: LAST_PRIORITY + 1 }, (_, priority) =>
+      gate.estimateRankedWaitMs({ deadlineMs: 0, isRetry: false, isSlow: false, priority }, nowMs),
+    ),
     pace: gate.work?.estimatePace(nowMs) ?? 1,
     atMs: nowMs,
   };
+  measured.set(local, report);
+  return report;
 };
 
 /**
  * Formats the report of the server that answered a request.
  *
  * @param local - the server
- * @param heldMs - time for which the request held its slot
+ * @param request - time for which it held its slot, and whether it was a call of a running one
  * @param nowMs - present time in milliseconds
  */
-export const formatAnswerReport = (local: LocalServer, heldMs: number, nowMs: number): string =>
-  `${formatFields(measure(local, nowMs))}${FIELD_SEPARATOR}${Math.round(heldMs)}`;
+export const formatAnswerReport = (
+  local: LocalServer,
+  { heldMs, isCall }: { heldMs: number; isCall: boolean },
+  nowMs: number,
+): string => {
+  const fields = [formatFields(measure(local, nowMs)), Math.round(heldMs)].join(FIELD_SEPARATOR);
+  return isCall ? `${fields}${CALL_SUFFIX}` : fields;
+};
 
 /**
  * Parses the report of the server that answered a request.
@@ -87,7 +122,7 @@
   nowMs: number,
 ): AnswerReport | undefined => {
   const parsed = parseFields(text ?? '', nowMs);
-  return parsed && { report: parsed.report, heldMs: parsed.last };
+  return parsed && { report: parsed.report, heldMs: parsed.last, isCall: parsed.isCall };
 };
 
 /** Records a report of a server unless a newer one is known. */
@@ -142,6 +177,22 @@
     if (recordWork(observation, report)) this.#keep(key, report);
   }
 
+  /**
+   * Updates the observations of the own servers of a service.
+   *
+   * @param service - service that a server is selected of
+   * @param nowMs - present time in milliseconds
+   */
+  observeOwn(service: string, nowMs: number): void {
+    const node = this.#readOwnRecord();
+    this.#listOwn()
+      .filter(({ server }) => server.service === service)
+      .forEach((local) => {
+        const key = formatServerKey({ server: local.server, node });
+        recordWork(this.#observations.get(key, nowMs), measure(local, nowMs));
+      });
+  }
+
   /**
    * Formats the reports for another node: those of the own servers, then the newest of others.
    *
