Count the lateness of a node as a wait, and send fewer reports

A node that is short of its own processor held requests until their callers had left. Answers of 5xx are no samples of cost; rarely used routes make room for others.

--- a/src/process/localServers/ConcurrencyLimiter/ConcurrencyLimiter.ts
+++ b/src/process/localServers/ConcurrencyLimiter/ConcurrencyLimiter.ts
@@ -6,6 +6,8 @@
   inFlight: number;
   /** Whether the server shed the request or did not respond in time. */
   isOverload: boolean;
+  /** Whether the server answered with a failure, whose time says little of the cost. */
+  isFailure?: boolean;
 }
 
 /** Limits the concurrent requests of one server, at most to its announced slots. */
--- a/src/process/localServers/RouteCosts/index.ts
+++ b/src/process/localServers/RouteCosts/index.ts
@@ -1,9 +1,8 @@
 /** Expected cost of the requests of each route, on a server of mean speed. */
 import CostDistribution from '../CostDistribution/index.js';
 
-/** Routes beyond this number share one distribution, which bounds the memory. */
-const MAX_ROUTES = 512;
-const OTHER_ROUTES = '';
+/** Bounds the memory: a distribution takes about 1 KB. */
+const MAX_ROUTES = 256;
 /** Answers of other servers from which on the mean of a route stands for the service. */
 const MIN_ANSWERS = 15;
 /** Weight of the newest answer in the mean over the servers of a service. */
@@ -78,12 +77,21 @@
   }
 
   #get(routeName: string): RouteCost {
-    const isNew = !this.#byRoute.has(routeName);
-    const name = isNew && this.#byRoute.size >= MAX_ROUTES ? OTHER_ROUTES : routeName;
-    const known = this.#byRoute.get(name);
+    const known = this.#byRoute.get(routeName);
     if (known) return known;
+    if (this.#byRoute.size >= MAX_ROUTES) this.#dropRare();
     const created = { distribution: new CostDistribution(), answeredMeanMs: 0, answerCount: 0 };
-    this.#byRoute.set(name, created);
+    this.#byRoute.set(routeName, created);
     return created;
   }
+
+  /** Drops the oldest route with few requests, such as one that is only tested; else the oldest. */
+  #dropRare(): void {
+    const names = [...this.#byRoute.keys()];
+    const rare = names.find((name) => {
+      const { distribution, answerCount = 0 } = this.#byRoute.get(name) ?? {};
+      return (distribution?.sampleCount ?? 0) + answerCount < MIN_ANSWERS;
+    });
+    this.#byRoute.delete(rare ?? names[0] ?? '');
+  }
 }
--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -188,7 +188,8 @@
     if (demand.isSlow) this.#usedSlow -= 1;
     else this.#usedQuick -= 1;
     this.#startSumMs -= nowMs - heldMs;
-    this.work?.end(demand, heldMs, sample !== undefined && !sample.isOverload);
+    const isAnswered = sample !== undefined && !sample.isOverload && !sample.isFailure;
+    this.work?.end(demand, heldMs, isAnswered);
     this.#meanHoldMs += HOLD_SAMPLE_WEIGHT * (heldMs - this.#meanHoldMs);
     if (sample) this.limiter.add(sample, nowMs);
     this.admitWaiters(nowMs);
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -26,6 +26,7 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
+import { computeNodeDelayMs } from '../judgeWait/index.js';
 import { ReportExchange } from '../shareReports/index.js';
 import DepartureTracker from '../trackDepartures/index.js';
 import CallRoutes from '../recognizeCalls/index.js';
@@ -221,7 +222,9 @@
       isCurrent: options.isCurrent ?? (() => true),
       costs: options.routeCosts && {
         routeCosts: options.routeCosts,
-        exchange: new ReportExchange(this.#observations, options.localServers),
+        exchange: new ReportExchange(this.#observations, options.localServers, () =>
+          computeNodeDelayMs(this.#lateness.meanMs),
+        ),
         callRoutes: new CallRoutes(),
         reportedCallRoutes: new Set(),
       },
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -16,7 +16,7 @@
 import { recordOutcome } from './recordOutcome.js';
 import { routeRequest } from './routeRequest.js';
 import computeRetryDelay from '../computeRetryDelay/index.js';
-import isTooBusy from '../judgeWait/index.js';
+import { computeNodeDelayMs, isTooBusy } from '../judgeWait/index.js';
 import ObjectiveEstimator from '../trackObjectives/index.js';
 import TrafficSplit from '../splitTraffic/index.js';
 import { RefusalReason, RequestOutcome, createNotRunRefusal } from './writeRefusal.js';
@@ -332,15 +332,19 @@
     return reachable.length > 0 ? reachable : live;
   }
 
-  /** Refuses a new request at once if even the best server is known to have no room in time. */
+  /** Refuses a new request at once if even the best server, or this node itself, has no room in time. */
   #isTooBusy(routed: RoutedRequest, { expected }: Selection, state: AttemptState): boolean {
     const { costs } = this.#context;
     if (!costs || costs.reportedCallRoutes.has(routed.route.name)) return false;
     const nowMs = this.#context.getNowMs();
     const { objectiveAtMs, deadlineMs } = routed;
     const objectiveMs = objectiveAtMs === undefined ? undefined : objectiveAtMs - nowMs;
-    if (!isTooBusy(expected, { objectiveMs, untilDeadlineMs: deadlineMs - nowMs })) return false;
-    const options = { isWritten: false, retryAfterMs: expected?.waitMs };
+    const delayMs = computeNodeDelayMs(this.#context.readLatenessMs());
+    const costMs = expected?.costMs ?? costs.routeCosts.getMeanMs(routed.route.name) ?? 0;
+    const known =
+      expected || delayMs > 0 ? { waitMs: (expected?.waitMs ?? 0) + delayMs, costMs } : undefined;
+    if (!isTooBusy(known, { objectiveMs, untilDeadlineMs: deadlineMs - nowMs })) return false;
+    const options = { isWritten: false, retryAfterMs: known?.waitMs };
     const target = state;
     target.lastError = new CallError(CallErrorCode.Refused, NO_ROOM_IN_TIME, options);
     return true;
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -25,6 +25,7 @@
 
 const log = createLogger('local-calls');
 
+const FIRST_SERVER_ERROR = 500;
 const SERVICE_UNAVAILABLE = 503;
 const SERVER_UNREACHABLE = 'SERVER_UNREACHABLE';
 /** Reason for a request under which too many servers have ended. */
@@ -277,7 +278,8 @@
     }
     local.latencies.add(routeName, upstreamMs);
     const relativeCost = local.latencies.getRelativeCost(routeName);
-    return { relativeCost, inFlight, isOverload: false };
+    const isFailure = statusCode >= FIRST_SERVER_ERROR;
+    return { relativeCost, inFlight, isOverload: false, isFailure };
   }
 
   /** Admits the requests that wait for the rate limit of a server as soon as it allows. */
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -21,6 +21,7 @@
   parseGrantUpdate,
   parseLimit,
 } from './internalHeaders.js';
+import { computeNodeDelayMs } from '../judgeWait/index.js';
 import { formatAnswerReport } from '../shareReports/index.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { answerFailure } from './answerFailure.js';
@@ -168,7 +169,7 @@
     });
   }
 
-  /** Returns headers, as alternating names and values; a request without reports is from afar. */
+  /** Returns headers, as alternating names and values; a request with reports is answered with some. */
   #createWorkHeaders(
     exchange: Exchange,
     local: LocalServer,
@@ -179,7 +180,8 @@
     const nowMs = this.#context.getNowMs();
     const heldMs = startedAtMs === undefined ? 0 : nowMs - startedAtMs;
     const isCall = costs.callRoutes.isCallRoute(call.routeName);
-    const own = [WORK_HEADER, formatAnswerReport(local, { heldMs, isCall }, nowMs)];
+    const delayMs = computeNodeDelayMs(this.#context.readLatenessMs());
+    const own = [WORK_HEADER, formatAnswerReport(local, { heldMs, isCall }, nowMs, delayMs)];
     if (!exchange.internalHeaders.has(REPORTS_HEADER)) return own;
     return [...own, REPORTS_HEADER, costs.exchange.format(nowMs)];
   }
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -299,8 +299,11 @@
     const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
     const { costs, dataCentre } = this.#context;
-    if (costs && entry.node.dataCentre === dataCentre)
-      headers.push(REPORTS_HEADER, costs.exchange.format(this.#context.getNowMs()));
+    const reports =
+      entry.node.dataCentre === dataCentre
+        ? costs?.exchange.formatIfDue(this.#context.getNowMs())
+        : undefined;
+    if (reports !== undefined) headers.push(REPORTS_HEADER, reports);
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
     const { maxRequestsPerSecond } = observation;
     if (maxRequestsPerSecond !== undefined)
--- a/src/request/recognizeCalls/index.ts
+++ b/src/request/recognizeCalls/index.ts
@@ -14,6 +14,8 @@
 /** Routes and origins beyond these numbers are not counted, which bounds the memory. */
 const MAX_ROUTES = 256;
 const MAX_ORIGINS = 64;
+/** Requests after which routes are judged anew; to judge costs more than to count. */
+const JUDGE_INTERVAL = 8;
 
 /** Numbers of requests by the service on the VM of their entry node. */
 interface OriginCounts {
@@ -61,7 +63,9 @@
 export default class CallRoutes {
   readonly #byRoute = new Map<string, OriginCounts>();
 
-  /** Routes that were judged since their last request, which is cheaper than to judge each time. */
+  #sinceJudged = 0;
+
+  /** Routes that were judged lately. */
   readonly #verdicts = new Map<string, boolean>();
 
   /**
@@ -72,10 +76,13 @@
    */
   record(routeName: string, origin: string): void {
     const known = this.#byRoute.get(routeName);
-    if (!known && this.#byRoute.size >= MAX_ROUTES) return;
+    if (!known && this.#byRoute.size >= MAX_ROUTES) this.#dropRare();
     const counts = known ?? createCounts();
     if (!known) this.#byRoute.set(routeName, counts);
     addRequest(counts, origin);
+    this.#sinceJudged += 1;
+    if (this.#sinceJudged < JUDGE_INTERVAL) return;
+    this.#sinceJudged = 0;
     this.#verdicts.clear();
   }
 
@@ -88,6 +95,13 @@
     return verdict;
   }
 
+  /** Drops the oldest route with few requests, such as one that is only tested; else the oldest. */
+  #dropRare(): void {
+    const names = [...this.#byRoute.keys()];
+    const rare = names.find((name) => (this.#byRoute.get(name)?.total ?? 0) < MIN_REQUESTS);
+    this.#byRoute.delete(rare ?? names[0] ?? '');
+  }
+
   /** A route is one of calls if another one has its origins and one more that does not send on it. */
   #judge(routeName: string): boolean {
     const own = this.#byRoute.get(routeName);
--- a/src/request/shareReports/index.ts
+++ b/src/request/shareReports/index.ts
@@ -8,6 +8,8 @@
 
 /** Reports of other servers per message: about 45 bytes each, on links of a few Mbit/s. */
 const RELAYED_REPORTS = 3;
+/** Pause between two messages with reports, so that they take little of a link at high load. */
+const MIN_INTERVAL_MS = 40;
 /** Older reports say too little of a wait to be passed on. */
 const MAX_AGE_MS = 600;
 /** Reports that are kept to be passed on. */
@@ -78,15 +80,16 @@
 const measured = new WeakMap<LocalServer, WorkReport>();
 
 /** Measures the work at a server at most once a millisecond, since it is reported in each message. */
-const measure = (local: LocalServer, nowMs: number): WorkReport => {
+const measure = (local: LocalServer, nowMs: number, delayMs = 0): WorkReport => {
   const known = measured.get(local);
   if (known?.atMs === nowMs) return known;
   const { gate } = local;
   const report = {
     load: computeOccupancy(local, nowMs),
-    waitsMs: Array.from({ length: LAST_PRIORITY + 1 }, (_, priority) =>
-      gate.estimateRankedWaitMs({ deadlineMs: 0, isRetry: false, isSlow: false, priority }, nowMs),
-    ),
+    waitsMs: Array.from({ length: LAST_PRIORITY + 1 }, (_, priority) => {
+      const demand = { deadlineMs: 0, isRetry: false, isSlow: false, priority };
+      return gate.estimateRankedWaitMs(demand, nowMs) + delayMs;
+    }),
     pace: gate.work?.estimatePace(nowMs) ?? 1,
     atMs: nowMs,
   };
@@ -100,13 +103,16 @@
  * @param local - the server
  * @param request - time for which it held its slot, and whether it was a call of a running one
  * @param nowMs - present time in milliseconds
+ * @param delayMs - delay of a request by the node itself, which is short of its processor
  */
 export const formatAnswerReport = (
   local: LocalServer,
   { heldMs, isCall }: { heldMs: number; isCall: boolean },
   nowMs: number,
+  delayMs = 0,
 ): string => {
-  const fields = [formatFields(measure(local, nowMs)), Math.round(heldMs)].join(FIELD_SEPARATOR);
+  const report = formatFields(measure(local, nowMs, delayMs));
+  const fields = [report, Math.round(heldMs)].join(FIELD_SEPARATOR);
   return isCall ? `${fields}${CALL_SUFFIX}` : fields;
 };
 
@@ -150,17 +156,24 @@
 
   readonly #readOwnRecord: () => NodeRecord;
 
+  readonly #readDelayMs: () => number;
+
+  #sentAtMs = -MIN_INTERVAL_MS;
+
   /** Newest reports by server key, in the order in which they were learned. */
   readonly #newest = new Map<string, WorkReport>();
 
   /**
    * @param observations - observations of this node, which the reports update
    * @param localServers - the servers beside this node, and their record
+   * @param readDelayMs - returns the delay of a request by this node itself, in milliseconds
    */
   constructor(
     observations: ServerObservations,
     localServers: { list: () => readonly LocalServer[]; record: () => NodeRecord },
+    readDelayMs: () => number = () => 0,
   ) {
+    this.#readDelayMs = readDelayMs;
     this.#observations = observations;
     this.#listOwn = () => localServers.list();
     this.#readOwnRecord = () => localServers.record();
@@ -202,7 +215,7 @@
     const node = this.#readOwnRecord();
     const own = this.#listOwn().map((local): [string, WorkReport] => [
       formatServerKey({ server: local.server, node }),
-      measure(local, nowMs),
+      measure(local, nowMs, this.#readDelayMs()),
     ]);
     const others = [...this.#newest]
       .slice(-RELAYED_REPORTS)
@@ -238,6 +251,17 @@
     });
   }
 
+  /**
+   * Formats the reports for another node unless some were sent just before.
+   *
+   * @param nowMs - present time in milliseconds
+   */
+  formatIfDue(nowMs: number): string | undefined {
+    if (nowMs - this.#sentAtMs < MIN_INTERVAL_MS) return undefined;
+    this.#sentAtMs = nowMs;
+    return this.format(nowMs);
+  }
+
   #keep(key: string, report: WorkReport): void {
     this.#newest.delete(key);
     this.#newest.set(key, report);
