Let nodes agree on the mean cost of a route

The pace of a server is relative to the mean that its own node knows, and nodes that see other servers learn other means, so paces of two servers could not be compared. Each answer now carries the mean.

--- a/src/process/localServers/RouteCosts/index.ts
+++ b/src/process/localServers/RouteCosts/index.ts
@@ -5,6 +5,8 @@
 const MAX_ROUTES = 256;
 /** Answers of other servers from which on the mean of a route stands for the service. */
 const MIN_ANSWERS = 15;
+/** Weight of the mean of the answering node: nodes have to agree, or their paces can't be compared. */
+const AGREEMENT_WEIGHT = 0.15;
 /** Weight of the newest answer in the mean over the servers of a service. */
 const ANSWER_WEIGHT = 0.03;
 
@@ -30,12 +32,15 @@
    *
    * @param routeName - route of the request
    * @param heldMs - time for which it held a slot, in milliseconds
+   * @param peerMeanMs - mean over all servers that the server's node knows; 0 when it knows none
    */
-  addAnswer(routeName: string, heldMs: number): void {
+  addAnswer(routeName: string, heldMs: number, peerMeanMs = 0): void {
     const cost = this.#get(routeName);
     cost.answerCount += 1;
     const weight = Math.max(ANSWER_WEIGHT, 1 / cost.answerCount);
     cost.answeredMeanMs += weight * (heldMs - cost.answeredMeanMs);
+    if (peerMeanMs > 0)
+      cost.answeredMeanMs += AGREEMENT_WEIGHT * (peerMeanMs - cost.answeredMeanMs);
   }
 
   /**
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -179,9 +179,13 @@
     if (!costs) return [];
     const nowMs = this.#context.getNowMs();
     const heldMs = startedAtMs === undefined ? 0 : nowMs - startedAtMs;
+    const meanMs = costs.routeCosts.getServiceMeanMs(call.routeName) ?? 0;
     const isCall = costs.callRoutes.isCallRoute(call.routeName);
     const delayMs = computeNodeDelayMs(this.#context.readLatenessMs());
-    const own = [WORK_HEADER, formatAnswerReport(local, { heldMs, isCall }, nowMs, delayMs)];
+    const own = [
+      WORK_HEADER,
+      formatAnswerReport(local, { heldMs, meanMs, isCall }, nowMs, delayMs),
+    ];
     if (!exchange.internalHeaders.has(REPORTS_HEADER)) return own;
     return [...own, REPORTS_HEADER, costs.exchange.format(nowMs)];
   }
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -270,7 +270,7 @@
     if (answer) costs.exchange.recordAnswer(key, observation, answer.report);
     if (answer) recordCallRoute(costs.reportedCallRoutes, routed.route.name, answer.isCall);
     if (answer && answer.heldMs > 0 && statusCode < FIRST_SERVER_ERROR)
-      costs.routeCosts.addAnswer(routed.route.name, answer.heldMs);
+      costs.routeCosts.addAnswer(routed.route.name, answer.heldMs, answer.meanMs);
     costs.exchange.absorb(internal?.get(REPORTS_HEADER), nowMs);
   }
 
--- a/src/request/shareReports/index.ts
+++ b/src/request/shareReports/index.ts
@@ -22,7 +22,7 @@
 const LAST_PRIORITY = 2;
 const MAX_WAIT_MS = 99_999;
 const REPORT_PATTERN =
-  /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,5}(?:\.\d{1,5}){0,7})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})(~c)?$/;
+  /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,5}(?:\.\d{1,5}){0,7})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})(?:~(\d{1,7}))?(~c)?$/;
 const CALL_SUFFIX = '~c';
 
 /** Report of one server, with the cost of the request that it answered. */
@@ -30,6 +30,8 @@
   report: WorkReport;
   /** Time for which the answered request held its slot, in milliseconds; 0 when unknown. */
   heldMs: number;
+  /** Mean of its route over all servers, as the server's node knows it; 0 when unknown. */
+  meanMs: number;
   /** Whether the answered request was a call of a running one. */
   isCall: boolean;
 }
@@ -51,10 +53,10 @@
 const parseFields = (
   text: string,
   nowMs: number,
-): { report: WorkReport; last: number; isCall: boolean } | undefined => {
+): { report: WorkReport; last: number; meanMs: number; isCall: boolean } | undefined => {
   const match = REPORT_PATTERN.exec(text);
   if (!match) return undefined;
-  const [, load, waits = '', pace, last, callSuffix] = match;
+  const [, load, waits = '', pace, last, mean = '0', callSuffix] = match;
   return {
     report: {
       load: Number(load),
@@ -63,6 +65,7 @@
       atMs: nowMs,
     },
     last: Number(last),
+    meanMs: Number(mean),
     isCall: callSuffix !== undefined,
   };
 };
@@ -101,18 +104,18 @@
  * Formats the report of the server that answered a request.
  *
  * @param local - the server
- * @param request - time for which it held its slot, and whether it was a call of a running one
+ * @param request - time for which it held its slot, mean of its route, and whether it was a call
  * @param nowMs - present time in milliseconds
  * @param delayMs - delay of a request by the node itself, which is short of its processor
  */
 export const formatAnswerReport = (
   local: LocalServer,
-  { heldMs, isCall }: { heldMs: number; isCall: boolean },
+  { heldMs, meanMs, isCall }: Omit<AnswerReport, 'report'>,
   nowMs: number,
   delayMs = 0,
 ): string => {
   const report = formatFields(measure(local, nowMs, delayMs));
-  const fields = [report, Math.round(heldMs)].join(FIELD_SEPARATOR);
+  const fields = [report, Math.round(heldMs), Math.round(meanMs)].join(FIELD_SEPARATOR);
   return isCall ? `${fields}${CALL_SUFFIX}` : fields;
 };
 
@@ -128,7 +131,9 @@
   nowMs: number,
 ): AnswerReport | undefined => {
   const parsed = parseFields(text ?? '', nowMs);
-  return parsed && { report: parsed.report, heldMs: parsed.last, isCall: parsed.isCall };
+  if (!parsed) return undefined;
+  const { report, last, meanMs, isCall } = parsed;
+  return { report, heldMs: last, meanMs, isCall };
 };
 
 /** Records a report of a server unless a newer one is known. */
@@ -187,7 +192,10 @@
    * @param report - what its node reported
    */
   recordAnswer(key: string, observation: ServerObservation, report: WorkReport): void {
-    if (recordWork(observation, report)) this.#keep(key, report);
+    if (!recordWork(observation, report)) return;
+    // The answered request still counts as in flight here, but no longer at the server.
+    Object.assign(observation, { inFlightAtWork: Math.max(0, observation.inFlight - 1) });
+    this.#keep(key, report);
   }
 
   /**
--- a/test/requestMesh/replayLoad.ts
+++ b/test/requestMesh/replayLoad.ts
@@ -170,7 +170,7 @@
         nowMs,
       );
       const answer = parseAnswerReport(
-        formatAnswerReport(server.local, { heldMs, isCall }, nowMs),
+        formatAnswerReport(server.local, { heldMs, isCall, meanMs: 0 }, nowMs),
         nowMs,
       );
       if (answer) recordWork(observation, answer.report);
