--- a/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
+++ b/src/process/localServers/AdmissionPolicy/AdmissionPolicy.ts
@@ -3,6 +3,8 @@
   /** Time by which the response must be complete, in milliseconds. */
   deadlineMs: number;
   isRetry: boolean;
+  /** Route of the request, by which its cost is known. */
+  routeName?: string;
   /** Whether requests of the route take much longer than those of the server's quickest route. */
   isSlow: boolean;
   /** Whether requests of the route hold a slot much shorter than those of another route. */
@@ -19,6 +21,8 @@
   isReturn?: boolean;
   /** Workspace that sends the request; absent on routes that need no key. */
   workspace?: string | undefined;
+  /** Whether a running request made it as a call, and holds a slot elsewhere until it is answered. */
+  isCall?: boolean;
 }
 
 /** A waiting request. */
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -16,14 +16,20 @@
 import { RolloutPolicy } from '../../../request/chooseVersion/index.js';
 import { EvidenceCollector } from '../../../request/collectEvidence/index.js';
 import WorkspaceLimiter from '../../../request/limitWorkspaces/index.js';
-import { RequestServer } from '../../../request/index.js';
+import { Placement, RequestServer } from '../../../request/index.js';
 import type { RequestServerOptions } from '../../../request/index.js';
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { RolloutHolder } from '../../holder/RolloutHolder/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
-import { FairSharePolicy, LocalServers, WorkspaceShares } from '../../localServers/index.js';
-import type { LocalServersOptions } from '../../localServers/index.js';
+import {
+  ExpectedCostPolicy,
+  FairSharePolicy,
+  LocalServers,
+  RouteCosts,
+  WorkspaceShares,
+} from '../../localServers/index.js';
+import type { AdmissionPolicy, LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
 import type { QuotaBounds } from '../../quotas/types.js';
@@ -72,6 +78,8 @@
     LocalServersOptions,
     'createLimiter' | 'leaseMs' | 'queuePerSlot' | 'admissionPolicy'
   >;
+  /** `LeastDelay` leaves the choice to the options of request handling; the default. */
+  placement?: Placement;
   /** Options of request handling. */
   requests?: Pick<
     RequestServerOptions,
@@ -107,17 +115,17 @@
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
 };
 
-/** Divides slots among workspaces where quotas count, in proportion to their quotas. */
-const createFairPolicy = (
+/** Creates the order in which requests wait: by cost if so set, shared by workspaces with quotas. */
+const createAdmissionPolicy = (
   { servers, quotaBounds }: OpenNodeOptions,
-  holder: ConfigurationHolder,
-): Pick<LocalServersOptions, 'admissionPolicy'> => {
-  if (!quotaBounds || !servers?.admissionPolicy) return {};
+  parts: { isByCost: boolean; holder: ConfigurationHolder },
+): AdmissionPolicy | undefined => {
+  const policy = parts.isByCost ? new ExpectedCostPolicy() : servers?.admissionPolicy;
+  if (!quotaBounds || !policy) return policy;
   const getWeight = (name: string): number =>
-    holder.current()?.configuration.workspaces.find((workspace) => workspace.name === name)
+    parts.holder.current()?.configuration.workspaces.find((row) => row.name === name)
       ?.ratePerSecond ?? 0;
-  const shares = new WorkspaceShares(getWeight);
-  return { admissionPolicy: new FairSharePolicy(servers.admissionPolicy, shares) };
+  return new FairSharePolicy(policy, new WorkspaceShares(getWeight));
 };
 
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
@@ -160,13 +168,17 @@
   registerProcessMetrics(metrics);
   const holder = new ConfigurationHolder();
   const directory = new EndpointDirectory({ ownNodeId: nodeId, leaseMs: UNLISTED_RECORD_MS });
+  const isByCost = options.placement === Placement.ExpectedCost;
+  const routeCosts = isByCost ? new RouteCosts() : undefined;
+  const admissionPolicy = createAdmissionPolicy(options, { isByCost, holder });
   const localServers = new LocalServers({
     nodeId,
     dataCentre,
     incarnation: BigInt(options.startedAtMs),
     findService: (name) => holder.current()?.findService(name),
     ...options.servers,
-    ...createFairPolicy(options, holder),
+    ...(routeCosts && { routeCosts }),
+    ...(admissionPolicy && { admissionPolicy }),
   });
   const { controls, peerSeeds = [], linkTiming: timing = {} } = options;
   const rollouts = options.hasRollouts === true ? createRolloutParts(metrics) : undefined;
@@ -221,6 +233,7 @@
     ...options.requests,
     ...(rollouts && { evidence: rollouts.evidence }),
     ...(versions && { versions }),
+    routeCosts,
     ...(tls && { tls: () => tls.current() }),
   });
   metrics.gauge('configuration_version', () => holder.current()?.version ?? 0);
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -54,7 +54,7 @@
   const openedTls = await openTls(settings, ProcessRole.Node, nowMs);
   if (openedTls.isErr()) return err(openedTls.error);
   const tls = openedTls.value;
-  const { queuePerSlot, hasRollouts = false, ...requests } = settings.requests;
+  const { queuePerSlot, placement, hasRollouts = false, ...requests } = settings.requests;
   const opened = await openNode({
     nodeId,
     dataCentre,
@@ -69,6 +69,7 @@
     tls,
     servers: { ...(queuePerSlot !== undefined && { queuePerSlot }) },
     hasRollouts,
+    ...(placement !== undefined && { placement }),
     requests,
   });
   if (opened.isErr()) return err(opened.error);
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -11,6 +11,7 @@
   nameField,
   pathField,
   permilleField,
+  placementField,
   queuePerSlotField,
   requestCountField,
   switchField,
@@ -70,6 +71,7 @@
 export const requestsSchema = v.object({
   idempotency_retention_ms: v.optional(durationField),
   queue_per_slot: v.optional(queuePerSlotField),
+  placement: v.optional(placementField),
   probe_interval_ms: v.optional(durationField),
   rollouts: v.optional(switchField),
 });
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import tap from 'tap';
 
+import Placement from '../../request/placement/index.js';
 import { LogLevel } from '../log/index.js';
 import {
   parseControlSettings,
@@ -52,6 +53,7 @@
 [requests]
 queue_per_slot = 4
 rollouts = on
+placement = expected-cost
 `;
 
 const OPTIONS = { baseFolder: '/etc/foxtailvane' };
@@ -88,7 +90,7 @@
       { dataCentre: 'dc-west', addresses: ['[::1]:7400'] },
     ],
     log: { level: LogLevel.Info, destination: 'stdout' },
-    requests: { queuePerSlot: 4, hasRollouts: true },
+    requests: { queuePerSlot: 4, placement: Placement.ExpectedCost, hasRollouts: true },
   });
 });
 
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -1,4 +1,5 @@
 /** The settings of the two daemons. Addresses are `IP:port`, with IPv6 as `[IP]:port`. */
+import type Placement from '../../request/placement/index.js';
 import type { LogLevel } from '../log/index.js';
 import type { RolloutLimits } from '../rollouts/decideRollout/index.js';
 import type { ReplicationTimings } from '../replication/ReplicatedLog/index.js';
@@ -63,6 +64,8 @@
   idempotencyRetentionMs?: number;
   /** Maximum number of queued requests per slot of a server. */
   queuePerSlot?: number;
+  /** How servers are chosen; `LeastDelay` by default. */
+  placement?: Placement;
   /** Interval between two probes of a server. */
   probeIntervalMs?: number;
   /** Whether servers are chosen by software version, as operators order it; off by default. */
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -26,7 +26,10 @@
   createIdempotencyRoutes,
 } from '../idempotency/index.js';
 import { SlotGrantor } from '../grantSlots/index.js';
+import { computeNodeDelayMs } from '../judgeWait/index.js';
+import { ReportExchange } from '../shareReports/index.js';
 import DepartureTracker from '../trackDepartures/index.js';
+import CallRoutes from '../recognizeCalls/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
 import PauseWatch from '../watchPauses/index.js';
@@ -34,12 +37,13 @@
 import { OwnDialect } from '../httpDialect/index.js';
 import { ServerObservations, formatServerKey } from '../observeServers/index.js';
 import { AnyVersionPolicy } from '../chooseVersion/index.js';
-import { TwoChoicesSelector } from '../selectServer/index.js';
+import { ExpectedCostSelector, TwoChoicesSelector } from '../selectServer/index.js';
 
 import type { CallerLimits } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import type { TlsMaterial } from '../../connection/openTransport/index.js';
 import type { RequestContext, RequestDirectory } from '../_lib/RequestContext.js';
 import type { Instant } from '../../process/measureElapsed/index.js';
+import type { RouteCosts } from '../../process/localServers/index.js';
 import type { CircuitBreaker } from '../breakCircuit/index.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
 import type { VersionPolicy } from '../chooseVersion/index.js';
@@ -84,7 +88,7 @@
 type OptionalContext =
   'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent' | 'readKeyProofLeftMs';
 /** Context that the server provides itself. */
-type InternalContext = 'readLatenessMs' | 'isAfterPause';
+type InternalContext = 'readLatenessMs' | 'isAfterPause' | 'costs';
 
 /** Options of a request server. */
 export interface RequestServerOptions
@@ -99,6 +103,8 @@
   tls?: () => TlsMaterial;
   /** Creates the selector from the observations of this node; `TwoChoicesSelector` by default. */
   createSelector?: (dependencies: SelectorDependencies) => ServerSelector;
+  /** Costs of requests that this node learns; servers are selected by them if set. */
+  routeCosts?: RouteCosts | undefined;
   /** `FailureRateBreaker` by default. */
   breaker?: CircuitBreaker;
   /** Narrows the servers of a request by software version; `AnyVersionPolicy` by default. */
@@ -231,6 +237,14 @@
       isCurrent: options.isCurrent ?? (() => true),
       readKeyProofLeftMs: options.readKeyProofLeftMs ?? (() => Infinity),
       isAfterPause: () => this.#pauses.isAfterPause(this.#readInstant()),
+      costs: options.routeCosts && {
+        routeCosts: options.routeCosts,
+        exchange: new ReportExchange(this.#observations, options.localServers, () =>
+          computeNodeDelayMs(this.#lateness.meanMs),
+        ),
+        callRoutes: new CallRoutes(),
+        reportedCallRoutes: new Set(),
+      },
     };
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
@@ -271,10 +285,12 @@
           this.#context.getNowMs(),
         ),
     });
-    const localCaller = new LocalCaller(this.#serverPools, this.#context, {
-      detector: crashDetector,
-      ledger: this.#crashLedger,
-    });
+    const localCaller = new LocalCaller(
+      this.#serverPools,
+      this.#context,
+      { detector: crashDetector, ledger: this.#crashLedger },
+      this.#context.costs?.callRoutes,
+    );
     this.#breaker = options.breaker ?? new FailureRateBreaker();
     const recorders = {
       observations: this.#observations,
@@ -292,6 +308,7 @@
         departures: this.#departures,
       }),
       selector:
+        this.#createExpectedCostSelector() ??
         options.createSelector?.({
           ...recorders,
           dataCentre: options.dataCentre,
@@ -419,6 +436,14 @@
     await Promise.all([...closed, this.#serverPools.destroy(), this.#nodePools.destroy()]);
   }
 
+  #createExpectedCostSelector(): ServerSelector | undefined {
+    const { routeCosts, dataCentre, nodeId } = this.#options;
+    if (!routeCosts) return undefined;
+    const observations = this.#observations;
+    const breaker = this.#breaker;
+    return new ExpectedCostSelector({ observations, breaker, dataCentre, nodeId, routeCosts });
+  }
+
   #createServer(
     handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
     tls?: TlsMaterial,
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -5,7 +5,7 @@
 import { err } from 'neverthrow';
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
-import { CallErrorCode } from '../../connection/CallError/index.js';
+import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
@@ -17,11 +17,11 @@
 import { routeRequest } from './routeRequest.js';
 import { Reach } from '../chooseVersion/index.js';
 import computeRetryDelay from '../computeRetryDelay/index.js';
+import { computeNodeDelayMs, isTooBusy } from '../judgeWait/index.js';
 import ObjectiveEstimator from '../trackObjectives/index.js';
 import TrafficSplit from '../splitTraffic/index.js';
 import { RefusalReason, RequestOutcome, createNotRunRefusal } from './writeRefusal.js';
 
-import type { CallError } from '../../connection/CallError/index.js';
 import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
@@ -29,7 +29,7 @@
 import type { VersionChoice, VersionPolicy } from '../chooseVersion/index.js';
 import type { EvidenceCollector } from '../collectEvidence/index.js';
 import type WorkspaceLimiter from '../limitWorkspaces/index.js';
-import type { ServerSelector } from '../selectServer/index.js';
+import type { Selection, ServerSelector } from '../selectServer/index.js';
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
@@ -44,6 +44,8 @@
 
 /** Maximum number of servers tried for a request that certainly did not run. */
 const MAX_SERVERS_TRIED = 3;
+/** No server is expected to have a free slot in time. */
+const NO_ROOM_IN_TIME = 'NO_ROOM_IN_TIME';
 const SERVICE_UNAVAILABLE = 503;
 const US_PER_MS = 1_000;
 const ID_RADIX = 36;
@@ -291,8 +293,9 @@
     this.#dependencies.budget.addRequest(routed.service, this.#context.getNowMs());
     let mayContinue = true;
     while (mayContinue) {
-      const entry = this.#selectServer(routed, state);
-      if (!entry) break;
+      const selection = this.#selectServer(routed, state);
+      if (!selection || this.#isTooBusy(routed, selection, state)) break;
+      const { entry } = selection;
       const result = await this.#attempt(routed, entry, state, tap);
       if (result.isOk()) return result;
       state.lastError = result.error;
@@ -334,6 +337,7 @@
       chargeRetry: () => this.#chargeRetry(routed, state),
     };
     state.tried.add(key);
+    if (state.choice) this.#dependencies.versions.charge(state.choice);
     observation.inFlight += 1;
     observation.lastUsedAtMs = nowMs;
     breaker.addRequest(key, nowMs);
@@ -436,20 +440,40 @@
     return { ...choice, entries: reachable.length > 0 ? reachable : untried };
   }
 
-  #selectServer(routed: RoutedRequest, state: AttemptState): ServerEntry | undefined {
+  /** Refuses a new request at once if even the best server, or this node itself, has no room in time. */
+  #isTooBusy(routed: RoutedRequest, { expected }: Selection, state: AttemptState): boolean {
+    const { costs } = this.#context;
+    if (!costs || costs.reportedCallRoutes.has(routed.route.name)) return false;
+    const nowMs = this.#context.getNowMs();
+    const { objectiveAtMs, deadlineMs } = routed;
+    const objectiveMs = objectiveAtMs === undefined ? undefined : objectiveAtMs - nowMs;
+    const delayMs = computeNodeDelayMs(this.#context.readLatenessMs());
+    const costMs = expected?.costMs ?? costs.routeCosts.getMeanMs(routed.route.name) ?? 0;
+    const known =
+      expected || delayMs > 0 ? { waitMs: (expected?.waitMs ?? 0) + delayMs, costMs } : undefined;
+    if (!isTooBusy(known, { objectiveMs, untilDeadlineMs: deadlineMs - nowMs })) return false;
+    const options = { isWritten: false, retryAfterMs: known?.waitMs };
+    const target = state;
+    target.lastError = new CallError(CallErrorCode.Refused, NO_ROOM_IN_TIME, options);
+    return true;
+  }
+
+  #selectServer(routed: RoutedRequest, state: AttemptState): Selection | undefined {
     const nowMs = this.#context.getNowMs();
     const { tried } = state;
     const isFirst = tried.size === 0 && routed.outerAttempt === 0;
     const choice = this.#findCandidates(routed, state, isFirst);
+    this.#context.costs?.exchange.observeOwn(routed.service, nowMs);
     const selection = this.#dependencies.selector.select(choice.entries, {
       // The few servers of a share would distort the means of all servers.
       service: choice.exposure ? `${routed.service} ${choice.softwareVersion}` : routed.service,
+      routeName: routed.route.name,
+      priority: routed.route.priority,
       nowMs,
       random: this.#context.random,
     });
     Object.assign(state, { choice });
-    if (selection) this.#dependencies.versions.charge(choice);
-    if (!isLogged(LogLevel.Debug)) return selection?.entry;
+    if (!isLogged(LogLevel.Debug)) return selection;
     const { requestId, version, route, service } = routed;
     log.info(
       {
@@ -466,7 +490,7 @@
       },
       'server chosen',
     );
-    return selection?.entry;
+    return selection;
   }
 
   #handleFailure(routed: RoutedRequest, lastError: CallError | undefined): void {
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -20,10 +20,12 @@
 } from '../../process/localServers/index.js';
 import type { Exchange } from './Exchange.js';
 import type { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
+import type CallRoutes from '../recognizeCalls/index.js';
 import type { RequestContext } from './RequestContext.js';
 
 const log = createLogger('local-calls');
 
+const FIRST_SERVER_ERROR = 500;
 const SERVICE_UNAVAILABLE = 503;
 const SERVER_UNREACHABLE = 'SERVER_UNREACHABLE';
 /** Reason for a request under which too many servers have ended. */
@@ -61,9 +63,14 @@
   createHeaders: () => string[];
 }
 
-const createDemand = (local: LocalServer, localRequest: LocalRequest): SlotDemand => ({
+const createDemand = (
+  local: LocalServer,
+  localRequest: LocalRequest,
+  isCall: boolean,
+): SlotDemand => ({
   deadlineMs: localRequest.deadlineMs,
   isRetry: localRequest.isRetry,
+  routeName: localRequest.routeName,
   // Non-idempotent requests, such as orders, count as urgent however long they take.
   isSlow: localRequest.isIdempotent && local.latencies.isSlow(localRequest.routeName),
   isBrief: localRequest.isIdempotent && local.latencies.isBrief(localRequest.routeName),
@@ -74,6 +81,7 @@
   priority: localRequest.priority,
   workspace: localRequest.workspace,
   isReturn: localRequest.isReturn,
+  isCall,
 });
 
 /** Detection of servers that end, and what all nodes know about the requests behind it. */
@@ -108,10 +116,19 @@
 
   readonly #crashes: CrashTracking;
 
-  constructor(pools: UpstreamPools, context: LocalCallerContext, crashes: CrashTracking) {
+  /** Set when requests are let in by expected cost. */
+  readonly #callRoutes: CallRoutes | undefined;
+
+  constructor(
+    pools: UpstreamPools,
+    context: LocalCallerContext,
+    crashes: CrashTracking,
+    callRoutes?: CallRoutes,
+  ) {
     this.#pools = pools;
     this.#context = context;
     this.#crashes = crashes;
+    this.#callRoutes = callRoutes;
   }
 
   /**
@@ -164,7 +181,10 @@
     options: Omit<UpstreamCallOptions, 'isNode'>,
   ): Promise<Result<CallSummary, CallError>> {
     const { path } = target;
-    const demand = createDemand(local, localRequest);
+    const { routeName, callerService } = localRequest;
+    this.#callRoutes?.record(routeName, callerService);
+    const isCall = this.#callRoutes?.isCallRoute(routeName) ?? false;
+    const demand = createDemand(local, localRequest, isCall);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
       const code = exchange.isAborted ? CallErrorCode.Cancelled : CallErrorCode.Refused;
@@ -289,7 +309,8 @@
     }
     local.latencies.add(routeName, upstreamMs);
     const relativeCost = local.latencies.getRelativeCost(routeName);
-    return { relativeCost, inFlight, isOverload: false };
+    const isFailure = statusCode >= FIRST_SERVER_ERROR;
+    return { relativeCost, inFlight, isOverload: false, isFailure };
   }
 
   /** Admits the requests that wait for the rate limit of a server as soon as it allows. */
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -9,6 +9,8 @@
   LIMIT_HEADER,
   KEY_HEADER,
   LOAD_HEADER,
+  REPORTS_HEADER,
+  WORK_HEADER,
   formatCallHeader,
   formatKeyHeader,
   parseLoad,
@@ -18,6 +20,7 @@
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
+import { parseAnswerReport } from '../shareReports/index.js';
 import { recordReport } from '../observeServers/index.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
@@ -45,6 +48,8 @@
  */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 450;
 const LIMIT_DIGITS = 3;
+const FIRST_SERVER_ERROR = 500;
+const MAX_CALL_ROUTES = 512;
 
 /** An attempt to serve a request on one server. */
 export interface Attempt {
@@ -78,6 +83,12 @@
   departures: DepartureTracker;
 }
 
+/** Keeps which routes are those of calls; the number of routes bounds the memory. */
+const recordCallRoute = (routes: Set<string>, routeName: string, isCall: boolean): void => {
+  if (isCall && routes.size < MAX_CALL_ROUTES) routes.add(routeName);
+  else routes.delete(routeName);
+};
+
 /** Calls the selected server: locally, directly with a granted slot, or through its owner node. */
 export default class ServerCaller {
   readonly #context: RequestContext;
@@ -252,6 +263,7 @@
       );
     }
     const { observation } = attempt;
+    this.#readWork(attempt, head);
     const report = parseLoad(head.internal?.get(LOAD_HEADER));
     if (report === undefined) return;
     // The answered request still counts as in flight here, but no longer on the owner node.
@@ -259,6 +271,19 @@
     recordReport(observation, report, inFlightAtReport, this.#context.getNowMs());
   }
 
+  /** Keeps what the node beside the server reports of its work, and of that at other servers. */
+  #readWork({ routed, key, observation }: Attempt, { internal, statusCode }: ResponseHead): void {
+    const { costs } = this.#context;
+    if (!costs) return;
+    const nowMs = this.#context.getNowMs();
+    const answer = parseAnswerReport(internal?.get(WORK_HEADER), nowMs);
+    if (answer) costs.exchange.recordAnswer(key, observation, answer.report);
+    if (answer) recordCallRoute(costs.reportedCallRoutes, routed.route.name, answer.isCall);
+    if (answer && answer.heldMs > 0 && statusCode < FIRST_SERVER_ERROR)
+      costs.routeCosts.addAnswer(routed.route.name, answer.heldMs, answer.meanMs);
+    costs.exchange.absorb(internal?.get(REPORTS_HEADER), nowMs);
+  }
+
   /** Keeps what the server states about itself for the requests that follow. */
   #readNotice({ routed, entry, observation }: Attempt, head: ResponseHead): void {
     const notice = this.#context.dialect.readServerNotice(head, routed.requestId);
@@ -281,9 +306,15 @@
     return [...routed.exchange.headers, ...dialect.createServerHeaders(facts)];
   }
 
-  #createNodeHeaders({ routed, observation, number }: Attempt): string[] {
+  #createNodeHeaders({ routed, entry, observation, number }: Attempt): string[] {
     const remainingMs = Math.max(0, Math.floor(routed.deadlineMs - this.#context.getNowMs()));
     const headers = [...routed.exchange.headers, DEADLINE_HEADER, String(remainingMs)];
+    const { costs, dataCentre } = this.#context;
+    const reports =
+      entry.node.dataCentre === dataCentre
+        ? costs?.exchange.formatIfDue(this.#context.getNowMs())
+        : undefined;
+    if (reports !== undefined) headers.push(REPORTS_HEADER, reports);
     if (number > 0) headers.push(ATTEMPT_HEADER, String(number));
     const { workspace, keyId } = routed;
     if (workspace && keyId !== undefined) {
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -3,7 +3,7 @@
 
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { ServerObservation } from '../observeServers/index.js';
-import type { Selection, SelectionContext } from './ServerSelector.js';
+import type { ExpectedAnswer, Selection, SelectionContext } from './ServerSelector.js';
 import type { TwoChoicesSelectorOptions } from './TwoChoicesSelector.js';
 
 /** Numbers of servers compared per request: of the local data centre, and of others. */
@@ -43,11 +43,19 @@
 const DEFAULT_HOLD_MS = 100;
 
 /** Means of the reports about the servers of one service. */
-interface ServiceMeans {
+export interface ServiceMeans {
   load: number;
   holdMs: number;
 }
 
+/** What the delay of a server is estimated from. */
+export interface DelayFacts {
+  entry: ServerEntry;
+  observation: ServerObservation;
+  means: ServiceMeans;
+  context: SelectionContext;
+}
+
 interface Candidate {
   entry: ServerEntry;
   key: string;
@@ -127,7 +135,8 @@
       hasLocal: local.length > 0,
       count: compared.length,
     });
-    return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key) };
+    const expected = this.expectAnswer(chosen.entry, context);
+    return { entry: chosen.entry, reason, considered: compared.map(({ key }) => key), expected };
   }
 
   /**
@@ -186,6 +195,18 @@
     };
   }
 
+  protected observe(entry: ServerEntry, nowMs: number): ServerObservation {
+    return this.#options.observations.get(formatServerKey(entry), nowMs);
+  }
+
+  /** Returns when a server is expected to answer; undefined where it is not estimated. */
+  protected expectAnswer(
+    _entry: ServerEntry,
+    _context: SelectionContext,
+  ): ExpectedAnswer | undefined {
+    return undefined;
+  }
+
   #isOnThisNode({ node }: ServerEntry): boolean {
     return node.nodeId === this.#options.nodeId;
   }
@@ -200,18 +221,15 @@
     const key = formatServerKey(entry);
     const observation = this.#options.observations.get(key, context.nowMs);
     const networkCostMs = this.#computeNetworkCostMs(entry, means);
-    const delayMs = this.#estimateDelayMs(entry, observation, means, context.nowMs);
+    const delayMs = this.estimateDelayMs({ entry, observation, means, context });
     const jitter = 1 + JITTER_WIDTH * (context.random() - 0.5);
     return { entry, key, cost: delayMs * jitter + networkCostMs };
   }
 
   /** Estimates the time to wait for a slot plus the time in it, in milliseconds. */
-  #estimateDelayMs(
-    { server }: ServerEntry,
-    observation: ServerObservation,
-    means: ServiceMeans,
-    nowMs: number,
-  ): number {
+  protected estimateDelayMs({ entry, observation, means, context }: DelayFacts): number {
+    const { server } = entry;
+    const { nowMs } = context;
     const ageMs = nowMs - observation.reportedLoadAtMs;
     const loadWeight =
       observation.reportedLoadAtMs === 0 ? 0 : computeDecay(ageMs, REPORT_HALF_LIFE_MS);
