--- a/src/process/cli/index.ts
+++ b/src/process/cli/index.ts
@@ -12,6 +12,7 @@
 import addSheetCommand from './commands/sheet.js';
 import addStatusCommand from './commands/status.js';
 import addTraceCommand from './commands/trace.js';
+import addWorkspacesCommand from './commands/workspaces.js';
 import CommandError from './CommandError.js';
 import ExitCode from './ExitCode.js';
 
@@ -32,6 +33,7 @@
   addMembersCommand,
   addRolloutCommand,
   addTraceCommand,
+  addWorkspacesCommand,
 ];
 
 /** Keeps the full usage text if a command is missing, and only the first line of other messages. */
--- a/src/process/cli/test.ts
+++ b/src/process/cli/test.ts
@@ -265,6 +265,10 @@
     exitCode: ExitCode.Done,
     stdout: /^service/,
   });
+  t.match(await runInProcess('workspaces', ...connection), {
+    exitCode: ExitCode.Done,
+    stdout: /^workspace +quota +offered +passed on +over quota/,
+  });
   const diff = await runInProcess('sheet', 'diff', sheetFile, ...connection);
   t.match(diff, { exitCode: ExitCode.Done, stdout: /\+ service order-desk/ });
   const none = await runInProcess('status', '--control', CLOSED_PORT, '--token-file', tokenFile);
@@ -323,6 +327,7 @@
     ['apply'],
     ['status'],
     ['servers'],
+    ['workspaces'],
     ['explain'],
     ['history'],
     ['control'],
--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -70,9 +70,11 @@
     tls,
     timings: settings.timing,
     rollouts: settings.rollouts,
+    // Nodes that are cut off go on to accept keys.
+    ...(settings.quotas && { quotas: { bounds: settings.quotas, keyLifetimeMs: Infinity } }),
   });
   if (opened.isErr()) return err(opened.error);
-  const { metrics, log, hub, exchange } = opened.value;
+  const { metrics, log, hub, exchange, shareSource } = opened.value;
   const api = createOperatorApi({
     log,
     readNodes: () => exchange.readNodeStatuses(),
@@ -83,6 +85,7 @@
         .filter(({ isReachable }) => isReachable)
         .map(({ memberId }) => memberId),
     ],
+    listWorkspaces: () => shareSource?.list() ?? [],
     listNodeRecords: () => hub.directory.records(),
     metrics,
     token: token.value,
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -19,7 +19,12 @@
 import { DaemonError, DaemonErrorCode } from '../../daemon/DaemonError/index.js';
 import { EndpointDirectory } from '../../endpoints/EndpointDirectory/index.js';
 import { ConfigurationHolder } from '../../holder/ConfigurationHolder/index.js';
-import { FairSharePolicy, LocalServers, WorkspaceShares } from '../../localServers/index.js';
+import {
+  FairSharePolicy,
+  LocalServers,
+  QuickFirstPolicy,
+  WorkspaceShares,
+} from '../../localServers/index.js';
 import type { LocalServersOptions } from '../../localServers/index.js';
 import { MetricsRegistry } from '../../metrics/index.js';
 import registerProcessMetrics from '../../metrics/registerProcessMetrics.js';
@@ -118,12 +123,13 @@
   { servers, quotaBounds }: OpenNodeOptions,
   holder: ConfigurationHolder,
 ): Pick<LocalServersOptions, 'admissionPolicy'> => {
-  if (!quotaBounds || !servers?.admissionPolicy) return {};
+  if (!quotaBounds) return {};
+  const inner = servers?.admissionPolicy ?? new QuickFirstPolicy(servers?.queuePerSlot);
   const getWeight = (name: string): number =>
     holder.current()?.configuration.workspaces.find((workspace) => workspace.name === name)
       ?.ratePerSecond ?? 0;
   const shares = new WorkspaceShares(getWeight);
-  return { admissionPolicy: new FairSharePolicy(servers.admissionPolicy, shares) };
+  return { admissionPolicy: new FairSharePolicy(inner, shares) };
 };
 
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -69,6 +69,7 @@
     tls,
     servers: { ...(queuePerSlot !== undefined && { queuePerSlot }) },
     requests,
+    quotaBounds: settings.quotas,
   });
   if (opened.isErr()) return err(opened.error);
   const { metrics, holder, directory, localServers, link, server } = opened.value;
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -28,6 +28,7 @@
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { NodeStatus } from '../nodeStatus/types.js';
 import type { MetricsRegistry } from '../metrics/index.js';
+import type { WorkspaceStatus } from '../quotas/ShareComputer/index.js';
 import type { ControlLog } from '../replication/ControlLog/index.js';
 import type { RateLimiterOptions } from './_lib/RateLimiter.js';
 import type { ApiErrorResponse } from './types.js';
@@ -70,6 +71,8 @@
   listReachableMembers?: () => string[];
   /** Returns the node records in the endpoint directory of this control VM. */
   listNodeRecords: () => NodeRecord[];
+  /** Returns the use of each quota; an empty list if omitted. */
+  listWorkspaces?: () => WorkspaceStatus[];
   metrics: MetricsRegistry;
   /** Bearer token that requests must carry. */
   token: string;
@@ -280,6 +283,7 @@
     ),
   );
   app.get('/v1/servers', (context) => context.json(listServers(options.listNodeRecords())));
+  app.get('/v1/workspaces', (context) => context.json(options.listWorkspaces?.() ?? []));
   app.get('/v1/history', (context) => context.json(log.history()));
   app.get('/v1/configuration', createConfigurationHandler(options));
   app.get('/metrics', (context) => context.text(metrics.render()));
--- a/src/process/settings/_lib/parseControlSettings.ts
+++ b/src/process/settings/_lib/parseControlSettings.ts
@@ -14,11 +14,14 @@
   logSchema,
   membersSchema,
   operatorSchema,
+  quotasSchema,
   rolloutsSchema,
   timingSchema,
   tlsSchema,
 } from './sectionSchemas.js';
 
+import createQuotaBounds from './createQuotaBounds.js';
+
 import type { SettingsFault } from '../SettingsError.js';
 import type {
   ControlSettings,
@@ -135,10 +138,11 @@
   log: parseSection(sections, 'log', logSchema),
   timing: parseSection(sections, 'timing', timingSchema),
   rollouts: parseSection(sections, 'rollouts', rolloutsSchema),
+  quotas: parseSection(sections, 'quotas', quotasSchema),
 });
 
 const REQUIRED_SECTIONS = ['control', 'members', 'operator'];
-const OPTIONAL_SECTIONS = ['tls', 'log', 'timing', 'rollouts'];
+const OPTIONAL_SECTIONS = ['tls', 'log', 'timing', 'rollouts', 'quotas'];
 
 const PERMILLE = 1_000;
 
@@ -200,5 +204,6 @@
         rollbackMs: rollouts.rollback_ms,
       },
     }),
+    ...createQuotaBounds(read.quotas.value),
   });
 };
--- a/src/process/settings/_lib/parseNodeSettings.ts
+++ b/src/process/settings/_lib/parseNodeSettings.ts
@@ -4,12 +4,14 @@
 import { SettingsError, SettingsErrorCode } from '../SettingsError.js';
 import { resolveLogSettings, resolveTlsPaths } from './parseControlSettings.js';
 import { isWildcard } from './fields.js';
+import createQuotaBounds from './createQuotaBounds.js';
 import { parseIni } from './parseIni.js';
 import { findSectionFaults, parseSection } from './parseSection.js';
 import {
   controlAddressesSchema,
   logSchema,
   nodeSchema,
+  quotasSchema,
   requestsSchema,
   tlsSchema,
 } from './sectionSchemas.js';
@@ -21,7 +23,7 @@
 
 const LISTEN_KEYS = ['listen', 'forward_listen', 'peer_listen', 'local_listen'];
 const REQUIRED_SECTIONS = ['node', 'control'];
-const OPTIONAL_SECTIONS = ['tls', 'log', 'requests'];
+const OPTIONAL_SECTIONS = ['tls', 'log', 'requests', 'quotas'];
 
 /** Addresses in `[node]` by key. */
 type NodeAddresses = Record<string, string | undefined>;
@@ -78,6 +80,7 @@
   tls: parseSection(sections, 'tls', tlsSchema),
   log: parseSection(sections, 'log', logSchema),
   requests: parseSection(sections, 'requests', requestsSchema),
+  quotas: parseSection(sections, 'quotas', quotasSchema),
 });
 
 type RequestsSection = ReturnType<typeof parseNodeSections>['requests'];
@@ -134,6 +137,7 @@
     ...(read.tls.value ? { tls: resolveTlsPaths(read.tls.value, baseFolder) } : {}),
     log: resolveLogSettings(read.log.value, baseFolder),
     requests: createRequestSettings(read.requests),
+    ...createQuotaBounds(read.quotas.value),
   });
 };
 
--- a/src/process/settings/_lib/sectionSchemas.ts
+++ b/src/process/settings/_lib/sectionSchemas.ts
@@ -51,6 +51,13 @@
   rollback_ms: durationField,
 });
 
+/** The same on control VMs and nodes. */
+export const quotasSchema = v.object({
+  window_ms: durationField,
+  overage_permille: permilleField,
+  slack: requestCountField,
+});
+
 export const nodeSchema = v.object({
   name: nameField,
   data_centre: nameField,
--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -35,6 +35,10 @@
 exposed_permille = 50
 exposed_slack = 20
 rollback_ms = 4000
+[quotas]
+window_ms = 5000
+overage_permille = 100
+slack = 20
 `;
 
 const NODE = `
@@ -73,6 +77,7 @@
       log: { level: LogLevel.Debug, destination: '/etc/foxtailvane/log.txt' },
       timing: { heartbeatMs: 50 },
       rollouts: { exposedShare: 0.05, exposedSlack: 20, rollbackMs: 4_000 },
+      quotas: { windowS: 5, overage: 0.1, slack: 20 },
     });
   },
 );
--- a/src/process/settings/types.ts
+++ b/src/process/settings/types.ts
@@ -1,5 +1,6 @@
 /** The settings of the two daemons. Addresses are `IP:port`, with IPv6 as `[IP]:port`. */
 import type { LogLevel } from '../log/index.js';
+import type { QuotaBounds } from '../quotas/types.js';
 import type { RolloutLimits } from '../rollouts/decideRollout/index.js';
 import type { ReplicationTimings } from '../replication/ReplicatedLog/index.js';
 
@@ -49,6 +50,8 @@
   timing: TimingSettings;
   /** Limits of roll-outs; without them none can be ordered. */
   rollouts?: RolloutLimits;
+  /** Bounds of the quotas of workspaces; without them, quotas do not count. */
+  quotas?: QuotaBounds;
 }
 
 /** Addresses of the control VMs of one data centre. */
@@ -91,4 +94,6 @@
   tls?: TlsSettings;
   log: LogSettings;
   requests: RequestSettings;
+  /** Bounds of the quotas of workspaces, as on the control VMs. */
+  quotas?: QuotaBounds;
 }
