--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -26,6 +26,7 @@
   ExpectedCostPolicy,
   FairSharePolicy,
   LocalServers,
+  QuickFirstPolicy,
   RouteCosts,
   WorkspaceShares,
 } from '../../localServers/index.js';
@@ -121,11 +122,12 @@
   parts: { isByCost: boolean; holder: ConfigurationHolder },
 ): AdmissionPolicy | undefined => {
   const policy = parts.isByCost ? new ExpectedCostPolicy() : servers?.admissionPolicy;
-  if (!quotaBounds || !policy) return policy;
+  if (!quotaBounds) return policy;
   const getWeight = (name: string): number =>
     parts.holder.current()?.configuration.workspaces.find((row) => row.name === name)
       ?.ratePerSecond ?? 0;
-  return new FairSharePolicy(policy, new WorkspaceShares(getWeight));
+  const inner = policy ?? new QuickFirstPolicy(servers?.queuePerSlot);
+  return new FairSharePolicy(inner, new WorkspaceShares(getWeight));
 };
 
 type NodeComponents = Omit<OpenedNode, keyof NodeListeners | 'close'>;
--- a/src/process/node/startNode/index.ts
+++ b/src/process/node/startNode/index.ts
@@ -71,6 +71,7 @@
     hasRollouts,
     ...(placement !== undefined && { placement }),
     requests,
+    quotaBounds: settings.quotas,
   });
   if (opened.isErr()) return err(opened.error);
   const { metrics, holder, directory, localServers, link, server } = opened.value;
