Complete no roll-out on a control VM that knows no nodes yet

A control VM that has just started, or sees no node, took unknown nodes for lost ones and could have completed a roll-out while a node still used the old servers. Two checks of the test of the replicated log read a follower before it had applied what its leader had answered; they read it after a confirmed read now, with the same expectation.

--- a/src/process/replication/ReplicatedLog/rollouts.test.ts
+++ b/src/process/replication/ReplicatedLog/rollouts.test.ts
@@ -54,7 +54,7 @@
 
   // Guards against a lost order, and against its repeat being refused.
   await t.test('an acknowledged order survives the loss of power everywhere', async (t2) => {
-    const [placed] = cluster.log('c1').rolloutBook.list();
+    const [placed] = unwrapResult(await cluster.log('c1').readRollouts(2_000));
     await restartAll();
     const read = unwrapResult(await cluster.log('c3').readRollouts(2_000));
     t2.strictSame(read, [placed]);
@@ -65,6 +65,7 @@
   await t.test('configurations keep their version numbers and base versions', async (t2) => {
     const change = { ...createChange(2, 30, { serviceCount: 2 }), baseVersion: 1 };
     t2.equal((await cluster.log('c2').propose(change, Date.now())).outcome, ApplyOutcome.Accepted);
+    unwrapResult(await cluster.log('c2').readNewest(2_000));
     t2.strictSame(
       cluster
         .log('c2')
--- a/src/process/rollouts/RolloutController/failover.test.ts
+++ b/src/process/rollouts/RolloutController/failover.test.ts
@@ -134,5 +134,7 @@
     () => findRollout(bench)?.stage === RolloutStage.ROLLED_BACK,
     'the version is taken back',
   );
-  t.ok(performance.now() - turnedBadAtMs < 5_000, 'within 5 s, election included');
+  const tookMs = Math.round(performance.now() - turnedBadAtMs);
+  t.comment(findRollout(bench)?.reason ?? '');
+  t.ok(tookMs < 5_000, `within 5 s, election included: ${tookMs} ms`);
 });
--- a/src/process/rollouts/RolloutController/index.ts
+++ b/src/process/rollouts/RolloutController/index.ts
@@ -176,7 +176,9 @@
     const drainMs = computeDrainMs(this.#readConfiguration(), rollout.service);
     const own = increments.filter(({ service }) => service === rollout.service);
     observation.addEvidence(own, planRollout(rollout.durationMs, drainMs), nowMs);
-    if (rollout.stage !== RolloutStage.PROMOTING) return;
+    // After a start the nodes that are not known here yet must not be taken for lost ones.
+    const isLearning = nowMs - this.#startedAtMs < LEARNING_MS;
+    if (rollout.stage !== RolloutStage.PROMOTING || isLearning) return;
     const changeIndex = log.rolloutBook.findChangeIndex(rollout.id);
     observation.checkInForce(listNodeIds(), reports.list(), changeIndex, nowMs);
   }
--- a/src/process/rollouts/RolloutController/test.ts
+++ b/src/process/rollouts/RolloutController/test.ts
@@ -171,6 +171,16 @@
   t.match(run.log.rolloutBook.find(1), { stage: RolloutStage.COMPLETED });
 });
 
+// Guards against a control VM that has just started and takes nodes it does not know yet for lost.
+tap.test('nothing is completed while no node is known', async (t) => {
+  const run = createRun();
+  await startRollout(run);
+  await play(run, 40_000, () => 0);
+  run.liveNodeIds = [];
+  await play(run, 50_000, () => 0);
+  t.match(run.log.rolloutBook.find(1), { stage: RolloutStage.PROMOTING });
+});
+
 // Guards against a new leader that starts to observe anew, or does not know the age of the order.
 tap.test('a new leader goes on with what it has observed', async (t) => {
   const run = createRun(2);
--- a/src/process/rollouts/_lib/RolloutObservation/index.ts
+++ b/src/process/rollouts/_lib/RolloutObservation/index.ts
@@ -71,7 +71,8 @@
 
   /**
    * Checks whether every node that is not lost has the last step in force. A node that started after
-   * the step had it before its first request, so its start does not begin the time anew.
+   * the step had it before its first request, so its start does not begin the time anew. Without any
+   * live node nothing is known.
    *
    * @param liveNodeIds - nodes that are not lost
    * @param reports - the newest report of each node
@@ -94,7 +95,8 @@
       return this.#inForceAtMs.get(key) ?? nowMs;
     });
     const lastMs = timesMs.reduce((latest, timeMs) => Math.max(latest, timeMs), this.#stepAtMs);
-    this.#inForceSinceMs = Number.isFinite(lastMs) ? lastMs : undefined;
+    const isComplete = liveNodeIds.length > 0 && Number.isFinite(lastMs);
+    this.#inForceSinceMs = isComplete ? lastMs : undefined;
   }
 
   /** Adds what the nodes have counted for the service since the last call. */
