--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -265,7 +265,7 @@
     state: AttemptState,
     tap: ResponseTap | undefined,
   ): Promise<Result<CallSummary, CallError>> {
-    const { observations, breaker, caller } = this.#dependencies;
+    const { observations, breaker, caller, versions } = this.#dependencies;
     const nowMs = this.#context.getNowMs();
     const key = formatServerKey(entry);
     const observation = observations.get(key, nowMs);
@@ -281,6 +281,7 @@
       chargeRetry: () => this.#chargeRetry(routed, state),
     };
     state.tried.add(key);
+    if (state.choice) versions.charge(state.choice);
     observation.inFlight += 1;
     observation.lastUsedAtMs = nowMs;
     breaker.addRequest(key, nowMs);
@@ -394,7 +395,6 @@
       random: this.#context.random,
     });
     Object.assign(state, { choice });
-    if (selection) this.#dependencies.versions.charge(choice);
     if (!isLogged(LogLevel.Debug)) return selection?.entry;
     const { requestId, version, route, service } = routed;
     log.info(
