--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -321,7 +321,7 @@
     state: AttemptState,
     tap: ResponseTap | undefined,
   ): Promise<Result<CallSummary, CallError>> {
-    const { observations, breaker, caller } = this.#dependencies;
+    const { observations, breaker, caller, versions } = this.#dependencies;
     const nowMs = this.#context.getNowMs();
     const key = formatServerKey(entry);
     const observation = observations.get(key, nowMs);
@@ -337,7 +337,7 @@
       chargeRetry: () => this.#chargeRetry(routed, state),
     };
     state.tried.add(key);
-    if (state.choice) this.#dependencies.versions.charge(state.choice);
+    if (state.choice) versions.charge(state.choice);
     observation.inFlight += 1;
     observation.lastUsedAtMs = nowMs;
     breaker.addRequest(key, nowMs);
