Judge a server by its mean hold time until its pace is known

Nodes with a few requests a second knew no mean of a route for several seconds, so all paces were reported as 1 and the selection did not tell slow servers from quick ones.

--- a/src/process/localServers/RouteCosts/index.ts
+++ b/src/process/localServers/RouteCosts/index.ts
@@ -3,8 +3,13 @@
 
 /** Bounds the memory: a distribution takes about 1 KB. */
 const MAX_ROUTES = 256;
-/** Answers of other servers from which on the mean of a route stands for the service. */
-const MIN_ANSWERS = 15;
+/**
+ * Answers of other servers from which on the mean of a route stands for the service; a node with a few
+ * requests a second has them within a second, and the agreement with others makes up for the few.
+ */
+const MIN_ANSWERS = 4;
+/** Answers that a mean of the answering node counts for while this node knows less. */
+const AGREED_ANSWERS = 2;
 /** Weight of the mean of the answering node: nodes have to agree, or their paces can't be compared. */
 const AGREEMENT_WEIGHT = 0.15;
 /** Weight of the newest answer in the mean over the servers of a service. */
@@ -39,8 +44,10 @@
     cost.answerCount += 1;
     const weight = Math.max(ANSWER_WEIGHT, 1 / cost.answerCount);
     cost.answeredMeanMs += weight * (heldMs - cost.answeredMeanMs);
-    if (peerMeanMs > 0)
-      cost.answeredMeanMs += AGREEMENT_WEIGHT * (peerMeanMs - cost.answeredMeanMs);
+    if (peerMeanMs === 0) return;
+    cost.answerCount += AGREED_ANSWERS;
+    const agreement = Math.max(AGREEMENT_WEIGHT, AGREED_ANSWERS / cost.answerCount);
+    cost.answeredMeanMs += agreement * (peerMeanMs - cost.answeredMeanMs);
   }
 
   /**
--- a/src/process/localServers/ServerWork/index.ts
+++ b/src/process/localServers/ServerWork/index.ts
@@ -8,6 +8,8 @@
 const PRIOR_WEIGHT = 4;
 /** Cost of a request of an unknown route, in milliseconds. */
 const DEFAULT_COST_MS = 100;
+/** Finished requests of known mean from which on the pace is known. */
+const MIN_FINISHED = 10;
 const MIN_PACE = 0.1;
 const MAX_PACE = 20;
 
@@ -30,6 +32,8 @@
 
   #expectedMs = 0;
 
+  #finishedCount = 0;
+
   constructor(costs: RouteCosts) {
     this.#costs = costs;
   }
@@ -58,10 +62,16 @@
     this.#costs.addRun(routeName, heldMs / this.#getFinishedPace());
     const meanMs = this.#costs.getServiceMeanMs(routeName);
     if (meanMs === undefined) return;
+    this.#finishedCount += 1;
     this.#heldMs = this.#heldMs * PACE_DECAY + heldMs;
     this.#expectedMs = this.#expectedMs * PACE_DECAY + meanMs;
   }
 
+  /** Whether the server has finished enough requests to tell its pace. */
+  get isPaceKnown(): boolean {
+    return this.#finishedCount >= MIN_FINISHED;
+  }
+
   /**
    * Returns the pace of the server: 1 is the mean of its service, 2 takes twice as long.
    *
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -13,7 +13,7 @@
   load: number;
   /** Expected time until a slot is free for a new request, in milliseconds, by its priority. */
   waitsMs: readonly number[];
-  /** Time that the server takes for requests, relative to the mean of its service. */
+  /** Time that the server takes for requests, relative to the mean of its service; 0 when unknown. */
   pace: number;
   /** Time of the report, on the clock of this node. */
   atMs: number;
--- a/src/request/selectServer/ExpectedCostSelector.ts
+++ b/src/request/selectServer/ExpectedCostSelector.ts
@@ -57,8 +57,8 @@
   protected override estimateDelayMs({ entry, observation, means, context }: DelayFacts): number {
     const { nowMs, routeName } = context;
     const { work } = observation;
-    if (!work) {
-      const isCold = nowMs - observation.firstSeenAtMs < WARM_UP_MS;
+    if (!work || work.pace === 0) {
+      const isCold = !work && nowMs - observation.firstSeenAtMs < WARM_UP_MS;
       const delayMs = super.estimateDelayMs({ entry, observation, means, context });
       return isCold ? delayMs * COLD_PACE : delayMs;
     }
@@ -82,7 +82,7 @@
     const { work } = this.observe(entry, nowMs);
     const meanMs = routeName === undefined ? undefined : this.#routeCosts.getMeanMs(routeName);
     if (!work || meanMs === undefined || nowMs - work.atMs > FRESH_MS) return undefined;
-    return { waitMs: getReportedWaitMs(work, priority), costMs: meanMs * work.pace };
+    return { waitMs: getReportedWaitMs(work, priority), costMs: meanMs * (work.pace || 1) };
   }
 
   /** Estimates the wait for a slot: what was reported, and what this node has sent since. */
--- a/src/request/shareReports/index.ts
+++ b/src/request/shareReports/index.ts
@@ -93,7 +93,7 @@
       const demand = { deadlineMs: 0, isRetry: false, isSlow: false, priority };
       return gate.estimateRankedWaitMs(demand, nowMs) + delayMs;
     }),
-    pace: gate.work?.estimatePace(nowMs) ?? 1,
+    pace: gate.work?.isPaceKnown ? gate.work.estimatePace(nowMs) : 0,
     atMs: nowMs,
   };
   measured.set(local, report);
--- a/src/request/shareReports/test.ts
+++ b/src/request/shareReports/test.ts
@@ -68,6 +68,6 @@
 tap.test('the report of an answer round-trips', async (t) => {
   const { local } = createExchange('near', 1);
   const text = formatAnswerReport(local, { heldMs: 220.4, meanMs: 180, isCall: true }, NOW_MS);
-  const report = { load: 0.5, waitsMs: [0], pace: 1, atMs: NOW_MS };
+  const report = { load: 0.5, waitsMs: [0], pace: 0, atMs: NOW_MS };
   t.strictSame(parseAnswerReport(text, NOW_MS), { report, heldMs: 220, meanMs: 180, isCall: true });
 });
