Empty the whole line of a key in the test of emptied settings

The test replaced the first occurrence of the text of a line. Since `[quotas] slack = 20` is also the end of `exposed_slack = 20` in an earlier section, it emptied the other key. It compares whole lines now and checks the same keys.

--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -225,7 +225,10 @@
   const required = CONTROL.split('\n').filter((entry) => /^(\w+) = /.test(entry));
   const spoilt = fc.property(fc.constantFrom(...required), (entry) => {
     const key = entry.split(' ')[0] ?? '';
-    const places = listPlaces(parseControlSettings(CONTROL.replace(entry, `${key} =`), OPTIONS));
+    const spoiltText = CONTROL.split('\n')
+      .map((line) => (line === entry ? `${key} =` : line))
+      .join('\n');
+    const places = listPlaces(parseControlSettings(spoiltText, OPTIONS));
     return places.some((place) => place.endsWith(` ${key}`));
   });
   fc.assert(spoilt);
