Count the requests of a pause as they came

Cause: a control VM that woke from 6 s of suspension took the requests of the pause for a burst of one computation, and its pools fell below zero. Change: such counts fade as if spread over the pause, and an excess that a pause may explain is forgotten.

--- a/src/process/quotas/ShareComputer/index.ts
+++ b/src/process/quotas/ShareComputer/index.ts
@@ -7,6 +7,8 @@
 const MS_PER_SECOND = 1_000;
 /** Silence after which a node or control VM counts as out of touch. */
 const OUT_OF_TOUCH_MS = 1_000;
+/** Time without a computation, because this process was suspended or there were no requests. */
+const PAUSE_MS = 1_000;
 /** Time after the start during which counts of unknown nodes only serve as the base of later ones. */
 const LEARNING_MS = 2_000;
 /** Part of the rate of a second, and of the pool, that nodes may hold unused. */
@@ -166,6 +168,8 @@
       [...silentNodeIds].filter((nodeId) => !this.#silentNodeIds.has(nodeId)),
     );
     this.#silentNodeIds = silentNodeIds;
+    // The requests of a pause of this process were counted all at once, against one burst.
+    if (elapsedMs > PAUSE_MS) this.#workspaces.forEach(({ pool }) => pool.forgive());
     const silence = { nodeIds: silentNodeIds, newNodeIds };
     const nodeCount = Math.max(activeNodeIds.size, input.minNodeCount ?? 1);
     const mayRise = input.isConfirmed && input.silentMemberIds.size === 0;
--- a/src/process/quotas/_lib/DemandTable.ts
+++ b/src/process/quotas/_lib/DemandTable.ts
@@ -36,6 +36,22 @@
   prior: number;
 }
 
+/** Usual time between two computations. */
+const ROUND_MS = 250;
+
+/** Returns the part that has not faded of requests that came evenly over a time. */
+const computeUnfaded = (elapsedMs: number, decayMs: number): number =>
+  ((1 - Math.exp(-elapsedMs / decayMs)) * decayMs) / elapsedMs;
+
+/**
+ * Returns the weight of requests that came within a time: 1 if that is not unusually long. Without
+ * it, the requests of a pause of this process would look like a burst.
+ */
+const computeFreshPart = (elapsedMs: number, decayMs: number): number =>
+  elapsedMs <= ROUND_MS
+    ? 1
+    : computeUnfaded(elapsedMs, decayMs) / computeUnfaded(ROUND_MS, decayMs);
+
 /** Counts the demand of one workspace at each node from reports whose counts only grow. */
 export default class DemandTable {
   readonly #nodes = new Map<string, NodeDemand>();
@@ -45,6 +61,11 @@
 
   #hasAssumed = false;
 
+  /** Parts of the requests since the last computation that have not faded. */
+  #demandPart = 1;
+
+  #admissionPart = 1;
+
   /** Requests per second over all nodes that were admitted lately. */
   get admittedPerSecond(): number {
     return (this.#admitted * MS_PER_SECOND) / ADMISSION_DECAY_MS;
@@ -66,6 +87,8 @@
    */
   fade(elapsedMs: number, isInTouch: (nodeId: string) => boolean): void {
     const factor = Math.exp(-elapsedMs / DEMAND_DECAY_MS);
+    this.#demandPart = computeFreshPart(elapsedMs, DEMAND_DECAY_MS);
+    this.#admissionPart = computeFreshPart(elapsedMs, ADMISSION_DECAY_MS);
     this.#admitted *= Math.exp(-elapsedMs / ADMISSION_DECAY_MS);
     this.#nodes.forEach((entry, nodeId) => {
       const kept = entry;
@@ -95,8 +118,9 @@
     });
     const isSameProcess = entry.incarnation === incarnation;
     const spent = Math.max(0, admitted - (isSameProcess ? entry.admitted : 0));
-    entry.demand += Math.max(0, offered - (isSameProcess ? entry.offered : 0));
-    this.#admitted += spent;
+    const arrived = Math.max(0, offered - (isSameProcess ? entry.offered : 0));
+    entry.demand += arrived * this.#demandPart;
+    this.#admitted += spent * this.#admissionPart;
     Object.assign(entry, { incarnation, offered, admitted });
     return spent;
   }
--- a/src/process/quotas/_lib/QuotaPool.ts
+++ b/src/process/quotas/_lib/QuotaPool.ts
@@ -60,6 +60,11 @@
     this.#level = Math.min(this.size, this.#level + earned);
   }
 
+  /** Forgets an excess, for a time in which the use is not known in its order. */
+  forgive(): void {
+    this.#level = Math.max(0, this.#level);
+  }
+
   spend(requests: number): void {
     this.#level = Math.min(this.size, this.#level - requests);
   }
