--- a/src/request/selectServer/replay.test.ts
+++ b/src/request/selectServer/replay.test.ts
@@ -120,3 +120,12 @@
   t.comment(`timely before ${before}, after ${after}`);
   t.ok(after > before - 0.02 && after > 0.85, `${before} to ${after}`);
 });
+
+// Guards against filling the servers that are several times slower than the others.
+tap.test('requests are answered in time while a fifth of the servers is slow', async (t) => {
+  const random = createRandom((line) => t.comment(line));
+  const paces = [1, 1, 1, 1, 1, 1, 1, 1, 4, 4];
+  const { before, after } = compareSpeeds(paces, 210, random, () => 80 + 60 * random());
+  t.comment(`timely before ${before}, after ${after}`);
+  t.ok(after > before - 0.02 && after > 0.9, `${before} to ${after}`);
+});
