Report waits by the priorities of workspaces as well as of routes

Placement reported waits for the priorities 0 to 2 of routes, while a request with a workspace waits with one number for both (workspace times ten plus route). So no wait was seen for any of them, and nothing was refused at the entry node in time. Waits that equal the last one are left out, so reports without workspaces keep their size.

--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -468,7 +468,7 @@
       // The few servers of a share would distort the means of all servers.
       service: choice.exposure ? `${routed.service} ${choice.softwareVersion}` : routed.service,
       routeName: routed.route.name,
-      priority: routed.route.priority,
+      priority: routed.priority,
       nowMs,
       random: this.#context.random,
     });
--- a/src/request/observeServers/index.ts
+++ b/src/request/observeServers/index.ts
@@ -19,9 +19,17 @@
   atMs: number;
 }
 
-/** Returns the wait for a request of a priority; those beyond the last one wait as long as it. */
-export const getReportedWaitMs = ({ waitsMs }: WorkReport, priority: number): number =>
-  waitsMs[Math.min(priority, waitsMs.length - 1)] ?? 0;
+/**
+ * Priorities for which waits are reported: three of routes for each of three of workspaces. Those in
+ * between wait as long as the next more urgent one that is reported.
+ */
+export const REPORTED_PRIORITIES = [0, 1, 2, 10, 11, 12, 20, 21, 22];
+
+/** Returns the wait for a request of a priority; a report leaves out waits that equal the last one. */
+export const getReportedWaitMs = ({ waitsMs }: WorkReport, priority: number): number => {
+  const level = REPORTED_PRIORITIES.findLastIndex((reported) => reported <= priority);
+  return waitsMs[Math.min(Math.max(0, level), waitsMs.length - 1)] ?? 0;
+};
 
 /** Observations of one server. */
 export interface ServerObservation {
--- a/src/request/shareReports/index.ts
+++ b/src/request/shareReports/index.ts
@@ -1,6 +1,6 @@
 /** Reports of the work at servers, as nodes attach them to requests and answers between them. */
 import { computeOccupancy } from '../../process/localServers/index.js';
-import { formatServerKey } from '../observeServers/index.js';
+import { REPORTED_PRIORITIES, formatServerKey } from '../observeServers/index.js';
 
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { LocalServer } from '../../process/localServers/index.js';
@@ -18,11 +18,9 @@
 const REPORT_SEPARATOR = ',';
 const PACE_DIGITS = 2;
 const WAIT_SEPARATOR = '.';
-/** Waits are reported for the priorities from 0 to this one. */
-const LAST_PRIORITY = 2;
 const MAX_WAIT_MS = 99_999;
 const REPORT_PATTERN =
-  /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,5}(?:\.\d{1,5}){0,7})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})(?:~(\d{1,7}))?(~c)?$/;
+  /^(\d{1,3}(?:\.\d{1,4})?)~(\d{1,5}(?:\.\d{1,5}){0,8})~(\d{1,3}(?:\.\d{1,4})?)~(\d{1,7})(?:~(\d{1,7}))?(~c)?$/;
 const CALL_SUFFIX = '~c';
 
 /** Report of one server, with the cost of the request that it answered. */
@@ -36,12 +34,11 @@
   isCall: boolean;
 }
 
-/** Formats one wait if all are the same, as at a server with idle slots. */
+/** Formats waits without those at the end that are the same, as at a server with idle slots. */
 const formatWaits = (waitsMs: readonly number[]): string => {
-  const [first = 0, ...rest] = waitsMs.map((waitMs) => Math.min(MAX_WAIT_MS, Math.round(waitMs)));
-  return (rest.every((waitMs) => waitMs === first) ? [first] : [first, ...rest]).join(
-    WAIT_SEPARATOR,
-  );
+  const rounded = waitsMs.map((waitMs) => Math.min(MAX_WAIT_MS, Math.round(waitMs)));
+  const lastDifferent = rounded.findLastIndex((waitMs) => waitMs !== rounded.at(-1));
+  return rounded.slice(0, lastDifferent + 2).join(WAIT_SEPARATOR);
 };
 
 const formatFields = ({ load, waitsMs, pace }: WorkReport): string =>
@@ -89,7 +86,7 @@
   const { gate } = local;
   const report = {
     load: computeOccupancy(local, nowMs),
-    waitsMs: Array.from({ length: LAST_PRIORITY + 1 }, (_, priority) => {
+    waitsMs: REPORTED_PRIORITIES.map((priority) => {
       const demand = { deadlineMs: 0, isRetry: false, isSlow: false, priority };
       return gate.estimateRankedWaitMs(demand, nowMs) + delayMs;
     }),
--- a/src/request/shareReports/test.ts
+++ b/src/request/shareReports/test.ts
@@ -8,7 +8,7 @@
   ServerWork,
   SlotGate,
 } from '../../process/localServers/index.js';
-import { ServerObservations } from '../observeServers/index.js';
+import { ServerObservations, getReportedWaitMs } from '../observeServers/index.js';
 import { ReportExchange, formatAnswerReport, parseAnswerReport } from './index.js';
 
 import type { LocalServer } from '../../process/localServers/index.js';
@@ -55,6 +55,27 @@
   t.equal(near.observations.get('far/s far', NOW_MS).work, work, 'an older report is left out');
 });
 
+// Guards against waits of urgent workspaces that are taken for those of all.
+tap.test('a request waits as long as those of its workspace and more urgent ones', async (t) => {
+  const { local } = createExchange('near', 0);
+  [0, 0, 10, 11, 21, 21].forEach((priority) =>
+    local.gate.admit(
+      { deadlineMs: NOW_MS + 9_000, isRetry: false, isSlow: false, priority },
+      NOW_MS,
+      () => undefined,
+    ),
+  );
+  const text = formatAnswerReport(local, { heldMs: 0, meanMs: 0, isCall: false }, NOW_MS);
+  const { report } = parseAnswerReport(text, NOW_MS) ?? {};
+  if (!report) throw new Error(`malformed: ${text}`);
+  const waits = [0, 10, 11, 22, 99].map((priority) => getReportedWaitMs(report, priority));
+  t.strictSame(
+    waits,
+    waits.toSorted((left, right) => left - right),
+  );
+  t.ok((waits[3] ?? 0) > (waits[2] ?? 0) && (waits[2] ?? 0) > (waits[0] ?? 0), waits.join());
+});
+
 // Guards against a malformed header that ends the request or is taken for an idle server.
 tap.test('malformed reports are left out', async (t) => {
   const { exchange, observations } = createExchange('near', 0);
