--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -111,6 +111,9 @@
   close: () => Promise<void>;
 }
 
+/** Age of a confirmation up to which a node uses its share of a roll-out; a renewal takes a second. */
+const MAX_SHARE_AGE_MS = 2_500;
+
 const createListenError = (error: unknown): DaemonError => {
   const reason = error instanceof Error ? error.message : String(error);
   return new DaemonError(DaemonErrorCode.ListenFailed, `cannot listen: ${reason}`, error);
@@ -200,7 +203,7 @@
     },
     {
       ...{ metrics, now: readNowMs, timing, tls: () => tls?.current() },
-      needsProof: withdrawalBoundMs !== undefined,
+      needsProof: withdrawalBoundMs !== undefined || rollouts !== undefined,
     },
   );
   const readAgeMs = (): number => link.getConfirmationAgeMs(readNowMs());
@@ -212,7 +215,7 @@
     rollouts &&
     new RolloutPolicy({
       rollouts: rollouts.rolloutHolder,
-      isConfirmed: () => link.isCurrent(readNowMs()),
+      isConfirmed: () => link.isCurrent(readNowMs()) && readAgeMs() <= MAX_SHARE_AGE_MS,
       random: Math.random,
     });
   const server = new RequestServer({
