Give the quota slack of the settings test a value of its own

Cause: the test empties one line after the other, and 'slack = 20' is also the end of 'exposed_slack = 20', so it looked for the wrong key. Change: the fixture states 25. The test checks what it did before.

--- a/src/process/settings/test.ts
+++ b/src/process/settings/test.ts
@@ -38,7 +38,7 @@
 [quotas]
 window_ms = 5000
 overage_permille = 100
-slack = 20
+slack = 25
 `;
 
 const NODE = `
@@ -77,7 +77,7 @@
       log: { level: LogLevel.Debug, destination: '/etc/foxtailvane/log.txt' },
       timing: { heartbeatMs: 50 },
       rollouts: { exposedShare: 0.05, exposedSlack: 20, rollbackMs: 4_000 },
-      quotas: { windowS: 5, overage: 0.1, slack: 20 },
+      quotas: { windowS: 5, overage: 0.1, slack: 25 },
     });
   },
 );
