Test quotas against the stated share of 0.95, and lost reports at 30%

The bounds for raised quotas and small workspaces had followed what was measured, and the loss of reports under excess had been halved.

--- a/src/process/quotas/ShareComputer/test.ts
+++ b/src/process/quotas/ShareComputer/test.ts
@@ -19,6 +19,8 @@
 const MEMBERS = 3;
 /** Time without demand at the start, in which nodes and control VMs learn of each other. */
 const START_MS = 2_500;
+/** Part of the requests within a quota that is to be admitted. */
+const MIN_SERVED = 0.95;
 
 interface Load {
   nodeCount: number;
@@ -224,7 +226,7 @@
     const use = computeHighestUse(quota, tally);
     const served = tally.admittedAtMs.length / tally.owed;
     t.comment(`${name}: highest use ${use.toFixed(2)}, served ${served.toFixed(2)}`);
-    return { name, use, served, missing: tally.owed - tally.admittedAtMs.length };
+    return { name, use, served };
   });
 
 const HONEST: Record<string, Load> = {
@@ -246,8 +248,8 @@
 // Guards against requests within a quota that are refused because the shares are at other nodes.
 Object.entries(HONEST).forEach(([name, load]) =>
   tap.test(`a workspace within its quota is served, ${name}`, async (t) => {
-    runLoad(t, load).forEach(({ name: workspace, served, missing, use }) => {
-      t.ok(served > 0.95 || missing < 6, `${workspace} is served`);
+    runLoad(t, load).forEach(({ name: workspace, served, use }) => {
+      t.ok(served >= MIN_SERVED, `${workspace} is served`);
       t.ok(use < 1, `${workspace} is within the bound`);
     });
   }),
@@ -257,7 +259,7 @@
   'at all nodes': HOT,
   'at few nodes': { ...HOT, pickNode: pin },
   'that moves between data centres': { ...HOT, pickNode: move },
-  'while reports are lost': { ...HOT, isLost: (_from, _to, _at, random) => random < 0.15 },
+  'while reports are lost': { ...HOT, isLost: (_from, _to, _at, random) => random < 0.3 },
   'while nodes restart': {
     ...HOT,
     restartsNode: (index, atMs) => atMs % 2_000 === 0 && (index + atMs / 2_000) % 4 === 0,
@@ -296,6 +298,6 @@
     const during = admittedAtMs.filter((atMs) => atMs > 8_500 && atMs < 14_000);
     const after = admittedAtMs.filter((atMs) => atMs >= 14_500 && atMs < 19_500);
     t.ok(during.length < computeBound(quota), `${quota.name} is lowered`);
-    t.ok(after.length > quota.burst * 5 * 0.85 - 8, `${quota.name} is raised`);
+    t.ok(after.length > quota.burst * 5 * MIN_SERVED, `${quota.name} is raised`);
   });
 });
