--- a/src/process/node/openNode/rollouts.test.ts
+++ b/src/process/node/openNode/rollouts.test.ts
@@ -153,7 +153,12 @@
   const exposed = canary.v2 ?? 0;
   t.ok(exposed > 0.7 * 0.1 * total, `${exposed} of ${total}`);
   t.ok(exposed <= 0.1 * total + NODE_COUNT, `${exposed} of ${total}`);
-  await waitUntil('the evidence has arrived', () => sumEvidence(fleet, 'v2').failures === exposed);
+  await waitUntil(
+    'the evidence of both versions has arrived',
+    () =>
+      sumEvidence(fleet, 'v2').failures === exposed &&
+      sumEvidence(fleet, 'v1').requests >= total - exposed,
+  );
   t.equal(sumEvidence(fleet, 'v1').failures, 0);
   t.equal(sumEvidence(fleet, 'v1').requests, total - exposed);
   fleet.decide(RolloutStage.ROLLED_BACK);
