--- a/src/request/selectServer/ExpectedCostSelector.ts
+++ b/src/request/selectServer/ExpectedCostSelector.ts
@@ -1,5 +1,5 @@
 import { getReportedWaitMs } from '../observeServers/index.js';
-import LeastDelaySelector from './LeastDelaySelector.js';
+import LeastDelaySelector, { computeLoadCostMs, isRefusing } from './LeastDelaySelector.js';
 
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RouteCosts } from '../../process/localServers/index.js';
@@ -11,11 +11,6 @@
 const WAIT_HALF_LIFE_MS = 700;
 /** Half-life of a reported pace: the speed of a server lasts, a slow phase passes in seconds. */
 const PACE_HALF_LIFE_MS = 6_000;
-/** Time after a refusal during which the server counts as full. */
-const REFUSAL_TTL_MS = 150;
-/** Cost at full load, as a share of the cost of a request: the last free slot may be taken meanwhile. */
-const FULL_LOAD_COST_SHARE = 0.6;
-const FULL_LOAD_COST_EXPONENT = 5;
 /** Servers that were seen for a shorter time and have no report are taken for cold ones. */
 const WARM_UP_MS = 3_000;
 const COLD_PACE = 2;
@@ -69,8 +64,7 @@
     const wait = this.#estimateWaitMs(work, observation, facts);
     const paceWeight = computeDecay(nowMs - work.atMs, PACE_HALF_LIFE_MS);
     const pace = paceWeight * work.pace + (1 - paceWeight);
-    const loadCostMs =
-      FULL_LOAD_COST_SHARE * Math.min(1, wait.load) ** FULL_LOAD_COST_EXPONENT * means.holdMs;
+    const loadCostMs = computeLoadCostMs(wait.load, means.holdMs);
     return wait.waitSlots * means.holdMs * pace + wait.waitMs + costMs * pace + loadCostMs * pace;
   }
 
@@ -93,9 +87,8 @@
   ): { load: number; waitMs: number; waitSlots: number } {
     const weight = computeDecay(nowMs - work.atMs, WAIT_HALF_LIFE_MS);
     const sentSince = Math.max(0, observation.inFlight - observation.inFlightAtWork);
-    const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_TTL_MS;
     const reportedLoad = weight * work.load + (1 - weight) * meanLoad;
-    const load = Math.max(reportedLoad, isRefusing ? 1 : 0) + sentSince / slots;
+    const load = Math.max(reportedLoad, isRefusing(observation, nowMs) ? 1 : 0) + sentSince / slots;
     const isFull = reportedMs > 0;
     return {
       load,
--- a/src/request/selectServer/LeastDelaySelector.ts
+++ b/src/request/selectServer/LeastDelaySelector.ts
@@ -83,6 +83,14 @@
   nodeId: string;
 }
 
+/** Returns whether the server's node refused a request just now, so that the server counts as full. */
+export const isRefusing = ({ lastRefusalAtMs }: ServerObservation, nowMs: number): boolean =>
+  nowMs - lastRefusalAtMs < REFUSAL_TTL_MS;
+
+/** Returns the cost of load in milliseconds: the last free slot may be taken meanwhile. */
+export const computeLoadCostMs = (load: number, holdMs: number): number =>
+  FULL_LOAD_COST_SHARE * Math.min(1, load) ** FULL_LOAD_COST_EXPONENT * holdMs;
+
 /** Returns the weight of a reported hold time; 0 when there is none. */
 const weighHoldTime = (
   { reportedHoldMs, reportedLoadAtMs }: ServerObservation,
@@ -237,15 +245,15 @@
     const slots = Math.max(1, server.slots);
     // The report does not include the requests sent since.
     const sentSinceReport = Math.max(0, observation.inFlight - observation.inFlightAtReport);
-    const isRefusing = nowMs - observation.lastRefusalAtMs < REFUSAL_TTL_MS;
-    const load = Math.max(estimatedLoad, isRefusing ? 1 : 0) + sentSinceReport / slots;
+    const load =
+      Math.max(estimatedLoad, isRefusing(observation, nowMs) ? 1 : 0) + sentSinceReport / slots;
     const holdWeight = weighHoldTime(observation, nowMs);
     const holdMs = holdWeight * observation.reportedHoldMs + (1 - holdWeight) * means.holdMs;
     const isWarmingUp =
       nowMs - observation.firstSeenAtMs < WARM_UP_MS && observation.sampleCount === 0;
     const serviceMs = isWarmingUp ? holdMs * WARM_UP_FACTOR : holdMs;
     const waitMs = Math.max(0, load + 1 / slots - 1) * holdMs;
-    const loadCostMs = FULL_LOAD_COST_SHARE * Math.min(1, load) ** FULL_LOAD_COST_EXPONENT * holdMs;
+    const loadCostMs = computeLoadCostMs(load, holdMs);
     return serviceMs + waitMs + loadCostMs;
   }
 }
