--- a/src/connection/distribution/_lib/TrafficReporter.ts
+++ b/src/connection/distribution/_lib/TrafficReporter.ts
@@ -23,7 +23,7 @@
   numbers: ReportNumbers;
 }
 
-// The counts of an entry only grow, so that their sum tells whether any has changed.
+// The counts of an entry only grow, so their sum changes whenever one of them does.
 const sumEvidence = ({ requests, failures, durationCounts }: VersionEvidence): number =>
   durationCounts.reduce((sum, count) => sum + count, Number(requests) + Number(failures));
 
--- a/src/process/replication/_lib/Replica/rollouts.test.ts
+++ b/src/process/replication/_lib/Replica/rollouts.test.ts
@@ -49,7 +49,7 @@
     disk.crash();
     ({ replica } = await createTestReplica(disk, clock));
     t.equal(replica.log.lastIndex, lastIndex, 'every synced entry is there');
-    // The entries behind the snapshot are applied once a leader tells what is committed.
+    // The entries behind the snapshot are applied once a leader has sent the commit index.
     replica.commitTo(lastIndex);
     t.strictSame(replica.rollouts.list(), expected);
     t.ok(replica.rollouts.set().revision >= revision, 'the revision does not go back');
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -111,7 +111,7 @@
     }
     const key = parseKeyHeader(exchange.internalHeaders.get(KEY_HEADER));
     const workspace = key && { name: key.workspaceName };
-    // An entry node that does not know of workspaces yet passes the headers of callers on.
+    // An entry node with a version without workspaces passes the headers of callers on.
     if (this.#context.current()?.hasWorkspaces)
       exchange.dropHeaders(this.#context.dialect.workspaceHeaders);
     const localRequest = {
