--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -160,7 +160,7 @@
     if (result.isErr()) {
       if (!exchange.response.headersSent) this.#setLoadHeaders(exchange, local, call);
       answerFailure(exchange, result.error);
-      this.#logFailure(call, local, result.error);
+      this.#logFailure(exchange, call, local, result.error);
       if (result.error.code === CallErrorCode.Refused) {
         this.#countRefusal(result.error.message);
       }
@@ -206,7 +206,12 @@
     return [...own, REPORTS_HEADER, costs.exchange.format(nowMs)];
   }
 
-  #logFailure(call: ForwardedCall, { gate }: LocalServer, error: CallError): void {
+  #logFailure(
+    exchange: Exchange,
+    call: ForwardedCall,
+    { gate }: LocalServer,
+    error: CallError,
+  ): void {
     const nowMs = this.#context.getNowMs();
     failureLog.info(
       nowMs,
@@ -222,6 +227,7 @@
         code: error.code,
         reason: error.message,
         isWritten: error.options.isWritten,
+        elapsedMs: Math.round(performance.now() - exchange.startedAtMs),
         usedSlots: gate.used,
         waiting: gate.waiting,
         capacity: gate.capacity,
