Handle requests in slices, after their connections were polled again

A turn that handles all received requests takes long on a node that is short of processor time, so connections wait to be accepted, unnoticed by timers. A request on them was sent on as soon as it was read, before the disconnection behind it. The class of fault: work is taken from a queue without a look at what happened while it waited there.

The wait counts for the deadline, for the target latency and as lateness of the node, so overload is seen again.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -32,6 +32,7 @@
 import CallRoutes from '../recognizeCalls/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
+import { RequestPacer } from '../paceRequests/index.js';
 import PauseWatch from '../watchPauses/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
 import { OwnDialect } from '../httpDialect/index.js';
@@ -217,6 +218,8 @@
 
   readonly #pauses = new PauseWatch();
 
+  readonly #pacer: RequestPacer;
+
   #maintenanceRounds = 0;
 
   #inFlight = 0;
@@ -246,6 +249,12 @@
         reportedCallRoutes: new Set(),
       },
     };
+    const abandonedRequests = options.metrics.counter('requests_abandoned');
+    this.#pacer = new RequestPacer({
+      onAbandoned: () => {
+        abandonedRequests.value += 1;
+      },
+    });
     this.#nodePools = new UpstreamPools({
       tls: options.tls,
       connectTimeoutMs: NODE_CONNECT_TIMEOUT_MS,
@@ -329,11 +338,9 @@
       evidence: options.evidence,
     });
     const ownerHandler = new OwnerHandler(this.#context, localCaller, this.#grantor);
-    this.#entryListener = this.#createServer((request, response) =>
-      entryHandler.handle(request, response),
-    );
+    this.#entryListener = this.#createServer((...received) => entryHandler.handle(...received));
     this.#ownerListener = this.#createServer(
-      (request, response) => ownerHandler.handle(request, response),
+      (...received) => ownerHandler.handle(...received),
       options.tls?.(),
     );
   }
@@ -445,7 +452,7 @@
   }
 
   #createServer(
-    handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+    handle: (request: IncomingMessage, response: ServerResponse, waitedMs: number) => Promise<void>,
     tls?: TlsMaterial,
   ): Server {
     const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
@@ -456,7 +463,9 @@
         this.#inFlight -= 1;
       });
       if (this.#isDraining) response.shouldKeepAlive = false;
-      handle(request, response).catch(() => response.destroy());
+      this.#pacer.add(request, (waitedMs) => {
+        handle(request, response, waitedMs).catch(() => response.destroy());
+      });
     };
     const server = tls
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
@@ -492,7 +501,8 @@
   }
 
   #updateLateness(): void {
-    if (!this.#lateness.recordRun(performance.now())) return;
+    const nowMs = performance.now();
+    if (!this.#lateness.recordRun(nowMs, this.#pacer.computeWaitMs(nowMs))) return;
     const { isOverloaded, meanMs } = this.#lateness;
     const facts = { isOverloaded, meanLatenessMs: Math.round(meanMs), inFlight: this.#inFlight };
     if (isOverloaded) log.warn(facts, 'the processor cannot keep up with the requests');
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -155,17 +155,29 @@
     this.#receivedRequests = context.metrics.counter('requests_received', { at: 'entry' });
   }
 
-  /** Handles one request; the promise never rejects. */
-  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /**
+   * Handles one request; the promise never rejects.
+   *
+   * @param request - request of a caller
+   * @param response - response to it
+   * @param waitedMs - time since the request was received
+   */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    waitedMs: number,
+  ): Promise<void> {
     this.#receivedRequests.value += 1;
     this.#requestCount += 1;
-    const exchange = new Exchange(request, response, this.#context.dialect.reservedHeaders);
+    const { reservedHeaders } = this.#context.dialect;
+    const exchange = new Exchange(request, response, { reservedHeaders, waitedMs });
     const requestId = `${this.#context.nodeId}-${this.#requestCount.toString(ID_RADIX)}`;
     const routed = routeRequest(exchange, request, {
       context: this.#context,
       split: this.#split,
       objectives: this.#objectives,
       requestId,
+      receivedAtMs: this.#context.getNowMs() - waitedMs,
     });
     if ('reason' in routed) {
       this.#refuse(exchange, routed);
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -30,6 +30,11 @@
 const hasChunkedBody = (request: IncomingMessage): boolean =>
   request.headers['transfer-encoding'] !== undefined;
 
+export interface ExchangeOptions {
+  reservedHeaders?: ReadonlySet<string>;
+  waitedMs?: number;
+}
+
 /**
  * A request of a caller and its response, over one or more calls to upstreams.
  *
@@ -41,8 +46,8 @@
   /** Id of the request, once it is known; included in refusals. */
   requestId: string | undefined;
 
-  /** On the clock of `performance.now()`. */
-  readonly startedAtMs = performance.now();
+  /** When the request was received, on the clock of `performance.now()`. */
+  readonly startedAtMs: number;
 
   /** Headers for the next hop, as alternating names and values. */
   headers: string[];
@@ -78,13 +83,15 @@
   /**
    * @param request - incoming request
    * @param response - response to the caller
-   * @param reservedHeaders - lower-case names of headers that callers must not set
+   * @param options - lower-case names of headers that callers must not set, and the time since the
+   *   request was received, in milliseconds
    */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    reservedHeaders: ReadonlySet<string> = NO_HEADERS,
+    { reservedHeaders = NO_HEADERS, waitedMs = 0 }: ExchangeOptions = {},
   ) {
+    this.startedAtMs = performance.now() - waitedMs;
     this.#request = request;
     this.response = response;
     this.method = request.method ?? 'GET';
@@ -140,6 +147,7 @@
    */
   startDeadline(timeoutMs: number): void {
     this.#deadlineAtMs = performance.now() + timeoutMs;
+    this.#isPastDeadline = timeoutMs <= 0;
     this.#timer = setTimeout(() => {
       this.#isPastDeadline = true;
       this.#abort('deadline passed');
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -59,9 +59,20 @@
     this.#caller = caller;
   }
 
-  /** Handles one forwarded request or grant update; the promise never rejects. */
-  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange = new Exchange(request, response, this.#context.dialect.reservedHeaders);
+  /**
+   * Handles one forwarded request or grant update; the promise never rejects.
+   *
+   * @param request - request of another node
+   * @param response - response to it
+   * @param waitedMs - time since the request was received
+   */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    waitedMs: number,
+  ): Promise<void> {
+    const { reservedHeaders } = this.#context.dialect;
+    const exchange = new Exchange(request, response, { reservedHeaders, waitedMs });
     const update = exchange.internalHeaders.get(GRANT_UPDATE_HEADER);
     if (update !== undefined) {
       this.#handleGrantUpdate(response, update);
@@ -89,21 +100,22 @@
     }
     // Acknowledges the request to the entry node, however long the server takes to respond.
     response.writeProcessing();
-    await this.#callServer(exchange, call, local, request.url ?? '/');
+    await this.#callServer(exchange, call, local, { path: request.url ?? '/', waitedMs });
   }
 
   async #callServer(
     exchange: Exchange,
     call: ForwardedCall,
     local: LocalServer,
-    path: string,
+    { path, waitedMs }: { path: string; waitedMs: number },
   ): Promise<void> {
     const nowMs = this.#context.getNowMs();
+    const receivedAtMs = nowMs - waitedMs;
     const { costs } = this.#context;
     const remainingMs =
       parseCount(exchange.internalHeaders.get(DEADLINE_HEADER)) ?? MAX_DEADLINE_MS;
     const attempt = parseCount(exchange.internalHeaders.get(ATTEMPT_HEADER)) ?? 0;
-    exchange.startDeadline(remainingMs);
+    exchange.startDeadline(remainingMs - waitedMs);
     const body = await exchange.readBody();
     if (body === BodyState.Incomplete) {
       answerFailure(exchange, undefined);
@@ -118,8 +130,8 @@
       routeName: call.routeName,
       isIdempotent: call.isIdempotent,
       isRetry: attempt > 0,
-      deadlineMs: nowMs + remainingMs,
-      objectiveAtMs: call.objectiveMs > 0 ? nowMs + call.objectiveMs : undefined,
+      deadlineMs: receivedAtMs + remainingMs,
+      objectiveAtMs: call.objectiveMs > 0 ? receivedAtMs + call.objectiveMs : undefined,
       priority: call.priority,
       workspace: workspace?.name,
       isReturn: call.isReturn,
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -49,8 +49,8 @@
  *
  * @param exchange - exchange of the request
  * @param request - incoming request; only its head is read
- * @param options - node context, traffic split and objectives of all requests, and the request id to
- *   use if the caller sent none
+ * @param options - node context, traffic split and objectives of all requests, the request id to use if
+ *   the caller sent none, and when the request was received
  * @returns the routed request, or the refusal to answer it with
  */
 export const routeRequest = (
@@ -61,9 +61,11 @@
     split: TrafficSplit;
     objectives: ObjectiveEstimator;
     requestId: string;
+    /** In milliseconds since the epoch. */
+    receivedAtMs: number;
   },
 ): RoutedRequest | Refusal => {
-  const { context } = options;
+  const { context, receivedAtMs } = options;
   const caller = context.dialect.readCallerMetadata(request);
   const compiled = context.current();
   if (!compiled) {
@@ -104,8 +106,7 @@
   const timeoutMs =
     route.timeoutMs || compiled.findService(service)?.timeoutMs || DEFAULT_TIMEOUT_MS;
   const callerRemainingMs = caller.remainingMs ?? timeoutMs;
-  const nowMs = context.getNowMs();
-  const objective = options.objectives.estimate(route, callerRemainingMs, nowMs);
+  const objective = options.objectives.estimate(route, callerRemainingMs, receivedAtMs);
   return {
     exchange,
     requestId: caller.requestId ?? options.requestId,
@@ -114,7 +115,7 @@
     service,
     host: target.host,
     path: target.pathWithQuery,
-    deadlineMs: nowMs + Math.min(timeoutMs, callerRemainingMs),
+    deadlineMs: receivedAtMs + Math.min(timeoutMs, callerRemainingMs),
     objectiveAtMs: objective.endsAtMs,
     isReturn: objective.isReturn,
     priority: computePriority(route, admitted?.workspace),
--- a/src/request/watchLateness/index.ts
+++ b/src/request/watchLateness/index.ts
@@ -42,13 +42,14 @@
    * Records a run of the task.
    *
    * @param nowMs - present time in milliseconds, on a monotonic clock
+   * @param waitMs - time that the oldest request not handled yet has waited; counts as lateness if longer
    * @returns true when the node became overloaded or recovered
    */
-  recordRun(nowMs: number): boolean {
+  recordRun(nowMs: number, waitMs = 0): boolean {
     const lastAtMs = this.#lastAtMs;
     this.#lastAtMs = nowMs;
     if (lastAtMs === undefined) return false;
-    const lateMs = Math.max(0, nowMs - lastAtMs - this.#intervalMs);
+    const lateMs = Math.max(waitMs, nowMs - lastAtMs - this.#intervalMs);
     this.#meanMs += SAMPLE_WEIGHT * (Math.min(MAX_SAMPLE_MS, lateMs) - this.#meanMs);
     const wasOverloaded = this.#isOverloaded;
     this.#isOverloaded =
