Check heartbeats by the limits of announcements

Report of other operators: one odd entry among those of the workers, and the machines that read the list stop following it. Here a heartbeat with 10^10 slots was taken over, and the record of its node could not be encoded any more (invalid uint32), so the node could not send it. A start time in the far future was taken over too, after which the real worker's heartbeats counted as outdated, as were ports out of range and names of a megabyte. Deep nesting was harmless.

The decoder of the platform had weaker limits than the product's own interface.

--- a/src/process/localServers/_lib/parseAnnouncement.ts
+++ b/src/process/localServers/_lib/parseAnnouncement.ts
@@ -8,6 +8,8 @@
 const MAX_SLOTS = 10_000;
 const MAX_CONNECTIONS = 100_000;
 const MAX_PORT = 65_535;
+/** Later start times are no times of day; one would make all later announcements seem outdated. */
+const MAX_BORN_AT_MS = Date.UTC(2100, 0);
 
 /** State in the announcement of a backend server. */
 export enum AnnouncedState {
@@ -52,7 +54,7 @@
   slots: createCountSchema(MAX_SLOTS),
   connections: createCountSchema(MAX_CONNECTIONS),
   state: v.enum(AnnouncedState, 'must be "starting", "serving" or "draining"'),
-  bornAtMs: v.optional(timeSchema),
+  bornAtMs: v.optional(v.pipe(timeSchema, v.maxValue(MAX_BORN_AT_MS, 'must be before 2100'))),
   sequence: v.optional(timeSchema),
   /** Version of the server's software; roll-outs move requests between versions. */
   softwareVersion: v.optional(nameSchema),
--- a/src/process/localServers/index.ts
+++ b/src/process/localServers/index.ts
@@ -14,7 +14,7 @@
 export { default as ServerWork } from './ServerWork/index.js';
 export { ServerProbes } from './ServerProbes/index.js';
 export { GateRefusal, SlotGate } from './SlotGate/index.js';
-export { AnnouncedState } from './_lib/parseAnnouncement.js';
+export { AnnouncedState, parseAnnouncement } from './_lib/parseAnnouncement.js';
 export { default as WorkspaceShares } from './WorkspaceShares/index.js';
 export { discoverServer } from './discoverServer/index.js';
 export type { ExpectedServer } from './discoverServer/index.js';
