--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -122,12 +122,12 @@
       response.writeHead(this.#state === 'ready' ? 200 : 503, { 'instance-id': instanceId }).end();
       return;
     }
+    const attemptId = String(headers['attempt-id'] ?? '');
     const target = headers['target-instance'];
     if (target !== undefined && target !== instanceId) {
-      response.writeHead(421, { 'instance-id': instanceId }).end();
+      response.writeHead(421, { 'instance-id': instanceId, 'attempt-id': attemptId }).end();
       return;
     }
-    const attemptId = String(headers['attempt-id'] ?? '');
     const callerService = String(headers['caller-service'] ?? '');
     const { rawHeaders } = incoming;
     this.runs.push({ attemptId, path: url, callerService, rawHeaders, atMs: performance.now() });
