--- a/stand-ins/FaultyPeerClient/index.ts
+++ b/stand-ins/FaultyPeerClient/index.ts
@@ -27,10 +27,24 @@
   DropRequest = 'drop-request',
   /** The request is executed; its response does not arrive. */
   DropResponse = 'drop-response',
+  /** The request is executed; its response arrives after `DELAY_MS`, or too late for the timeout. */
+  DelayResponse = 'delay-response',
+  /** The same after `LONG_DELAY_MS`. */
+  DelayResponseLong = 'delay-response-long',
 }
 
+/** Longer than half of the shortest election timeout. */
+const DELAY_MS = 400;
+/** Longer than the timeout of a request. */
+const LONG_DELAY_MS = 800;
+
 export type FindFault = (kind: string) => LinkFault;
 
+const DELAYS_MS: Partial<Record<LinkFault, number>> = {
+  [LinkFault.DelayResponse]: DELAY_MS,
+  [LinkFault.DelayResponseLong]: LONG_DELAY_MS,
+};
+
 const waitUntilTimeout = (timeoutMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, timeoutMs);
@@ -106,8 +120,9 @@
       return err(lost);
     }
     const response = await send();
-    if (this.#findFault(kind) === LinkFault.None) return response;
-    await waitUntilTimeout(timeoutMs);
-    return err(lost);
+    const fault = this.#findFault(kind);
+    const delayMs = fault === LinkFault.None ? 0 : (DELAYS_MS[fault] ?? Infinity);
+    await waitUntilTimeout(Math.min(delayMs, timeoutMs));
+    return delayMs < timeoutMs ? response : err(lost);
   }
 }
