Keep a leader whose followers respond late

Cause: a leader stepped down after the shortest election timeout without contact to a majority, counted from the sending of the last answered request. Answers that take 300 ms each reach that, and control VMs to which many nodes attach take that long. A request that took more than 600 ms was given up and sent again with the same timeout, so that it could never succeed. The class of fault: a late answer is taken for a lost peer, and the reaction adds to the load that made it late.

Change: the quorum timeout is twice the largest election timeout (the lease stays as it is, so a leader that is cut off acknowledges nothing). The timeout of a request doubles while the peer does not respond. While a request is unanswered, heartbeats go beside it, so that the peer starts no election.

--- a/src/process/replication/_lib/Leadership/index.ts
+++ b/src/process/replication/_lib/Leadership/index.ts
@@ -18,6 +18,7 @@
 import { hasNewestBase } from '../AcceptedVersions/index.js';
 import findNextMembership from '../findNextMembership/index.js';
 import { computeQuorumValue } from '../quorum/index.js';
+import { computeQuorumTimeoutMs } from '../timings/index.js';
 import replicateToPeer from '../replicateToPeer/index.js';
 import { createBaseMismatch, findFinalResult, hasSameContent } from '../findFinalResult/index.js';
 import type { Rollout } from '../../../../_generated/foxtailvane/v1/rollouts_pb.js';
@@ -306,10 +307,10 @@
   #checkQuorum(): void {
     const contactMs = Math.max(this.#computeQuorumContactMs(), this.#startedAtMs);
     const silentMs = this.#replica.readNowMs() - contactMs;
-    if (silentMs <= this.#replica.options.timings.electionTimeoutMinMs) return;
+    if (silentMs <= computeQuorumTimeoutMs(this.#replica.options.timings)) return;
     log.warn(
       { memberId: this.#replica.memberId, term: this.term, silentMs: Math.round(silentMs) },
-      'no responses from a majority within the election timeout; stepping down',
+      'no responses from a majority within the quorum timeout; stepping down',
     );
     this.#replica.becomeFollower();
   }
--- a/src/process/replication/_lib/PeerProgress/index.ts
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -1,5 +1,7 @@
 import type PeerClient from '../../../../connection/replication/PeerClient/index.js';
 import Notifier from '../Notifier/index.js';
+import { computeQuorumTimeoutMs } from '../timings/index.js';
+import type { ReplicationTimings } from '../timings/index.js';
 
 /** Replication progress of one peer, as tracked by the leader. */
 export default class PeerProgress {
@@ -37,6 +39,9 @@
 
   isReachable = false;
 
+  /** Number of requests since the last one that the peer answered in time. */
+  unansweredCount = 0;
+
   /** Whether the peer held all entries committed at the time of the last accepted request. */
   isCaughtUp = false;
 
@@ -49,6 +54,19 @@
     this.nextIndex = nextIndex;
   }
 
+  /**
+   * Returns the timeout of the next request, which grows while the peer does not respond: one that is
+   * busy could otherwise never answer a request that takes longer than the first timeout.
+   *
+   * @param timings - the first timeout, and the election timeouts
+   */
+  computeTimeoutMs(
+    timings: Pick<ReplicationTimings, 'peerTimeoutMs' | 'electionTimeoutMaxMs'>,
+  ): number {
+    const largestMs = Math.max(timings.peerTimeoutMs, computeQuorumTimeoutMs(timings));
+    return Math.min(largestMs, timings.peerTimeoutMs * 2 ** this.unansweredCount);
+  }
+
   /** Resets the progress after the peer has answered with another disk identity. */
   reset(diskIdentity: string): void {
     this.diskIdentity = diskIdentity;
--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -327,6 +327,7 @@
 
   /** Records the time of the response to a numbered request of the leader. */
   recordAnsweredRequest(sequence: number): void {
+    if (sequence === 0) return;
     const answer = { term: this.term, sequence, atMs: this.readNowMs() };
     this.answeredRequests = [...this.answeredRequests, answer].slice(-MAX_ANSWERED_REQUESTS);
   }
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -14,6 +14,10 @@
 
 const MAX_BATCH_BYTES = 1024 * 1024;
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
+/** Requests without a response in time after which a peer gets no heartbeats beside the next one. */
+const MAX_UNANSWERED = 2;
+/** Sequence of heartbeats beside a request, which renew no confirmation at the peer. */
+const UNNUMBERED = 0;
 
 /** Fields common to all responses of a peer. */
 interface PeerResponse {
@@ -26,7 +30,10 @@
     const message = isReachable ? 'control peer is reachable' : 'control peer is unreachable';
     log.info({ peerId: peer.memberId, address: peer.address, reason }, message);
   }
-  Object.assign(peer, { isReachable });
+  Object.assign(peer, {
+    isReachable,
+    unansweredCount: isReachable ? 0 : peer.unansweredCount + 1,
+  });
 };
 
 /**
@@ -89,7 +96,7 @@
         totalBytes,
         chunk,
       }),
-      replica.options.timings.peerTimeoutMs,
+      peer.computeTimeoutMs(replica.options.timings),
     );
     if (response.isErr()) {
       setReachable(peer, false, response.error.message);
@@ -107,6 +114,47 @@
   return isAccepted;
 };
 
+const sendHeartbeat = async (
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+): Promise<void> => {
+  if (!leadership.isActive || peer.unansweredCount > MAX_UNANSWERED) return;
+  const previousIndex = peer.matchIndex;
+  const request = create(AppendRequestSchema, {
+    header: replica.createHeader(peer.diskIdentity),
+    previousIndex,
+    previousTerm: replica.log.termAt(previousIndex) ?? 0,
+    commitIndex: Math.min(replica.commitIndex, previousIndex),
+    sequence: UNNUMBERED,
+  });
+  const sentAtMs = replica.readNowMs();
+  const response = await peer.client.append(request, replica.options.timings.peerTimeoutMs);
+  // The request beside it reports a failure.
+  if (response.isErr()) return;
+  if (await checkResponse(leadership, replica, peer, response.value))
+    recordContact(leadership, peer, sentAtMs);
+};
+
+/**
+ * Sends heartbeats until the response to a request arrives, so that a peer that takes long for it does
+ * not start an election meanwhile.
+ */
+const keepInTouch = async <Value>(
+  leadership: Leadership,
+  replica: Replica,
+  peer: PeerProgress,
+  response: Promise<Value>,
+): Promise<Value> => {
+  const { heartbeatMs } = replica.options.timings;
+  const timer = setInterval(() => sendHeartbeat(leadership, replica, peer), heartbeatMs);
+  try {
+    return await response;
+  } finally {
+    clearInterval(timer);
+  }
+};
+
 const sendAppend = async (
   leadership: Leadership,
   replica: Replica,
@@ -134,7 +182,13 @@
     leaseRemainingMs: Math.max(0, Math.floor(remainingMs)),
   });
   Object.assign(peer, { sequence });
-  const response = await peer.client.append(request, replica.options.timings.peerTimeoutMs);
+  const timeoutMs = peer.computeTimeoutMs(replica.options.timings);
+  const response = await keepInTouch(
+    leadership,
+    replica,
+    peer,
+    peer.client.append(request, timeoutMs),
+  );
   if (response.isErr()) {
     setReachable(peer, false, response.error.message);
     return false;
--- a/src/process/replication/_lib/timings/index.ts
+++ b/src/process/replication/_lib/timings/index.ts
@@ -5,7 +5,7 @@
   electionTimeoutMaxMs: number;
   /** Margin by which the lease is shorter than the shortest election timeout. */
   clockMarginMs: number;
-  /** Timeout of a request to a peer. */
+  /** Timeout of a request to a peer; doubled up to the quorum timeout while the peer does not respond. */
   peerTimeoutMs: number;
   /** Timeout of `propose`. */
   proposalTimeoutMs: number;
@@ -25,6 +25,20 @@
   replaceAfterMs: 2_000,
 };
 
+/** Largest election timeouts without contact to a majority after which a leader steps down. */
+const QUORUM_ELECTION_TIMEOUTS = 2;
+
+/**
+ * Returns the time without contact to a majority after which a leader steps down.
+ *
+ * It is longer than the lease: a leader whose followers respond late is better than another election
+ * among them, and one that is cut off acknowledges nothing without its lease.
+ */
+export const computeQuorumTimeoutMs = ({
+  electionTimeoutMaxMs,
+}: Pick<ReplicationTimings, 'electionTimeoutMaxMs'>): number =>
+  QUORUM_ELECTION_TIMEOUTS * electionTimeoutMaxMs;
+
 export interface ReplicationLimits {
   /** Number of configurations kept; a node that missed more versions gets a full snapshot. */
   maxConfigurations: number;
