Detach a silent node although a message to it cannot be written

A control VM closed the session of a silent node, but kept it until the write of its last message ended, which it never does on a connection that nobody reads any more. The session is now removed when it is closed. silentNode.test.ts failed before.

--- a/src/connection/distribution/DistributionHub/index.ts
+++ b/src/connection/distribution/DistributionHub/index.ts
@@ -245,7 +245,7 @@
     this.#sessions.forEach((session) => {
       if (session.isSilent(this.#silenceMs, nowMs)) {
         log.warn({ nodeId: session.nodeId }, 'closing the stream of a silent node');
-        session.close();
+        this.#closeSession(session);
       } else {
         session.requestHeartbeat();
       }
@@ -269,7 +269,8 @@
       first.done === true ? undefined : first.value,
       context,
     );
-    context.signal.addEventListener('abort', () => session.close());
+    // The write task may wait for the connection and end much later, or never.
+    context.signal.addEventListener('abort', () => this.#closeSession(session));
     const reading = this.#read({ [Symbol.asyncIterator]: () => iterator }, session);
     try {
       yield* this.#write(session, record);
