Run timeouts of what arrives over connections after a poll

After a long turn of the event loop, timers run before connections are read. An entry node took acknowledgements that it had not read yet for missing ones and sent requests again; a deadline cut a response that had arrived; a node closed its stream to a control VM, and a control VM that to another one, as silent; a voter started an election with a request of the leader unread. These now check once more after the connections were polled.

--- a/src/connection/distribution/ControlExchange/index.ts
+++ b/src/connection/distribution/ControlExchange/index.ts
@@ -8,6 +8,7 @@
   FollowResponseSchema,
   RecordStampSchema,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
+import PolledTimeout from '../../../process/PolledTimeout/index.js';
 import { createLogger } from '../../../process/log/index.js';
 import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
 import { openTransport } from '../../openTransport/index.js';
@@ -255,7 +256,7 @@
     const end = (): void => ended.abort();
     followed.stopping.signal.addEventListener('abort', end);
     const silenceMs = this.#options.silenceMs ?? timing.STREAM_SILENCE_MS;
-    const watchdog = setTimeout(end, silenceMs);
+    const watchdog = new PolledTimeout(end, silenceMs);
     const { signal } = ended;
     try {
       for await (const update of client.follow({ memberId: this.#memberId }, { signal })) {
@@ -266,7 +267,7 @@
       const { code, message } = LinkError.from(cause);
       log.debug({ memberId: followed.peer.memberId, code }, message);
     }
-    clearTimeout(watchdog);
+    watchdog.cancel();
     followed.stopping.signal.removeEventListener('abort', end);
     close();
     return this.#markUnreachable(followed);
--- a/src/connection/distribution/_lib/ControlStream.ts
+++ b/src/connection/distribution/_lib/ControlStream.ts
@@ -12,6 +12,7 @@
   RefusalCode,
 } from '../../../_generated/foxtailvane/v1/distribution_pb.js';
 import { InstallErrorCode } from '../../../process/holder/InstallError/index.js';
+import PolledTimeout from '../../../process/PolledTimeout/index.js';
 import { createLogger } from '../../../process/log/index.js';
 import { compareStamps } from '../../../process/endpoints/_lib/compareStamps.js';
 import { ProcessRole } from '../../../process/tls/readIdentity/index.js';
@@ -166,7 +167,10 @@
    */
   async run(): Promise<Result<StreamEnd, LinkError>> {
     const { timing, patience, tls } = this.#context;
-    let watchdog = setTimeout(() => this.#handleTimeout(), timing.attachTimeoutMs * patience);
+    let watchdog = new PolledTimeout(
+      () => this.#handleTimeout(),
+      timing.attachTimeoutMs * patience,
+    );
     const { transport, close } = openTransport(this.target.address, {
       ...(tls && { tls, peerRole: ProcessRole.Control }),
       // A snapshot may take longer than the limit on a slow link; its parts show progress.
@@ -180,15 +184,15 @@
     try {
       const options = { signal: this.#abort.signal };
       for await (const message of client.attach(this.#queue.iterate(), options)) {
-        clearTimeout(watchdog);
-        watchdog = setTimeout(() => this.#handleTimeout(), timing.silenceMs);
+        watchdog.cancel();
+        watchdog = new PolledTimeout(() => this.#handleTimeout(), timing.silenceMs);
         this.#handleMessage(message, this.#context.now());
       }
       return ok(this.#retryAfterMs === undefined ? {} : { retryAfterMs: this.#retryAfterMs });
     } catch (cause) {
       return err(this.#toLinkError(cause));
     } finally {
-      clearTimeout(watchdog);
+      watchdog.cancel();
       clearInterval(renewals);
       clearTimeout(this.#recordTimer);
       clearInterval(this.#reportTimer);
--- a/src/process/replication/ReplicatedLog/index.ts
+++ b/src/process/replication/ReplicatedLog/index.ts
@@ -1,4 +1,6 @@
 /** The replicated log of one control VM: storage, elections, replication and proposals. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { err, ok } from 'neverthrow';
@@ -432,7 +434,9 @@
         }
         await replica.changed.wait(heartbeatMs);
       } else if (replica.isVoter && waitMs <= 0) {
-        await this.#runElection(findClient);
+        // After a long turn of the event loop, a request of the leader may have arrived unread.
+        await nextTurn();
+        if (replica.electionDeadlineMs <= replica.readNowMs()) await this.#runElection(findClient);
       } else {
         await replica.changed.wait(waitMs > 0 ? waitMs : heartbeatMs);
       }
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,6 +8,7 @@
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
+import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { fingerprintRequest } from '../fingerprintRequest/index.js';
 
 import type { CallSummary, UpstreamCallOptions } from '../../connection/UpstreamCall/index.js';
@@ -63,7 +64,7 @@
 
   #call: UpstreamCall | undefined;
 
-  #timer: NodeJS.Timeout | undefined;
+  #deadlineTimeout: PolledTimeout | undefined;
 
   #abortListeners: (() => void)[] = [];
 
@@ -148,7 +149,7 @@
   startDeadline(timeoutMs: number): void {
     this.#deadlineAtMs = performance.now() + timeoutMs;
     this.#isPastDeadline = timeoutMs <= 0;
-    this.#timer = setTimeout(() => {
+    this.#deadlineTimeout = new PolledTimeout(() => {
       this.#isPastDeadline = true;
       this.#abort('deadline passed');
     }, timeoutMs);
@@ -294,7 +295,7 @@
   }
 
   #handleClose(): void {
-    clearTimeout(this.#timer);
+    this.#deadlineTimeout?.cancel();
     if (this.response.writableFinished) return;
     this.#isCallerGone = true;
     this.#abort('caller disconnected');
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -19,6 +19,7 @@
 import MAX_NODE_CONNECTIONS from './maxNodeConnections.js';
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
+import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { createLogger } from '../../process/log/index.js';
 import { parseAnswerReport } from '../shareReports/index.js';
 import { recordReport } from '../observeServers/index.js';
@@ -205,7 +206,7 @@
     const sentAtMs = performance.now();
     const pool = this.#dependencies.nodePools.get(forwardAddress, MAX_NODE_CONNECTIONS);
     const { peers } = this.#dependencies;
-    const acknowledgementTimer = setTimeout(
+    const acknowledgementTimeout = new PolledTimeout(
       () => this.#handleMissingAcknowledgement(attempt),
       ACKNOWLEDGEMENT_TIMEOUT_MS,
     );
@@ -213,7 +214,7 @@
     Object.assign(attempt, { hop });
     const markAlive = (): void => {
       hop.isAcknowledged = true;
-      clearTimeout(acknowledgementTimer);
+      acknowledgementTimeout.cancel();
       peers.recordResponse(nodeId);
     };
     const result = await exchange.call(
@@ -232,7 +233,7 @@
         },
       },
     );
-    clearTimeout(acknowledgementTimer);
+    acknowledgementTimeout.cancel();
     const isUnreachable = result.isErr() && result.error.code === CallErrorCode.NotWritten;
     if (isUnreachable && !exchange.isAborted) peers.recordFailure(nodeId, this.#context.getNowMs());
     return result;
