--- a/soak/runSoak/index.ts
+++ b/soak/runSoak/index.ts
@@ -5,7 +5,7 @@
 import { createSeededRandom } from '../../stand-ins/createSeededRandom/index.js';
 import { TestCluster } from '../../stand-ins/cluster/index.js';
 import { countOutcomes, verifyOutcomes } from '../../stand-ins/verifyOutcomes/index.js';
-import { sendDuring, startDeskServers, waitUntilAnswered } from '../../test/_lib/proof.js';
+import { sendDuring, startDeskServers, waitUntilAnswered } from '../../test/_lib/deskLoad.js';
 import { watchVersions } from '../../test/_lib/watchVersions.js';
 import FaultInjector from '../_lib/FaultInjector.js';
 import { drawFaults } from '../drawFaults/index.js';
