--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -144,7 +144,7 @@
   /**
    * Starts the timer that aborts the exchange.
    *
-   * @param timeoutMs - time left for the whole exchange
+   * @param timeoutMs - time left for the whole exchange; 0 or less if it is over already
    */
   startDeadline(timeoutMs: number): void {
     this.#deadlineAtMs = performance.now() + timeoutMs;
