--- a/src/process/replication/_lib/PeerProgress/index.ts
+++ b/src/process/replication/_lib/PeerProgress/index.ts
@@ -55,20 +55,16 @@
   }
 
   /**
-   * Returns the timeout of the next request. It grows for a peer that responded lately, which could
-   * otherwise never answer a request that takes longer than the first timeout. One that has not responded
-   * within the quorum timeout is probably down, and is to be found soon after its return.
+   * Returns the timeout of the next request, which grows while the peer does not respond: one that is
+   * busy could otherwise never answer a request that takes longer than the first timeout.
    *
    * @param timings - the first timeout, and the election timeouts
-   * @param nowMs - present time on the clock of `contactMs`
    */
   computeTimeoutMs(
     timings: Pick<ReplicationTimings, 'peerTimeoutMs' | 'electionTimeoutMaxMs'>,
-    nowMs: number,
   ): number {
-    const { peerTimeoutMs } = timings;
-    const leftMs = computeQuorumTimeoutMs(timings) - (nowMs - this.contactMs);
-    return Math.max(peerTimeoutMs, Math.min(leftMs, peerTimeoutMs * 2 ** this.unansweredCount));
+    const largestMs = Math.max(timings.peerTimeoutMs, computeQuorumTimeoutMs(timings));
+    return Math.min(largestMs, timings.peerTimeoutMs * 2 ** this.unansweredCount);
   }
 
   /** Resets the progress after the peer has answered with another disk identity. */
--- a/src/process/replication/_lib/replicateToPeer/index.ts
+++ b/src/process/replication/_lib/replicateToPeer/index.ts
@@ -96,7 +96,7 @@
         totalBytes,
         chunk,
       }),
-      peer.computeTimeoutMs(replica.options.timings, sentAtMs),
+      peer.computeTimeoutMs(replica.options.timings),
     );
     if (response.isErr()) {
       setReachable(peer, false, response.error.message);
@@ -182,7 +182,7 @@
     leaseRemainingMs: Math.max(0, Math.floor(remainingMs)),
   });
   Object.assign(peer, { sequence });
-  const timeoutMs = peer.computeTimeoutMs(replica.options.timings, sentAtMs);
+  const timeoutMs = peer.computeTimeoutMs(replica.options.timings);
   const response = await keepInTouch(
     leadership,
     replica,
--- a/src/process/replication/_lib/timings/index.ts
+++ b/src/process/replication/_lib/timings/index.ts
@@ -5,7 +5,7 @@
   electionTimeoutMaxMs: number;
   /** Margin by which the lease is shorter than the shortest election timeout. */
   clockMarginMs: number;
-  /** Timeout of a request to a peer; doubled while a peer that responded lately does not respond. */
+  /** Timeout of a request to a peer; doubled up to the quorum timeout while the peer does not respond. */
   peerTimeoutMs: number;
   /** Timeout of `propose`. */
   proposalTimeoutMs: number;
