--- a/src/process/trafficReports/TrafficReportTable/test.ts
+++ b/src/process/trafficReports/TrafficReportTable/test.ts
@@ -79,3 +79,16 @@
   t.equal(table.list().length, 0);
   t.end();
 });
+
+// Guards against copies of all counts of all nodes in each computation of shares.
+tap.test('counts are listed anew only after a report', (t) => {
+  const table = new TrafficReportTable();
+  table.merge(buildReport(1, { reed: 1 }), ORIGIN, NOW_MS);
+  const [first] = table.list();
+  table.renew('node-1', NOW_MS + 250);
+  t.equal(table.list()[0]?.usage, first?.usage, 'the same list without a report');
+  t.equal(table.list()[0]?.seenAtMs, NOW_MS + 250);
+  table.merge(buildReport(2, { sedge: 1 }), ORIGIN, NOW_MS + 500);
+  t.strictSame(readOffered(table.list()[0] as never), { reed: 1, sedge: 1 });
+  t.end();
+});
