Read only changed counts when shares of quotas are computed

Control VMs had used up their processor share in calm intervals too: five times per second each of them copied the counts of all workspaces at all nodes, decoded each to a number and passed over all of them in five loops with a lookup by node id per entry.

Counts that have not changed are the same objects as before and are skipped, what is known of a node is kept in one object that its entries refer to, and the sums of the computation serve the list for operators.

--- a/src/process/quotas/ShareComputer/index.ts
+++ b/src/process/quotas/ShareComputer/index.ts
@@ -2,6 +2,7 @@
 import DemandTable from '../_lib/DemandTable.js';
 import QuotaPool from '../_lib/QuotaPool.js';
 
+import type NodeContact from '../_lib/NodeContact.js';
 import type { NodeShare, NodeUsage, Quota, QuotaBounds } from '../types.js';
 
 const MS_PER_SECOND = 1_000;
@@ -54,9 +55,9 @@
 
 /** Nodes that may use their shares unseen. */
 interface Silence {
-  nodeIds: ReadonlySet<string>;
+  contacts: readonly NodeContact[];
   /** Those that were in touch at the last computation. */
-  newNodeIds: ReadonlySet<string>;
+  newContacts: ReadonlySet<NodeContact>;
 }
 
 interface WorkspaceState {
@@ -69,6 +70,8 @@
   grantedRate: number;
   available: number;
   prior: number;
+  /** Decaying count of offered requests over all nodes. */
+  totalDemand: number;
   /** Sum of demand and priors of all nodes. */
   totalWeight: number;
   /** The same of the nodes attached here. */
@@ -113,9 +116,9 @@
 
   readonly #sent = new Map<string, Map<string, NodeShare>>();
 
-  #ownNodeIds = new Set<string>();
+  readonly #contacts = new Map<string, NodeContact>();
 
-  #silentNodeIds = new Set<string>();
+  #ownNodeCount = 0;
 
   #startedAtMs: number | undefined;
 
@@ -136,49 +139,27 @@
     const elapsedMs = this.#updatedAtMs === 0 ? 0 : Math.max(0, nowMs - this.#updatedAtMs);
     const isBaseKnown = nowMs - this.#startedAtMs >= LEARNING_MS;
     this.#updatedAtMs = nowMs;
-    const { memberId, keyLifetimeMs } = this.#options;
-    // A node that is out of touch for longer accepts no keys, so its part is free.
-    const nodes = input.nodes.filter(
-      ({ seenAtMs }) => nowMs - seenAtMs < keyLifetimeMs + OUT_OF_TOUCH_MS,
-    );
-    const silentNodeIds = new Set(
-      nodes
-        .filter(
-          ({ seenAtMs, memberId: owner }) =>
-            nowMs - seenAtMs >= OUT_OF_TOUCH_MS || input.silentMemberIds.has(owner),
-        )
-        .map(({ nodeId }) => nodeId),
-    );
-    const knownNodeIds = new Set(input.nodes.map(({ nodeId }) => nodeId));
-    const activeNodeIds = new Set(nodes.map(({ nodeId }) => nodeId));
-    this.#ownNodeIds = new Set(
-      nodes.filter(({ memberId: owner }) => owner === memberId).map(({ nodeId }) => nodeId),
-    );
+    const silence = this.#updateContacts(input, nowMs);
     this.#adoptQuotas(input.quotas, isBaseKnown);
     this.#workspaces.forEach(({ demand, pool }) => {
-      demand.retain((nodeId) => knownNodeIds.has(nodeId));
-      demand.fade(elapsedMs, (nodeId) => !silentNodeIds.has(nodeId));
-      if (activeNodeIds.size < knownNodeIds.size) {
-        demand.clear((nodeId) => !activeNodeIds.has(nodeId));
-      }
+      demand.fade(elapsedMs);
       pool.refill(elapsedMs);
     });
-    nodes.forEach((node) => this.#count(node, isBaseKnown, !silentNodeIds.has(node.nodeId)));
-    const newNodeIds = new Set(
-      [...silentNodeIds].filter((nodeId) => !this.#silentNodeIds.has(nodeId)),
-    );
-    this.#silentNodeIds = silentNodeIds;
+    input.nodes.forEach((node) => this.#count(node, isBaseKnown));
     // The requests of a pause of this process were counted all at once, against one burst.
-    if (elapsedMs > PAUSE_MS) this.#workspaces.forEach(({ pool }) => pool.forgive());
-    const silence = { nodeIds: silentNodeIds, newNodeIds };
-    const nodeCount = Math.max(activeNodeIds.size, input.minNodeCount ?? 1);
+    const isAfterPause = elapsedMs > PAUSE_MS;
+    const activeCount = [...this.#contacts.values()].filter(({ isActive }) => isActive).length;
+    const nodeCount = Math.max(activeCount, input.minNodeCount ?? 1);
     const mayRise = input.isConfirmed && input.silentMemberIds.size === 0;
     this.#workspaces.forEach((state) => {
+      const { pool, demand } = state;
+      pool.spend(-demand.takeAssumed());
+      if (isAfterPause) pool.forgive();
       this.#assumeSpending(state, silence, elapsedMs);
       this.#divide(state, nodeCount, mayRise);
     });
     this.#sent.forEach((_shares, nodeId) => {
-      if (!this.#ownNodeIds.has(nodeId)) this.#sent.delete(nodeId);
+      if (!this.#contacts.get(nodeId)?.isOwn) this.#sent.delete(nodeId);
     });
   }
 
@@ -210,17 +191,43 @@
 
   /** Returns the use of each quota, for operators. */
   list(): WorkspaceStatus[] {
-    const none = (): boolean => false;
-    return [...this.#workspaces].map(([workspace, { pool, demand, available, isTight }]) => ({
+    return [...this.#workspaces].map(([workspace, state]) => ({
       workspace,
-      ratePerSecond: pool.quota.ratePerSecond,
-      offeredPerSecond: DemandTable.toRate(demand.sum(1, none).demand),
-      admittedPerSecond: demand.admittedPerSecond,
-      left: Math.max(0, available),
-      isTight,
+      ratePerSecond: state.pool.quota.ratePerSecond,
+      offeredPerSecond: DemandTable.toRate(state.totalDemand),
+      admittedPerSecond: state.demand.admittedPerSecond,
+      left: Math.max(0, state.available),
+      isTight: state.isTight,
     }));
   }
 
+  /** Notes which nodes are in touch, and returns those that may use their shares unseen. */
+  #updateContacts({ nodes, silentMemberIds }: ShareInput, nowMs: number): Silence {
+    const { memberId, keyLifetimeMs } = this.#options;
+    this.#contacts.forEach((contact) => Object.assign(contact, { isKnown: false, isOwn: false }));
+    const newContacts = new Set<NodeContact>();
+    nodes.forEach(({ nodeId, incarnation, memberId: owner, seenAtMs }) => {
+      const silentMs = nowMs - seenAtMs;
+      // A node that is out of touch for longer accepts no keys, so its part is free.
+      const isActive = silentMs < keyLifetimeMs + OUT_OF_TOUCH_MS;
+      const isOutOfTouch = silentMs >= OUT_OF_TOUCH_MS || silentMemberIds.has(owner);
+      const isSilent = isActive && isOutOfTouch;
+      const isOwn = isActive && owner === memberId;
+      const contact = this.#contacts.get(nodeId) ?? { nodeId, isSilent: false };
+      const state = { nodeId, incarnation, isKnown: true, isActive, isSilent, isOwn };
+      const wasSilent = contact.isSilent;
+      const updated = Object.assign(contact, state);
+      if (isSilent && !wasSilent) newContacts.add(updated);
+      this.#contacts.set(nodeId, updated);
+    });
+    const known = [...this.#contacts.values()].filter(({ isKnown }) => isKnown);
+    this.#contacts.forEach(({ isKnown }, nodeId) => {
+      if (!isKnown) this.#contacts.delete(nodeId);
+    });
+    this.#ownNodeCount = known.filter(({ isOwn }) => isOwn).length;
+    return { contacts: known.filter(({ isSilent }) => isSilent), newContacts };
+  }
+
   #adoptQuotas(quotas: readonly Quota[], isFull: boolean): void {
     const limited = new Map(
       quotas.filter(({ ratePerSecond }) => ratePerSecond > 0).map((quota) => [quota.name, quota]),
@@ -246,6 +253,7 @@
       grantedRate: quota.ratePerSecond,
       available: pool.level,
       prior: 0,
+      totalDemand: 0,
       totalWeight: 0,
       ownWeight: 0,
       singleProbability: 1,
@@ -254,14 +262,13 @@
     };
   }
 
-  #count(node: NodeUsage, isBaseKnown: boolean, isInTouch: boolean): void {
-    const { nodeId, incarnation, usage } = node;
+  #count({ nodeId, usage }: NodeUsage, isBaseKnown: boolean): void {
+    const contact = this.#contacts.get(nodeId);
+    if (!contact?.isActive) return;
     usage.forEach((count) => {
       const state = this.#workspaces.get(count.workspace);
-      state?.pool.spend(state.demand.add({ nodeId, incarnation, isBaseKnown }, count));
+      state?.pool.spend(state.demand.add(contact, count, isBaseKnown));
     });
-    if (!isInTouch) return;
-    this.#workspaces.forEach(({ pool, demand }) => pool.spend(-demand.takeAssumed(nodeId)));
   }
 
   /**
@@ -271,27 +278,29 @@
   #assumeSpending(state: WorkspaceState, silence: Silence, elapsedMs: number): void {
     const { demand, pool } = state;
     const weight = state.totalWeight;
-    if (silence.nodeIds.size === 0 || weight === 0) return;
+    if (silence.contacts.length === 0 || weight === 0) return;
     const earned = (pool.quota.ratePerSecond * elapsedMs) / MS_PER_SECOND;
     const level = Math.max(0, pool.level);
-    silence.nodeIds.forEach((nodeId) => {
-      const isNew = silence.newNodeIds.has(nodeId);
-      if (isNew) demand.freeze(nodeId, (demand.getDemand(nodeId) + state.prior) / weight);
-      pool.spend(demand.assume(nodeId, earned + (isNew ? level : 0)));
+    silence.contacts.forEach((contact) => {
+      const isNew = silence.newContacts.has(contact);
+      const nodeWeight = demand.getDemand(contact.nodeId) + state.prior;
+      if (isNew) demand.freeze(contact, nodeWeight / weight);
+      pool.spend(demand.assume(contact, earned + (isNew ? level : 0)));
     });
   }
 
   #divide(state: WorkspaceState, nodeCount: number, mayRise: boolean): void {
     const target = state;
     const { pool, demand } = state;
-    const totals = demand.sum(nodeCount, (nodeId) => this.#ownNodeIds.has(nodeId));
-    const ownWeight = totals.ownDemand + totals.prior * this.#ownNodeIds.size;
+    const totals = demand.sum(nodeCount);
+    const ownWeight = totals.ownDemand + totals.prior * this.#ownNodeCount;
     const weight = totals.demand + totals.prior * nodeCount;
     const present = weight > 0 ? ownWeight / weight : 0;
     const former = state.formerFraction ?? present;
     const allowed = mayRise ? Math.min(present, former) : Math.min(present, state.fraction ?? 0);
     target.formerFraction = mayRise ? present : allowed;
     target.fraction = allowed;
+    target.totalDemand = totals.demand;
     target.totalWeight = weight;
     target.ownWeight = ownWeight;
     target.prior = totals.prior;
--- a/src/process/quotas/_lib/DemandTable.ts
+++ b/src/process/quotas/_lib/DemandTable.ts
@@ -1,5 +1,6 @@
 /** Recent demand and spending of one workspace, by node. */
 import type { UsageCount } from '../types.js';
+import type NodeContact from './NodeContact.js';
 
 const MS_PER_SECOND = 1_000;
 /** Time constant over which demand is forgotten. */
@@ -15,6 +16,9 @@
 const PRIOR_SHARE = 0.25;
 
 interface NodeDemand {
+  contact: NodeContact;
+  /** The counts as they were last added. */
+  count: UsageCount | undefined;
   incarnation: bigint;
   offered: number;
   admitted: number;
@@ -82,60 +86,52 @@
   }
 
   /**
-   * Lets the demand of nodes that are in touch fade. That of the others stays, since the nodes go on
-   * with the shares that they had.
+   * Lets the demand of nodes that are in touch fade, and forgets nodes that are gone. The demand of
+   * silent nodes stays, since they go on with the shares that they had. Nodes that may admit nothing
+   * any more have none; their counts remain.
    */
-  fade(elapsedMs: number, isInTouch: (nodeId: string) => boolean): void {
+  fade(elapsedMs: number): void {
     const factor = Math.exp(-elapsedMs / DEMAND_DECAY_MS);
     this.#demandPart = computeFreshPart(elapsedMs, DEMAND_DECAY_MS);
     this.#admissionPart = computeFreshPart(elapsedMs, ADMISSION_DECAY_MS);
     this.#admitted *= Math.exp(-elapsedMs / ADMISSION_DECAY_MS);
     this.#nodes.forEach((entry, nodeId) => {
       const kept = entry;
-      if (isInTouch(nodeId)) kept.demand *= factor;
+      const { isKnown, isActive, isSilent } = entry.contact;
+      if (!isKnown) this.#nodes.delete(nodeId);
+      else if (!isActive) kept.demand = 0;
+      else if (!isSilent) kept.demand *= factor;
     });
   }
 
   /**
    * Adds what a node has counted since its former report.
    *
-   * @param origin - node, the start of its process, and whether a node that is new here began to
-   *   count since this control VM watches
-   * @param count - counts of the node since its start
+   * @param contact - the node
+   * @param count - counts of the node since its start; the same object as before if they are the same
+   * @param isBaseKnown - whether a node that is new here began to count since this control VM watches
    * @returns requests admitted since the former report
    */
-  add(
-    origin: { nodeId: string; incarnation: bigint; isBaseKnown: boolean },
-    count: UsageCount,
-  ): number {
-    const { nodeId, incarnation, isBaseKnown } = origin;
+  add(contact: NodeContact, count: UsageCount, isBaseKnown: boolean): number {
+    const known = this.#nodes.get(contact.nodeId);
+    const { incarnation } = contact;
+    if (known?.count === count && known.incarnation === incarnation) return 0;
     const offered = Number(count.offered);
     const admitted = Number(count.admitted);
-    const entry = this.#getNode(nodeId, {
-      incarnation,
-      offered: isBaseKnown ? 0 : offered,
-      admitted: isBaseKnown ? 0 : admitted,
-    });
+    const base = isBaseKnown ? { offered: 0, admitted: 0 } : { offered, admitted };
+    const entry = known ?? this.#createNode(contact, { incarnation, ...base });
     const isSameProcess = entry.incarnation === incarnation;
     const spent = Math.max(0, admitted - (isSameProcess ? entry.admitted : 0));
     const arrived = Math.max(0, offered - (isSameProcess ? entry.offered : 0));
     entry.demand += arrived * this.#demandPart;
     this.#admitted += spent * this.#admissionPart;
-    Object.assign(entry, { incarnation, offered, admitted });
+    Object.assign(entry, { incarnation, offered, admitted, count });
     return spent;
   }
 
-  /** Forgets the demand of nodes that may admit nothing any more. Their counts remain. */
-  clear(isInactive: (nodeId: string) => boolean): void {
-    this.#nodes.forEach((entry, nodeId) => {
-      const cleared = entry;
-      if (isInactive(nodeId)) cleared.demand = 0;
-    });
-  }
-
   /** Notes the part of the quota that a node has as it goes out of touch. */
-  freeze(nodeId: string, part: number): void {
-    this.#getNode(nodeId, { incarnation: 0n, offered: 0, admitted: 0 }).frozenPart = part;
+  freeze(contact: NodeContact, part: number): void {
+    this.#getNode(contact).frozenPart = part;
   }
 
   /**
@@ -143,55 +139,57 @@
    *
    * @returns the number of requests assumed
    */
-  assume(nodeId: string, requests: number): number {
-    const entry = this.#getNode(nodeId, { incarnation: 0n, offered: 0, admitted: 0 });
+  assume(contact: NodeContact, requests: number): number {
+    const entry = this.#getNode(contact);
     const assumed = requests * entry.frozenPart;
     entry.assumed += assumed;
     this.#hasAssumed ||= assumed > 0;
     return assumed;
   }
 
-  /** Returns the requests assumed of a node that is in touch again, whose counts are known now. */
-  takeAssumed(nodeId: string): number {
+  /** Returns the requests assumed of nodes that are in touch again, whose counts are known now. */
+  takeAssumed(): number {
     if (!this.#hasAssumed) return 0;
-    const entry = this.#nodes.get(nodeId);
-    const assumed = entry?.assumed ?? 0;
-    if (entry) entry.assumed = 0;
-    return assumed;
-  }
-
-  /** Forgets nodes that are gone. */
-  retain(isKnown: (nodeId: string) => boolean): void {
-    this.#nodes.forEach((_entry, nodeId) => {
-      if (!isKnown(nodeId)) this.#nodes.delete(nodeId);
+    let taken = 0;
+    this.#hasAssumed = false;
+    this.#nodes.forEach((entry) => {
+      const { contact, assumed } = entry;
+      if (contact.isActive && !contact.isSilent) {
+        taken += assumed;
+        Object.assign(entry, { assumed: 0 });
+      } else if (assumed > 0) this.#hasAssumed = true;
     });
+    return taken;
   }
 
   /**
    * Sums the demand.
    *
    * @param nodeCount - nodes that may admit requests
-   * @param isOwn - whether a node is attached to this control VM
    */
-  sum(nodeCount: number, isOwn: (nodeId: string) => boolean): DemandTotals {
-    const totals = { demand: 0, ownDemand: 0 };
-    this.#nodes.forEach(({ demand }, nodeId) => {
-      totals.demand += demand;
-      if (isOwn(nodeId)) totals.ownDemand += demand;
+  sum(nodeCount: number): DemandTotals {
+    let demand = 0;
+    let ownDemand = 0;
+    this.#nodes.forEach((entry) => {
+      demand += entry.demand;
+      if (entry.contact.isOwn) ownDemand += entry.demand;
     });
-    const mean = totals.demand / Math.max(1, nodeCount);
-    const prior = totals.demand === 0 ? 1 : Math.min(PRIOR_REQUESTS, mean * PRIOR_SHARE);
-    return { ...totals, prior };
+    const mean = demand / Math.max(1, nodeCount);
+    const prior = demand === 0 ? 1 : Math.min(PRIOR_REQUESTS, mean * PRIOR_SHARE);
+    return { demand, ownDemand, prior };
+  }
+
+  #getNode(contact: NodeContact): NodeDemand {
+    const known = this.#nodes.get(contact.nodeId);
+    return known ?? this.#createNode(contact, { incarnation: 0n, offered: 0, admitted: 0 });
   }
 
-  #getNode(
-    nodeId: string,
+  #createNode(
+    contact: NodeContact,
     counts: Pick<NodeDemand, 'incarnation' | 'offered' | 'admitted'>,
   ): NodeDemand {
-    const known = this.#nodes.get(nodeId);
-    if (known) return known;
-    const entry = { ...counts, demand: 0, assumed: 0, frozenPart: 0 };
-    this.#nodes.set(nodeId, entry);
+    const entry = { contact, count: undefined, ...counts, demand: 0, assumed: 0, frozenPart: 0 };
+    this.#nodes.set(contact.nodeId, entry);
     return entry;
   }
 }
--- a/src/process/quotas/types.ts
+++ b/src/process/quotas/types.ts
@@ -29,6 +29,7 @@
   /** Control VM that the node is attached to. */
   memberId: string;
   incarnation: bigint;
+  /** An entry that has not changed is the same object as before. */
   usage: readonly UsageCount[];
   /** Time until which the node was known to be attached, in milliseconds. */
   seenAtMs: number;
--- a/src/process/trafficReports/TrafficReportTable/index.ts
+++ b/src/process/trafficReports/TrafficReportTable/index.ts
@@ -38,6 +38,8 @@
   seenAtMs: number;
   evidence: Map<string, Counted<VersionEvidence>>;
   usage: Map<string, Counted<WorkspaceUsage>>;
+  /** What `list` returns of the counts, until the next report. */
+  listed: Pick<NodeTraffic, 'evidence' | 'usage'> | undefined;
 }
 
 const listEntries = <Entry>(entries: Map<string, Counted<Entry>>): Entry[] =>
@@ -75,21 +77,27 @@
     report.usage.forEach((entry) => usage.set(usageKey(entry), { entry, sequence }));
     const { memberId } = origin;
     const times = { receivedAtMs: nowMs, seenAtMs: nowMs };
-    const counts = { evidence, usage };
+    const counts = { evidence, usage, listed: undefined };
     const stored = { memberId, incarnation, sequence, rolloutRevision, ...times, ...counts };
     this.#nodes.set(nodeId, stored);
     this.#listeners.forEach((listener) => listener(nodeId));
     return true;
   }
 
-  /** Returns the counts of all nodes. */
+  /** Returns the counts of all nodes. Those that have not changed are the same objects as before. */
   list(): readonly NodeTraffic[] {
-    return [...this.#nodes].map(([nodeId, stored]) => ({
-      ...stored,
-      nodeId,
-      evidence: listEntries(stored.evidence),
-      usage: listEntries(stored.usage),
-    }));
+    return [...this.#nodes].map(([nodeId, stored]) => {
+      const { memberId, incarnation, sequence, rolloutRevision, receivedAtMs, seenAtMs } = stored;
+      const times = { receivedAtMs, seenAtMs };
+      const origin = { nodeId, memberId, incarnation, sequence, rolloutRevision };
+      return { ...origin, ...times, ...TrafficReportTable.#listCounts(stored) };
+    });
+  }
+
+  static #listCounts(target: StoredTraffic): Pick<NodeTraffic, 'evidence' | 'usage'> {
+    const stored = target;
+    stored.listed ??= { evidence: listEntries(stored.evidence), usage: listEntries(stored.usage) };
+    return stored.listed;
   }
 
   /** Keeps the counts of a node that is attached to a control VM but has nothing new to report. */
