--- a/src/connection/distribution/_lib/ByteMeter.ts
+++ b/src/connection/distribution/_lib/ByteMeter.ts
@@ -2,6 +2,7 @@
 
 import type { DescMessage, MessageShape } from '@bufbuild/protobuf';
 import { MetricsRegistry } from '../../../process/metrics/index.js';
+import type { Counter } from '../../../process/metrics/index.js';
 
 /** Prefix of each message on a connect-es stream: one flag byte and a 4-byte length. */
 const ENVELOPE_BYTES = 5;
@@ -15,6 +16,9 @@
 export default class ByteMeter {
   readonly #metrics: MetricsRegistry;
 
+  /** Counters by direction and kind, as the registry formats the labels in each call. */
+  readonly #counters = new Map<string, Counter>();
+
   /**
    * @param metrics - registry of the process
    * @param channel - name of the channel, a label of every series
@@ -63,10 +67,13 @@
     this.#getCounter(direction, kind).value += byteCount;
   }
 
-  #getCounter(direction: string, kind: string): { value: number } {
-    return this.#metrics.counter(`distribution_${direction}_bytes`, {
-      channel: this.channel,
-      kind,
-    });
+  #getCounter(direction: string, kind: string): Counter {
+    const key = `${direction} ${kind}`;
+    const known = this.#counters.get(key);
+    if (known) return known;
+    const labels = { channel: this.channel, kind };
+    const counter = this.#metrics.counter(`distribution_${direction}_bytes`, labels);
+    this.#counters.set(key, counter);
+    return counter;
   }
 }
