Return the tokens of requests that did not run to the pool of their quota

When servers refuse most requests, those that did not run used up the quota of their workspace: a node kept a token that was given back for a second, as a credit for its next admission, and nodes get fewer requests than that of most workspaces. Requests within the quota were then answered 429. Nodes report the number of returned requests beside that of admitted ones now; both only grow, so repeated reports still change nothing.

The test of a token that is given back expects the new counts, two admitted and one returned, instead of one admitted.

--- a/src/connection/distribution/_lib/TrafficReporter.ts
+++ b/src/connection/distribution/_lib/TrafficReporter.ts
@@ -27,8 +27,8 @@
 const sumEvidence = ({ requests, failures, durationCounts }: VersionEvidence): number =>
   durationCounts.reduce((sum, count) => sum + count, Number(requests) + Number(failures));
 
-const sumUsage = ({ offered, admitted }: WorkspaceUsage): number =>
-  Number(offered) + Number(admitted);
+const sumUsage = ({ offered, admitted, returned }: WorkspaceUsage): number =>
+  Number(offered + admitted + returned);
 
 /** Selects the counts to report on one stream: all of them first, then those that changed. */
 export default class TrafficReporter {
--- a/src/process/quotas/ShareComputer/load.test.ts
+++ b/src/process/quotas/ShareComputer/load.test.ts
@@ -23,6 +23,7 @@
       return offered;
     },
     admitted: 0n,
+    returned: 0n,
   });
   const createNode = (index: number, seenAtMs: number): NodeUsage => ({
     nodeId: `n${index}`,
--- a/src/process/quotas/ShareComputer/test.ts
+++ b/src/process/quotas/ShareComputer/test.ts
@@ -61,7 +61,7 @@
 /** A request that was admitted and that servers refuse later. */
 interface RefusedRequest {
   atMs: number;
-  giveBack: (nowMs: number) => void;
+  giveBack: () => void;
 }
 
 const NODES = 45;
@@ -213,9 +213,9 @@
       if (isAdmitted) tally.ranAtMs.push(nowMs);
       return;
     }
-    const giveBack = (atMs: number): void => {
+    const giveBack = (): void => {
       if (isOwed) tally.level += 1;
-      if (isAdmitted) node.limiter.giveBack(quota.name, atMs);
+      if (isAdmitted) node.limiter.giveBack(quota.name);
     };
     refused.push({ atMs: nowMs + REFUSED_AFTER_MS, giveBack });
   };
@@ -227,7 +227,7 @@
     members.forEach((_, index) => {
       if ((nowMs / STEP_MS + index * 7) % (ROUND_MS / STEP_MS) === 0) compute(index, nowMs);
     });
-    while ((refused[0]?.atMs ?? Infinity) <= nowMs) refused.shift()?.giveBack(nowMs);
+    while ((refused[0]?.atMs ?? Infinity) <= nowMs) refused.shift()?.giveBack();
     if (nowMs < START_MS) return;
     load.quotas(nowMs).forEach((quota) => {
       const expected = (load.rate(quota, nowMs) * STEP_MS) / 1_000;
@@ -309,6 +309,7 @@
     isFrozen: (member, atMs) => member === 1 && atMs > 7_500 && atMs < 12_000,
   },
   'while a control VM is cut off': { ...HOT, isLost: isCutOff },
+  'while servers refuse most requests': { ...HOT, isRefused: (random) => random < 0.6 },
 };
 
 // Guards against shares whose sum exceeds the quota, and against shares that come too slowly.
--- a/src/process/quotas/_lib/DemandTable.ts
+++ b/src/process/quotas/_lib/DemandTable.ts
@@ -21,7 +21,8 @@
   count: UsageCount | undefined;
   incarnation: bigint;
   offered: number;
-  admitted: number;
+  /** Admitted requests that ran or may still run. */
+  used: number;
   /** Decaying count of offered requests. */
   demand: number;
   /** Requests that were assumed to be admitted while the node was out of touch. */
@@ -110,22 +111,22 @@
    * @param contact - the node
    * @param count - counts of the node since its start; the same object as before if they are the same
    * @param isBaseKnown - whether a node that is new here began to count since this control VM watches
-   * @returns requests admitted since the former report
+   * @returns requests admitted since the former report, less those that did not run; may be negative
    */
   add(contact: NodeContact, count: UsageCount, isBaseKnown: boolean): number {
     const known = this.#nodes.get(contact.nodeId);
     const { incarnation } = contact;
     if (known?.count === count && known.incarnation === incarnation) return 0;
     const offered = Number(count.offered);
-    const admitted = Number(count.admitted);
-    const base = isBaseKnown ? { offered: 0, admitted: 0 } : { offered, admitted };
+    const used = Number(count.admitted - count.returned);
+    const base = isBaseKnown ? { offered: 0, used: 0 } : { offered, used };
     const entry = known ?? this.#createNode(contact, { incarnation, ...base });
     const isSameProcess = entry.incarnation === incarnation;
-    const spent = Math.max(0, admitted - (isSameProcess ? entry.admitted : 0));
+    const spent = used - (isSameProcess ? entry.used : 0);
     const arrived = Math.max(0, offered - (isSameProcess ? entry.offered : 0));
     entry.demand += arrived * this.#demandPart;
-    this.#admitted += spent * this.#admissionPart;
-    Object.assign(entry, { incarnation, offered, admitted, count });
+    this.#admitted = Math.max(0, this.#admitted + spent * this.#admissionPart);
+    Object.assign(entry, { incarnation, offered, used, count });
     return spent;
   }
 
@@ -181,12 +182,12 @@
 
   #getNode(contact: NodeContact): NodeDemand {
     const known = this.#nodes.get(contact.nodeId);
-    return known ?? this.#createNode(contact, { incarnation: 0n, offered: 0, admitted: 0 });
+    return known ?? this.#createNode(contact, { incarnation: 0n, offered: 0, used: 0 });
   }
 
   #createNode(
     contact: NodeContact,
-    counts: Pick<NodeDemand, 'incarnation' | 'offered' | 'admitted'>,
+    counts: Pick<NodeDemand, 'incarnation' | 'offered' | 'used'>,
   ): NodeDemand {
     const entry = { contact, count: undefined, ...counts, demand: 0, assumed: 0, frozenPart: 0 };
     this.#nodes.set(contact.nodeId, entry);
--- a/src/process/quotas/types.ts
+++ b/src/process/quotas/types.ts
@@ -21,6 +21,8 @@
   workspace: string;
   offered: bigint;
   admitted: bigint;
+  /** Admitted requests that certainly did not run. */
+  returned: bigint;
 }
 
 /** Counts of one node, as the newest report states them. */
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -238,13 +238,13 @@
   /** Returns what was charged for a request that certainly did not run. */
   #returnQuota({ workspace }: RoutedRequest): void {
     if (!workspace) return;
-    this.#dependencies.workspaceLimiter?.giveBack(workspace.name, this.#context.getNowMs());
+    this.#dependencies.workspaceLimiter?.giveBack(workspace.name);
   }
 
   /** Charges a further attempt, as it may run at a second server. */
   #chargeRepeat({ workspace }: RoutedRequest): void {
     if (!workspace) return;
-    this.#dependencies.workspaceLimiter?.addRepeat(workspace.name, this.#context.getNowMs());
+    this.#dependencies.workspaceLimiter?.addRepeat(workspace.name);
   }
 
   /** Serves the request if its idempotency key is free; otherwise replays the response or refuses. */
--- a/src/request/limitWorkspaces/index.ts
+++ b/src/request/limitWorkspaces/index.ts
@@ -16,8 +16,6 @@
  * much again while a workspace uses little.
  */
 const UNCONFIRMED_SHARE = 0.6;
-/** Time for which a token that was given back stands for a later admission. */
-const CREDIT_LIFETIME_MS = 1_000;
 /** Longest pause that a refused caller is told to make. */
 const MAX_RETRY_AFTER_MS = 5_000;
 
@@ -38,9 +36,8 @@
 interface Bucket {
   offered: number;
   admitted: number;
-  /** Tokens that were given back after they were counted as admitted. */
-  credits: number;
-  creditsEndAtMs: number;
+  /** Admitted requests that certainly did not run. */
+  returned: number;
   level: number;
   updatedAtMs: number;
   /** The counts as they were last reported. */
@@ -99,50 +96,44 @@
       return { retryAfterMs: Math.ceil(Math.min(MAX_RETRY_AFTER_MS, missingMs)) };
     }
     bucket.level = Math.max(0, bucket.level - 1);
-    WorkspaceLimiter.#countAdmission(bucket, nowMs);
+    bucket.admitted += 1;
     return undefined;
   }
 
   /** Counts a further attempt of a request whose former one may have run; it is not refused. */
-  addRepeat(workspace: string, nowMs: number): void {
+  addRepeat(workspace: string): void {
     const bucket = this.#buckets.get(workspace);
     if (!bucket) return;
     bucket.level = Math.max(0, bucket.level - 1);
-    WorkspaceLimiter.#countAdmission(bucket, nowMs);
+    bucket.admitted += 1;
   }
 
   /** Takes the token of an admitted request back that certainly reached no server. */
-  giveBack(workspace: string, nowMs: number): void {
+  giveBack(workspace: string): void {
     const bucket = this.#buckets.get(workspace);
     if (!bucket) return;
-    if (nowMs >= bucket.creditsEndAtMs) bucket.credits = 0;
-    bucket.credits += 1;
-    bucket.creditsEndAtMs = nowMs + CREDIT_LIFETIME_MS;
+    bucket.returned += 1;
     bucket.level += 1;
   }
 
   /** Returns the counts of all workspaces, for the report of this node. */
   collectUsage(): WorkspaceUsage[] {
-    return [...this.#buckets.values()].map(({ usage, offered, admitted }) =>
-      Object.assign(usage, { offered: BigInt(offered), admitted: BigInt(admitted) }),
+    return [...this.#buckets.values()].map(({ usage, offered, admitted, returned }) =>
+      Object.assign(usage, {
+        offered: BigInt(offered),
+        admitted: BigInt(admitted),
+        returned: BigInt(returned),
+      }),
     );
   }
 
-  /** Counts only grow, so a token that was given back stands for the next admission. */
-  static #countAdmission(target: Bucket, nowMs: number): void {
-    const bucket = target;
-    if (bucket.credits > 0 && nowMs < bucket.creditsEndAtMs) bucket.credits -= 1;
-    else bucket.admitted += 1;
-  }
-
   #getBucket(name: string, share: NodeShare, nowMs: number): Bucket {
     const known = this.#buckets.get(name);
     if (known) return known;
     const bucket = {
       offered: 0,
       admitted: 0,
-      credits: 0,
-      creditsEndAtMs: 0,
+      returned: 0,
       level: share.burst,
       updatedAtMs: nowMs,
       usage: create(WorkspaceUsageSchema, { workspace: name }),
--- a/src/request/limitWorkspaces/test.ts
+++ b/src/request/limitWorkspaces/test.ts
@@ -64,15 +64,18 @@
 });
 
 // Guards against a request that is charged although it reached no server.
-tap.test('a token that is given back serves another request and is counted once', async (t) => {
-  const limiter = createLimiter();
-  adoptShare(limiter, 0.001, 1);
-  t.equal(limiter.admit(createWorkspace(100), 0, true), undefined);
-  t.equal(limiter.admit(createWorkspace(100), 1, true)?.retryAfterMs, 5_000);
-  limiter.giveBack('harbour', 2);
-  t.equal(limiter.admit(createWorkspace(100), 3, true), undefined);
-  t.match(limiter.collectUsage(), [{ offered: 3n, admitted: 1n }]);
-});
+tap.test(
+  'a token that is given back serves another request and is reported as returned',
+  async (t) => {
+    const limiter = createLimiter();
+    adoptShare(limiter, 0.001, 1);
+    t.equal(limiter.admit(createWorkspace(100), 0, true), undefined);
+    t.equal(limiter.admit(createWorkspace(100), 1, true)?.retryAfterMs, 5_000);
+    limiter.giveBack('harbour');
+    t.equal(limiter.admit(createWorkspace(100), 3, true), undefined);
+    t.match(limiter.collectUsage(), [{ offered: 3n, admitted: 2n, returned: 1n }]);
+  },
+);
 
 // Guards against state for workspaces that have no limit or no requests.
 tap.test('a workspace without a limit has no state', async (t) => {
