--- a/src/process/quotas/types.ts
+++ b/src/process/quotas/types.ts
@@ -31,7 +31,7 @@
   /** Control VM that the node is attached to. */
   memberId: string;
   incarnation: bigint;
-  /** An entry that has not changed is the same object as before. */
+  /** A changed entry must be a new object: one that is the same as before is not read again. */
   usage: readonly UsageCount[];
   /** Time until which the node was known to be attached, in milliseconds. */
   seenAtMs: number;
