Report a promotion of a control VM only once it is committed

Operators are told to wait until the status shows a renewed disk as a voter before they touch the next control VM. A leader reported the newest membership of its log, so also a promotion that no other member held yet. If the leader was lost at that moment, the two survivors still needed the vote of the lost disk: no leader was elected any more, and no version was accepted.

A ready leader now reports its committed membership. Other members report that of their log: a restarted one has applied none before it reaches a leader.

--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -185,6 +185,10 @@
     return this.log.findMembership(this.#commitIndex)?.membership ?? this.#committedMembership;
   }
 
+  get committedMembership(): Membership {
+    return this.#committedMembership;
+  }
+
   get isMembershipCommitted(): boolean {
     return this.log.findMembership(this.#commitIndex) === undefined;
   }
--- a/src/process/replication/_lib/describeMembers/index.ts
+++ b/src/process/replication/_lib/describeMembers/index.ts
@@ -1,6 +1,6 @@
 import { MemberRole } from '../../ControlLog/index.js';
 import type { MemberStatus } from '../../ControlLog/index.js';
-import type { Member } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
+import type { Member, Membership } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import type { Leadership } from '../Leadership/index.js';
 import type { Replica } from '../Replica/index.js';
 
@@ -10,6 +10,15 @@
   return member.isVoter ? MemberRole.Follower : MemberRole.NonVoter;
 };
 
+/**
+ * Returns the newest membership that cannot be lost with this member, or that of its log if this
+ * member does not lead, since a restarted one may not have applied any.
+ */
+const findReportedMembership = (
+  replica: Replica,
+  leadership: Pick<Leadership, 'isReady'> | undefined,
+): Membership => (leadership?.isReady ? replica.committedMembership : replica.membership);
+
 /**
  * Returns the status of all members as seen by this member. Only the leader tracks the progress and
  * reachability of the others.
@@ -20,10 +29,10 @@
  */
 const describeMembers = (
   replica: Replica,
-  leadership: Leadership | undefined,
+  leadership: Pick<Leadership, 'findPeer' | 'isReady'> | undefined,
   isConfirmed: boolean,
 ): MemberStatus[] =>
-  replica.membership.members.map((member) => {
+  findReportedMembership(replica, leadership).members.map((member) => {
     const { memberId, diskIdentity, address, dataCentre, isVoter } = member;
     const isSelf = memberId === replica.memberId;
     const peer = leadership?.findPeer(memberId);
