Admit a waiting request that the rate limit allows just after a check

Requests to a server that names a limit waited until their deadline while the server was idle, and were answered 504 although they never ran. A gate admits those that wait for its rate limit by a timer. When the timer fired a fraction of a millisecond early, nothing was admitted; a moment later the limit allowed a request, so no timer was set again. New requests then queued behind the first one, and with no request in progress nothing woke the queue until a caller gave up. Class of fault: a decision and the wait for it read the time separately, so a wake-up is lost between them.

Trace (a copy of namedLimit.test that prints the gate): 0 slots used, 24 requests waiting, no timer, for 1.2 s and again for 0.9 s of a play of 5 s.

SlotGate/test.ts > "a request that the rate limit allows meanwhile is admitted without delay" failed before: no timer was asked for.

The limit itself is unchanged: every request still takes a token.

--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -240,12 +240,15 @@
   }
 
   /**
-   * Returns the time after which `admitWaiters` is to be called, in milliseconds; undefined when no
-   * request waits for the rate limit. Those that wait for a slot are admitted when one is released.
+   * Returns the time after which `admitWaiters` is to be called, in milliseconds: 0 if a request that
+   * waited for the rate limit can be admitted now, undefined when none waits for the rate limit. Those
+   * that wait for a slot are admitted when one is released.
    */
   computeAdmissionDelayMs(nowMs: number): number | undefined {
-    if (this.#waiters.length === 0 || this.#isWithinRate(nowMs)) return undefined;
-    return this.#rateLimit && Math.ceil(this.#rateLimit.computeWaitMs(0, nowMs));
+    if (!this.#rateLimit || this.#waiters.length === 0) return undefined;
+    const waitMs = Math.ceil(this.#rateLimit.computeWaitMs(0, nowMs));
+    const hasSlot = this.#waiters.some(({ demand }) => this.#hasSlotFor(demand));
+    return waitMs > 0 || hasSlot ? waitMs : undefined;
   }
 
   /** Refuses waiting requests that would finish too late; for servers that release no slots. */
--- a/src/process/localServers/SlotGate/test.ts
+++ b/src/process/localServers/SlotGate/test.ts
@@ -168,6 +168,18 @@
   },
 );
 
+// Guards against a timer that fires just before the rate limit allows the next request and is not set
+// again, so that the server is idle while requests wait until their deadline.
+tap.test('a request that the rate limit allows meanwhile is admitted without delay', async (t) => {
+  const gate = new SlotGate({ slots: 20 });
+  gate.limitRate(2, START_MS);
+  const decisions: string[] = [];
+  requestSlot(gate, quick, decisions, 'first');
+  gate.admitWaiters(START_MS + 499);
+  t.strictSame(decisions, []);
+  t.equal(gate.computeAdmissionDelayMs(START_MS + 501), 0);
+});
+
 // Guards against direct calls of other nodes, which the rate limit does not see.
 tap.test('no slot is granted to another node while the server names a limit', async (t) => {
   const gate = new SlotGate({ slots: 20 });
