Withdraw a waiting request at the time of its withdrawal

A gate withdrew a waiting request with the time of its arrival. Where others could be admitted at that moment, they were started at that earlier time: the hold time of the slots, which nodes report to each other and place requests by, was overestimated by the wait of the withdrawn request, and stayed so, since only the difference is undone when a slot is released. Requests whose deadline had passed meanwhile were not recognized. This needs a server with a request limit, callers that leave or run out of time, and free slots.

No other function of src/ or platform/ returns a closure over a time that it was called with.

SlotGate/test.ts > "a withdrawal admits waiting requests at the time of the withdrawal" failed before.

--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -156,9 +156,13 @@
    * @param demand - deadline and priority
    * @param nowMs - present time in milliseconds since the epoch
    * @param onDecided - called once with the decision
-   * @returns a function that withdraws the request if it still waits
+   * @returns a function that withdraws the request if it still waits; takes the time of its call
    */
-  admit(demand: SlotDemand, nowMs: number, onDecided: AdmissionListener): () => void {
+  admit(
+    demand: SlotDemand,
+    nowMs: number,
+    onDecided: AdmissionListener,
+  ): (withdrawnAtMs: number) => void {
     const waiter: Waiter = {
       demand,
       onDecided,
@@ -173,7 +177,7 @@
     } else {
       this.#enqueue(waiter, nowMs);
     }
-    return () => this.#withdraw(waiter, nowMs);
+    return (withdrawnAtMs) => this.#withdraw(waiter, withdrawnAtMs);
   }
 
   /**
--- a/src/process/localServers/SlotGate/test.ts
+++ b/src/process/localServers/SlotGate/test.ts
@@ -36,7 +36,7 @@
           admitted += 1;
         }
       });
-      if (random() < 0.1) withdraw();
+      if (random() < 0.1) withdraw(nowMs);
     },
     () => {
       const [demand] = held.splice(Math.floor(random() * held.length), 1);
@@ -180,6 +180,20 @@
   t.equal(gate.computeAdmissionDelayMs(START_MS + 501), 0);
 });
 
+// Guards against a withdrawal that admits other requests as if it were the time of the withdrawn one:
+// those past their deadline run, and the hold time of the server is overestimated from then on.
+tap.test('a withdrawal admits waiting requests at the time of the withdrawal', async (t) => {
+  const gate = new SlotGate({ slots: 20 });
+  gate.limitRate(2, START_MS);
+  const decisions: string[] = [];
+  const withdraw = requestSlot(gate, quick, decisions, 'withdrawn');
+  requestSlot(gate, { ...quick, deadlineMs: START_MS + 1_200 }, decisions, 'late');
+  requestSlot(gate, quick, decisions, 'timely');
+  withdraw(START_MS + 1_500);
+  t.strictSame(decisions, ['late:DEADLINE_PASSED', 'timely:admitted']);
+  t.equal(gate.estimateHoldMs(START_MS + 1_510), 10);
+});
+
 // Guards against direct calls of other nodes, which the rate limit does not see.
 tap.test('no slot is granted to another node while the server names a limit', async (t) => {
   const gate = new SlotGate({ slots: 20 });
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -343,7 +343,7 @@
         resolve(refusal);
       });
       unsubscribe = exchange.onAborted(() => {
-        withdraw();
+        withdraw(this.#context.getNowMs());
         resolve('GIVEN_UP');
       });
       this.#scheduleAdmission(local.gate);
