Refuse requests that are overtaken while they wait for a rate limit

A request is let into the queue of a server with a request limit if the limit lets it through in time. Those that arrive later with a higher priority go first, and the estimate was not made again: a request that could no longer be served waited until its deadline. Its entry node then answered 504, although it had not run, and its caller lost the time for a repeat elsewhere.

Nothing more is admitted than before.

SlotGate/test.ts > "a request overtaken in the queue of a limited server is refused at once" failed before: no request was refused. namedLimit.test passes with it (4 runs at a time).

--- a/src/process/localServers/SlotGate/index.ts
+++ b/src/process/localServers/SlotGate/index.ts
@@ -255,9 +255,14 @@
     return waitMs > 0 || hasSlot ? waitMs : undefined;
   }
 
-  /** Refuses waiting requests that would finish too late; for servers that release no slots. */
+  /**
+   * Refuses waiting requests that would finish too late: those that wait for a server which releases
+   * no slots, and those that the rate limit delays too much behind requests that arrived later.
+   */
   refuseLateWaiters(nowMs: number): void {
-    const late = this.#waiters.filter(({ demand }) => this.#policy.wouldBeLate(demand, 0, nowMs));
+    const late = this.#rateLimit
+      ? this.#listDelayedByRate(this.#rateLimit, nowMs)
+      : this.#waiters.filter(({ demand }) => this.#policy.wouldBeLate(demand, 0, nowMs));
     if (late.length === 0) return;
     this.#waiters = this.#waiters.filter((waiter) => !late.includes(waiter));
     late.forEach((waiter) => this.#settle(waiter, GateRefusal.DeadlineTooShort));
@@ -283,6 +288,23 @@
     this.admitWaiters(nowMs);
   }
 
+  /** Lists the waiting requests that are late in the order in which the rate limit admits them. */
+  #listDelayedByRate(rateLimit: RateLimit, nowMs: number): Waiter[] {
+    const late: Waiter[] = [];
+    let remaining = [...this.#waiters];
+    let ahead = 0;
+    while (remaining.length > 0) {
+      const admittedCount = this.#admittedCount + ahead;
+      const next = this.#policy.selectNext(remaining, { admittedCount, nowMs });
+      if (!next) break;
+      const waitMs = rateLimit.computeWaitMs(ahead, nowMs);
+      if (this.#policy.wouldBeLate(next.demand, waitMs, nowMs)) late.push(next);
+      else ahead += 1;
+      remaining = remaining.filter((waiter) => waiter !== next);
+    }
+    return late;
+  }
+
   #findRefusal({ demand }: Waiter, nowMs: number): GateRefusal | undefined {
     if (this.#isClosed) return GateRefusal.Closed;
     return demand.deadlineMs <= nowMs ? GateRefusal.DeadlinePassed : undefined;
--- a/src/process/localServers/SlotGate/test.ts
+++ b/src/process/localServers/SlotGate/test.ts
@@ -194,6 +194,26 @@
   t.equal(gate.estimateHoldMs(START_MS + 1_510), 10);
 });
 
+// Guards against requests that wait for the rate limit until their deadline, behind more urgent ones
+// that arrived later, and end as unknown although they never ran.
+tap.test('a request overtaken in the queue of a limited server is refused at once', async (t) => {
+  const gate = new SlotGate({ slots: 20, policy: new ObjectivePolicy() });
+  gate.limitRate(10, START_MS);
+  const decisions: string[] = [];
+  const usual = { ...quick, priority: 1, deadlineMs: START_MS + 1_000 };
+  const urgent = { ...quick, priority: 0, deadlineMs: START_MS + 1_000 };
+  const names = ['1', '2', '3', '4', '5', '6'];
+  names.forEach((name) => requestSlot(gate, usual, decisions, `usual ${name}`));
+  t.strictSame(decisions, [], 'six requests fit within the time that the first one has');
+  names.forEach((name) => requestSlot(gate, urgent, decisions, `urgent ${name}`));
+  gate.refuseLateWaiters(START_MS);
+  t.strictSame(
+    decisions,
+    names.map((name) => `usual ${name}:DEADLINE_TOO_SHORT`),
+  );
+  t.equal(gate.waiting, names.length);
+});
+
 // Guards against direct calls of other nodes, which the rate limit does not see.
 tap.test('no slot is granted to another node while the server names a limit', async (t) => {
   const gate = new SlotGate({ slots: 20 });
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -321,7 +321,9 @@
     const timer = setTimeout(
       () => {
         this.#admissionTimers.delete(gate);
-        gate.admitWaiters(this.#context.getNowMs());
+        const nowMs = this.#context.getNowMs();
+        gate.admitWaiters(nowMs);
+        gate.refuseLateWaiters(nowMs);
         this.#scheduleAdmission(gate);
       },
       Math.max(1, delayMs),
