Share the reads of the connection table between proxies of tests

The process of the test used a whole core and 3.7 GB, with 5,440 open descriptors, and grew. A profile of 5 s attributes 38% of its time to reading /proc/net/tcp, of 12,813 lines then, and 27% to garbage collection: each proxy read it once for each connection that it accepted, so it accepted fewer than were opened, and those that waited made the table longer.

Reads are shared now: at most one at a time, and a call during a read shares the next one.

--- a/stand-ins/cluster/_lib/findClient.ts
+++ b/stand-ins/cluster/_lib/findClient.ts
@@ -2,6 +2,7 @@
 import { readFile } from 'node:fs/promises';
 
 import type ManagedProcess from './ManagedProcess.js';
+import shareReads from './shareReads.js';
 
 // Position in a line of /proc/net/tcp, counted from the local address; see proc(5).
 const INODE_FIELD = 8;
@@ -10,13 +11,15 @@
 const formatAddress = (port: number): string =>
   `${LOOPBACK}:${port.toString(16).toUpperCase().padStart(4, '0')}`;
 
+const readTable = shareReads(() => readFile('/proc/net/tcp', 'latin1'));
+
 /**
  * Returns the inode of the client's socket. Both ports must match, since connections to other
  * targets may use the same local port. The table has tens of thousands of lines after a load test,
  * so it is read asynchronously and not split into lines.
  */
 const findInode = async (clientPort: number, proxyPort: number): Promise<string | undefined> => {
-  const table = await readFile('/proc/net/tcp', 'latin1');
+  const table = await readTable();
   const start = table.indexOf(`${formatAddress(clientPort)} ${formatAddress(proxyPort)}`);
   if (start < 0) return undefined;
   const line = table.slice(start, table.indexOf('\n', start));
