--- a/review/3/play.js
+++ b/review/3/play.js
@@ -1,4 +1,4 @@
-/** Requests that were sent behind another whose worker broke off its answer. */
+/** Requests on a connection whose former request, with a long body, was answered early. */
 import { randomUUID } from 'node:crypto';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -8,39 +8,32 @@
 import runCase from '../stand-ins/runCase.js';
 
 const SERVICES = ['desk', 'ledger'];
-const CONNECTIONS = 24;
-const LOAD_MS = 25_000;
-/** Every so many answers of a faulty worker is broken off: two in a hundred. */
-const TRUNCATED_EVERY = 50;
-const LONG_BODY_BYTES = 100_000;
-const SENT_BYTES = 70_000;
-const LEDGER_WORK_MS = 300;
-const CLIENT_DEADLINE_MS = 4_000;
-/** Lost requests that the pages excuse. */
-const EXCUSED = 3;
+const CONNECTIONS = 16;
+const BODY_BYTES = 512 * 1_024;
+const FIRST_PART_BYTES = 64 * 1_024;
+/** `timeout` of the routes, and the time after it in which the pages want an answer. */
+const ROUTE_TIMEOUT_MS = 2_000;
+const ANSWER_SLACK_MS = 500;
+const LATE_MS = ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS;
+const CLIENT_DEADLINE_MS = 8_000;
+const SHORT_BODY = 'one bundle';
+const READ_ON_DELAY_MS = 300;
 
-/** Answers with a long body. A faulty worker breaks off some of its answers. */
-const answerLong = ({ request, response, run, worker }, isFaulty) => {
-  request.resume();
-  const count = worker.runs.push(run);
-  if (!isFaulty || count % TRUNCATED_EVERY > 0) {
-    worker.answer(response, run.attemptId, 'x'.repeat(LONG_BODY_BYTES));
-    return;
-  }
-  response.writeHead(200, {
-    ...{ 'attempt-id': run.attemptId, 'server-stamp': `stamp.${worker.id}` },
-    'content-length': LONG_BODY_BYTES,
-  });
-  response.write('x'.repeat(SENT_BYTES), () => setTimeout(() => response.destroy(), 20));
+/** Status of an early answer; each is the worker's own, without the header that it did not run. */
+const EARLY_STATUSES = [200, 413];
+
+/** Answers a long request before it has read its body, keeps the connection and reads on later. */
+const answerEarly = ({ request, response, run, worker }) => {
+  const status = EARLY_STATUSES[worker.runs.push(run) % EARLY_STATUSES.length];
+  worker.answer(response, run.attemptId, `${worker.id} early`, status);
+  setTimeout(() => request.resume(), READ_ON_DELAY_MS);
 };
 
-const answerShort = ({ request, response, run, worker }) => {
-  request.resume();
+/** Answers a long request once it has read its body. */
+const answerWhenRead = ({ request, response, run, worker }) => {
   worker.runs.push(run);
-  setTimeout(() => {
-    worker.answer(response, run.attemptId, `${worker.id} ${run.path}`);
-    Object.assign(run, { isAnswered: true });
-  }, LEDGER_WORK_MS);
+  request.resume();
+  request.on('end', () => worker.answer(response, run.attemptId, `${worker.id} read`));
 };
 
 const createHeaders = () => ({
@@ -49,76 +42,63 @@
   'deadline-remaining': CLIENT_DEADLINE_MS,
 });
 
-/** Opens a connection and makes it a kept one by a first request. */
-const openKept = async (node) => {
+/** Sends a long order and, once it is answered and sent completely, a short order after it. */
+const useConnection = async (index, node, note) => {
   const client = new RawClient();
   await client.connect(node.address('outbound'));
-  client.writeHead('GET', '/ledger/first', createHeaders());
-  await client.readResponse(CLIENT_DEADLINE_MS);
-  return client;
-};
-
-/** Sends pairs of lookups, the second one before the first is answered, on kept connections. */
-const sendPairs = async (node, endMs, note) => {
-  const pairs = [];
-  let client = await openKept(node);
-  while (performance.now() < endMs) {
-    const [first, second] = [createHeaders(), createHeaders()];
-    client.writeHead('GET', '/desk/long', first);
-    client.writeHead('GET', '/ledger/short', second);
-    const reply = await client.readResponse(CLIENT_DEADLINE_MS);
-    const behind = await client.readResponse(CLIENT_DEADLINE_MS);
-    pairs.push({ id: second['attempt-id'], isAnswered: behind !== undefined });
-    if (!behind) {
-      note(`${first['attempt-id']}: ${reply?.status ?? 'broken off'}, connection closed`);
-      note(`${second['attempt-id']} behind it: no answer`);
-    }
-    if (client.isClosed) client = await openKept(node);
-  }
+  const order = { ...createHeaders(), 'content-length': BODY_BYTES };
+  const path = `/${SERVICES[index % 2]}/orders/${index}`;
+  await client.writeHead('POST', path, order);
+  await client.write(Buffer.alloc(FIRST_PART_BYTES, 'a'));
+  const early = await client.readResponse(500);
+  client.write(Buffer.alloc(BODY_BYTES - FIRST_PART_BYTES, 'b'));
+  const answer = early ?? (await client.readResponse(CLIENT_DEADLINE_MS));
+  note(
+    `${order['attempt-id']} POST ${path}: ${answer?.status}, ${early ? 'early' : 'after the body'}, connection: ${answer?.headers.connection}`,
+  );
+  const isKept = answer !== undefined && answer.headers.connection !== 'close';
+  if (!isKept || client.isClosed) return [];
+  await sleep(500);
+  const next = { ...createHeaders(), 'content-length': SHORT_BODY.length };
+  const sentAtMs = performance.now();
+  await client.writeHead('POST', `${path}/next`, next);
+  client.write(SHORT_BODY);
+  const reply = await client.readResponse(CLIENT_DEADLINE_MS);
+  const tookMs = Math.round((reply?.atMs ?? performance.now()) - sentAtMs);
+  const outcome = reply ? `${reply.status} after ${tookMs} ms` : `no answer within ${tookMs} ms`;
+  note(`${next['attempt-id']} POST on the same connection: ${outcome}`);
   client.close();
-  return pairs;
+  return [{ isAtTimeout: tookMs > ROUTE_TIMEOUT_MS, isLate: tookMs > LATE_MS }];
 };
 
 await runCase(
   fileURLToPath(new URL('.', import.meta.url)),
   async ({ system, isTroubled, note }) => {
-    // Of the four desk workers, which serve the first lookups, two are faulty; all others are sound.
-    const services = ['desk', 'ledger', 'desk', 'ledger', 'desk', 'ledger', 'desk', 'ledger'];
-    let hasTrouble = false;
-    await system.start(services, (index) => ({
-      slots: 18,
+    let handleLong = answerWhenRead;
+    await system.start([...SERVICES, ...SERVICES], () => ({
       handle: (call) => {
-        const isFaulty = hasTrouble && (index === 0 || index === 2);
-        if (call.run.path === '/desk/long') answerLong(call, isFaulty);
-        else answerShort(call);
+        const isLong = Number(call.request.headers['content-length']) === BODY_BYTES;
+        if (isLong) handleLong(call);
+        else answerWhenRead(call);
       },
     }));
     note(`configuration: ${await system.replaceConfiguration(createConfiguration(SERVICES))}`);
     await system.waitUntilServing();
     // Nodes count as in touch three seconds after their start.
     await sleep(3_500);
-    hasTrouble = isTroubled;
-    const endMs = performance.now() + LOAD_MS;
-    const pairs = (
+    if (isTroubled) handleLong = answerEarly;
+    const sent = (
       await Promise.all(
         Array.from({ length: CONNECTIONS }, (_, index) =>
-          sendPairs(system.nodes[index % system.nodes.length], endMs, note),
+          useConnection(index, system.nodes[index % system.nodes.length], note),
         ),
       )
     ).flat();
-    const runs = new Map(
-      system.workers.flatMap((worker) =>
-        worker.runs.map((run) => [run.attemptId, { run, worker }]),
-      ),
-    );
-    const lost = pairs.filter(({ id, isAnswered }) => !isAnswered && runs.has(id));
-    lost.forEach(({ id }) => {
-      const { run, worker } = runs.get(id);
-      note(
-        `${id} was passed on to ${worker.id}, which is sound; answered: ${run.isAnswered ?? false}`,
-      );
-    });
-    note(`pairs: ${pairs.length}, passed on and lost: ${lost.length}`);
-    return lost.length > EXCUSED;
+    const unanswered = sent.filter(({ isAtTimeout }) => isAtTimeout);
+    const late = sent.filter(({ isLate }) => isLate);
+    note(`short orders sent: ${sent.length}, unanswered at the timeout: ${unanswered.length}`);
+    note(`of these without an answer 0.5 s later: ${late.length}`);
+    system.workers.forEach(({ id, runs }) => note(`${id} ran ${runs.length} requests`));
+    return late.length >= 8 && late.length > unanswered.length / 2;
   },
 );
--- a/review/stand-ins/Program.js
+++ b/review/stand-ins/Program.js
@@ -52,6 +52,11 @@
     return this.#child !== undefined && this.#child.exitCode === null && !this.#child.signalCode;
   }
 
+  /** Id of the process. */
+  get pid() {
+    return this.#child?.pid;
+  }
+
   async start({ isFirstStart = true } = {}) {
     const folder = join(this.#options.folder, this.name);
     const dataFolder = join(folder, 'data');
