--- a/review/stand-ins/Worker.js
+++ b/review/stand-ins/Worker.js
@@ -109,9 +109,14 @@
     setTimeout(() => this.answer(response, attemptId, `${this.id} ${request.url}`), workMs);
   }
 
+  /** Creates the signature of an answer, which names the request that it belongs to. */
+  createStamp(attemptId) {
+    return `stamp.${this.id}.${attemptId}`;
+  }
+
   answer(response, attemptId, body, status = 200) {
     response.writeHead(status, {
-      ...{ 'attempt-id': attemptId, 'server-stamp': `stamp.${this.id}` },
+      ...{ 'attempt-id': attemptId, 'server-stamp': this.createStamp(attemptId) },
       'content-length': Buffer.byteLength(body),
     });
     response.end(body);
