--- a/review/3/play.js
+++ b/review/3/play.js
@@ -70,6 +70,7 @@
     const acknowledgedAtMs = performance.now();
     await sleep(SERVING_MS);
     clearInterval(load);
+    await Promise.all(answers);
     await worker.stop();
 
     const countedFromMs = Math.max(acknowledgedAtMs + DRAIN_MS, inTouchFromMs);
--- a/review/stand-ins/runCase.js
+++ b/review/stand-ins/runCase.js
@@ -22,18 +22,30 @@
     lines.push(`${((performance.now() - startedAtMs) / 1_000).toFixed(3)} ${text}`);
   };
   const system = new System();
+  const finish = async (code) => {
+    process.exitCode = code;
+    await system.stop();
+    await writeFile(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+    process.stdout.write(`${lines.at(-1)}\n`);
+  };
+  // The timers of an abandoned case would keep this process alive.
+  const abandon = async (reason) => {
+    note(`could not run: ${reason instanceof Error ? reason.stack : String(reason)}`);
+    await finish(FAILED);
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(FAILED);
+  };
+  process.once('uncaughtException', abandon);
+  process.once('SIGTERM', abandon);
   note(`start, trouble: ${isTroubled ? 'yes' : 'no'}`);
   try {
     const isBroken = await play({ system, isTroubled, note });
     note(isBroken ? 'RULE BROKEN' : 'rule held');
-    process.exitCode = isBroken ? BROKEN : HELD;
+    await finish(isBroken ? BROKEN : HELD);
   } catch (error) {
     note(`could not run: ${error instanceof Error ? error.stack : String(error)}`);
-    process.exitCode = FAILED;
+    await finish(FAILED);
   }
-  await system.stop();
-  await writeFile(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
-  process.stdout.write(`${lines.at(-1)}\n`);
 };
 
 export default runCase;
