--- a/review/3/play.js
+++ b/review/3/play.js
@@ -8,7 +8,7 @@
 import runCase from '../stand-ins/runCase.js';
 
 const SERVICES = ['desk', 'ledger'];
-/** Node that is restarted, and the worker beside it. */
+/** One of ten nodes, which is restarted, and the worker beside it. */
 const LEAVING = 2;
 /** Bounds of the deployment: `drain` and `contact`. */
 const DRAIN_MS = 2_000;
@@ -22,7 +22,7 @@
 await runCase(
   fileURLToPath(new URL('.', import.meta.url)),
   async ({ system, isTroubled, note }) => {
-    await system.start([...SERVICES, ...SERVICES]);
+    await system.start(Array.from({ length: 10 }, (_, index) => SERVICES[index % 2]));
     note(`configuration: ${await system.replaceConfiguration(createConfiguration(SERVICES))}`);
     await system.waitUntilServing();
     // Nodes count as in touch three seconds after their start.
