Word failed assertions in the bundle without parsing it

Cause: undici asserts `statusCode >= 100` without a message. For such a call Node.js reads the source file of the call and parses it to word the message. In the deployed programs all packages stand in a few very long lines, and parsing them takes a minute and more. Any of undici's assertions, in either bundled program, stops the process so.

Change: the bundles contain their own `node:assert` with a fixed message. The assertion is thrown at once, undici destroys the connection and the call fails with an unknown outcome, as in the unbundled programs.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,6 +50,11 @@
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
     },
   },
+  {
+    // CommonJS modules have no other form of import; TypeScript compiles this one.
+    files: ['**/*.cts'],
+    rules: { '@typescript-eslint/no-require-imports': ['error', { allowAsImport: true }] },
+  },
   {
     // The programs of the platform end at once when they have stopped.
     files: ['platform/node.ts', 'platform/control.ts'],
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -13,6 +13,8 @@
 
 const resolvePath = (path: string): string => fileURLToPath(new URL(path, import.meta.url));
 
+const SLIM_ASSERT = resolvePath('../src/process/_lib/slim/assert.cjs');
+
 /** Replaces imports of whole packages with slim entry points; deep imports are unchanged. */
 const useSlimPackages: Plugin = {
   name: 'use-slim-packages',
@@ -20,6 +22,9 @@
     pluginBuild.onResolve({ filter: /^undici$/ }, () => ({
       path: resolvePath('../src/process/_lib/slim/undici.js'),
     }));
+    pluginBuild.onResolve({ filter: /^(node:)?assert$/ }, ({ importer }) =>
+      importer === SLIM_ASSERT ? undefined : { path: SLIM_ASSERT },
+    );
     pluginBuild.onResolve({ filter: /^hdr-histogram-js$/ }, () => ({
       path: resolvePath('../src/process/_lib/slim/hdrHistogram.js'),
     }));
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -32,6 +32,8 @@
   bounds?: object;
   /** Duties in force besides the usual ones. */
   contracts?: string[];
+  /** Runs the minified bundle of the program, as deployed, instead of its compiled modules. */
+  isBundled?: boolean;
 }
 
 export default class PlatformMachine {
@@ -65,9 +67,9 @@
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
     const path = join(this.#folder, 'local.yaml');
     await writeFile(path, stringify(this.#createSettings(options.isFirstStart)));
-    const program = fileURLToPath(
-      new URL(`../../platform/${this.#options.program}.js`, import.meta.url),
-    );
+    const { program: name, isBundled = false } = this.#options;
+    const module = isBundled ? `bundle/platform-${name}.mjs` : `platform/${name}.js`;
+    const program = fileURLToPath(new URL(`../../${module}`, import.meta.url));
     const child = spawn(process.execPath, [program], {
       env: { PATH: process.env.PATH, FOXTAILVANE_CONFIG: path },
       stdio: ['ignore', 'pipe', 'pipe'],
--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -20,6 +20,8 @@
   version?: string;
   /** Returns the status of the next answer; always 200 by default. */
   findStatus?: () => number;
+  /** Returns bytes to write in place of the answer to a request; undefined for a regular answer. */
+  findRawAnswer?: (run: WorkerRun) => string | undefined;
 }
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -130,7 +132,13 @@
     }
     const callerService = String(headers['caller-service'] ?? '');
     const { rawHeaders } = incoming;
-    this.runs.push({ attemptId, path: url, callerService, rawHeaders, atMs: performance.now() });
+    const run = { attemptId, path: url, callerService, rawHeaders, atMs: performance.now() };
+    this.runs.push(run);
+    const rawAnswer = this.#options.findRawAnswer?.(run);
+    if (rawAnswer !== undefined) {
+      incoming.socket.write(rawAnswer);
+      return;
+    }
     setTimeout(() => {
       response.writeHead(findStatus(), {
         'attempt-id': attemptId,
