Remember the end of servers that a node does not know yet

Cause: `LocalServers.withdraw` remembered the ended instance only if the server was announced and its start time known. A node that has just restarted knows its worker by the health probe alone, without a start time, or not at all, so a heartbeat that arrived seconds late added the worker again. The start time in the deregistration was decoded and used for one comparison only.

Change: the withdrawal takes the address and start time that the deregistration states, and these are remembered whether or not the server is known. Related paths: a health probe under way no longer adds a server that deregistered meanwhile; the deregistration of a later start removes the former one under the same id (it was acknowledged without any effect); the late end of an earlier instance does not replace that of a newer one.

Three of the new tests of LocalServers fail on the former code, in which the second argument of `withdraw` has no effect.

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -14,6 +14,7 @@
 import ServerWork from '../ServerWork/index.js';
 import { RouteLatencies } from '../RouteLatencies/index.js';
 import { SlotGate } from '../SlotGate/index.js';
+import { EndedInstances } from '../_lib/EndedInstances/index.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
 
 import type { Service } from '../../../_generated/foxtailvane/v1/configuration_pb.js';
@@ -21,6 +22,7 @@
 import type { AdmissionPolicy } from '../AdmissionPolicy/index.js';
 import type { ConcurrencyLimiter } from '../ConcurrencyLimiter/index.js';
 import type RouteCosts from '../RouteCosts/index.js';
+import type { ServerInstance } from '../_lib/EndedInstances/index.js';
 import type { Announcement } from '../_lib/parseAnnouncement.js';
 
 const DEFAULT_LEASE_MS = 3_000;
@@ -61,12 +63,6 @@
   isLeaving: boolean;
 }
 
-/** Server instance at an address. */
-interface ServerInstance {
-  serverId: string;
-  bornAtMs: number;
-}
-
 /** Health and load that a server reports of itself; may be stale or wrong. */
 export interface LoadHint {
   isHealthy: boolean;
@@ -193,8 +189,7 @@
   /** Gates of removed servers whose requests still run, by address; their slots stay counted. */
   readonly #retiredGates = new Map<string, SlotGate>();
 
-  /** Last ended instance per address, so that a late announcement does not add it again. */
-  readonly #endedByAddress = new Map<string, ServerInstance>();
+  readonly #ended = new EndedInstances();
 
   /** Instance per address that stated its departure; a late announcement may still call it serving. */
   readonly #departingByAddress = new Map<string, ServerInstance>();
@@ -318,13 +313,28 @@
   }
 
   /**
-   * Removes a server without waiting for its lease to end.
+   * Removes a server without waiting for its lease to end, and ignores its late announcements.
    *
-   * @returns an error when no such server is announced
+   * The instance may be unknown to a node that has just started. Without its address and start time
+   * only those of an announced server are remembered.
+   *
+   * @param serverId - id of the server
+   * @param instance - what the server states of itself: its `IP:port`, and its start time in
+   *   milliseconds since the epoch
+   * @returns an error when no such server is announced, or only a later start of it
    */
-  withdraw(serverId: string): Result<void, AnnouncementError> {
-    const entry = this.#servers.get(serverId);
-    if (entry) this.#recordEnded(entry.server);
+  withdraw(
+    serverId: string,
+    instance: { address?: string | undefined; bornAtMs?: number | undefined } = {},
+  ): Result<void, AnnouncementError> {
+    const known = this.#servers.get(serverId)?.server;
+    const knownBornAtMs = Number(known?.bornAtMs ?? 0n);
+    const { address = known?.address, bornAtMs = knownBornAtMs } = instance;
+    if (address !== undefined) this.#recordEnded({ serverId, address, bornAtMs });
+    if (bornAtMs < knownBornAtMs) {
+      const message = `the announced server "${serverId}" started later`;
+      return err(new AnnouncementError(AnnouncementErrorCode.UnknownServer, message, 'serverId'));
+    }
     if (!this.#remove(serverId)) {
       const message = `no server "${serverId}" is announced`;
       return err(new AnnouncementError(AnnouncementErrorCode.UnknownServer, message, 'serverId'));
@@ -351,6 +361,16 @@
     return expired;
   }
 
+  /**
+   * Returns whether the last server that was withdrawn at an address had this id.
+   *
+   * @param serverId - id of the server
+   * @param address - its `IP:port`
+   */
+  isWithdrawn(serverId: string, address: string): boolean {
+    return this.#ended.hasId(address, serverId);
+  }
+
   /** Records the result of a probe of a server. */
   recordHint(serverId: string, hint: LoadHint): void {
     const entry = this.#servers.get(serverId);
@@ -441,9 +461,7 @@
 
   #isOutdated(serverId: string, { address, bornAtMs, sequence }: Announcement): boolean {
     if (bornAtMs === undefined) return false;
-    const ended = this.#endedByAddress.get(address);
-    const isEnded = ended?.serverId === serverId && bornAtMs === ended.bornAtMs;
-    if (ended && (isEnded || bornAtMs < ended.bornAtMs)) return true;
+    if (this.#ended.has(address, { serverId, bornAtMs })) return true;
     const current = this.#findByAddress(address);
     if (!current) return false;
     const currentBornAtMs = Number(current.server.bornAtMs);
@@ -467,12 +485,12 @@
       { serverId, formerServerId: previous.server.serverId, bornAtMs },
       'server replaced by a new instance',
     );
-    this.#recordEnded(previous.server);
+    this.#recordEnded({ ...previous.server, bornAtMs: Number(previous.server.bornAtMs) });
     this.#remove(previous.server.serverId);
   }
 
-  #recordEnded({ serverId, address, bornAtMs }: Server): void {
-    if (bornAtMs > 0n) this.#endedByAddress.set(address, { serverId, bornAtMs: Number(bornAtMs) });
+  #recordEnded({ serverId, address, bornAtMs }: ServerInstance & { address: string }): void {
+    if (bornAtMs > 0) this.#ended.record(address, { serverId, bornAtMs });
   }
 
   #remove(serverId: string): boolean {
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -157,6 +157,49 @@
   t.strictSame(servers.list(), []);
 });
 
+// Guards against requests to a server that deregistered at a node which had just started (DRAIN).
+tap.test('a server that deregisters before it is known is not added by a late one', async (t) => {
+  const servers = createServers();
+  const announcement = createNumbered(100, 5);
+  const { address } = announcement;
+  t.ok(servers.withdraw('d1', { address, bornAtMs: 100 }).isErr(), 'nothing to remove');
+  servers.announce('d1', announcement, 1);
+  t.strictSame(servers.list(), []);
+  t.ok(servers.isWithdrawn('d1', address), 'a probe does not discover it either');
+  servers.announce('d1', createNumbered(200, 1), 2);
+  t.equal(servers.list().length, 1, 'it may start again under its id');
+});
+
+// Guards against a server that was found by a probe, whose start time only its deregistration states.
+tap.test('a discovered server that deregisters is not added by a late announcement', async (t) => {
+  const servers = createServers();
+  const { bornAtMs, sequence, ...discovered } = createNumbered(100, 5);
+  servers.announce('d1', discovered, 0);
+  t.ok(servers.withdraw('d1', { address: discovered.address, bornAtMs: 100 }).isOk());
+  servers.announce('d1', { ...discovered, ...(bornAtMs && { bornAtMs }), sequence: 6 }, 1);
+  t.strictSame(servers.list(), []);
+});
+
+// Guards against an acknowledged deregistration that leaves the former start of the server in use.
+tap.test('the deregistration of a later start removes the former one under its id', async (t) => {
+  const servers = createServers();
+  const announcement = createNumbered(100, 5);
+  servers.announce('d1', announcement, 0);
+  t.ok(servers.withdraw('d1', { address: announcement.address, bornAtMs: 200 }).isOk());
+  t.strictSame(servers.list(), []);
+});
+
+// Guards against a deregistration that arrives after the server has started again.
+tap.test('the late deregistration of an earlier start removes nothing', async (t) => {
+  const servers = createServers();
+  const announcement = createNumbered(200, 1);
+  servers.announce('d1', announcement, 0);
+  t.ok(servers.withdraw('d1', { address: announcement.address, bornAtMs: 100 }).isErr());
+  t.equal(servers.list().length, 1);
+  servers.announce('d1', createNumbered(200, 2), 1);
+  t.equal(servers.find('d1')?.sequence, 2);
+});
+
 tap.test('a server whose lease ended is added again by its next announcement', async (t) => {
   const servers = createServers();
   servers.announce('d1', createNumbered(100, 5), 0);
--- a/src/process/localServers/discoverServer/index.ts
+++ b/src/process/localServers/discoverServer/index.ts
@@ -57,6 +57,8 @@
   const serverId = await probeIdentity(server);
   if (serverId === undefined || localServers.list().length > 0) return false;
   const { service, address, slots } = server;
+  // A server that deregistered may serve on for a while, and be healthy.
+  if (localServers.isWithdrawn(serverId, address)) return false;
   const state = AnnouncedState.Serving;
   const announcement = { service, address, slots, connections: slots, state };
   const announced = localServers.announce(serverId, announcement, readNowMs());
