Close a draining connection after its last request only

Cause: while a node drained, every request that arrived got a response with `Connection: close`. Where a caller had sent several requests behind one another, the response to the first closed the connection, although those behind it were passed on to workers. A request behind a closing response counts as not received, so an order behind one was placed twice.

Change: `ResponsePipeline` knows the pending responses of each connection. While a node drains, only the response to the last request closes the connection. A request that arrives behind a closing response (by a drain, a refusal with an unread body or an unknown length) is read and dropped, never passed on.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { Agent } from 'node:http';
 import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -6,6 +7,7 @@
 
 import { splitAddress } from '../../connection/splitAddress/index.js';
 import { TestMesh, send } from '../../../test/requestMesh/index.js';
+import sendRaw from '../../../test/requestMesh/sendRaw.js';
 
 import type { TestNode } from '../../../test/requestMesh/index.js';
 
@@ -125,3 +127,58 @@
   const elapsedMs = performance.now() - startedAtMs;
   t.ok(elapsedMs < DRAIN_TIMEOUT_MS / 4, `${Math.round(elapsedMs)} ms`);
 });
+
+const createRawRequest = (method: string, path: string, body = ''): string =>
+  `${method} ${path} HTTP/1.1\r\nhost: desk\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+// Guards against a response that closes the connection before those to the requests behind it (LOST).
+tap.test('a draining node answers all requests that were sent behind one another', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  await mesh.startBackend(owner, (request, response) => {
+    setTimeout(() => response.end(`<${request.url}>`), 50);
+  });
+  const drained = entry.requestServer.drain();
+  const received = await sendRaw(
+    entry.address,
+    [
+      createRawRequest('GET', '/1'),
+      createRawRequest('POST', '/orders/2', 'bundle'),
+      createRawRequest('GET', '/3'),
+    ].join(''),
+  );
+  t.strictSame(received.match(/<[^>]+>/g), ['</1>', '</orders/2>', '</3>']);
+  t.equal(received.match(/connection: close/gi)?.length, 1, 'one response closes the connection');
+  t.ok(received.lastIndexOf('onnection: close') > received.indexOf('</orders/2>'));
+  await drained;
+});
+
+// Guards against an order that runs although the caller sends it again, on another connection.
+tap.test('a request behind a response that closes the connection is not handled', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  const arrivals: string[] = [];
+  await mesh.startBackend(owner, (request, response) => {
+    arrivals.push(request.url ?? '');
+    response.write('first ');
+    setTimeout(() => response.end('last'), 200);
+  });
+  const drained = entry.requestServer.drain();
+  const socket = connect(splitAddress(entry.address));
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    if (received === '') socket.write(createRawRequest('POST', '/orders/2', 'bundle'));
+    received += chunk.toString('latin1');
+  });
+  socket.write(createRawRequest('GET', '/1'));
+  await once(socket, 'close');
+  t.match(received, /^HTTP\/1\.1 200 OK/);
+  t.match(received, /connection: close/i);
+  t.match(received, /last/, 'the first response is complete');
+  t.strictSame(arrivals, ['/1']);
+  await drained;
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -5,11 +5,11 @@
 import type { AddressInfo } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
 import canConnect from '../../connection/canConnect/index.js';
+import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { createLogger } from '../../process/log/index.js';
 import probePeers from '../_lib/probePeers.js';
-import endWithSocket from '../_lib/endWithSocket.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
 import OwnerHandler from '../_lib/OwnerHandler.js';
@@ -457,12 +457,15 @@
   ): Server {
     const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
     const listener = (request: IncomingMessage, response: ServerResponse) => {
+      const pipeline = ResponsePipeline.of(request.socket);
+      if (!pipeline.add(response, { isClosing: this.#isDraining })) {
+        this.#discard(request);
+        return;
+      }
       this.#inFlight += 1;
-      endWithSocket(request.socket, response);
       response.once('close', () => {
         this.#inFlight -= 1;
       });
-      if (this.#isDraining) response.shouldKeepAlive = false;
       this.#pacer.add(request, (waitedMs) => {
         handle(request, response, waitedMs).catch(() => response.destroy());
       });
@@ -477,6 +480,13 @@
     return server;
   }
 
+  /** Reads and drops a request behind a response that closes its connection. */
+  #discard(request: IncomingMessage): void {
+    this.#context.metrics.counter('requests_discarded').value += 1;
+    log.debug({ method: request.method }, 'request behind a closing response discarded');
+    request.resume();
+  }
+
   /** Closes the connections to servers and nodes that are no longer known, and drops their state. */
   #removeUnknown(): void {
     const records = this.#context.directory.records();
