Keep connections with unsent responses open while draining

Callers saw: a response that was complete in the node, but waited for a slow caller or link, was cut when the node stopped listening.

Cause: `http.Server.close` closes idle connections first, and Node.js counts a connection as idle once its last response has ended, although its bytes may not be sent yet. This happened 2.4 s after each SIGTERM, with callers at work.

Change: a draining node only stops accepting connections.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -182,3 +182,57 @@
   t.strictSame(arrivals, ['/1']);
   await drained;
 });
+
+// Guards against a drain that closes a connection whose last response is not sent completely (LOST).
+tap.test('a caller that reads slowly gets its whole response while a node drains', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  const bodyBytes = 8 * 1_048_576;
+  await mesh.startBackend(owner, (_, response) => {
+    response.end(Buffer.alloc(bodyBytes, 'x'));
+  });
+  const socket = connect(splitAddress(entry.address));
+  let receivedBytes = 0;
+  const closed = once(socket, 'close');
+  socket.on('error', () => undefined);
+  socket.write(createRawRequest('GET', '/large'));
+  await once(socket, 'readable');
+  const drained = entry.requestServer.drain();
+  await delay(GRACE_MS + 200);
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+  });
+  await Promise.all([closed, drained]);
+  t.ok(receivedBytes > bodyBytes, `${receivedBytes} of more than ${bodyBytes} bytes`);
+});
+
+// The same for a short response, of which nothing more has to be read from the server.
+tap.test('a response that waits for its caller is sent while a node drains', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  const bodyBytes = 60_000;
+  const requests = 200;
+  await mesh.startBackend(owner, (_, response) => {
+    const body = Buffer.alloc(bodyBytes, 'x');
+    response.writeHead(200, { 'content-length': bodyBytes }).end(body);
+  });
+  const socket = connect(splitAddress(entry.address));
+  let receivedBytes = 0;
+  const closed = once(socket, 'close');
+  socket.on('error', () => undefined);
+  // Their responses fill the buffers of the connection, and the last ones wait in the process.
+  socket.write(createRawRequest('GET', '/short').repeat(requests));
+  await once(socket, 'readable');
+  await delay(300);
+  const drained = entry.requestServer.drain();
+  await delay(GRACE_MS + 200);
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+  });
+  await Promise.all([closed, drained]);
+  t.ok(receivedBytes > bodyBytes * requests, `${receivedBytes} of ${bodyBytes * requests} bytes`);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -1,5 +1,6 @@
 import { createServer as createHttpServer } from 'node:http';
 import { createServer as createHttpsServer, Server as HttpsServer } from 'node:https';
+import { Server as NetServer } from 'node:net';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -163,6 +164,16 @@
     server.close(() => resolve());
   });
 
+/**
+ * Accepts no further connections and leaves the open ones alone.
+ *
+ * `http.Server.close` also destroys connections whose last response has ended but is not sent yet.
+ */
+const stopListening = (server: Server): Promise<void> =>
+  new Promise((resolve) => {
+    NetServer.prototype.close.call(server, () => resolve());
+  });
+
 const delay = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
@@ -411,7 +422,7 @@
     if (drainAnnounceDelayMs > 0) await delay(drainAnnounceDelayMs);
     this.#context.localServers.drain();
     await delay(drainGraceMs - drainAnnounceDelayMs);
-    const closed = [closeServer(this.#entryListener), closeServer(this.#ownerListener)];
+    const closed = [stopListening(this.#entryListener), stopListening(this.#ownerListener)];
     await this.#finishRequests(deadlineMs);
     this.#entryListener.closeIdleConnections();
     this.#ownerListener.closeIdleConnections();
