Refuse requests that may outlast a drain, in its second half

Cause: a draining node passed on every request that it read, whatever was left of its time, and aborted those in flight at the end. The same at the node beside the server, to which other nodes may still send.

Change: from the second half of the drain on, both handlers accept a request only if it ends within the drain whatever its server takes: its deadline or its route's timeout must pass before. Others are refused at once as not run. In the first half every request is accepted, as nearly all end in time and a caller has no other node until it notices the stop.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -236,3 +236,56 @@
   await Promise.all([closed, drained]);
   t.ok(receivedBytes > bodyBytes * requests, `${receivedBytes} of ${bodyBytes * requests} bytes`);
 });
+
+// Guards against requests that are passed on late in a drain and cut at its end (LOST).
+tap.test('a request that may outlast the drain is refused in its second half', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: 100 });
+  const owner = await mesh.startNode('owner', { drainGraceMs: 100 });
+  const arrivals: string[] = [];
+  await mesh.startBackend(owner, (request, response) => {
+    arrivals.push(request.url ?? '');
+    if (request.url !== '/held') response.end('ok');
+  });
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  t.teardown(() => agent.destroy());
+  await send(entry.address, { agent, path: '/before' });
+  const held = send(entry.address, { path: '/held' }).catch(() => undefined);
+  while (!arrivals.includes('/held')) await delay(5);
+  const drained = entry.requestServer.drain(DRAIN_TIMEOUT_MS);
+  await delay(DRAIN_TIMEOUT_MS / 2 + 100);
+  const headers = { 'foxtailvane-deadline-ms': String(DRAIN_TIMEOUT_MS) };
+  const refused = await send(entry.address, { agent, path: '/long', headers });
+  t.equal(refused.status, 503);
+  t.equal(refused.headers['foxtailvane-outcome'], 'not-run');
+  t.equal(refused.headers['foxtailvane-reason'], 'NODE_DRAINING');
+  t.notOk(arrivals.includes('/long'));
+  await Promise.all([held, drained]);
+});
+
+// The same at the node beside the server, to which other nodes may still send requests.
+tap.test('a draining node refuses late requests of other nodes', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const draining = await mesh.startNode('draining', { drainAnnounceDelayMs: DRAIN_TIMEOUT_MS });
+  const arrivals: string[] = [];
+  const backend = await mesh.startBackend(draining, (request, response) => {
+    arrivals.push(request.url ?? '');
+    if (request.url !== '/held') response.end('ok');
+  });
+  const held = send(entry.address, { path: '/held' }).catch(() => undefined);
+  while (!arrivals.includes('/held')) await delay(5);
+  const drained = draining.requestServer.drain(DRAIN_TIMEOUT_MS);
+  await delay(DRAIN_TIMEOUT_MS / 2 + 100);
+  const headers = { 'foxtailvane-deadline-ms': String(DRAIN_TIMEOUT_MS) };
+  const refused = await send(entry.address, { path: '/long', headers });
+  t.equal(refused.status, 503);
+  t.equal(refused.headers['foxtailvane-outcome'], 'not-run');
+  const short = { 'foxtailvane-deadline-ms': '500' };
+  t.equal((await send(entry.address, { path: '/short', headers: short })).status, 200);
+  t.notOk(arrivals.includes('/long'));
+  t.ok(backend.server.listening);
+  await Promise.all([held, drained]);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -10,6 +10,7 @@
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { createLogger } from '../../process/log/index.js';
+import DrainWindow from '../_lib/DrainWindow.js';
 import probePeers from '../_lib/probePeers.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
 import LocalCaller from '../_lib/LocalCaller.js';
@@ -90,7 +91,7 @@
 type OptionalContext =
   'random' | 'getNowMs' | 'dialect' | 'callerService' | 'isCurrent' | 'readKeyProofLeftMs';
 /** Context that the server provides itself. */
-type InternalContext = 'readLatenessMs' | 'isAfterPause' | 'costs';
+type InternalContext = 'readLatenessMs' | 'isAfterPause' | 'readDrainLeftMs' | 'costs';
 
 /** Options of a request server. */
 export interface RequestServerOptions
@@ -237,6 +238,8 @@
 
   #isDraining = false;
 
+  #drainWindow: DrainWindow | undefined;
+
   #maintenanceTimer: NodeJS.Timeout | undefined;
 
   constructor(options: RequestServerOptions) {
@@ -250,6 +253,7 @@
       callerService: options.callerService ?? (() => ''),
       isCurrent: options.isCurrent ?? (() => true),
       readKeyProofLeftMs: options.readKeyProofLeftMs ?? (() => Infinity),
+      readDrainLeftMs: () => this.#drainWindow?.readLeftMs(performance.now()) ?? Infinity,
       isAfterPause: () => this.#pauses.isAfterPause(this.#readInstant()),
       costs: options.routeCosts && {
         routeCosts: options.routeCosts,
@@ -412,10 +416,14 @@
   /**
    * Drains the node: announces it, completes the requests in flight, then closes the listeners.
    *
+   * In the second half of the time, requests are refused that may not end within it.
+   *
    * @param timeoutMs - maximum time to wait for requests; those still in flight then are aborted
    */
   async drain(timeoutMs = Infinity): Promise<void> {
-    const deadlineMs = performance.now() + timeoutMs;
+    const startMs = performance.now();
+    const deadlineMs = startMs + timeoutMs;
+    this.#drainWindow = new DrainWindow(startMs, timeoutMs);
     this.#isDraining = true;
     this.#grantor.stop();
     const { drainGraceMs = DEFAULT_DRAIN_GRACE_MS, drainAnnounceDelayMs = 0 } = this.#options;
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -11,6 +11,7 @@
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
 import EntryLog from './EntryLog.js';
 import { BodyState, Exchange } from './Exchange.js';
+import { createDrainRefusal, mayOutlastDrain } from './refuseLate.js';
 import { answerFailure } from './answerFailure.js';
 import createKeyRefusal from './createKeyRefusal.js';
 import { recordOutcome } from './recordOutcome.js';
@@ -194,9 +195,7 @@
       answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
       return;
     }
-    const refusal = this.#isRefusedAsCrashing(routed)
-      ? createCrashRefusal()
-      : this.#chargeQuota(routed, this.#context.getNowMs());
+    const refusal = this.#findRefusal(routed);
     const key = request.headers['idempotency-key'];
     if (refusal) {
       this.#refuse(exchange, refusal);
@@ -208,6 +207,12 @@
     }
   }
 
+  #findRefusal(routed: RoutedRequest): Refusal | undefined {
+    if (mayOutlastDrain(routed.exchange, this.#context)) return createDrainRefusal();
+    if (this.#isRefusedAsCrashing(routed)) return createCrashRefusal();
+    return this.#chargeQuota(routed, this.#context.getNowMs());
+  }
+
   /**
    * Returns whether the request has crashed too many servers to be sent to another one. One that may
    * be tried once more is bound to the node of the trial.
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -26,6 +26,7 @@
 import { computeNodeDelayMs } from '../judgeWait/index.js';
 import { formatAnswerReport } from '../shareReports/index.js';
 import { BodyState, Exchange } from './Exchange.js';
+import { createDrainRefusal, mayOutlastDrain } from './refuseLate.js';
 import createKeyCheck from './createKeyCheck.js';
 import { answerFailure } from './answerFailure.js';
 import { RefusalReason, createNotRunRefusal, writeRefusal } from './writeRefusal.js';
@@ -121,6 +122,10 @@
       answerFailure(exchange, undefined);
       return;
     }
+    if (mayOutlastDrain(exchange, this.#context)) {
+      this.#refuse(exchange, createDrainRefusal());
+      return;
+    }
     const key = parseKeyHeader(exchange.internalHeaders.get(KEY_HEADER));
     const workspace = key && { name: key.workspaceName };
     // An entry node with a version without workspaces passes the headers of callers on.
--- a/src/request/_lib/RequestContext.ts
+++ b/src/request/_lib/RequestContext.ts
@@ -38,6 +38,11 @@
   readKeyProofLeftMs: () => number;
   /** Returns whether a request that is read now may have waited while this process did not run. */
   isAfterPause: () => boolean;
+  /**
+   * Returns the time, in milliseconds, until the requests in flight are aborted, once so little of a
+   * drain is left that a request must end within it to be accepted; Infinity before.
+   */
+  readDrainLeftMs: () => number;
   /** Returns the configuration in force, if there is one. */
   current: () => CompiledConfiguration | undefined;
   directory: RequestDirectory;
