--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -486,7 +486,13 @@
         this.#inFlight -= 1;
       });
       this.#pacer.add(request, (waitedMs) => {
-        handle(request, response, waitedMs).catch(() => response.destroy());
+        handle(request, response, waitedMs).catch((error: unknown) => {
+          log.error(
+            { reason: String(error) },
+            'handling a request failed; its connection is closed',
+          );
+          response.destroy();
+        });
       });
     };
     const server = tls
