Soak planned work on connections that clients keep

A second soak runs the bundled platform programs while clients keep their connections, send up to three requests behind one another, orders among them, with a length or in chunks with pauses, and use each connection until it is closed. Nodes are stopped, started, reloaded and reconfigured meanwhile, in series and overlapping.

--- /dev/null
+++ b/soak/runStops/index.ts
@@ -0,0 +1,233 @@
+/** One seeded run of the platform programs with planned work in series and overlapping. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import {
+  PlatformMachine,
+  PlatformProgram,
+  PlatformWorker,
+  callControl,
+  createConfigurationDocument,
+  sendAttempt,
+} from '../../stand-ins/platform/index.js';
+import { createSeededRandom, drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import type { Random } from '../../stand-ins/createSeededRandom/index.js';
+import KeepingClient, { RequestEnd } from '../../stand-ins/keepingClient/index.js';
+import type { KeptRequest } from '../../stand-ins/keepingClient/index.js';
+import waitFor from '../../stand-ins/waitFor/index.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const CONTROL_IPS = ['127.0.79.1', '127.0.79.2', '127.0.79.3'];
+const SERVICES = ['desk', 'ledger'];
+/** Execution times of the workers, which take turns. */
+const WORK_MS = [20, 150, 400];
+const CLIENTS_PER_NODE = 3;
+const MAX_EVENT_GAP_MS = 1_500;
+const REFUSED_STATUSES = new Set([408, 421, 429, 503]);
+const ACKNOWLEDGED = 200;
+
+enum PlannedWork {
+  Stop = 'STOP',
+  Hangup = 'HANGUP',
+  Change = 'CHANGE',
+}
+
+const KINDS = [PlannedWork.Stop, PlannedWork.Stop, PlannedWork.Hangup, PlannedWork.Change];
+
+export interface StopSoakOptions {
+  seed: number;
+  durationMs: number;
+  /** Number of nodes, each with a worker. */
+  nodes: number;
+  print?: (line: string) => void;
+}
+
+export interface StopSoakReport {
+  seed: number;
+  work: Partial<Record<PlannedWork, number>>;
+  requests: number;
+  /** Number of requests by how they ended for their client. */
+  ends: Partial<Record<string, number>>;
+  /** Violated guarantees; empty if the run passed. */
+  violations: string[];
+}
+
+interface StopPlatform {
+  controls: PlatformMachine[];
+  nodes: PlatformMachine[];
+  workers: PlatformWorker[];
+}
+
+const createPlatform = ({ nodes: count }: StopSoakOptions): StopPlatform => {
+  const shared = { seedIps: CONTROL_IPS, isBundled: true };
+  const findZone = (index: number): string => ZONES[index % ZONES.length] ?? '';
+  const controls = CONTROL_IPS.map(
+    (ip, index) =>
+      new PlatformMachine({
+        ...{ ...shared, program: PlatformProgram.Control, ip, zone: findZone(index) },
+      }),
+  );
+  const nodes = Array.from({ length: count }, (_, index) => {
+    const service = SERVICES[index % SERVICES.length] ?? '';
+    const ip = `127.0.80.${index + 1}`;
+    return new PlatformMachine({
+      ...{ ...shared, program: PlatformProgram.Node, ip, zone: findZone(index), service },
+    });
+  });
+  const workers = nodes.map(
+    (node, index) =>
+      new PlatformWorker({
+        ...{ instanceId: `i-${index}`, service: SERVICES[index % SERVICES.length] ?? '' },
+        ...{ zone: findZone(index), workMs: WORK_MS[index % WORK_MS.length] ?? 0 },
+        ...{ address: node.address('app'), control: node.address('control') },
+      }),
+  );
+  return { controls, nodes, workers };
+};
+
+/** Sends changes until one is acknowledged; versions rise with each call. */
+class Operator {
+  readonly #controls: PlatformMachine[];
+
+  #version = 0;
+
+  constructor(controls: PlatformMachine[]) {
+    this.#controls = controls;
+  }
+
+  async change(): Promise<void> {
+    const base = this.#version;
+    this.#version += 1;
+    const document = createConfigurationDocument(this.#version, base, SERVICES);
+    await waitFor('acknowledged change', async () => {
+      const replies = this.#controls.map((control) =>
+        callControl(control.address('control'), 'configuration.replace', document),
+      );
+      return (await Promise.any(replies)).status === ACKNOWLEDGED;
+    });
+  }
+}
+
+const waitUntilServing = async ({ nodes }: StopPlatform): Promise<void> => {
+  await Promise.all(
+    nodes.map((node) =>
+      waitFor(`requests served at ${node.ip}`, async () => {
+        const replies = await Promise.all(
+          SERVICES.map((service) =>
+            sendAttempt(node.address('outbound'), { path: `/${service}/` }),
+          ),
+        );
+        return replies.every(({ status }) => status === ACKNOWLEDGED);
+      }),
+    ),
+  );
+};
+
+/** Does planned work, of which several pieces may be in progress, but one at most on a node. */
+const doPlannedWork = async (
+  platform: StopPlatform,
+  random: Random,
+  { durationMs, print = () => undefined }: StopSoakOptions,
+  operator: Operator,
+): Promise<StopSoakReport['work']> => {
+  const done: StopSoakReport['work'] = {};
+  const busy = new Set<PlatformMachine>();
+  const inProgress: Promise<void>[] = [];
+  const startedAtMs = performance.now();
+  const restart = async (node: PlatformMachine): Promise<void> => {
+    busy.add(node);
+    await node.stop();
+    await node.start({ isFirstStart: false });
+    busy.delete(node);
+  };
+  let lastChange = Promise.resolve();
+  while (performance.now() < startedAtMs + durationMs) {
+    const kind = KINDS[drawInteger(random, 0, KINDS.length - 1)] ?? PlannedWork.Change;
+    const node = platform.nodes[drawInteger(random, 0, platform.nodes.length - 1)];
+    const isStopPossible = busy.size < platform.nodes.length / 3 && node && !busy.has(node);
+    if (kind === PlannedWork.Change) {
+      lastChange = lastChange.then(() => operator.change());
+      inProgress.push(lastChange);
+    } else if (kind === PlannedWork.Hangup) node?.signal('SIGHUP');
+    else if (isStopPossible) inProgress.push(restart(node));
+    done[kind] = (done[kind] ?? 0) + 1;
+    print(`${Math.round(performance.now() - startedAtMs)} ms: ${kind} ${node?.ip ?? ''}`);
+    await sleep(drawInteger(random, 0, MAX_EVENT_GAP_MS));
+  }
+  await Promise.all(inProgress);
+  return done;
+};
+
+const findViolations = (sent: KeptRequest[], workers: PlatformWorker[]): string[] => {
+  const runs = new Map<string, number>();
+  workers.forEach((worker) =>
+    worker.runs.forEach(({ attemptId }) => runs.set(attemptId, (runs.get(attemptId) ?? 0) + 1)),
+  );
+  return sent.flatMap((request) => {
+    const count = runs.get(request.attemptId) ?? 0;
+    const isRefused = REFUSED_STATUSES.has(request.statusCode ?? 0);
+    const describe = (fault: string): string => `${fault}: ${JSON.stringify(request)}`;
+    return [
+      ...(request.isOrder && count > 1 ? [describe('an order ran twice')] : []),
+      ...(request.isOrder && count > 0 && isRefused ? [describe('a refused order ran')] : []),
+      ...(request.end === RequestEnd.GivenUp ? [describe('no answer on an open connection')] : []),
+      ...(count > 0 && request.end === RequestEnd.Unanswered
+        ? [describe('no whole answer to a request that ran')]
+        : []),
+      ...(request.isOrder && count > 0 && request.end === RequestEnd.BehindClose
+        ? [describe('an order behind a closing response ran')]
+        : []),
+    ];
+  });
+};
+
+/**
+ * Runs the platform programs while clients keep their connections and use them until they are closed,
+ * and nodes are stopped, started, reloaded and reconfigured.
+ *
+ * Checks that each request that a worker ran is answered, that no order runs twice, and that what
+ * counts as not received or not run has not run.
+ *
+ * @param options - seed, duration and number of nodes
+ * @returns counts and violations; all processes have ended by then
+ */
+const runStops = async (options: StopSoakOptions): Promise<StopSoakReport> => {
+  const { seed } = options;
+  const random = createSeededRandom(seed);
+  const platform = createPlatform(options);
+  const { controls, nodes, workers } = platform;
+  try {
+    await Promise.all(workers.map((worker) => worker.start()));
+    await Promise.all([...controls, ...nodes].map((machine) => machine.start()));
+    const operator = new Operator(controls);
+    await operator.change();
+    await waitUntilServing(platform);
+    const clients = nodes.flatMap((node, nodeIndex) =>
+      Array.from({ length: CLIENTS_PER_NODE }, (_, index) => {
+        const service = SERVICES[index % SERVICES.length] ?? '';
+        const name = `${seed}-${nodeIndex}-${index}`;
+        const address = node.address('outbound');
+        // Each client draws from a sequence of its own, so that their turns do not mix the sequences.
+        const own = createSeededRandom(drawInteger(random, 1, 1_000_000));
+        return new KeepingClient({ address, service, name, random: own });
+      }),
+    );
+    const ending = { isOver: false };
+    const running = clients.map((client) => client.run(() => ending.isOver));
+    const work = await doPlannedWork(platform, random, options, operator);
+    await waitUntilServing(platform);
+    ending.isOver = true;
+    await Promise.all(running);
+    const sent = clients.flatMap((client) => client.sent);
+    const ends: StopSoakReport['ends'] = {};
+    sent.forEach(({ end, statusCode }) => {
+      const label = statusCode === undefined ? end : `${end} ${statusCode}`;
+      ends[label] = (ends[label] ?? 0) + 1;
+    });
+    return { seed, work, requests: sent.length, ends, violations: findViolations(sent, workers) };
+  } finally {
+    await Promise.all(workers.map((worker) => worker.stop()));
+    await Promise.all([...controls, ...nodes].map((machine) => machine.remove()));
+  }
+};
+
+export default runStops;
--- /dev/null
+++ b/stand-ins/keepingClient/index.ts
@@ -0,0 +1,159 @@
+/** Client that uses each connection until it is closed, with several requests behind one another. */
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type { Socket } from 'node:net';
+import { drawInteger } from '../createSeededRandom/index.js';
+import type { Random } from '../createSeededRandom/index.js';
+import ResponseReader from './ResponseReader.js';
+
+/** How a request ended for the client. */
+export enum RequestEnd {
+  Pending = 'PENDING',
+  Answered = 'ANSWERED',
+  /** The connection closed before the response was complete. */
+  Unanswered = 'UNANSWERED',
+  /** Still unanswered on an open connection long after its deadline. */
+  GivenUp = 'GIVEN_UP',
+  /** It was sent behind a response that closes the connection, so it counts as not received. */
+  BehindClose = 'BEHIND_CLOSE',
+}
+
+/** A request that was written to a connection. */
+export interface KeptRequest {
+  attemptId: string;
+  isOrder: boolean;
+  /** Time of its last byte, on the clock of `performance.now()`. */
+  sentAtMs: number;
+  end: RequestEnd;
+  statusCode: number | undefined;
+}
+
+export interface KeepingClientOptions {
+  /** `IP:port` of the node. */
+  address: string;
+  service: string;
+  /** Prefix of the ids of its requests. */
+  name: string;
+  random: Random;
+}
+
+const MAX_BURST = 3;
+const MAX_PAUSE_MS = 150;
+const MAX_CHUNK_PAUSE_MS = 80;
+const RECONNECT_DELAY_MS = 100;
+const DEADLINE_MS = 2_000;
+/** Far above the deadline, by which each request is answered. */
+const GIVE_UP_MS = 6_000;
+const ORDER_PARTS = ['one bundle of ', 'willow rods'];
+
+/** Waits for an event for a bounded time; an error of the connection does not reject. */
+const waitForEvent = (socket: Socket, event: string): Promise<void> =>
+  new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(), GIVE_UP_MS);
+    socket.once(event, () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+
+export default class KeepingClient {
+  readonly sent: KeptRequest[] = [];
+
+  readonly #options: KeepingClientOptions;
+
+  constructor(options: KeepingClientOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends requests until the end; opens a new connection when one has closed.
+   *
+   * @param isOver - whether to stop after the requests in progress
+   */
+  async run(isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+      await this.#useConnection(isOver);
+      await sleep(RECONNECT_DELAY_MS);
+    }
+  }
+
+  async #useConnection(isOver: () => boolean): Promise<void> {
+    const [host, port] = this.#options.address.split(':');
+    const socket = connect(Number(port), host);
+    const reader = new ResponseReader();
+    const pending: KeptRequest[] = [];
+    let isClosing = false;
+    socket.on('data', (chunk: Buffer) => {
+      reader.add(chunk).forEach((response) => {
+        const request = pending.shift();
+        if (request) {
+          request.end = RequestEnd.Answered;
+          request.statusCode = response.statusCode;
+        }
+        isClosing ||= response.isClosing;
+      });
+      socket.emit('answered');
+    });
+    // A node that is down refuses the connection, and one that ends resets it.
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      const end = isClosing ? RequestEnd.BehindClose : RequestEnd.Unanswered;
+      pending.splice(0).forEach((request) => Object.assign(request, { end }));
+      socket.emit('answered');
+    });
+    const isUsable = (): boolean => !socket.destroyed && !isClosing;
+    while (isUsable() && !isOver()) {
+      await this.#sendBurst(socket, pending, isUsable);
+      const giveUpAtMs = performance.now() + GIVE_UP_MS;
+      const isWaiting = (): boolean => pending.length > 0 && performance.now() < giveUpAtMs;
+      while (isUsable() && isWaiting()) await waitForEvent(socket, 'answered');
+      if (isUsable() && pending.length > 0) {
+        pending.splice(0).forEach((request) => Object.assign(request, { end: RequestEnd.GivenUp }));
+        socket.destroy();
+      }
+      await sleep(drawInteger(this.#options.random, 0, MAX_PAUSE_MS));
+    }
+    // The rest of the responses, up to the close by the node.
+    if (isClosing && !socket.destroyed) await waitForEvent(socket, 'close');
+    socket.destroy();
+  }
+
+  async #sendBurst(socket: Socket, pending: KeptRequest[], isUsable: () => boolean): Promise<void> {
+    const count = drawInteger(this.#options.random, 1, MAX_BURST);
+    for (let index = 0; index < count && isUsable(); index += 1) {
+      await this.#sendOne(socket, pending);
+    }
+  }
+
+  async #sendOne(socket: Socket, pending: KeptRequest[]): Promise<void> {
+    const { name, service, random } = this.#options;
+    const attemptId = `${name}-${this.sent.length}`;
+    const isOrder = random() < 1 / 2;
+    const isChunked = isOrder && random() < 1 / 2;
+    const body = ORDER_PARTS.join('');
+    const lines = [
+      isOrder ? `POST /${service}/orders/1 HTTP/1.1` : `GET /${service}/1 HTTP/1.1`,
+      'host: shop.example',
+      `attempt-id: ${attemptId}`,
+      `deadline-remaining: ${DEADLINE_MS}`,
+      ...(isOrder && !isChunked ? [`content-length: ${body.length}`] : []),
+      ...(isChunked ? ['transfer-encoding: chunked'] : []),
+    ];
+    const request = { attemptId, isOrder, sentAtMs: 0, end: RequestEnd.Pending };
+    this.sent.push({ ...request, statusCode: undefined });
+    const recorded = this.sent.at(-1);
+    if (!recorded) return;
+    pending.push(recorded);
+    socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+    if (isChunked) {
+      for (let index = 0; index < ORDER_PARTS.length; index += 1) {
+        const part = ORDER_PARTS[index] ?? '';
+        await sleep(drawInteger(random, 0, MAX_CHUNK_PAUSE_MS));
+        socket.write(`${part.length.toString(16)}\r\n${part}\r\n`);
+      }
+      socket.write('0\r\n\r\n');
+    } else if (isOrder) socket.write(body);
+    recorded.sentAtMs = performance.now();
+  }
+}
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -94,6 +94,11 @@
     await ended;
   }
 
+  /** Sends a signal and does not wait for its effect. */
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
   /** Freezes the program or lets it run on. */
   setFrozen(isFrozen: boolean): void {
     this.#child?.kill(isFrozen ? 'SIGSTOP' : 'SIGCONT');
