Read the rest of a request that was answered early

Cause: after an answer to an incomplete request nothing read the rest of its body. A closing connection was then destroyed with unread bytes, which resets it, and a caller that is still sending loses the answer that it has not read. A kept connection stayed paused, as the stream to the server had been detached.

Change: when a response has ended before its request, the rest is read and dropped, and the request counts as in flight until then. A connection closes in order: it sends its end and reads on until the caller has closed its side, for a second at most. This holds for each response that closes, refusals included.

The soak now says when a connection closed, what was received and what the nodes logged.

--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -16,11 +16,14 @@
 import waitFor from '../../stand-ins/waitFor/index.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
-const CONTROL_IPS = ['127.0.79.1', '127.0.79.2', '127.0.79.3'];
+/** Loopback network of the run, so that several processes can run the soak at the same time. */
+const NETWORK = `127.${100 + (process.pid % 100)}`;
+const CONTROL_IPS = ZONES.map((_, index) => `${NETWORK}.79.${index + 1}`);
 const SERVICES = ['desk', 'ledger'];
 /** Execution times of the workers, which take turns. */
 const WORK_MS = [20, 150, 400];
 const CLIENTS_PER_NODE = 3;
+const MAX_EVIDENCE_LINES = 10;
 const MAX_EVENT_GAP_MS = 1_500;
 const REFUSED_STATUSES = new Set([408, 421, 429, 503]);
 const ACKNOWLEDGED = 200;
@@ -49,6 +52,8 @@
   ends: Partial<Record<string, number>>;
   /** Violated guarantees; empty if the run passed. */
   violations: string[];
+  /** Log lines that name the requests of the violations, and what is no log line. */
+  evidence: string[];
 }
 
 interface StopPlatform {
@@ -68,7 +73,7 @@
   );
   const nodes = Array.from({ length: count }, (_, index) => {
     const service = SERVICES[index % SERVICES.length] ?? '';
-    const ip = `127.0.80.${index + 1}`;
+    const ip = `${NETWORK}.80.${index + 1}`;
     return new PlatformMachine({
       ...{ ...shared, program: PlatformProgram.Node, ip, zone: findZone(index), service },
     });
@@ -150,7 +155,7 @@
     } else if (kind === PlannedWork.Hangup) node?.signal('SIGHUP');
     else if (isStopPossible) inProgress.push(restart(node));
     done[kind] = (done[kind] ?? 0) + 1;
-    print(`${Math.round(performance.now() - startedAtMs)} ms: ${kind} ${node?.ip ?? ''}`);
+    print(`${Math.round(performance.now())} ms: ${kind} ${node?.ip ?? ''}`);
     await sleep(drawInteger(random, 0, MAX_EVENT_GAP_MS));
   }
   await Promise.all(inProgress);
@@ -180,6 +185,19 @@
   });
 };
 
+const findEvidence = (violations: string[], machines: PlatformMachine[]): string[] => {
+  if (violations.length === 0) return [];
+  const ids = violations.map((text) => /"attemptId":"([^"]+)"/.exec(text)?.[1] ?? '');
+  return machines.flatMap(({ ip, output }) =>
+    output
+      .split('\n')
+      .filter((line) => line !== '')
+      .filter((line) => !line.startsWith('{') || ids.some((id) => line.includes(`"${id}"`)))
+      .slice(0, MAX_EVIDENCE_LINES)
+      .map((line) => `${ip}: ${line}`),
+  );
+};
+
 /**
  * Runs the platform programs while clients keep their connections and use them until they are closed,
  * and nodes are stopped, started, reloaded and reconfigured.
@@ -223,7 +241,9 @@
       const label = statusCode === undefined ? end : `${end} ${statusCode}`;
       ends[label] = (ends[label] ?? 0) + 1;
     });
-    return { seed, work, requests: sent.length, ends, violations: findViolations(sent, workers) };
+    const violations = findViolations(sent, workers);
+    const evidence = findEvidence(violations, [...controls, ...nodes]);
+    return { seed, work, requests: sent.length, ends, violations, evidence };
   } finally {
     await Promise.all(workers.map((worker) => worker.stop()));
     await Promise.all([...controls, ...nodes].map((machine) => machine.remove()));
--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -289,3 +289,36 @@
   t.ok(backend.server.listening);
   await Promise.all([held, drained]);
 });
+
+// Guards against an answer that is lost because the caller is still sending the body of its request.
+tap.test('an early answer reaches its caller while the node drains', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  await mesh.startBackend(owner, (_, response) => {
+    setTimeout(() => response.end('early'), 20);
+  });
+  const drained = entry.requestServer.drain();
+  const socket = connect(splitAddress(entry.address));
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  const closed = once(socket, 'close');
+  // The caller reads once it has sent everything.
+  socket.pause();
+  socket.write('POST /orders/1 HTTP/1.1\r\nhost: desk\r\ntransfer-encoding: chunked\r\n\r\n');
+  const parts = ['6\r\nbundle\r\n', '5\r\nof wi\r\n', '0\r\n\r\n'];
+  await parts.reduce(async (previous, part) => {
+    await previous;
+    await delay(60);
+    socket.write(part);
+  }, Promise.resolve());
+  socket.resume();
+  await closed;
+  t.match(received, /^HTTP\/1\.1 200 OK/);
+  t.match(received, /early/);
+  await drained;
+});
--- a/src/request/RequestServer/framing.test.ts
+++ b/src/request/RequestServer/framing.test.ts
@@ -360,3 +360,20 @@
     }),
   );
 });
+
+// Guards against a connection that is never read again after an answer to an incomplete request.
+tap.test('a connection whose long request was answered early serves the next one', async (t) => {
+  const { entry } = await startMesh(t, (request, response) => {
+    if (request.url === '/next') response.end('next');
+    // The server reads on once it has answered.
+    else response.end('early', () => request.resume());
+  });
+  const body = 'x'.repeat(2 * MEBIBYTE);
+  const bytes = [
+    `POST /uploads HTTP/1.1\r\nhost: desk\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+    'GET /next HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n\r\n',
+  ];
+  const received = await sendRaw(entry.address, bytes.join(''));
+  t.match(received, /early/);
+  t.match(received, /next/);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -3,9 +3,10 @@
 import { Server as NetServer } from 'node:net';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
 import canConnect from '../../connection/canConnect/index.js';
+import closeInOrder from '../../connection/closeInOrder/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -483,7 +484,9 @@
       }
       this.#inFlight += 1;
       response.once('close', () => {
-        this.#inFlight -= 1;
+        this.#readRest(request, () => {
+          this.#inFlight -= 1;
+        });
       });
       this.#pacer.add(request, (waitedMs) => {
         handle(request, response, waitedMs).catch((error: unknown) => {
@@ -499,12 +502,34 @@
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
+    // Node.js calls it after the last response of a connection.
+    server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) =>
+      Object.assign(socket, { destroySoon: () => closeInOrder(socket) }),
+    );
     server.on('request', listener);
     // Without this listener, Node.js sends 100 Continue before the request is routed.
     server.on('checkContinue', listener);
     return server;
   }
 
+  /** Reads and drops what is left of a request that was answered before its body was complete. */
+  #readRest(request: IncomingMessage, onDone: () => void): void {
+    if (request.complete || request.socket.destroyed) {
+      onDone();
+      return;
+    }
+    const { socket } = request;
+    const finish = (): void => {
+      request.off('end', finish);
+      socket.off('close', finish);
+      onDone();
+    };
+    request.once('end', finish);
+    socket.once('close', finish);
+    request.unpipe();
+    request.resume();
+  }
+
   /** Reads and drops a request behind a response that closes its connection. */
   #discard(request: IncomingMessage): void {
     this.#context.metrics.counter('requests_discarded').value += 1;
--- a/stand-ins/keepingClient/ResponseReader.ts
+++ b/stand-ins/keepingClient/ResponseReader.ts
@@ -40,6 +40,11 @@
     return complete;
   }
 
+  /** The bytes of a response that is not complete. */
+  get incomplete(): string {
+    return this.#bytes;
+  }
+
   #take(): ReceivedResponse | undefined {
     const headEnd = this.#bytes.indexOf(HEAD_END);
     if (headEnd < 0) return undefined;
--- a/stand-ins/keepingClient/index.ts
+++ b/stand-ins/keepingClient/index.ts
@@ -26,6 +26,12 @@
   /** Time of its last byte, on the clock of `performance.now()`. */
   sentAtMs: number;
   end: RequestEnd;
+  /** Time at which the connection closed without a response to it. */
+  closedAtMs?: number;
+  /** What had been received of its response or of one before it. */
+  received?: string;
+  /** Whether its body was sent in chunks. */
+  isChunked: boolean;
   statusCode: number | undefined;
 }
 
@@ -99,7 +105,9 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       const end = isClosing ? RequestEnd.BehindClose : RequestEnd.Unanswered;
-      pending.splice(0).forEach((request) => Object.assign(request, { end }));
+      const closedAtMs = performance.now();
+      const received = reader.incomplete;
+      pending.splice(0).forEach((request) => Object.assign(request, { end, closedAtMs, received }));
       socket.emit('answered');
     });
     const isUsable = (): boolean => !socket.destroyed && !isClosing;
@@ -140,7 +148,7 @@
       ...(isOrder && !isChunked ? [`content-length: ${body.length}`] : []),
       ...(isChunked ? ['transfer-encoding: chunked'] : []),
     ];
-    const request = { attemptId, isOrder, sentAtMs: 0, end: RequestEnd.Pending };
+    const request = { attemptId, isOrder, isChunked, sentAtMs: 0, end: RequestEnd.Pending };
     this.sent.push({ ...request, statusCode: undefined });
     const recorded = this.sent.at(-1);
     if (!recorded) return;
