--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -23,6 +23,8 @@
 /** Execution times of the workers, which take turns. */
 const WORK_MS = [20, 150, 400];
 const CLIENTS_PER_NODE = 3;
+/** Node.js ends on a SIGHUP until the program is loaded; on the platform it is then started again. */
+const START_MS = 1_000;
 const MAX_EVIDENCE_LINES = 10;
 const MAX_EVENT_GAP_MS = 1_500;
 const REFUSED_STATUSES = new Set([408, 421, 429, 503]);
@@ -136,13 +138,17 @@
 ): Promise<StopSoakReport['work']> => {
   const done: StopSoakReport['work'] = {};
   const busy = new Set<PlatformMachine>();
+  const starting = new Set<PlatformMachine>();
   const inProgress: Promise<void>[] = [];
   const startedAtMs = performance.now();
   const restart = async (node: PlatformMachine): Promise<void> => {
     busy.add(node);
     await node.stop();
+    starting.add(node);
     await node.start({ isFirstStart: false });
     busy.delete(node);
+    await sleep(START_MS);
+    starting.delete(node);
   };
   let lastChange = Promise.resolve();
   while (performance.now() < startedAtMs + durationMs) {
@@ -152,8 +158,9 @@
     if (kind === PlannedWork.Change) {
       lastChange = lastChange.then(() => operator.change());
       inProgress.push(lastChange);
-    } else if (kind === PlannedWork.Hangup) node?.signal('SIGHUP');
-    else if (isStopPossible) inProgress.push(restart(node));
+    } else if (kind === PlannedWork.Hangup) {
+      if (node && !starting.has(node)) node.signal('SIGHUP');
+    } else if (isStopPossible) inProgress.push(restart(node));
     done[kind] = (done[kind] ?? 0) + 1;
     print(`${Math.round(performance.now())} ms: ${kind} ${node?.ip ?? ''}`);
     await sleep(drawInteger(random, 0, MAX_EVENT_GAP_MS));
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -86,7 +86,7 @@
   async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
     const child = this.#child;
     this.#child = undefined;
-    if (!child || child.exitCode !== null) return;
+    if (!child || child.exitCode !== null || child.signalCode !== null) return;
     const ended = new Promise((resolve) => {
       child.once('exit', resolve);
     });
