Reopen a control VM in place after its disk was full

Other operators saw: after the disks of control VMs had been full in turn, changes were refused or unanswered for good, while all processes ran.

Cause: a member whose storage failed stays inactive until its log is reopened. The platform's program ended its process for that and relied on being started again; the product's own daemon never reopened it, so that two full disks in turn left no majority of three.

Change: KeptControl reopens the instance in the same process once the disk is writable.

--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -11,7 +11,10 @@
 import { createOperatorApi } from '../../operatorApi/index.js';
 import readMonotonicNowMs from '../../replication/readMonotonicNowMs/index.js';
 import type { ControlSettings } from '../../settings/index.js';
+import type { TlsStore } from '../../tls/TlsStore/index.js';
 import { ProcessRole } from '../../tls/readIdentity/index.js';
+import KeptControl from '../KeptControl/index.js';
+import type { ControlInstance } from '../KeptControl/index.js';
 import createMembershipActions from '../_lib/createMembershipActions.js';
 import { openControl } from '../openControl/index.js';
 
@@ -36,25 +39,17 @@
   }
 };
 
-/**
- * Starts the daemon of a control VM.
- *
- * @param settings - validated settings
- * @param nowMs - start time of the process in milliseconds since the epoch
- * @returns the running daemon; TokenUnreadable, TlsInvalid, StorageFailed or ListenFailed otherwise
- *
- * @example
- * const daemon = await startControl(settings, Date.now());
- */
-export const startControl = async (
+/** A control VM with its operator API. */
+interface ServedControl extends ControlInstance {
+  listen: string;
+  operatorListen: string;
+}
+
+/** Opens the control VM and serves its operator API. */
+const serve = async (
   settings: ControlSettings,
-  nowMs: number,
-): Promise<Result<ControlDaemon, DaemonError>> => {
-  const token = await readToken(settings.operator.tokenFile);
-  if (token.isErr()) return err(token.error);
-  const openedTls = await openTls(settings, ProcessRole.Control, nowMs);
-  if (openedTls.isErr()) return err(openedTls.error);
-  const tls = openedTls.value;
+  { token, tls }: { token: string; tls: TlsStore | undefined },
+): Promise<Result<ServedControl, DaemonError>> => {
   const opened = await openControl({
     log: {
       memberId: settings.name,
@@ -88,7 +83,7 @@
     listWorkspaces: () => shareSource?.list() ?? [],
     listNodeRecords: () => hub.directory.records(),
     metrics,
-    token: token.value,
+    token,
     nowMs: readMonotonicNowMs,
     hasRollouts: settings.rollouts !== undefined,
     ...createMembershipActions(log),
@@ -98,7 +93,6 @@
     await opened.value.close();
     return err(operatorListener.error);
   }
-  const stopReloading = reloadOnHangup(tls);
   opened.value.start();
   logger.info(
     {
@@ -108,11 +102,52 @@
     },
     'control daemon started',
   );
+  return ok({
+    listen: opened.value.listen,
+    operatorListen: operatorListener.value.address,
+    hasFailed: () => log.hasFailed,
+    close: async () => {
+      await operatorListener.value.close();
+      await opened.value.close();
+    },
+  });
+};
+
+/**
+ * Starts the daemon of a control VM.
+ *
+ * @param settings - validated settings
+ * @param nowMs - start time of the process in milliseconds since the epoch
+ * @returns the running daemon; TokenUnreadable, TlsInvalid, StorageFailed or ListenFailed otherwise
+ *
+ * @example
+ * const daemon = await startControl(settings, Date.now());
+ */
+export const startControl = async (
+  settings: ControlSettings,
+  nowMs: number,
+): Promise<Result<ControlDaemon, DaemonError>> => {
+  const token = await readToken(settings.operator.tokenFile);
+  if (token.isErr()) return err(token.error);
+  const openedTls = await openTls(settings, ProcessRole.Control, nowMs);
+  if (openedTls.isErr()) return err(openedTls.error);
+  const tls = openedTls.value;
+  const secrets = { token: token.value, tls };
+  let addresses = { listen: settings.listen, operatorListen: settings.operatorListen };
+  const opened = await KeptControl.open(settings.dataFolder, async () => {
+    const served = await serve({ ...settings, ...addresses }, secrets);
+    // A port that the system has assigned is kept when the control VM is reopened.
+    addresses = served.unwrapOr(addresses);
+    return served;
+  });
+  if (opened.isErr()) return err(opened.error);
+  const kept = opened.value;
+  const stopReloading = reloadOnHangup(tls);
   const drain = async (): Promise<void> => {
     stopReloading();
-    await operatorListener.value.close();
-    await opened.value.close();
+    await kept.close();
     logger.info({ name: settings.name }, 'control daemon stopped');
   };
-  return ok({ listen: opened.value.listen, operatorListen: operatorListener.value.address, drain });
+  const { listen, operatorListen } = kept.current;
+  return ok({ listen, operatorListen, drain });
 };
--- a/src/process/control/waitForWritableDisk/index.ts
+++ b/src/process/control/waitForWritableDisk/index.ts
@@ -33,14 +33,21 @@
 
 /**
  * Resolves once the storage of this control VM has failed and its disk is writable again. A member
- * whose storage has failed stays inactive until its log is reopened, so the process must restart.
+ * whose storage has failed stays inactive until its log is reopened.
  *
  * @param dataFolder - data folder of the log
  * @param hasFailed - returns whether the storage has failed
+ * @param isCancelled - returns whether to end the wait; never by default
  */
-const waitForWritableDisk = async (dataFolder: string, hasFailed: () => boolean): Promise<void> => {
-  while (!hasFailed() || !(await canWrite(dataFolder))) await sleep(PROBE_INTERVAL_MS);
-  log.warn({ dataFolder }, 'the disk is writable again; this process must restart');
+const waitForWritableDisk = async (
+  dataFolder: string,
+  hasFailed: () => boolean,
+  isCancelled: () => boolean = () => false,
+): Promise<void> => {
+  const isOver = async (): Promise<boolean> =>
+    isCancelled() || (hasFailed() && (await canWrite(dataFolder)));
+  while (!(await isOver())) await sleep(PROBE_INTERVAL_MS);
+  if (!isCancelled()) log.warn({ dataFolder }, 'the disk is writable again; the log is reopened');
 };
 
 export default waitForWritableDisk;
