--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -151,18 +151,26 @@
     starting.delete(node);
   };
   let lastChange = Promise.resolve();
+  const canBegin = (kind: PlannedWork, node: PlatformMachine): boolean => {
+    if (kind === PlannedWork.Change) return true;
+    if (kind === PlannedWork.Hangup) return !starting.has(node);
+    return busy.size < platform.nodes.length / 3 && !busy.has(node);
+  };
+  const begin = async (kind: PlannedWork, node: PlatformMachine): Promise<void> => {
+    if (kind === PlannedWork.Change) {
+      lastChange = lastChange.then(() => operator.change());
+      await lastChange;
+    } else if (kind === PlannedWork.Hangup) node.signal('SIGHUP');
+    else await restart(node);
+  };
   while (performance.now() < startedAtMs + durationMs) {
     const kind = KINDS[drawInteger(random, 0, KINDS.length - 1)] ?? PlannedWork.Change;
     const node = platform.nodes[drawInteger(random, 0, platform.nodes.length - 1)];
-    const isStopPossible = busy.size < platform.nodes.length / 3 && node && !busy.has(node);
-    if (kind === PlannedWork.Change) {
-      lastChange = lastChange.then(() => operator.change());
-      inProgress.push(lastChange);
-    } else if (kind === PlannedWork.Hangup) {
-      if (node && !starting.has(node)) node.signal('SIGHUP');
-    } else if (isStopPossible) inProgress.push(restart(node));
-    done[kind] = (done[kind] ?? 0) + 1;
-    print(`${Math.round(performance.now())} ms: ${kind} ${node?.ip ?? ''}`);
+    if (node && canBegin(kind, node)) {
+      inProgress.push(begin(kind, node));
+      done[kind] = (done[kind] ?? 0) + 1;
+      print(`${Math.round(performance.now())} ms: ${kind} ${node.ip}`);
+    }
     await sleep(drawInteger(random, 0, MAX_EVENT_GAP_MS));
   }
   await Promise.all(inProgress);
--- a/stand-ins/keepingClient/ResponseReader.ts
+++ b/stand-ins/keepingClient/ResponseReader.ts
@@ -1,4 +1,4 @@
-/** Reads the responses on one connection, with a length, in chunks or up to the end of the connection. */
+/** Reads the responses on one connection, with a length or in chunks. */
 
 /** A complete response. */
 export interface ReceivedResponse {
--- a/stand-ins/keepingClient/index.ts
+++ b/stand-ins/keepingClient/index.ts
@@ -148,11 +148,12 @@
       ...(isOrder && !isChunked ? [`content-length: ${body.length}`] : []),
       ...(isChunked ? ['transfer-encoding: chunked'] : []),
     ];
-    const request = { attemptId, isOrder, isChunked, sentAtMs: 0, end: RequestEnd.Pending };
-    this.sent.push({ ...request, statusCode: undefined });
-    const recorded = this.sent.at(-1);
-    if (!recorded) return;
-    pending.push(recorded);
+    const request: KeptRequest = {
+      ...{ attemptId, isOrder, isChunked, sentAtMs: 0 },
+      ...{ end: RequestEnd.Pending, statusCode: undefined },
+    };
+    this.sent.push(request);
+    pending.push(request);
     socket.write(`${lines.join('\r\n')}\r\n\r\n`);
     if (isChunked) {
       for (let index = 0; index < ORDER_PARTS.length; index += 1) {
@@ -162,6 +163,6 @@
       }
       socket.write('0\r\n\r\n');
     } else if (isOrder) socket.write(body);
-    recorded.sentAtMs = performance.now();
+    request.sentAtMs = performance.now();
   }
 }
