--- a/src/process/control/startControl/index.ts
+++ b/src/process/control/startControl/index.ts
@@ -137,7 +137,9 @@
   const opened = await KeptControl.open(settings.dataFolder, async () => {
     const served = await serve({ ...settings, ...addresses }, secrets);
     // A port that the system has assigned is kept when the control VM is reopened.
-    addresses = served.unwrapOr(addresses);
+    addresses = served
+      .map(({ listen, operatorListen }) => ({ listen, operatorListen }))
+      .unwrapOr(addresses);
     return served;
   });
   if (opened.isErr()) return err(opened.error);
--- a/src/request/RequestServer/endlessAnswer.test.ts
+++ b/src/request/RequestServer/endlessAnswer.test.ts
@@ -72,7 +72,8 @@
     if (!isRead) setTimeout(() => request.destroy(), 2 * DEADLINE_MS);
   });
 
-// Guards against a node that keeps bytes without end and runs out of memory (LOST of other callers), and requests that last beyond their deadline.
+// Guards against a node that keeps bytes without end and runs out of memory (LOST of other callers), and
+// against requests that last beyond their deadline.
 Object.entries(ENDLESS).forEach(([name, endless]) =>
   tap.test(
     `an endless answer, ${name}, costs a node little memory, and ends in time`,
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -237,8 +237,7 @@
 
   #inFlight = 0;
 
-  #isDraining = false;
-
+  /** Set while the node drains. */
   #drainWindow: DrainWindow | undefined;
 
   #maintenanceTimer: NodeJS.Timeout | undefined;
@@ -362,7 +361,7 @@
   }
 
   get isDraining(): boolean {
-    return this.#isDraining;
+    return this.#drainWindow !== undefined;
   }
 
   /** Whether the processor cannot keep up with the requests, so callers should use other nodes. */
@@ -425,7 +424,6 @@
     const startMs = performance.now();
     const deadlineMs = startMs + timeoutMs;
     this.#drainWindow = new DrainWindow(startMs, timeoutMs);
-    this.#isDraining = true;
     this.#grantor.stop();
     const { drainGraceMs = DEFAULT_DRAIN_GRACE_MS, drainAnnounceDelayMs = 0 } = this.#options;
     if (drainAnnounceDelayMs > 0) await delay(drainAnnounceDelayMs);
@@ -478,7 +476,7 @@
     const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
     const listener = (request: IncomingMessage, response: ServerResponse) => {
       const pipeline = ResponsePipeline.of(request.socket);
-      if (!pipeline.add(response, { isClosing: this.#isDraining })) {
+      if (!pipeline.add(response, { isClosing: this.isDraining })) {
         this.#discard(request);
         return;
       }
--- a/src/request/_lib/writeRefusal.ts
+++ b/src/request/_lib/writeRefusal.ts
@@ -127,7 +127,7 @@
     const seconds = Math.ceil((refusal.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS) / MS_PER_SECOND);
     headers.push('retry-after', String(Math.max(1, seconds)));
   }
-  if (options.closesConnection) Object.assign(response, { shouldKeepAlive: false });
+  if (options.closesConnection) response.shouldKeepAlive = false;
   response.writeHead(refusal.statusCode, headers);
   response.end(body);
 };
