Share the set-up of platform programs between tests and soak

The soak of planned work and invalidStatus.test.ts, both new, repeated the set-up of platform.test.ts and workspaces.test.ts: machines, workers, start, end, and the configuration that is sent until it is acknowledged. PlatformCluster does it for all four. rollouts.test.ts keeps its own, as its workers differ by version and start.

Assertions are unchanged; invalidStatus waits until both nodes serve, not only the first.

--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -1,19 +1,12 @@
 /** One seeded run of the platform programs with planned work in series and overlapping. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import {
-  PlatformMachine,
-  PlatformProgram,
-  PlatformWorker,
-  callControl,
-  createConfigurationDocument,
-  sendAttempt,
-} from '../../stand-ins/platform/index.js';
+import { PlatformCluster, createConfigurationDocument } from '../../stand-ins/platform/index.js';
+import type { PlatformMachine, PlatformWorker } from '../../stand-ins/platform/index.js';
 import { createSeededRandom, drawInteger } from '../../stand-ins/createSeededRandom/index.js';
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
 import KeepingClient, { RequestEnd } from '../../stand-ins/keepingClient/index.js';
 import type { KeptRequest } from '../../stand-ins/keepingClient/index.js';
-import waitFor from '../../stand-ins/waitFor/index.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 /** Loopback network of the run, so that several processes can run the soak at the same time. */
@@ -28,7 +21,6 @@
 const MAX_EVIDENCE_LINES = 10;
 const MAX_EVENT_GAP_MS = 1_500;
 const REFUSED_STATUSES = new Set([408, 421, 429, 503]);
-const ACKNOWLEDGED = 200;
 
 enum PlannedWork {
   Stop = 'STOP',
@@ -58,80 +50,38 @@
   evidence: string[];
 }
 
-interface StopPlatform {
-  controls: PlatformMachine[];
-  nodes: PlatformMachine[];
-  workers: PlatformWorker[];
-}
-
-const createPlatform = ({ nodes: count }: StopSoakOptions): StopPlatform => {
-  const shared = { seedIps: CONTROL_IPS, isBundled: true };
-  const findZone = (index: number): string => ZONES[index % ZONES.length] ?? '';
-  const controls = CONTROL_IPS.map(
-    (ip, index) =>
-      new PlatformMachine({
-        ...{ ...shared, program: PlatformProgram.Control, ip, zone: findZone(index) },
-      }),
-  );
-  const nodes = Array.from({ length: count }, (_, index) => {
-    const service = SERVICES[index % SERVICES.length] ?? '';
-    const ip = `${NETWORK}.80.${index + 1}`;
-    return new PlatformMachine({
-      ...{ ...shared, program: PlatformProgram.Node, ip, zone: findZone(index), service },
-    });
+const createPlatform = ({ nodes: count }: StopSoakOptions): PlatformCluster =>
+  new PlatformCluster({
+    controlIps: CONTROL_IPS,
+    nodeIps: Array.from({ length: count }, (_, index) => `${NETWORK}.80.${index + 1}`),
+    services: SERVICES,
+    zones: ZONES,
+    machine: { isBundled: true },
+    findWorkerOptions: (index) => ({ workMs: WORK_MS[index % WORK_MS.length] ?? 0 }),
   });
-  const workers = nodes.map(
-    (node, index) =>
-      new PlatformWorker({
-        ...{ instanceId: `i-${index}`, service: SERVICES[index % SERVICES.length] ?? '' },
-        ...{ zone: findZone(index), workMs: WORK_MS[index % WORK_MS.length] ?? 0 },
-        ...{ address: node.address('app'), control: node.address('control') },
-      }),
-  );
-  return { controls, nodes, workers };
-};
 
 /** Sends changes until one is acknowledged; versions rise with each call. */
 class Operator {
-  readonly #controls: PlatformMachine[];
+  readonly #platform: PlatformCluster;
 
   #version = 0;
 
-  constructor(controls: PlatformMachine[]) {
-    this.#controls = controls;
+  constructor(platform: PlatformCluster) {
+    this.#platform = platform;
   }
 
   async change(): Promise<void> {
     const base = this.#version;
     this.#version += 1;
-    const document = createConfigurationDocument(this.#version, base, SERVICES);
-    await waitFor('acknowledged change', async () => {
-      const replies = this.#controls.map((control) =>
-        callControl(control.address('control'), 'configuration.replace', document),
-      );
-      return (await Promise.any(replies)).status === ACKNOWLEDGED;
-    });
+    await this.#platform.applyConfiguration(
+      createConfigurationDocument(this.#version, base, SERVICES),
+    );
   }
 }
 
-const waitUntilServing = async ({ nodes }: StopPlatform): Promise<void> => {
-  await Promise.all(
-    nodes.map((node) =>
-      waitFor(`requests served at ${node.ip}`, async () => {
-        const replies = await Promise.all(
-          SERVICES.map((service) =>
-            sendAttempt(node.address('outbound'), { path: `/${service}/` }),
-          ),
-        );
-        return replies.every(({ status }) => status === ACKNOWLEDGED);
-      }),
-    ),
-  );
-};
-
 /** Does planned work, of which several pieces may be in progress, but one at most on a node. */
 const doPlannedWork = async (
-  platform: StopPlatform,
+  platform: PlatformCluster,
   random: Random,
   { durationMs, print = () => undefined }: StopSoakOptions,
   operator: Operator,
@@ -229,11 +179,10 @@
   const platform = createPlatform(options);
   const { controls, nodes, workers } = platform;
   try {
-    await Promise.all(workers.map((worker) => worker.start()));
-    await Promise.all([...controls, ...nodes].map((machine) => machine.start()));
-    const operator = new Operator(controls);
+    await platform.start();
+    const operator = new Operator(platform);
     await operator.change();
-    await waitUntilServing(platform);
+    await platform.waitUntilServing();
     const clients = nodes.flatMap((node, nodeIndex) =>
       Array.from({ length: CLIENTS_PER_NODE }, (_, index) => {
         const service = SERVICES[index % SERVICES.length] ?? '';
@@ -247,7 +196,7 @@
     const ending = { isOver: false };
     const running = clients.map((client) => client.run(() => ending.isOver));
     const work = await doPlannedWork(platform, random, options, operator);
-    await waitUntilServing(platform);
+    await platform.waitUntilServing();
     ending.isOver = true;
     await Promise.all(running);
     const sent = clients.flatMap((client) => client.sent);
@@ -260,8 +209,7 @@
     const evidence = findEvidence(violations, [...controls, ...nodes]);
     return { seed, work, requests: sent.length, ends, violations, evidence };
   } finally {
-    await Promise.all(workers.map((worker) => worker.stop()));
-    await Promise.all([...controls, ...nodes].map((machine) => machine.remove()));
+    await platform.stop();
   }
 };
 
--- a/test/platform/invalidStatus.test.ts
+++ b/test/platform/invalidStatus.test.ts
@@ -2,10 +2,7 @@
 import tap from 'tap';
 
 import {
-  PlatformMachine,
-  PlatformProgram,
-  PlatformWorker,
-  callControl,
+  PlatformCluster,
   createConfigurationDocument,
   sendAttempt,
 } from '../../stand-ins/platform/index.js';
@@ -13,8 +10,8 @@
 
 import type { WorkerRun } from '../../stand-ins/platform/PlatformWorker.js';
 
-const ZONE = 'zone-a';
 const CONTROL_IP = '127.0.77.1';
+const NODE_IPS = ['127.0.78.1', '127.0.78.2'];
 const SERVICES = ['desk', 'ledger'];
 const [FAULTY_SERVICE = '', SOUND_SERVICE = ''] = SERVICES;
 /** `timeout` of the routes, within which each request is answered. */
@@ -29,53 +26,28 @@
 
 // Guards against a process that stops serving because it words the message of a failed assertion.
 tap.test('a node whose server answers with an invalid status serves on', async (t) => {
-  const shared = { seedIps: [CONTROL_IP], zone: ZONE, isBundled: true };
-  const control = new PlatformMachine({
-    ...{ ...shared, program: PlatformProgram.Control, ip: CONTROL_IP },
+  const platform = new PlatformCluster({
+    controlIps: [CONTROL_IP],
+    nodeIps: NODE_IPS,
+    services: SERVICES,
+    zones: ['zone-a'],
+    machine: { isBundled: true },
+    findWorkerOptions: () => ({ findRawAnswer: createInvalidAnswer }),
   });
-  const nodes = SERVICES.map(
-    (service, index) =>
-      new PlatformMachine({
-        ...{ ...shared, program: PlatformProgram.Node, ip: `127.0.78.${index + 1}`, service },
-      }),
-  );
-  const workers = nodes.map(
-    (node, index) =>
-      new PlatformWorker({
-        ...{ instanceId: `i-${index}`, service: SERVICES[index] ?? '', zone: ZONE },
-        ...{ address: node.address('app'), control: node.address('control') },
-        findRawAnswer: createInvalidAnswer,
-      }),
-  );
-  t.teardown(async () => {
-    await Promise.all(workers.map((worker) => worker.stop()));
-    await Promise.all([control, ...nodes].map((machine) => machine.remove()));
-  });
-  await Promise.all(workers.map((worker) => worker.start()));
-  await Promise.all([control, ...nodes].map((machine) => machine.start()));
-  const document = createConfigurationDocument(1, 0, SERVICES);
-  await waitFor('acknowledged configuration', async () => {
-    const reply = await callControl(control.address('control'), 'configuration.replace', document)
-      // The control VM may not listen yet.
-      .catch(() => undefined);
-    return reply?.status === 200;
-  });
-  const [node] = nodes;
+  t.teardown(() => platform.stop());
+  await platform.start();
+  await platform.applyConfiguration(createConfigurationDocument(1, 0, SERVICES));
+  await platform.waitUntilServing();
+  const [node] = platform.nodes;
   const outbound = node?.address('outbound') ?? '';
   const send = (path: string, method: 'GET' | 'POST' = 'GET') =>
     sendAttempt(outbound, { path, method, remainingMs: ROUTE_TIMEOUT_MS });
-  await waitFor('served requests of both services', async () => {
-    const replies = await Promise.all(
-      SERVICES.map((service) => send(`/${service}/1`).catch(() => undefined)),
-    );
-    return replies.every((reply) => reply?.status === 200);
-  });
 
   const checkInvalid = async (status: string): Promise<void> => {
     const startedAtMs = performance.now();
     const invalid = send(`/${FAULTY_SERVICE}/${status}`);
     await waitFor('run of the request', () =>
-      Promise.resolve(workers[0]?.runs.some(({ path }) => path.endsWith(status)) === true),
+      Promise.resolve(platform.workers[0]?.runs.some(({ path }) => path.endsWith(status)) === true),
     );
     const orders = Array.from({ length: ORDERS }, (_, index) =>
       send(`/${SOUND_SERVICE}/orders/${index}`, 'POST'),
--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -5,65 +5,31 @@
 import { request } from 'undici';
 
 import {
-  PlatformMachine,
-  PlatformProgram,
-  PlatformWorker,
+  PlatformCluster,
   callControl,
   createConfigurationDocument,
   sendAttempt,
 } from '../../stand-ins/platform/index.js';
+import type { PlatformMachine } from '../../stand-ins/platform/index.js';
 import waitFor from '../../stand-ins/waitFor/index.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const CONTROL_IPS = ['127.0.71.1', '127.0.71.2', '127.0.71.3'];
+const NODE_IPS = ['127.0.72.1', '127.0.72.2', '127.0.72.3', '127.0.72.4'];
 const SERVICES = ['desk', 'ledger'];
 /** Time after the acknowledged drain from which a worker must receive no request. */
 const DRAIN_LIMIT_MS = 2_000;
 
-interface TestPlatform {
-  controls: PlatformMachine[];
-  nodes: PlatformMachine[];
-  workers: PlatformWorker[];
-}
-
-const startPlatform = async (t: Test): Promise<TestPlatform> => {
-  const shared = { seedIps: CONTROL_IPS };
-  const controls = CONTROL_IPS.map(
-    (ip, index) =>
-      new PlatformMachine({
-        ...shared,
-        program: PlatformProgram.Control,
-        ip,
-        zone: ZONES[index] ?? '',
-      }),
-  );
-  const nodes = [...SERVICES, ...SERVICES].map(
-    (service, index) =>
-      new PlatformMachine({
-        ...shared,
-        program: PlatformProgram.Node,
-        ip: `127.0.72.${index + 1}`,
-        zone: ZONES[index % ZONES.length] ?? '',
-        service,
-      }),
-  );
-  const workers = nodes.map(
-    (node, index) =>
-      new PlatformWorker({
-        instanceId: `i-${index}`,
-        service: SERVICES[index % SERVICES.length] ?? '',
-        zone: ZONES[index % ZONES.length] ?? '',
-        address: node.address('app'),
-        control: node.address('control'),
-      }),
-  );
-  t.teardown(async () => {
-    await Promise.all(workers.map((worker) => worker.stop()));
-    await Promise.all([...controls, ...nodes].map((machine) => machine.remove()));
+const startPlatform = async (t: Test): Promise<PlatformCluster> => {
+  const platform = new PlatformCluster({
+    controlIps: CONTROL_IPS,
+    nodeIps: NODE_IPS,
+    services: SERVICES,
+    zones: ZONES,
   });
-  await Promise.all(workers.map((worker) => worker.start()));
-  await Promise.all([...nodes, ...controls].map((machine) => machine.start()));
-  return { controls, nodes, workers };
+  t.teardown(() => platform.stop());
+  await platform.start();
+  return platform;
 };
 
 const isReady = async (node: PlatformMachine): Promise<boolean> => {
--- a/test/platform/workspaces.test.ts
+++ b/test/platform/workspaces.test.ts
@@ -6,13 +6,12 @@
 import { request } from 'undici';
 
 import {
-  PlatformMachine,
-  PlatformProgram,
-  PlatformWorker,
+  PlatformCluster,
   callControl,
   createConfigurationDocument,
   sendAttempt,
 } from '../../stand-ins/platform/index.js';
+import type { PlatformMachine } from '../../stand-ins/platform/index.js';
 import waitFor from '../../stand-ins/waitFor/index.js';
 
 const CONTROL_IP = '127.0.75.1';
@@ -23,12 +22,6 @@
 /** Time after which a withdrawn key must run nothing. */
 const REVOKE_MS = 2_500;
 
-interface TestPlatform {
-  control: PlatformMachine;
-  nodes: PlatformMachine[];
-  workers: PlatformWorker[];
-}
-
 const createDocument = (version: number, baseVersion: number, keys: string[]): object => {
   const document = createConfigurationDocument(version, baseVersion, [SERVICE]);
   const open = { name: 'open', path_prefix: '/open/', auth_exempt: true, service: SERVICE };
@@ -36,40 +29,19 @@
   return { ...document, routes, tenants: [{ name: 'oak', api_keys: keys }] };
 };
 
-const start = async (t: Test): Promise<TestPlatform> => {
-  const shared = { seedIps: [CONTROL_IP], zone: 'zone-a' };
-  const control = new PlatformMachine({
-    ...{ ...shared, program: PlatformProgram.Control, ip: CONTROL_IP },
-  });
-  const bounds = { strict_revoke: true, revoke: `${REVOKE_MS}ms` };
-  const nodes = NODE_IPS.map(
-    (ip) =>
-      new PlatformMachine({
-        ...{ ...shared, program: PlatformProgram.Node, ip, service: SERVICE, bounds },
-      }),
-  );
-  const workers = nodes.map(
-    (node, index) =>
-      new PlatformWorker({
-        ...{ instanceId: `i-${index}`, service: SERVICE, zone: 'zone-a' },
-        ...{ address: node.address('app'), control: node.address('control') },
-      }),
-  );
-  t.teardown(async () => {
-    await Promise.all(workers.map((worker) => worker.stop()));
-    await Promise.all([control, ...nodes].map((machine) => machine.remove()));
+const start = async (t: Test): Promise<PlatformCluster> => {
+  const platform = new PlatformCluster({
+    controlIps: [CONTROL_IP],
+    nodeIps: NODE_IPS,
+    services: [SERVICE],
+    zones: ['zone-a'],
+    node: { bounds: { strict_revoke: true, revoke: `${REVOKE_MS}ms` } },
   });
-  await Promise.all(workers.map((worker) => worker.start()));
-  await Promise.all([control, ...nodes].map((machine) => machine.start()));
-  return { control, nodes, workers };
+  t.teardown(() => platform.stop());
+  await platform.start();
+  return platform;
 };
 
-const replace = ({ control }: TestPlatform, document: object): Promise<unknown> =>
-  waitFor('acknowledged configuration', async () => {
-    const reply = await callControl(control.address('control'), 'configuration.replace', document);
-    return reply.status === 200;
-  });
-
 const sendWith = async (
   node: PlatformMachine | undefined,
   key: string | undefined,
@@ -85,14 +57,16 @@
 
 tap.test('keys of workspaces', async (t) => {
   const platform = await start(t);
-  const { control, nodes, workers } = platform;
+  const { controls, nodes, workers } = platform;
+  const [control] = controls;
+  if (!control) throw new Error('the test platform has no control VM');
   const [first, second] = nodes;
   const countRuns = (): number => workers.reduce((sum, { runs }) => sum + runs.length, 0);
   const waitUntilServed = (key: string): Promise<unknown> =>
     Promise.all(
       nodes.map((node) => waitFor('served', async () => (await sendWith(node, key)) === 200)),
     );
-  await replace(platform, createDocument(2, 0, [KEPT_KEY, WITHDRAWN_KEY]));
+  await platform.applyConfiguration(createDocument(2, 0, [KEPT_KEY, WITHDRAWN_KEY]));
   await waitUntilServed(WITHDRAWN_KEY);
 
   await t.test('strangers are refused and run nothing', async (t2) => {
@@ -108,7 +82,7 @@
     'a key that was withdrawn while a node was frozen runs nothing there',
     async (t2) => {
       second?.setFrozen(true);
-      await replace(platform, createDocument(5, 2, [KEPT_KEY]));
+      await platform.applyConfiguration(createDocument(5, 2, [KEPT_KEY]));
       await delay(REVOKE_MS);
       const before = countRuns();
       const replies = [WITHDRAWN_KEY, WITHDRAWN_KEY].map((key) => sendWith(second, key));
