--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -5,6 +5,8 @@
 
 import tap from 'tap';
 
+import type { RequestListener } from 'node:http';
+import type { Test } from 'tap';
 import { splitAddress } from '../../connection/splitAddress/index.js';
 import { TestMesh, send } from '../../../test/requestMesh/index.js';
 import sendRaw from '../../../test/requestMesh/sendRaw.js';
@@ -128,16 +130,22 @@
   t.ok(elapsedMs < DRAIN_TIMEOUT_MS / 4, `${Math.round(elapsedMs)} ms`);
 });
 
+/** Starts a node, which a test drains, and a second one with a server beside it. */
+const startEntry = async (t: Test, listener: RequestListener): Promise<TestNode> => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  await mesh.startBackend(owner, listener);
+  return entry;
+};
+
 const createRawRequest = (method: string, path: string, body = ''): string =>
   `${method} ${path} HTTP/1.1\r\nhost: desk\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 
 // Guards against a response that closes the connection before those to the requests behind it (LOST).
 tap.test('a draining node answers all requests that were sent behind one another', async (t) => {
-  const mesh = new TestMesh();
-  t.teardown(() => mesh.stop());
-  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
-  const owner = await mesh.startNode('owner');
-  await mesh.startBackend(owner, (request, response) => {
+  const entry = await startEntry(t, (request, response) => {
     setTimeout(() => response.end(`<${request.url}>`), 50);
   });
   const drained = entry.requestServer.drain();
@@ -157,12 +165,8 @@
 
 // Guards against an order that runs although the caller sends it again, on another connection.
 tap.test('a request behind a response that closes the connection is not handled', async (t) => {
-  const mesh = new TestMesh();
-  t.teardown(() => mesh.stop());
-  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
-  const owner = await mesh.startNode('owner');
   const arrivals: string[] = [];
-  await mesh.startBackend(owner, (request, response) => {
+  const entry = await startEntry(t, (request, response) => {
     arrivals.push(request.url ?? '');
     response.write('first ');
     setTimeout(() => response.end('last'), 200);
@@ -185,12 +189,8 @@
 
 // Guards against a drain that closes a connection whose last response is not sent completely (LOST).
 tap.test('a caller that reads slowly gets its whole response while a node drains', async (t) => {
-  const mesh = new TestMesh();
-  t.teardown(() => mesh.stop());
-  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
-  const owner = await mesh.startNode('owner');
   const bodyBytes = 8 * 1_048_576;
-  await mesh.startBackend(owner, (_, response) => {
+  const entry = await startEntry(t, (_, response) => {
     response.end(Buffer.alloc(bodyBytes, 'x'));
   });
   const socket = connect(splitAddress(entry.address));
@@ -210,13 +210,9 @@
 
 // The same for a short response, of which nothing more has to be read from the server.
 tap.test('a response that waits for its caller is sent while a node drains', async (t) => {
-  const mesh = new TestMesh();
-  t.teardown(() => mesh.stop());
-  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
-  const owner = await mesh.startNode('owner');
   const bodyBytes = 60_000;
   const requests = 200;
-  await mesh.startBackend(owner, (_, response) => {
+  const entry = await startEntry(t, (_, response) => {
     const body = Buffer.alloc(bodyBytes, 'x');
     response.writeHead(200, { 'content-length': bodyBytes }).end(body);
   });
@@ -292,11 +288,7 @@
 
 // Guards against an answer that is lost because the caller is still sending the body of its request.
 tap.test('an early answer reaches its caller while the node drains', async (t) => {
-  const mesh = new TestMesh();
-  t.teardown(() => mesh.stop());
-  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
-  const owner = await mesh.startNode('owner');
-  await mesh.startBackend(owner, (_, response) => {
+  const entry = await startEntry(t, (_, response) => {
     setTimeout(() => response.end('early'), 20);
   });
   const drained = entry.requestServer.drain();
