Show that bytes without end take a node beyond its memory

The bundled programs with the options of the deploy file, two nodes; the worker of one answers with bytes without end, 64 callers do not read.

--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -1,6 +1,6 @@
 /** Platform machine that runs one program, a node or a control VM, with a settings file. */
 import { spawn } from 'node:child_process';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -34,8 +34,12 @@
   contracts?: string[];
   /** Runs the minified bundle of the program, as deployed, instead of its compiled modules. */
   isBundled?: boolean;
+  /** Options of the runtime; none by default. */
+  runtimeOptions?: readonly string[];
 }
 
+const BYTES_PER_KIB = 1_024;
+
 export default class PlatformMachine {
   readonly ip: string;
 
@@ -62,6 +66,12 @@
     return this.#output;
   }
 
+  /** Reads the largest resident size of the process so far, as the kernel counts it. */
+  async readPeakResidentBytes(): Promise<number> {
+    const status = await readFile(`/proc/${this.#child?.pid}/status`, 'utf8');
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
+  }
+
   /** Writes the settings file and starts the program. */
   async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
@@ -70,7 +80,8 @@
     const { program: name, isBundled = false } = this.#options;
     const module = isBundled ? `bundle/platform-${name}.mjs` : `platform/${name}.js`;
     const program = fileURLToPath(new URL(`../../${module}`, import.meta.url));
-    const child = spawn(process.execPath, [program], {
+    const { runtimeOptions = [] } = this.#options;
+    const child = spawn(process.execPath, [...runtimeOptions, program], {
       env: { PATH: process.env.PATH, FOXTAILVANE_CONFIG: path },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 export interface PlatformWorkerOptions {
   instanceId: string;
@@ -22,6 +23,8 @@
   findStatus?: () => number;
   /** Returns bytes to write in place of the answer to a request; undefined for a regular answer. */
   findRawAnswer?: (run: WorkerRun) => string | undefined;
+  /** Writes the answer to a request itself, in place of a regular one; returns whether it does. */
+  writeRawAnswer?: (run: WorkerRun, socket: Socket) => boolean;
 }
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -139,6 +142,7 @@
       incoming.socket.write(rawAnswer);
       return;
     }
+    if (this.#options.writeRawAnswer?.(run, incoming.socket) === true) return;
     setTimeout(() => {
       response.writeHead(findStatus(), {
         'attempt-id': attemptId,
--- /dev/null
+++ b/test/platform/endlessAnswers.test.ts
@@ -0,0 +1,134 @@
+/** Resident memory of a bundled node whose worker answers with bytes without end. */
+import { randomUUID } from 'node:crypto';
+import { connect } from 'node:net';
+
+import tap from 'tap';
+
+import type { Socket } from 'node:net';
+import {
+  PlatformCluster,
+  createConfigurationDocument,
+  sendAttempt,
+} from '../../stand-ins/platform/index.js';
+import type PlatformMachine from '../../stand-ins/platform/PlatformMachine.js';
+
+const CONTROL_IP = '127.0.79.1';
+/** The faulty worker is beside the first node; callers connect to either. */
+const NODE_IPS = ['127.0.80.1', '127.0.80.2'];
+const SERVICES = ['desk', 'ledger'];
+const [FAULTY_SERVICE = '', SOUND_SERVICE = ''] = SERVICES;
+/** `memory_mb` of the smallest machine on which a node runs. */
+const MEMORY_LIMIT_BYTES = 250 * 1_048_576;
+const CALLERS = 64;
+const DEADLINE_MS = 9_000;
+const SOUND_LOOKUPS = 10;
+const RUNTIME_OPTIONS = ['--single-threaded', '--max-semi-space-size=1', '--liftoff-only'];
+const FIELDS = 'x-more: value\r\n'.repeat(1_000);
+
+interface EndlessAnswer {
+  start: string;
+  part: string;
+}
+
+const ENDLESS: Record<string, EndlessAnswer> = {
+  'early hints with a link': {
+    start: '',
+    part: 'HTTP/1.1 103 Early Hints\r\nLink: </style.css>; rel=preload\r\n\r\n'.repeat(200),
+  },
+  'processing responses': { start: '', part: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500) },
+  'a status line': { start: 'HTTP/1.1 200 ', part: 'x'.repeat(16_384) },
+  'a chunk extension': {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=',
+    part: 'x'.repeat(16_384),
+  },
+  trailers: {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+    part: FIELDS,
+  },
+  'a refusal in chunks': {
+    start: 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
+    part: `4000\r\n${'x'.repeat(16_384)}\r\n`,
+  },
+  'a body without a length': { start: 'HTTP/1.1 200 OK\r\n\r\n', part: 'x'.repeat(16_384) },
+};
+
+const flood = (socket: Socket, part: string): void => {
+  if (!socket.destroyed) socket.write(part, () => setImmediate(flood, socket, part));
+};
+
+/** The path of a lookup names the form of its answer. */
+const writeEndless = (path: string, attemptId: string, socket: Socket): boolean => {
+  const answer = ENDLESS[decodeURIComponent(path.split('/').at(-1) ?? '')];
+  if (!answer) return false;
+  socket.on('error', () => undefined);
+  const id = `\r\nAttempt-Id: ${attemptId}\r\nServer-Stamp: s`;
+  socket.write(answer.start.replace(/(?<=^[^\r]+)(?=\r\n)/, id));
+  flood(socket, answer.part);
+  return true;
+};
+
+/** Sends a lookup and leaves its answer unread, until the connection is over. */
+const callEndless = async (outbound: string, form: string): Promise<void> => {
+  const [host = '', port] = outbound.split(':');
+  const socket = connect(Number(port), host);
+  socket.on('error', () => undefined);
+  socket.pause();
+  const head = [
+    `GET /${FAULTY_SERVICE}/${encodeURIComponent(form)} HTTP/1.1`,
+    ...['Host: shop.example', `Attempt-Id: ${randomUUID()}`],
+    ...[`Deadline-Remaining: ${DEADLINE_MS}`, 'Connection: close'],
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+    setTimeout(() => socket.destroy(), DEADLINE_MS + 1_000);
+  });
+};
+
+const createDocument = (): object => {
+  const document = createConfigurationDocument(1, 0, SERVICES);
+  const routes = document.routes.map((route) => ({ ...route, timeout: '10s' }));
+  return { ...document, routes };
+};
+
+// Guards against a node whose machine runs out of memory through one faulty worker, with all requests on it.
+tap.test('a node stays within its memory while its worker sends bytes without end', async (t) => {
+  const platform = new PlatformCluster({
+    controlIps: [CONTROL_IP],
+    nodeIps: NODE_IPS,
+    services: SERVICES,
+    zones: ['zone-a'],
+    machine: { isBundled: true, runtimeOptions: RUNTIME_OPTIONS },
+    findWorkerOptions: () => ({
+      slots: CALLERS,
+      writeRawAnswer: ({ path, attemptId }, socket) => writeEndless(path, attemptId, socket),
+    }),
+  });
+  t.teardown(() => platform.stop());
+  await platform.start();
+  await platform.applyConfiguration(createDocument());
+  await platform.waitUntilServing();
+  const checkMemory = async (machine: PlatformMachine, title: string): Promise<void> => {
+    const peakBytes = await machine.readPeakResidentBytes();
+    t.ok(peakBytes < MEMORY_LIMIT_BYTES, `${title}: ${Math.round(peakBytes / 1_048_576)} MB`);
+  };
+
+  const play = async (form: string): Promise<void> => {
+    const calls = Array.from({ length: CALLERS }, () =>
+      callEndless(platform.nodes[0]?.address('outbound') ?? '', form),
+    );
+    const lookups = Array.from({ length: SOUND_LOOKUPS }, () =>
+      sendAttempt(platform.nodes[1]?.address('outbound') ?? '', { path: `/${SOUND_SERVICE}/1` }),
+    );
+    const served = (await Promise.all(lookups)).filter(({ status }) => status === 200);
+    t.equal(served.length, SOUND_LOOKUPS, `${form}: lookups at another worker`);
+    await Promise.all(calls);
+    await Promise.all(
+      platform.nodes.map((machine) => checkMemory(machine, `${form}, ${machine.ip}`)),
+    );
+  };
+  await Object.keys(ENDLESS).reduce(
+    (earlier, form) => earlier.then(() => play(form)),
+    Promise.resolve(),
+  );
+});
