Close connections whose upstream sends bytes that are no response

A faulty server sent a status line, informational responses, chunk extensions or trailers without end. The node beside it parsed all of them until the deadline of each caller: 1.8 GB within 6 s for a status line, and beyond the memory of its machine (340 to 461 MB of 250 with 64 callers).

Cause: undici limits the size of one head only. Neither it nor a node bounds what arrives outside of a head or body, and the handlers of a call are not called for most of it.

Each connection of a pool now has a limit of 128 KiB on received bytes that are neither a final head nor body data. The diagnostics channels of undici report the connection of a request, its head, body and end, so the limit holds for calls, probes of nodes and updates of granted slots alike, and starts anew with each request. A request is failed at once, as one that may have run. The error does not count as a lost connection, which would be evidence of a crash. Closures are counted in upstream_connections_closed and logged.

--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -2,9 +2,11 @@
 
 import type { Dispatcher } from 'undici';
 
+import { limitOverhead } from '../limitOverhead/index.js';
 import { watchResets } from '../watchResets/index.js';
 import { createLogger } from '../../process/log/index.js';
 
+import type { MetricsRegistry } from '../../process/metrics/index.js';
 import type { TlsMaterial } from '../openTransport/index.js';
 
 const log = createLogger('upstream');
@@ -20,6 +22,8 @@
   /** Set for pools to other nodes when `[tls]` is configured. */
   tls?: (() => TlsMaterial) | undefined;
   connectTimeoutMs?: number;
+  /** Counts the connections that were closed because of what the upstream sent. */
+  metrics?: MetricsRegistry;
 }
 
 /** HTTP/1.1 connection pools, one per upstream address. */
@@ -114,10 +118,13 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MAX_TIMEOUT_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
-      connect: watchResets({
-        timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
-      }),
+      connect: limitOverhead(
+        watchResets({
+          timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+          ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
+        }),
+        this.#options.metrics,
+      ),
     };
   }
 }
--- /dev/null
+++ b/src/connection/limitOverhead/test.ts
@@ -0,0 +1,188 @@
+import { createServer } from 'node:http';
+import { createServer as createTcpServer } from 'node:net';
+
+import tap from 'tap';
+
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Dispatcher } from 'undici';
+import type { Test } from 'tap';
+import { listenOnLoopback } from '../../../test/requestMesh/index.js';
+import { MetricsRegistry } from '../../process/metrics/index.js';
+import { UpstreamPools } from '../UpstreamPools/index.js';
+
+/** Far above the limit on overhead plus what the buffers of both systems hold of one connection. */
+const MAX_SENT_BYTES = 16 * 1_048_576;
+const FILLER = 'x'.repeat(16_384);
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+interface Flood {
+  start: string;
+  part: string;
+  state: 'AWAITING_HEAD' | 'AWAITING_END';
+}
+
+const FLOODS: Record<string, Flood> = {
+  'a status line': { start: 'HTTP/1.1 200 ', part: FILLER, state: 'AWAITING_HEAD' },
+  'blank lines': { start: '', part: '\r\n'.repeat(8_192), state: 'AWAITING_HEAD' },
+  'early hints': {
+    start: '',
+    part: 'HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n'.repeat(200),
+    state: 'AWAITING_HEAD',
+  },
+  'processing responses': {
+    start: '',
+    part: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500),
+    state: 'AWAITING_HEAD',
+  },
+  'unknown informational responses': {
+    start: '',
+    part: 'HTTP/1.1 199 Later\r\n\r\n'.repeat(500),
+    state: 'AWAITING_HEAD',
+  },
+  'a chunk extension': { start: `${CHUNKED}5;x=`, part: FILLER, state: 'AWAITING_END' },
+  'long extensions of short chunks': {
+    start: CHUNKED,
+    part: `1;x=${FILLER}\r\ny\r\n`,
+    state: 'AWAITING_END',
+  },
+  'zeros before a chunk length': { start: CHUNKED, part: '0'.repeat(8_192), state: 'AWAITING_END' },
+};
+
+/** Answers each request with a flood, until its connection closes. */
+const startFlooding = async (t: Test, { start, part }: Pick<Flood, 'start' | 'part'>) => {
+  const sockets: Socket[] = [];
+  const flood = (socket: Socket): void => {
+    if (!socket.destroyed) socket.write(part, () => setImmediate(flood, socket));
+  };
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(start);
+      flood(socket);
+    });
+  });
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return { address: await listenOnLoopback(server), sockets };
+};
+
+const createPools = (t: Test) => {
+  const metrics = new MetricsRegistry();
+  const pools = new UpstreamPools({ metrics });
+  t.teardown(() => pools.destroy());
+  return { metrics, pools };
+};
+
+const sendRequest = async (pool: Dispatcher, path = '/'): Promise<Buffer> => {
+  const { body } = await pool.request({ method: 'GET', path });
+  return Buffer.from(await body.arrayBuffer());
+};
+
+// Guards against bytes that are kept, or cost processor time, until the deadline of a request.
+Object.entries(FLOODS).forEach(([name, flood]) =>
+  tap.test(`${name} without end closes the connection at once`, { timeout: 10_000 }, async (t) => {
+    const { address, sockets } = await startFlooding(t, flood);
+    const { metrics, pools } = createPools(t);
+    await t.rejects(sendRequest(pools.get(address, 1)));
+    const sentBytes = sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0);
+    t.ok(sentBytes < MAX_SENT_BYTES, `${sentBytes} bytes`);
+    const labels = { reason: 'overhead', state: flood.state };
+    t.equal(metrics.counter('upstream_connections_closed', labels).value, 1);
+  }),
+);
+
+const startServer = async (t: Test, server: Server): Promise<string> => {
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return listenOnLoopback(server);
+};
+
+// Guards against a kept connection that is closed because of the heads of all its responses together.
+tap.test('each response on a kept connection has the whole limit', async (t) => {
+  const ports = new Set<number | undefined>();
+  const server = createServer(({ socket }, response) => {
+    ports.add(socket.remotePort);
+    response.writeEarlyHints({ link: '</style.css>; rel=preload' });
+    response.setHeader('x-long', 'x'.repeat(8_192));
+    response.end('done');
+  });
+  const { pools } = createPools(t);
+  const pool = pools.get(await startServer(t, server), 1);
+  const sendAll = async (left: number): Promise<void> => {
+    if (left === 0) return;
+    t.equal((await sendRequest(pool)).toString(), 'done');
+    await sendAll(left - 1);
+  };
+  await sendAll(50);
+  t.equal(ports.size, 1);
+});
+
+// Guards against a long response, or one in short chunks, that is taken for bytes without a response.
+tap.test('bodies of any length and form arrive whole', async (t) => {
+  const long = Buffer.alloc(8 * 1_048_576, 'y');
+  const shortChunks = Buffer.alloc(200_000, 'z');
+  const server = createServer(({ url }, response) => {
+    if (url === '/long') response.end(long);
+    else if (url === '/unframed') response.writeHead(200, { connection: 'close' }).end(long);
+    else shortChunks.forEach((byte) => response.write(Buffer.from([byte])));
+    if (url === '/short-chunks') {
+      response.addTrailers({ 'x-after': 'x'.repeat(8_192) });
+      response.end();
+    }
+  });
+  const { metrics, pools } = createPools(t);
+  const pool = pools.get(await startServer(t, server), 1);
+  t.ok((await sendRequest(pool, '/long')).equals(long));
+  t.ok((await sendRequest(pool, '/unframed')).equals(long));
+  t.ok((await sendRequest(pool, '/short-chunks')).equals(shortChunks));
+  t.equal(metrics.render(), '\n');
+});
+
+// Guards against a paused reader, whose unparsed bytes wait, being taken for a faulty upstream.
+tap.test('a response that is read with pauses arrives whole', async (t) => {
+  const long = Buffer.alloc(4 * 1_048_576, 'y');
+  const server = createServer((_, response) => response.end(long));
+  const { pools } = createPools(t);
+  const { body } = await pools
+    .get(await startServer(t, server), 1)
+    .request({ method: 'GET', path: '/' });
+  let readBytes = 0;
+  for await (const part of body) {
+    readBytes += (part as Buffer).length;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1);
+    });
+  }
+  t.equal(readBytes, long.length);
+});
+
+// Guards against requests that fail because of bytes on an idle connection.
+tap.test('bytes without end on an idle connection close it alone', async (t) => {
+  const sockets: Socket[] = [];
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone'));
+  });
+  const { metrics, pools } = createPools(t);
+  const pool = pools.get(await listenOnLoopback(server), 1);
+  t.teardown(() => server.close());
+  t.equal((await sendRequest(pool)).toString(), 'done');
+  const [first] = sockets;
+  const flood = (): void => {
+    if (first && !first.destroyed) first.write('\r\n'.repeat(8_192), () => setImmediate(flood));
+  };
+  flood();
+  await new Promise((resolve) => {
+    first?.once('close', resolve);
+  });
+  t.equal((await sendRequest(pool)).toString(), 'done');
+  const labels = { reason: 'overhead', state: 'IDLE' };
+  t.equal(metrics.counter('upstream_connections_closed', labels).value, 1);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -199,7 +199,7 @@
 
   readonly #ownerListener: Server;
 
-  readonly #serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS });
+  readonly #serverPools: UpstreamPools;
 
   readonly #nodePools: UpstreamPools;
 
@@ -270,7 +270,10 @@
         abandonedRequests.value += 1;
       },
     });
+    const { metrics } = options;
+    this.#serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS, metrics });
     this.#nodePools = new UpstreamPools({
+      metrics,
       tls: options.tls,
       connectTimeoutMs: NODE_CONNECT_TIMEOUT_MS,
     });
