--- a/src/connection/limitOverhead/test.ts
+++ b/src/connection/limitOverhead/test.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import type { Test } from 'tap';
+import startFloodingServer from '../../../test/startFloodingServer/index.js';
 import { listenOnLoopback } from '../../../test/requestMesh/index.js';
 import { MetricsRegistry } from '../../process/metrics/index.js';
 import { UpstreamPools } from '../UpstreamPools/index.js';
@@ -49,27 +50,6 @@
   'zeros before a chunk length': { start: CHUNKED, part: '0'.repeat(8_192), state: 'AWAITING_END' },
 };
 
-/** Answers each request with a flood, until its connection closes. */
-const startFlooding = async (t: Test, { start, part }: Pick<Flood, 'start' | 'part'>) => {
-  const sockets: Socket[] = [];
-  const flood = (socket: Socket): void => {
-    if (!socket.destroyed) socket.write(part, () => setImmediate(flood, socket));
-  };
-  const server = createTcpServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
-    socket.once('data', () => {
-      socket.write(start);
-      flood(socket);
-    });
-  });
-  t.teardown(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
-  return { address: await listenOnLoopback(server), sockets };
-};
-
 const createPools = (t: Test) => {
   const metrics = new MetricsRegistry();
   const pools = new UpstreamPools({ metrics });
@@ -85,11 +65,10 @@
 // Guards against bytes that are kept, or cost processor time, until the deadline of a request.
 Object.entries(FLOODS).forEach(([name, flood]) =>
   tap.test(`${name} without end closes the connection at once`, { timeout: 10_000 }, async (t) => {
-    const { address, sockets } = await startFlooding(t, flood);
+    const { address, sentBytes } = await startFloodingServer(t, flood);
     const { metrics, pools } = createPools(t);
     await t.rejects(sendRequest(pools.get(address, 1)));
-    const sentBytes = sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0);
-    t.ok(sentBytes < MAX_SENT_BYTES, `${sentBytes} bytes`);
+    t.ok(sentBytes() < MAX_SENT_BYTES, `${sentBytes()} bytes`);
     const labels = { reason: 'overhead', state: flood.state };
     t.equal(metrics.counter('upstream_connections_closed', labels).value, 1);
   }),
--- a/src/process/localServers/ServerProbes/index.ts
+++ b/src/process/localServers/ServerProbes/index.ts
@@ -1,7 +1,10 @@
 /** Probes of `GET /health` and `GET /load`, whose results may be stale or wrong. */
-import { Pool } from 'undici';
+import { Pool, buildConnector } from 'undici';
 import * as v from 'valibot';
 
+import { limitOverhead } from '../../../connection/limitOverhead/index.js';
+
+import type { MetricsRegistry } from '../../metrics/index.js';
 import type { LocalServer, LocalServers } from '../LocalServers/index.js';
 
 export interface ServerProbesOptions {
@@ -10,6 +13,8 @@
   intervalMs?: number;
   /** Reads the clock, in milliseconds since the epoch. */
   getNowMs?: () => number;
+  /** Counts the connections that were closed because of what the server sent. */
+  metrics?: MetricsRegistry | undefined;
 }
 
 const DEFAULT_INTERVAL_MS = 2_000;
@@ -35,7 +40,9 @@
 
 /** Probes all announced servers at a fixed interval. */
 export class ServerProbes {
-  readonly #options: Required<ServerProbesOptions>;
+  readonly #options: Required<Omit<ServerProbesOptions, 'metrics'>>;
+
+  readonly #metrics: MetricsRegistry | undefined;
 
   /** Separate from the pools for requests, whose connections may all be in use. */
   readonly #pools = new Map<string, Pool>();
@@ -48,6 +55,7 @@
       intervalMs: options.intervalMs ?? DEFAULT_INTERVAL_MS,
       getNowMs: options.getNowMs ?? Date.now,
     };
+    this.#metrics = options.metrics;
   }
 
   start(): void {
@@ -102,6 +110,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: 1,
       maxResponseSize: MAX_RESPONSE_BYTES,
+      connect: limitOverhead(buildConnector({ timeout: PROBE_TIMEOUT_MS }), this.#metrics),
     });
     this.#pools.set(address, pool);
     return pool;
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -283,6 +283,7 @@
       localServers: options.localServers,
       intervalMs: options.probeIntervalMs,
       getNowMs: this.#context.getNowMs,
+      metrics,
     });
     const retentionMs = options.idempotencyRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#recordCompleteness = new RecordCompleteness({
