--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -199,7 +199,7 @@
 
   readonly #ownerListener: Server;
 
-  readonly #serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS });
+  readonly #serverPools: UpstreamPools;
 
   readonly #nodePools: UpstreamPools;
 
@@ -270,7 +270,10 @@
         abandonedRequests.value += 1;
       },
     });
+    const { metrics } = options;
+    this.#serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS, metrics });
     this.#nodePools = new UpstreamPools({
+      metrics,
       tls: options.tls,
       connectTimeoutMs: NODE_CONNECT_TIMEOUT_MS,
     });
@@ -280,6 +283,7 @@
       localServers: options.localServers,
       intervalMs: options.probeIntervalMs,
       getNowMs: this.#context.getNowMs,
+      metrics,
     });
     const retentionMs = options.idempotencyRetentionMs ?? DEFAULT_RETENTION_MS;
     this.#recordCompleteness = new RecordCompleteness({
