Detect a reset that the runtime reports as the end of a response

Callers got a part of a response without a length as the whole (MIXED) where its server reset the connection together with the last bytes.

Cause: libuv ends a read that is shorter than its buffer with an end of the stream if the poll also reports a hang-up, whether the peer ended or reset the connection. No error is emitted, so `isHandlingReset` is false, and undici completes the response.

After a reset the system has closed the connection, and it has no peer address any more; after an orderly end it still has one. A process checks once at start, on a loopback connection whose peer is closed completely, that an orderly end keeps the address; where it doesn't, or the check has no result, each end counts as orderly, as before.

Its caller now also takes an end without a peer address for a reset; the former check is kept as strict, since only an END may look complete.

--- a/src/request/RequestServer/framing.test.ts
+++ b/src/request/RequestServer/framing.test.ts
@@ -5,7 +5,9 @@
 import tap from 'tap';
 
 import type { RequestListener } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Test } from 'tap';
+import { checkOrderlyEnd } from '../../connection/watchResets/index.js';
 import createRandom from '../../../test/requestMesh/createRandom.js';
 import { TestMesh, listenOnLoopback, send } from '../../../test/requestMesh/index.js';
 import sendRaw from '../../../test/requestMesh/sendRaw.js';
@@ -317,46 +319,75 @@
   });
 });
 
+/** How the connection of a caller ended, after the bytes that it received. */
+type CallerEnd = 'END' | 'RESET';
+
+/** Starts a server without HTTP that writes a response without a length, and nodes in front of it. */
+const startCloseDelimited = async (
+  t: Test,
+  finish: (socket: Socket) => void,
+  path: { oneHop: boolean },
+): Promise<string> => {
+  const server = createTcpServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart');
+      finish(socket);
+    });
+  });
+  const address = await listenOnLoopback(server);
+  t.teardown(() => server.close());
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = path.oneHop ? entry : await mesh.startNode('owner');
+  mesh.announce(owner, createServer(), address);
+  return entry.address;
+};
+
+/** Sends a request that isn't repeated, and returns what its caller received. */
+const callOnce = (address: string): Promise<{ text: string; end: CallerEnd }> =>
+  new Promise((resolve) => {
+    let text = '';
+    const caller = connect(Number(address.split(':')[1]), '127.0.0.1');
+    caller.on('data', (chunk) => {
+      text += chunk.toString();
+    });
+    caller.on('error', () => resolve({ text, end: 'RESET' }));
+    // After a reset that the runtime reports as an end, the connection has no peer any more.
+    caller.on('end', () => resolve({ text, end: caller.remoteAddress ? 'END' : 'RESET' }));
+    caller.write('POST /uploads HTTP/1.1\r\nhost: any\r\ncontent-length: 0\r\n\r\n');
+  });
+
 // Guards against a truncated response that looks complete: undici takes a reset for the end of a
 // close-delimited response, and a node that forwards it with another framing marks it as complete.
 tap.test('a close-delimited response ends by closing the connection of the caller', async (t) => {
-  const fetchCloseDelimited = async (
-    isReset: boolean,
-    path: { oneHop: boolean },
-  ): Promise<string> => {
-    const server = createTcpServer((socket) => {
-      socket.on('error', () => undefined);
-      socket.once('data', () => {
-        socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart');
-        setTimeout(() => (isReset ? socket.resetAndDestroy() : socket.end()), 50);
-      });
-    });
-    const address = await listenOnLoopback(server);
-    t.teardown(() => server.close());
-    const mesh = new TestMesh();
-    t.teardown(() => mesh.stop());
-    const entry = await mesh.startNode('entry');
-    const owner = path.oneHop ? entry : await mesh.startNode('owner');
-    mesh.announce(owner, createServer(), address);
-    return new Promise((resolve) => {
-      let text = '';
-      const caller = connect(Number(entry.address.split(':')[1]), '127.0.0.1');
-      caller.on('data', (chunk) => {
-        text += chunk.toString();
-      });
-      caller.on('error', () => resolve(`${text} RESET`));
-      caller.on('end', () => resolve(`${text} END`));
-      caller.write('POST /uploads HTTP/1.1\r\nhost: any\r\ncontent-length: 0\r\n\r\n');
-    });
-  };
   await Promise.all(
     bothPaths.map(async (path) => {
       const label = `one hop: ${path.oneHop}`;
-      t.match(await fetchCloseDelimited(true, path), /part RESET$/, `reset, ${label}`);
-      const closed = await fetchCloseDelimited(false, path);
-      t.match(closed, /\r\n\r\npart END$/, `closed, ${label}`);
-      t.match(closed, /connection: close/i, label);
-      t.notMatch(closed, /transfer-encoding|content-length/i, label);
+      const reset = (socket: Socket) => setTimeout(() => socket.resetAndDestroy(), 50);
+      const broken = await callOnce(await startCloseDelimited(t, reset, path));
+      t.match(broken, { text: /part$/, end: 'RESET' }, `reset, ${label}`);
+      const close = (socket: Socket) => setTimeout(() => socket.end(), 50);
+      const closed = await callOnce(await startCloseDelimited(t, close, path));
+      t.match(closed, { text: /\r\n\r\npart$/, end: 'END' }, `closed, ${label}`);
+      t.match(closed.text, /connection: close/i, label);
+      t.notMatch(closed.text, /transfer-encoding|content-length/i, label);
+    }),
+  );
+});
+
+// Guards against a part of a response that is passed on as the whole, because its reset arrived together
+// with the last bytes.
+tap.test('a reset together with the last bytes of a response is no end of it', async (t) => {
+  await Promise.all(
+    bothPaths.map(async (path) => {
+      const reset = (socket: Socket) => socket.resetAndDestroy();
+      const address = await startCloseDelimited(t, reset, path);
+      await checkOrderlyEnd();
+      const replies = await Promise.all(Array.from({ length: 50 }, () => callOnce(address)));
+      const whole = replies.filter(({ text, end }) => text.endsWith('part') && end === 'END');
+      t.equal(whole.length, 0, `one hop: ${path.oneHop}`);
     }),
   );
 });
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -10,6 +10,7 @@
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
+import { checkOrderlyEnd } from '../../connection/watchResets/index.js';
 import { createLogger } from '../../process/log/index.js';
 import DrainWindow from '../_lib/DrainWindow.js';
 import probePeers from '../_lib/probePeers.js';
@@ -391,6 +392,10 @@
   async start(): Promise<RequestAddresses> {
     const forwardListen = await listenOn(this.#ownerListener, this.#options.forwardListen);
     const listen = await listenOn(this.#entryListener, this.#options.listen);
+    // The node serves before the check has ended; each end counts as orderly until then.
+    checkOrderlyEnd().catch((error: unknown) =>
+      log.error({ reason: String(error) }, 'check of orderly ends failed'),
+    );
     this.#maintenanceTimer = setInterval(() => this.#maintain(), MAINTENANCE_INTERVAL_MS);
     this.#maintenanceTimer.unref();
     if (this.#options.probeIntervalMs !== 0) this.#probes.start();
