Count and log the answers of servers that are discarded, by reason

The node beside the server now counts `responses_discarded` by reason and logs the reason at a limited rate: the id of another request, no id, a success without a signature, bytes that are not HTTP, and bytes on a kept connection without a request (a second response that arrives before the next request). The dialect returns these kinds in place of one. What reaches callers is unchanged.

--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -15,11 +15,15 @@
 /** Upper limit for the keep-alive timeout that an upstream requests. */
 const KEEP_ALIVE_MAX_TIMEOUT_MS = 60_000;
 const MAX_HEADER_BYTES = 32_768;
+/** Message of undici's error for a connection that receives bytes without a request. */
+const UNREQUESTED_BYTES_MESSAGE = 'bad response';
 
 export interface UpstreamPoolsOptions {
   /** Set for pools to other nodes when `[tls]` is configured. */
   tls?: (() => TlsMaterial) | undefined;
   connectTimeoutMs?: number;
+  /** Called when a connection is closed because bytes came on it without a request. */
+  onUnrequestedBytes?: (address: string) => void;
 }
 
 /** HTTP/1.1 connection pools, one per upstream address. */
@@ -51,7 +55,11 @@
    * and it is then unknown whether the request ran.
    */
   openSingle(address: string): Dispatcher {
-    return new Client(this.#createUrl(address), { ...this.#createOptions(), pipelining: 1 });
+    const client = new Client(this.#createUrl(address), {
+      ...this.#createOptions(),
+      pipelining: 1,
+    });
+    return this.#watch(client, address);
   }
 
   /** Closes a connection opened by `openSingle`. */
@@ -94,11 +102,22 @@
   }
 
   #open(address: string, connections: number): Pool {
-    return new Pool(this.#createUrl(address), {
+    const pool = new Pool(this.#createUrl(address), {
       ...this.#createOptions(),
       connections,
       pipelining: 1,
     });
+    return this.#watch(pool, address);
+  }
+
+  #watch<Connections extends Dispatcher>(connections: Connections, address: string): Connections {
+    const { onUnrequestedBytes } = this.#options;
+    if (onUnrequestedBytes) {
+      connections.on('disconnect', (...[, , { message }]) => {
+        if (message === UNREQUESTED_BYTES_MESSAGE) onUnrequestedBytes(address);
+      });
+    }
+    return connections;
   }
 
   #createUrl(address: string): string {
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -35,6 +35,7 @@
 import CallRoutes from '../recognizeCalls/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
+import recordDiscard, { DiscardReason } from '../recordDiscard/index.js';
 import { RequestPacer } from '../paceRequests/index.js';
 import PauseWatch from '../watchPauses/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
@@ -199,7 +200,13 @@
 
   readonly #ownerListener: Server;
 
-  readonly #serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS });
+  readonly #serverPools = new UpstreamPools({
+    connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS,
+    onUnrequestedBytes: (address) => {
+      const { metrics, getNowMs } = this.#context;
+      recordDiscard(metrics, { reason: DiscardReason.NoRequest, address }, getNowMs());
+    },
+  });
 
   readonly #nodePools: UpstreamPools;
 
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -4,6 +4,7 @@
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
 import { ResponseKind } from '../httpDialect/index.js';
+import recordDiscard, { DiscardReason } from '../recordDiscard/index.js';
 
 import type {
   CallSummary,
@@ -90,7 +91,24 @@
   ledger: CrashLedger;
 }
 
-export type LocalCallerContext = Pick<RequestContext, 'dialect' | 'localServers' | 'getNowMs'>;
+export type LocalCallerContext = Pick<
+  RequestContext,
+  'dialect' | 'localServers' | 'metrics' | 'getNowMs'
+>;
+
+/** Reasons for which a response does not count as the answer to its request. */
+const DISCARD_REASONS: Partial<Record<ResponseKind, DiscardReason>> = {
+  [ResponseKind.AnotherId]: DiscardReason.AnotherId,
+  [ResponseKind.NoId]: DiscardReason.NoId,
+  [ResponseKind.Unsigned]: DiscardReason.NoSignature,
+};
+
+/** Name of undici's errors for bytes that are not HTTP, of which some have no code. */
+const PARSER_ERROR_NAME = 'HTTPParserError';
+
+/** Returns whether a call failed since the server sent something other than HTTP. */
+const isNotHttp = ({ options: { cause } }: CallError): boolean =>
+  cause instanceof Error && cause.name === PARSER_ERROR_NAME;
 
 /** Error codes of a connection that the server's system closed or reset. */
 const LOST_CONNECTION_CODES = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
@@ -211,12 +229,14 @@
         isNode: false,
         validateHead: (head) => {
           this.#readNotice(head, local, { requestId: localRequest.requestId, sentAtMs });
-          return this.#checkResponse(head, localRequest);
+          return this.#checkResponse(head, local, localRequest);
         },
       },
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
     const heldMs = performance.now() - startedAtMs;
+    if (result.isErr() && isNotHttp(result.error))
+      this.#recordDiscard(DiscardReason.NotHttp, local, { requestId: localRequest.requestId });
     this.#trackCrash(exchange, local, { path, localRequest, result });
     this.#updateReachability(exchange, local, result);
     const sample = this.#createSample(exchange, local, localRequest.routeName, {
@@ -256,20 +276,32 @@
   }
 
   /** Returns an error if the server did not run the request or its response does not match it. */
-  #checkResponse(head: ResponseHead, { requestId }: LocalRequest): CallError | undefined {
-    switch (this.#context.dialect.classifyResponse(head, requestId)) {
-      case ResponseKind.NotRun: {
-        const message = `the server answered ${head.statusCode}: not run`;
-        const options = { isWritten: true, isServerRefusal: true };
-        return new CallError(CallErrorCode.Refused, message, options);
-      }
-      case ResponseKind.Foreign: {
-        const message = 'the response does not match the request';
-        return new CallError(CallErrorCode.NoResponse, message, { isWritten: true });
-      }
-      default:
-        return undefined;
+  #checkResponse(
+    head: ResponseHead,
+    local: LocalServer,
+    { requestId }: LocalRequest,
+  ): CallError | undefined {
+    const { statusCode } = head;
+    const kind = this.#context.dialect.classifyResponse(head, requestId);
+    if (kind === ResponseKind.NotRun) {
+      const message = `the server answered ${statusCode}: not run`;
+      const options = { isWritten: true, isServerRefusal: true };
+      return new CallError(CallErrorCode.Refused, message, options);
     }
+    const reason = DISCARD_REASONS[kind];
+    if (reason === undefined) return undefined;
+    this.#recordDiscard(reason, local, { requestId, statusCode });
+    const message = `the response does not match the request: ${reason}`;
+    return new CallError(CallErrorCode.NoResponse, message, { isWritten: true });
+  }
+
+  #recordDiscard(
+    reason: DiscardReason,
+    { server: { address, serverId } }: LocalServer,
+    call: { requestId: string; statusCode?: number },
+  ): void {
+    const { metrics, getNowMs } = this.#context;
+    recordDiscard(metrics, { reason, address, serverId, ...call }, getNowMs());
   }
 
   /** Skips a server for a short time after a connection to it failed. */
--- a/src/request/httpDialect/HttpDialect.ts
+++ b/src/request/httpDialect/HttpDialect.ts
@@ -30,8 +30,12 @@
   Answer = 'ANSWER',
   /** A statement of the server that it did not run the request. */
   NotRun = 'NOT_RUN',
-  /** Not a response to this request; the connection cannot be reused. */
-  Foreign = 'FOREIGN',
+  /** Has the id of another request. This kind and the next two leave the connection unusable. */
+  AnotherId = 'ANOTHER_ID',
+  /** Has no id, so it may be a response to any request. */
+  NoId = 'NO_ID',
+  /** Lacks the signature of a server. */
+  Unsigned = 'UNSIGNED',
 }
 
 export interface RefusalOptions {
