--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -36,6 +36,7 @@
 import CallRoutes from '../recognizeCalls/index.js';
 import { CrashDetector, CrashLedger } from '../trackCrashes/index.js';
 import PeerTracker from '../trackPeers/index.js';
+import recordDiscard, { DiscardReason } from '../recordDiscard/index.js';
 import { RequestPacer } from '../paceRequests/index.js';
 import PauseWatch from '../watchPauses/index.js';
 import LatenessMonitor from '../watchLateness/index.js';
@@ -272,7 +273,14 @@
       },
     });
     const { metrics } = options;
-    this.#serverPools = new UpstreamPools({ connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS, metrics });
+    this.#serverPools = new UpstreamPools({
+      metrics,
+      connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS,
+      onUnrequestedBytes: (address) => {
+        const discard = { reason: DiscardReason.NoRequest, address };
+        recordDiscard(metrics, discard, this.#context.getNowMs());
+      },
+    });
     this.#nodePools = new UpstreamPools({
       metrics,
       tls: options.tls,
