Reset responses without a length when their connection is closed early

Callers took a part of an answer without a length for the whole (MIXED) when their node reached the end of its drain, was stopped, or exited, or when they had ended their own side: the node, or the system at the exit of the process, closes these connections in order, which is how such an answer ends. A handler that failed closed them in order, too.

The responses that end with their connection are now tracked until they are sent.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -7,6 +7,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
+import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -234,6 +235,9 @@
 
   readonly #pacer: RequestPacer;
 
+  /** Open connections to this node. */
+  readonly #callerSockets = new WeakSet<Socket>();
+
   #maintenanceRounds = 0;
 
   #inFlight = 0;
@@ -446,9 +450,17 @@
     ]);
     // A connection without any request so far does not count as idle, and may still send one.
     await this.#finishRequests(deadlineMs);
+    this.#closeConnections();
+    await Promise.all(closed);
+  }
+
+  /** Closes all connections; responses that end with their connection do not look complete. */
+  #closeConnections(): void {
+    const resetResponses = resetUnfinished((socket) => this.#callerSockets.has(socket));
+    if (resetResponses > 0)
+      log.warn({ resetResponses }, 'responses without a length were broken off by a reset');
     this.#entryListener.closeAllConnections();
     this.#ownerListener.closeAllConnections();
-    await Promise.all(closed);
   }
 
   async #finishRequests(deadlineMs: number): Promise<void> {
@@ -461,8 +473,7 @@
     this.#idempotencyGuard.close();
     await this.#probes.stop();
     const closed = [closeServer(this.#entryListener), closeServer(this.#ownerListener)];
-    this.#entryListener.closeAllConnections();
-    this.#ownerListener.closeAllConnections();
+    this.#closeConnections();
     await Promise.all([...closed, this.#serverPools.destroy(), this.#nodePools.destroy()]);
   }
 
@@ -497,7 +508,7 @@
             { reason: String(error) },
             'handling a request failed; its connection is closed',
           );
-          response.destroy();
+          abortResponse(response);
         });
       });
     };
@@ -506,9 +517,13 @@
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
     // Node.js calls it after the last response of a connection.
-    server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) =>
-      Object.assign(socket, { destroySoon: () => closeInOrder(socket) }),
-    );
+    server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
+      this.#callerSockets.add(socket);
+      const resetOwn = (): number => resetUnfinished((other) => other === socket);
+      // Node.js ends a connection in order whose caller has ended its side.
+      socket.prependListener('end', resetOwn);
+      Object.assign(socket, { destroySoon: () => closeInOrder(socket) });
+    });
     server.on('request', listener);
     // Without this listener, Node.js sends 100 Continue before the request is routed.
     server.on('checkContinue', listener);
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,6 +8,7 @@
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
+import { abortResponse, delimitByClose } from '../../connection/delimitByClose/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { fingerprintRequest } from '../fingerprintRequest/index.js';
 
@@ -79,8 +80,6 @@
 
   #isBodySent = false;
 
-  #isCloseDelimited = false;
-
   /**
    * @param request - incoming request
    * @param response - response to the caller
@@ -259,16 +258,12 @@
 
   /** Delimits the response by closing the connection, because its length is not known. */
   delimitByClose(): void {
-    this.response.shouldKeepAlive = false;
-    this.response.useChunkedEncodingByDefault = false;
-    this.#isCloseDelimited = true;
+    delimitByClose(this.response);
   }
 
   /** Closes the connection, so that the caller does not take a partial response for complete. */
   destroy(): void {
-    // An orderly close would mark the end of a close-delimited response, so the connection is reset.
-    if (this.#isCloseDelimited) this.response.socket?.resetAndDestroy();
-    this.response.destroy();
+    abortResponse(this.response);
   }
 
   #bufferBody(lengthBytes: number): Promise<Buffer | undefined> {
