Hold responses without a length at the entry node until their end

Callers took a part of an answer for the whole (MIXED) when the node that they were connected to was killed, by the platform or for its memory, within an answer that ends with its connection: the system closes the connections of a killed process in order.

The node that faces the caller now holds such an answer until its upstream has ended it in order, and sends it in one write, still delimited by the end of the connection: it can't be given a length or chunks, since a server that breaks off in order can't be told from one that ends. A held answer that is broken off has sent nothing, so it is repeated on an idempotent route and answered 502 otherwise. Space is given back when the call fails, or when the system has taken the bytes.

--- a/src/connection/ResponsePipeline/index.ts
+++ b/src/connection/ResponsePipeline/index.ts
@@ -56,6 +56,18 @@
     return true;
   }
 
+  /**
+   * Closes the connection after a response whose head is not written yet. Requests that arrive from now
+   * on are not handled.
+   *
+   * @param response - a pending response
+   */
+  closeAfter(response: ServerResponse): void {
+    const target = response;
+    target.shouldKeepAlive = false;
+    this.#isClosed = true;
+  }
+
   #pendingCloses(): boolean {
     return [...this.#pending].some(
       ({ destroyed, headersSent, shouldKeepAlive }) =>
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -8,6 +8,8 @@
 import { copyHeaders } from '../copyHeaders/index.js';
 import findHeader from '../findHeader/index.js';
 import { CallError, CallErrorCode } from '../CallError/index.js';
+import type ResponseHolder from '../holdResponses/index.js';
+import type { HeldSpace } from '../holdResponses/index.js';
 
 const PROCESSING = 102;
 const EARLY_HINTS = 103;
@@ -71,6 +73,10 @@
    * with its connection, and must not be framed as if its length were known.
    */
   onUnframed?: (head: ResponseHead) => void;
+  /** Holds responses without a length until their end; set at the node that faces the caller. */
+  holder?: ResponseHolder;
+  /** Called when a response is held, which will end with its connection unless the call fails. */
+  onHeld?: () => void;
   /** Called when the upstream acknowledges that it received the request. */
   onAcknowledged?: () => void;
   /** Returns whether a response is withheld from the caller because the request is retried. */
@@ -126,6 +132,9 @@
 
   readonly #bufferedChunks: Buffer[] = [];
 
+  /** Space of a held response without a length. */
+  #heldSpace: HeldSpace | undefined;
+
   #statusCode = 0;
 
   #method = '';
@@ -233,6 +242,12 @@
     }
     const isMarked = internal?.has(UNFRAMED_HEADER) === true;
     if (isMarked || (!this.#options.isNode && isUnframed(statusCode, this.#method, decoded))) {
+      this.#heldSpace = this.#options.holder?.open();
+      if (this.#heldSpace) {
+        this.#bufferedHead = head;
+        this.#options.onHeld?.();
+        return true;
+      }
       this.#options.onUnframed?.(head);
     }
     this.#writeHead(head);
@@ -245,6 +260,9 @@
     if (this.#withheldError) return true;
     this.#hasBody = true;
     this.#options.tap?.addChunk(chunk);
+    if (this.#bufferedHead && this.#heldSpace?.add(chunk.length) === false) {
+      this.#sendHeld(this.#bufferedHead, this.#heldSpace);
+    }
     if (this.#bufferedHead) {
       this.#bufferedChunks.push(chunk);
       return true;
@@ -298,9 +316,20 @@
     }
   }
 
+  /** Sends what is held of a response that is too long to be held; the rest is streamed. */
+  #sendHeld(head: ResponseHead, space: HeldSpace): void {
+    this.#bufferedHead = undefined;
+    this.#options.onUnframed?.(head);
+    this.#writeHead(head);
+    const held = this.#bufferedChunks.splice(0);
+    if (held.length > 0) this.#response.write(Buffer.concat(held));
+    space.releaseAfter(this.#response);
+  }
+
   #finish(result: Result<CallSummary, CallError>): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
+    if (result.isErr()) this.#heldSpace?.release();
     this.#settle(result);
   }
 
@@ -351,6 +380,7 @@
   }
 
   #end(trailers: Buffer[] | null): void {
+    if (this.#bufferedHead && this.#heldSpace) this.#options.onUnframed?.(this.#bufferedHead);
     if (this.#bufferedHead) this.#writeHead(this.#bufferedHead);
     if (trailers && trailers.length > 0) {
       const copied = copyHeaders(decodeHeaders(trailers), { isRequest: false }).headers;
@@ -360,7 +390,8 @@
       this.#response.addTrailers(pairs);
     }
     this.#response.end(
-      this.#bufferedChunks.length > 0 ? Buffer.concat(this.#bufferedChunks) : undefined,
+      this.#bufferedChunks.length > 0 ? Buffer.concat(this.#bufferedChunks.splice(0)) : undefined,
     );
+    this.#heldSpace?.releaseAfter(this.#response);
   }
 }
--- a/src/request/RequestServer/closeDelimited.test.ts
+++ b/src/request/RequestServer/closeDelimited.test.ts
@@ -82,3 +82,96 @@
     t.equal(isOrderly, false);
   }),
 );
+
+const LOOKUP = 'GET / HTTP/1.1\r\nhost: any\r\n\r\n';
+
+/** Starts one or two nodes, with servers without HTTP beside the last of them. */
+const startMesh = async (
+  t: Test,
+  answers: ((socket: Socket) => void)[],
+  { hops }: { hops: number },
+): Promise<TestNode> => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = hops === 1 ? entry : await mesh.startNode('owner');
+  await Promise.all(
+    answers.map(async (answer) => {
+      const server = createTcpServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => answer(socket));
+      });
+      t.teardown(() => server.close());
+      mesh.announce(owner, createServer(), await listenOnLoopback(server));
+    }),
+  );
+  return entry;
+};
+
+const readMetric = ({ metrics }: TestNode, name: string): number =>
+  Number(new RegExp(`^${name} (\\d+)$`, 'm').exec(metrics.render())?.[1]);
+
+// Guards against a held response whose failure reaches the caller although it could be repeated.
+[1, 2].forEach((hops) =>
+  tap.test(`a lookup is repeated when its held response is broken off, ${hops} hops`, async (t) => {
+    let broken = 0;
+    const answer = (socket: Socket): void => {
+      broken += 1;
+      socket.write(`${HEAD}part`);
+      if (broken === 1) setTimeout(() => socket.resetAndDestroy(), 50);
+      else socket.end('whole');
+    };
+    const entry = await startMesh(t, [answer, answer], { hops });
+    const { text, isOrderly } = await openCaller(entry.address, LOOKUP).received;
+    t.match(text, /^HTTP\/1.1 200 OK[^]*\r\n\r\npartwhole$/);
+    t.notMatch(text, /content-length|transfer-encoding/i);
+    t.equal(isOrderly, true);
+    t.equal(broken, 2);
+    t.equal(readMetric(entry, 'responses_held'), 2);
+    t.equal(readMetric(entry, 'held_response_bytes'), 0);
+  }),
+);
+
+// Guards against a request that is run and gets no answer, because it is behind one that ends with the
+// connection (LOST).
+tap.test('requests that arrive behind a held response are not handled', async (t) => {
+  let runs = 0;
+  const answer = (socket: Socket): void => {
+    runs += 1;
+    socket.write(HEAD);
+    setTimeout(() => socket.end('whole'), 2 * WAIT_MS);
+  };
+  const entry = await startMesh(t, [answer], { hops: 2 });
+  const { socket, received } = openCaller(entry.address, LOOKUP);
+  await sleep(WAIT_MS);
+  socket.write(LOOKUP);
+  const { text } = await received;
+  t.match(text, /connection: close[^]*whole$/i);
+  t.equal(runs, 1);
+});
+
+// Guards against space that is never given back, so that no response can be held any more.
+tap.test('a held response gives its space back when its caller leaves', async (t) => {
+  const entry = await startMesh(t, [(socket) => socket.write(`${HEAD}part`)], { hops: 2 });
+  const { socket } = openCaller(entry.address);
+  await sleep(WAIT_MS);
+  t.ok(readMetric(entry, 'held_response_bytes') > 0);
+  socket.destroy();
+  await sleep(WAIT_MS);
+  t.equal(readMetric(entry, 'held_response_bytes'), 0);
+});
+
+// Guards against a response beyond the bound that is altered as it changes from held to streamed.
+tap.test('a response beyond the bound is streamed unchanged', async (t) => {
+  const part = 'abcdefghij'.repeat(100_000);
+  const answer = (socket: Socket): void => {
+    socket.write(HEAD);
+    socket.write(part, () => socket.end(part));
+  };
+  const entry = await startMesh(t, [answer], { hops: 2 });
+  const { text, isOrderly } = await openCaller(entry.address).received;
+  t.equal(text.split('\r\n\r\n')[1], part + part);
+  t.equal(isOrderly, true);
+  t.equal(readMetric(entry, 'held_responses_beyond_bound'), 1);
+  t.equal(readMetric(entry, 'held_response_bytes'), 0);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -8,6 +8,7 @@
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
+import ResponseHolder from '../../connection/holdResponses/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -335,6 +336,7 @@
         grantedSlots: this.#grantedSlots,
         peers: this.#peers,
         departures: this.#departures,
+        holder: new ResponseHolder({ metrics: options.metrics }),
       }),
       selector:
         this.#createExpectedCostSelector() ??
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
+import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
 import { abortResponse, delimitByClose } from '../../connection/delimitByClose/index.js';
@@ -256,6 +257,11 @@
     this.#call?.fail(reason);
   }
 
+  /** Closes the connection after the response, however the request ends. */
+  closeAfterResponse(): void {
+    ResponsePipeline.of(this.#request.socket).closeAfter(this.response);
+  }
+
   /** Delimits the response by closing the connection, because its length is not known. */
   delimitByClose(): void {
     delimitByClose(this.response);
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -25,10 +25,12 @@
 import { recordReport } from '../observeServers/index.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
+import type ResponseHolder from '../../connection/holdResponses/index.js';
 import type {
   CallSummary,
   ResponseHead,
   ResponseTap,
+  UpstreamCallOptions,
 } from '../../connection/UpstreamCall/index.js';
 import type { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
@@ -82,6 +84,8 @@
   grantedSlots: GrantedSlotCache;
   peers: PeerTracker;
   departures: DepartureTracker;
+  /** Holds responses without a length. */
+  holder: ResponseHolder;
 }
 
 /** Keeps which routes are those of calls; the number of routes bounds the memory. */
@@ -151,11 +155,21 @@
     return this.#dependencies.localCaller.call(routed.exchange, local, localRequest, target, {
       shouldWithhold,
       tap,
-      onUnframed: () => routed.exchange.delimitByClose(),
+      ...this.#createUnframedOptions(routed),
       onHead: (head) => this.#readNotice(attempt, head),
     });
   }
 
+  #createUnframedOptions({
+    exchange,
+  }: RoutedRequest): Pick<UpstreamCallOptions, 'holder' | 'onHeld' | 'onUnframed'> {
+    return {
+      holder: this.#dependencies.holder,
+      onHeld: () => exchange.closeAfterResponse(),
+      onUnframed: () => exchange.delimitByClose(),
+    };
+  }
+
   #acquireGrantedSlot({ routed, entry, key }: Attempt): GrantedSlot | undefined {
     if (entry.server.directAddress === '') return undefined;
     const remainingMs = routed.deadlineMs - this.#context.getNowMs();
@@ -175,7 +189,7 @@
       isNode: false,
       shouldWithhold,
       tap,
-      onUnframed: () => routed.exchange.delimitByClose(),
+      ...this.#createUnframedOptions(routed),
     });
     this.#dependencies.grantedSlots.release(slot);
     return result;
@@ -225,7 +239,7 @@
         shouldWithhold: attempt.shouldWithhold,
         tap: attempt.tap,
         onAcknowledged: markAlive,
-        onUnframed: () => exchange.delimitByClose(),
+        ...this.#createUnframedOptions(routed),
         onHead: (head) => {
           markAlive();
           this.#readInternalHeaders(attempt, head, sentAtMs);
