Cut withheld responses whose body does not end

The body of a refusal that is not passed on was dropped however long it was, so the request was neither refused nor sent to another server before its deadline, and the node received the body all that time.

Up to 64 KiB are dropped, as before, so that the connection can be kept. Beyond that the call ends at once with the error of the refusal, and its connection is closed.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -20,6 +20,8 @@
 export const UNFRAMED_HEADER = 'foxtailvane-unframed';
 /** Responses up to this length are buffered until complete, so that a truncated one can be retried. */
 const MAX_BUFFERED_BYTES = 65_536;
+/** A withheld body up to this length is dropped, so that its connection can be kept. */
+const MAX_DROPPED_BYTES = 65_536;
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -122,6 +124,8 @@
 
   #withheldError: CallError | undefined;
 
+  #droppedBytes = 0;
+
   #bufferedHead: ResponseHead | undefined;
 
   readonly #bufferedChunks: Buffer[] = [];
@@ -242,7 +246,10 @@
 
   /** Called by undici for each part of the body; false pauses the upstream. */
   onData(chunk: Buffer): boolean {
-    if (this.#withheldError) return true;
+    if (this.#withheldError) {
+      this.#dropChunk(chunk, this.#withheldError);
+      return true;
+    }
     this.#hasBody = true;
     this.#options.tap?.addChunk(chunk);
     if (this.#bufferedHead) {
@@ -291,6 +298,14 @@
     this.#finish(err(this.#toCallError(error)));
   }
 
+  /** Drops a part of a withheld body; ends the call if the body is too long. */
+  #dropChunk(chunk: Buffer, withheldError: CallError): void {
+    this.#droppedBytes += chunk.length;
+    if (this.#droppedBytes <= MAX_DROPPED_BYTES) return;
+    this.#finish(err(withheldError));
+    this.#abort?.(withheldError);
+  }
+
   /** Sends the head if no body has arrived yet, so that the caller receives it without delay. */
   #flushHead(): void {
     if (!this.#hasBody && !this.#isSettled && !this.#response.destroyed) {
