Bound the early hints that a call passes on

Each 103 of a server was written to the caller, however many there were and whatever the caller had not read. With callers that did not read, endless hints took a node to 383 MB of 350; strings that wait in a response are not in the figure that the in-process test compares.

A call now passes on at most 8, and none while its caller has unsent bytes: hints are optional. Repeated 102 are reported as one acknowledgement, since each one updated the state of the other node.

The tests failed before: 40 of 40 hints passed on, also to a caller with 32 MiB unsent, and 40 acknowledgements of one call. Now 8, 0 and 1.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -20,6 +20,8 @@
 export const UNFRAMED_HEADER = 'foxtailvane-unframed';
 /** Responses up to this length are buffered until complete, so that a truncated one can be retried. */
 const MAX_BUFFERED_BYTES = 65_536;
+/** Early hints passed on per call; servers send one or two. */
+const MAX_EARLY_HINTS = 8;
 /** A withheld body up to this length is dropped, so that its connection can be kept. */
 const MAX_DROPPED_BYTES = 65_536;
 
@@ -126,6 +128,10 @@
 
   #droppedBytes = 0;
 
+  #isAcknowledged = false;
+
+  #earlyHints = 0;
+
   #bufferedHead: ResponseHead | undefined;
 
   readonly #bufferedChunks: Buffer[] = [];
@@ -351,13 +357,26 @@
   }
 
   #forwardInformational(statusCode: number, raw: Buffer[]): void {
-    if (statusCode === PROCESSING) this.#options.onAcknowledged?.();
-    if (statusCode !== EARLY_HINTS) return;
+    if (statusCode === PROCESSING) this.#acknowledge();
+    if (statusCode !== EARLY_HINTS || !this.#canForwardHint()) return;
     const headers = decodeHeaders(raw);
     const links = headers.filter(
       (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'link',
     );
-    if (links.length > 0) this.#response.writeEarlyHints({ link: links });
+    if (links.length === 0) return;
+    this.#earlyHints += 1;
+    this.#response.writeEarlyHints({ link: links });
+  }
+
+  #acknowledge(): void {
+    if (this.#isAcknowledged) return;
+    this.#isAcknowledged = true;
+    this.#options.onAcknowledged?.();
+  }
+
+  /** Hints are optional, so none is kept for a caller that has not read what was sent before. */
+  #canForwardHint(): boolean {
+    return this.#earlyHints < MAX_EARLY_HINTS && this.#response.writableLength === 0;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
