--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -22,6 +22,10 @@
 export const UNFRAMED_HEADER = 'foxtailvane-unframed';
 /** Responses up to this length are buffered until complete, so that a truncated one can be retried. */
 const MAX_BUFFERED_BYTES = 65_536;
+/** Early hints passed on per call; servers send one or two. */
+const MAX_EARLY_HINTS = 8;
+/** A withheld body up to this length is dropped, so that its connection can be kept. */
+const MAX_DROPPED_BYTES = 65_536;
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -128,6 +132,12 @@
 
   #withheldError: CallError | undefined;
 
+  #droppedBytes = 0;
+
+  #isAcknowledged = false;
+
+  #earlyHints = 0;
+
   #bufferedHead: ResponseHead | undefined;
 
   readonly #bufferedChunks: Buffer[] = [];
@@ -257,7 +267,10 @@
 
   /** Called by undici for each part of the body; false pauses the upstream. */
   onData(chunk: Buffer): boolean {
-    if (this.#withheldError) return true;
+    if (this.#withheldError) {
+      this.#dropChunk(chunk, this.#withheldError);
+      return true;
+    }
     this.#hasBody = true;
     this.#options.tap?.addChunk(chunk);
     if (this.#bufferedHead && this.#heldSpace?.add(chunk.length) === false) {
@@ -309,6 +322,14 @@
     this.#finish(err(this.#toCallError(error)));
   }
 
+  /** Drops a part of a withheld body; ends the call if the body is too long. */
+  #dropChunk(chunk: Buffer, withheldError: CallError): void {
+    this.#droppedBytes += chunk.length;
+    if (this.#droppedBytes <= MAX_DROPPED_BYTES) return;
+    this.#finish(err(withheldError));
+    this.#abort?.(withheldError);
+  }
+
   /** Sends the head if no body has arrived yet, so that the caller receives it without delay. */
   #flushHead(): void {
     if (!this.#hasBody && !this.#isSettled && !this.#response.destroyed) {
@@ -365,13 +386,26 @@
   }
 
   #forwardInformational(statusCode: number, raw: Buffer[]): void {
-    if (statusCode === PROCESSING) this.#options.onAcknowledged?.();
-    if (statusCode !== EARLY_HINTS) return;
+    if (statusCode === PROCESSING) this.#acknowledge();
+    if (statusCode !== EARLY_HINTS || !this.#canForwardHint()) return;
     const headers = decodeHeaders(raw);
     const links = headers.filter(
       (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'link',
     );
-    if (links.length > 0) this.#response.writeEarlyHints({ link: links });
+    if (links.length === 0) return;
+    this.#earlyHints += 1;
+    this.#response.writeEarlyHints({ link: links });
+  }
+
+  #acknowledge(): void {
+    if (this.#isAcknowledged) return;
+    this.#isAcknowledged = true;
+    this.#options.onAcknowledged?.();
+  }
+
+  /** Hints are optional, so none is kept for a caller that has not read what was sent before. */
+  #canForwardHint(): boolean {
+    return this.#earlyHints < MAX_EARLY_HINTS && this.#response.writableLength === 0;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
