Pass on early hints only if they have the id of the request

Callers saw: a 103 with a `Link` that a server sent late, as part of a second answer to another request, before their own answer (MIXED: an answer that belongs to another request).

Cause: `UpstreamCall` passed on each informational response that arrived while a request waited; only final responses were checked.

Change: the dialect decides whether hints certainly belong to the request. On the platform they need its id, as each response of a worker has it. Other hints are dropped and counted as FOREIGN_HINTS; the request goes on. Nodes trust the hints of other nodes, and the own dialect passes them on as before.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -71,6 +71,8 @@
    * with its connection, and must not be framed as if its length were known.
    */
   onUnframed?: (head: ResponseHead) => void;
+  /** Returns whether early hints with these headers, alternating names and values, are passed on. */
+  validateHints?: (headers: string[]) => boolean;
   /** Called when the upstream acknowledges that it received the request. */
   onAcknowledged?: () => void;
   /** Returns whether a response is withheld from the caller because the request is retried. */
@@ -339,6 +341,7 @@
     if (statusCode === PROCESSING) this.#options.onAcknowledged?.();
     if (statusCode !== EARLY_HINTS) return;
     const headers = decodeHeaders(raw);
+    if (this.#options.validateHints?.(headers) === false) return;
     const links = headers.filter(
       (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'link',
     );
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -231,6 +231,7 @@
           this.#readNotice(head, local, { requestId: localRequest.requestId, sentAtMs });
           return this.#checkResponse(head, local, localRequest);
         },
+        validateHints: (headers) => this.#checkHints(headers, local, localRequest),
       },
     );
     if (!localRequest.isIdempotent) this.#pools.closeSingle(pool);
@@ -295,6 +296,12 @@
     return new CallError(CallErrorCode.NoResponse, message, { isWritten: true });
   }
 
+  #checkHints(headers: string[], local: LocalServer, { requestId }: LocalRequest): boolean {
+    const isOwn = this.#context.dialect.hasOwnHints(headers, requestId);
+    if (!isOwn) this.#recordDiscard(DiscardReason.ForeignHints, local, { requestId });
+    return isOwn;
+  }
+
   #recordDiscard(
     reason: DiscardReason,
     { server: { address, serverId } }: LocalServer,
--- a/src/request/httpDialect/HttpDialect.ts
+++ b/src/request/httpDialect/HttpDialect.ts
@@ -68,6 +68,14 @@
 
   abstract classifyResponse(head: ResponseHead, requestId: string): ResponseKind;
 
+  /**
+   * Returns whether early hints certainly belong to a request.
+   *
+   * @param headers - alternating names and values
+   * @param requestId - id of the request that waits for its response
+   */
+  abstract hasOwnHints(headers: string[], requestId: string): boolean;
+
   /**
    * Returns what a server states about itself in a response; undefined when the response is not
    * certainly the selected server's response to this request.
--- a/src/request/httpDialect/OwnDialect.ts
+++ b/src/request/httpDialect/OwnDialect.ts
@@ -49,6 +49,11 @@
     return ResponseKind.Answer;
   }
 
+  /** Responses have no id, so they belong to the request that waits on their connection. */
+  override hasOwnHints(): boolean {
+    return true;
+  }
+
   /** Servers state their limits and their state in their announcements only. */
   override readServerNotice(): undefined {
     return undefined;
--- a/src/request/recordDiscard/index.ts
+++ b/src/request/recordDiscard/index.ts
@@ -16,6 +16,8 @@
   NoId = 'NO_ID',
   /** The response has the id of the request, but not the one signature of a server. */
   NoSignature = 'NO_SIGNATURE',
+  /** Early hints do not have the id of the request. */
+  ForeignHints = 'FOREIGN_HINTS',
   /** The bytes in place of a response, or within one, are not HTTP. */
   NotHttp = 'NOT_HTTP',
   /** The bytes came on a kept connection without a request, such as a second response. */
--- a/src/request/recordDiscard/test.ts
+++ b/src/request/recordDiscard/test.ts
@@ -1,11 +1,10 @@
-import { createServer as createTcpServer } from 'node:net';
-
 import tap from 'tap';
 
 import type { Socket } from 'node:net';
 import type { Test } from 'tap';
 import PlatformDialect from '../../../platform/PlatformDialect.js';
-import { TestMesh, listenOnLoopback, send } from '../../../test/requestMesh/index.js';
+import { TestMesh, send } from '../../../test/requestMesh/index.js';
+import startRawBackend from '../../../test/requestMesh/startRawBackend.js';
 import waitFor from '../../../stand-ins/waitFor/index.js';
 import { DiscardReason } from './index.js';
 
@@ -17,18 +16,7 @@
   const mesh = new TestMesh();
   t.teardown(() => mesh.stop());
   const node = await mesh.startNode('owner', { dialect: new PlatformDialect() });
-  const listener = createTcpServer((socket) => {
-    socket.on('error', () => undefined);
-    socket.on('data', (chunk) => {
-      const attemptId = /attempt-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1];
-      if (attemptId !== undefined) write(attemptId, socket);
-    });
-  });
-  t.teardown(() => listener.close());
-  const address = await listenOnLoopback(listener);
-  const { server, serverId } = await mesh.startBackend(node, (_, response) => response.end());
-  node.localServers.withdraw(serverId);
-  mesh.announce(node, server, address);
+  t.teardown(await startRawBackend(mesh, node, write));
   return node;
 };
 
--- a/test/platform/answersWithoutId.test.ts
+++ b/test/platform/answersWithoutId.test.ts
@@ -1,11 +1,9 @@
-import { createServer as createTcpServer } from 'node:net';
-
 import tap from 'tap';
 
-import type { Socket } from 'node:net';
 import type { Test } from 'tap';
 import PlatformDialect from '../../platform/PlatformDialect.js';
-import { TestMesh, listenOnLoopback, send } from '../requestMesh/index.js';
+import { TestMesh, send } from '../requestMesh/index.js';
+import startRawBackend from '../requestMesh/startRawBackend.js';
 import type { TestNode } from '../requestMesh/index.js';
 
 const STATUS_LINES = ['500 Internal Server Error', '404 Not Found', '302 Found'];
@@ -32,20 +30,10 @@
   const dialect = new PlatformDialect();
   const entry = await mesh.startNode('entry', { dialect });
   const owner = await mesh.startNode('owner', { dialect });
-  const answer = (attemptId: string, socket: Socket): void => {
+  const stop = await startRawBackend(mesh, owner, (attemptId, socket) => {
     socket.write((attemptId === FORMER_ID ? '' : additional) + createAnswer(attemptId));
-  };
-  const listener = createTcpServer((socket) => {
-    socket.on('error', () => undefined);
-    socket.on('data', (chunk) => {
-      const attemptId = /attempt-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1];
-      if (attemptId !== undefined) answer(attemptId, socket);
-    });
   });
-  t.teardown(() => listener.close());
-  const { server, serverId } = await mesh.startBackend(owner, (_, response) => response.end());
-  owner.localServers.withdraw(serverId);
-  mesh.announce(owner, server, await listenOnLoopback(listener));
+  t.teardown(stop);
   return [entry, owner];
 };
 
