--- a/src/request/httpDialect/HttpDialect.ts
+++ b/src/request/httpDialect/HttpDialect.ts
@@ -34,7 +34,7 @@
   AnotherId = 'ANOTHER_ID',
   /** Has no id, so it may be a response to any request. */
   NoId = 'NO_ID',
-  /** Lacks the signature of a server. */
+  /** Lacks the signature of a server, or has several. */
   Unsigned = 'UNSIGNED',
 }
 
--- a/src/request/recordDiscard/index.ts
+++ b/src/request/recordDiscard/index.ts
@@ -14,7 +14,7 @@
   AnotherId = 'ANOTHER_ID',
   /** The final response has no id. */
   NoId = 'NO_ID',
-  /** The response has the id of the request, but not the one signature of a server. */
+  /** The response has the id of the request, but no signature of a server, or several. */
   NoSignature = 'NO_SIGNATURE',
   /** Early hints do not have the id of the request. */
   ForeignHints = 'FOREIGN_HINTS',
