Recognize a streamed order that crashes its servers

Callers saw: an order sent in chunks that crashes each server that begins to run it reached servers again and again. Its repeats ended other orders that these servers were running.

Cause: a streamed body (in chunks, or longer than 64 KiB) was no part of the fingerprints. Method, host, path and caller are the same for other orders, so their answers cleared the order behind the crashes on all nodes.

Change: a body counts with the digest of its first 64 KiB, however it is framed. A streamed body is hashed while it is passed on, so its crash is recorded with it. Before a request is sent, the digest is needed only where servers ended under requests of the same path and caller: after two such crashes, the body is held at both hops until 64 KiB or its end have arrived, or the deadline passes. Elsewhere nothing changes: no wait, no memory, early answers as before.

The tests of fingerprintRequest pass the digest where they passed the body; their checks are unchanged.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -11,6 +11,7 @@
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
 import { createLogger } from '../../process/log/index.js';
+import BodyReader from '../_lib/BodyReader.js';
 import DrainWindow from '../_lib/DrainWindow.js';
 import probePeers from '../_lib/probePeers.js';
 import { EntryHandler } from '../_lib/EntryHandler.js';
@@ -320,6 +321,7 @@
       observations: this.#observations,
       breaker: this.#breaker,
     };
+    const bodies = new BodyReader(this.#crashLedger);
     const entryHandler = new EntryHandler(this.#context, {
       ...recorders,
       workspaceLimiter: options.workspaceLimiter,
@@ -349,10 +351,15 @@
       peers: this.#peers,
       departures: this.#departures,
       crashLedger: this.#crashLedger,
+      bodies,
       versions: options.versions ?? new AnyVersionPolicy(),
       evidence: options.evidence,
     });
-    const ownerHandler = new OwnerHandler(this.#context, localCaller, this.#grantor);
+    const ownerHandler = new OwnerHandler(this.#context, {
+      bodies,
+      caller: localCaller,
+      grantor: this.#grantor,
+    });
     this.#entryListener = this.#createServer((...received) => entryHandler.handle(...received));
     this.#ownerListener = this.#createServer(
       (...received) => ownerHandler.handle(...received),
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -34,6 +34,7 @@
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
+import type BodyReader from './BodyReader.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
 import type { Attempt } from './ServerCaller.js';
@@ -62,6 +63,7 @@
   peers: PeerTracker;
   departures: DepartureTracker;
   crashLedger: CrashLedger;
+  bodies: BodyReader;
   versions: VersionPolicy;
   /** Counts how attempts end by software version; undefined without roll-outs. */
   evidence?: EvidenceCollector | undefined;
@@ -190,7 +192,8 @@
     exchange.startDeadline(routed.deadlineMs - nowMs);
     if (routed.objectiveAtMs !== undefined) exchange.setObjective(routed.objectiveAtMs - nowMs);
     // Read before any refusal, since an answer to an unread body closes the connection.
-    const body = await exchange.readBody();
+    const { bodies } = this.#dependencies;
+    const body = await bodies.read(exchange, routed.path, this.#context.callerService());
     if (body === BodyState.Incomplete) {
       answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
       return;
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -1,5 +1,3 @@
-import { PassThrough } from 'node:stream';
-
 import { err } from 'neverthrow';
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -9,7 +7,8 @@
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
-import { fingerprintRequest } from '../fingerprintRequest/index.js';
+import { digestBody, fingerprintRequest } from '../fingerprintRequest/index.js';
+import StreamedBody from './StreamedBody.js';
 
 import type { CallSummary, UpstreamCallOptions } from '../../connection/UpstreamCall/index.js';
 
@@ -60,7 +59,7 @@
 
   readonly response: ServerResponse;
 
-  #body: Buffer | PassThrough | null = null;
+  #body: Buffer | StreamedBody | null = null;
 
   #call: UpstreamCall | undefined;
 
@@ -128,7 +127,7 @@
 
   /** Whether the body can be sent to an upstream, possibly again. */
   get canSendBody(): boolean {
-    return !(this.#body instanceof PassThrough) || !this.#isBodySent;
+    return !(this.#body instanceof StreamedBody) || !this.#isBodySent;
   }
 
   /** Whether the request body has not been received completely. */
@@ -138,7 +137,7 @@
 
   /** The buffered body; null when the request has none, undefined when it is streamed. */
   get bufferedBody(): Buffer | null | undefined {
-    return this.#body instanceof PassThrough ? undefined : this.#body;
+    return this.#body instanceof StreamedBody ? undefined : this.#body;
   }
 
   /**
@@ -195,6 +194,15 @@
     };
   }
 
+  /**
+   * Registers a listener for the end of the exchange, whatever its outcome.
+   *
+   * @param listener - called once, when the response is sent or its connection is closed
+   */
+  onClosed(listener: () => void): void {
+    this.response.once('close', listener);
+  }
+
   /**
    * Computes the fingerprints by which repeats of the request are recognized.
    *
@@ -202,23 +210,34 @@
    * @param callerService - service on the VM of the entry node; empty when there is none
    */
   computeFingerprints(path: string, callerService: string): bigint[] {
-    const { method, bufferedBody: body } = this;
+    const { method } = this;
     const host = this.#request.headers.host ?? '';
-    return fingerprintRequest({ method, host, path, body, callerService });
+    const bodyDigest = this.#digestBody();
+    return fingerprintRequest({ method, host, path, bodyDigest, callerService });
+  }
+
+  /** Whether the body is not buffered completely before the request is sent. */
+  get hasStreamedBody(): boolean {
+    return hasChunkedBody(this.#request) || this.#lengthBytes > MAX_BUFFERED_BODY_BYTES;
   }
 
-  /** Buffers a small body completely; prepares a larger or chunked one for streaming. */
-  async readBody(): Promise<BodyState> {
-    const lengthBytes = Number(this.#request.headers['content-length'] ?? 0);
-    if (!hasChunkedBody(this.#request) && lengthBytes === 0) return BodyState.Repeatable;
+  /**
+   * Buffers a small body completely; prepares a larger or chunked one for streaming.
+   *
+   * @param options - whether a streamed body is held until the bytes that identify it have arrived
+   */
+  async readBody({ isHeld = false } = {}): Promise<BodyState> {
+    if (!this.hasStreamedBody && this.#lengthBytes === 0) return BodyState.Repeatable;
     if (this.#request.headers.expect !== undefined) this.response.writeContinue();
-    if (!hasChunkedBody(this.#request) && lengthBytes <= MAX_BUFFERED_BODY_BYTES) {
-      const body = await this.#bufferBody(lengthBytes);
+    if (!this.hasStreamedBody) {
+      const body = await this.#bufferBody(this.#lengthBytes);
       if (!body) return BodyState.Incomplete;
       this.#body = body;
       return BodyState.Repeatable;
     }
-    this.#body = this.#createBodyStream();
+    const body = this.#createBodyStream(isHeld);
+    this.#body = body;
+    if (isHeld && !(await this.#waitUntilIdentified(body))) return BodyState.Incomplete;
     return BodyState.Streamed;
   }
 
@@ -245,7 +264,7 @@
       method: this.method,
       path: target.path,
       headers: target.headers,
-      body: this.#body,
+      body: this.#body instanceof StreamedBody ? this.#body.stream : this.#body,
     });
     this.#call = undefined;
     if (call.isWritten) this.#isBodySent = true;
@@ -271,6 +290,24 @@
     this.response.destroy();
   }
 
+  get #lengthBytes(): number {
+    return Number(this.#request.headers['content-length'] ?? 0);
+  }
+
+  #digestBody(): Buffer | undefined {
+    if (this.#body instanceof StreamedBody) return this.#body.digest;
+    return this.#body ? digestBody(this.#body) : undefined;
+  }
+
+  /** Resolves with false if the exchange is aborted before. */
+  #waitUntilIdentified({ identified }: StreamedBody): Promise<boolean> {
+    if (this.isAborted) return Promise.resolve(false);
+    const aborted = new Promise<boolean>((resolve) => {
+      this.onAborted(() => resolve(false));
+    });
+    return Promise.race([identified.then(() => true), aborted]);
+  }
+
   #bufferBody(lengthBytes: number): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
@@ -285,13 +322,14 @@
   }
 
   /** Pipes the request into a separate stream, because undici destroys its input stream on errors. */
-  #createBodyStream(): PassThrough {
-    const stream = new PassThrough();
+  #createBodyStream(isHeld: boolean): StreamedBody {
+    const body = new StreamedBody({ isHeld });
+    const { stream } = body;
     stream.on('error', () => this.#request.unpipe(stream));
     this.#request.on('error', (error) => stream.destroy(error));
     this.#request.on('aborted', () => stream.destroy(new Error('caller disconnected')));
     this.#request.pipe(stream);
-    return stream;
+    return body;
   }
 
   #handleClose(): void {
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -32,6 +32,7 @@
 import { RefusalReason, createNotRunRefusal, writeRefusal } from './writeRefusal.js';
 
 import type { LocalServer } from '../../process/localServers/index.js';
+import type BodyReader from './BodyReader.js';
 import type LocalCaller from './LocalCaller.js';
 import type { ForwardedCall } from './internalHeaders.js';
 import type { SlotGrantor } from '../grantSlots/index.js';
@@ -46,6 +47,12 @@
 const EVENT_LOOP_WAITS_PER_REQUEST = 2;
 const MAX_DEADLINE_MS = 600_000;
 
+export interface OwnerHandlerDependencies {
+  caller: LocalCaller;
+  grantor: SlotGrantor;
+  bodies: BodyReader;
+}
+
 /** Handles the requests that other nodes forward to the local servers of this node. */
 export default class OwnerHandler {
   readonly #context: RequestContext;
@@ -54,10 +61,13 @@
 
   readonly #grantor: SlotGrantor;
 
-  constructor(context: RequestContext, caller: LocalCaller, grantor: SlotGrantor) {
+  readonly #bodies: BodyReader;
+
+  constructor(context: RequestContext, { caller, grantor, bodies }: OwnerHandlerDependencies) {
     this.#context = context;
     this.#grantor = grantor;
     this.#caller = caller;
+    this.#bodies = bodies;
   }
 
   /**
@@ -117,7 +127,7 @@
       parseCount(exchange.internalHeaders.get(DEADLINE_HEADER)) ?? MAX_DEADLINE_MS;
     const attempt = parseCount(exchange.internalHeaders.get(ATTEMPT_HEADER)) ?? 0;
     exchange.startDeadline(remainingMs - waitedMs);
-    const body = await exchange.readBody();
+    const body = await this.#bodies.read(exchange, path, call.callerService);
     if (body === BodyState.Incomplete) {
       answerFailure(exchange, undefined);
       return;
--- a/src/request/fingerprintRequest/index.ts
+++ b/src/request/fingerprintRequest/index.ts
@@ -7,12 +7,18 @@
   host: string;
   /** Path with query. */
   path: string;
-  /** Buffered body; null when there is none, undefined when it is streamed. */
-  body: Buffer | null | undefined;
+  /** Digest of the first bytes of the body; undefined when there is no body, or these are unknown. */
+  bodyDigest: Buffer | undefined;
   /** Service on the VM of the entry node; empty when there is none. */
   callerService: string;
 }
 
+/**
+ * Bodies are identified by so many bytes from their start: a request must be recognized before it is
+ * sent, and longer bodies are not held until they are complete.
+ */
+export const IDENTIFIED_BODY_BYTES = 65_536;
+
 const FINGERPRINT_BYTES = 8;
 
 const hash = (parts: (string | Buffer)[]): bigint => {
@@ -21,24 +27,27 @@
   return sum.digest().subarray(0, FINGERPRINT_BYTES).readBigUInt64BE();
 };
 
+/** Computes the digest of a buffered body, which is the same as that of its streamed repeat. */
+export const digestBody = (body: Buffer): Buffer =>
+  createHash('sha256').update(body.subarray(0, IDENTIFIED_BODY_BYTES)).digest();
+
 /**
  * Computes the fingerprints of a request, each more specific than the one before.
  *
- * The body adds a fingerprint of its own, because a repeat may be streamed, which leaves its body
- * unknown.
+ * The body adds a fingerprint of its own, because that of a streamed repeat may not be known yet.
  *
  * @param identity - method, host, path, body and caller of the request
  * @returns a fingerprint for all callers and bodies, one for this caller, and one for this caller and
- *   body if the body is buffered
+ *   body if the body is known
  */
 export const fingerprintRequest = ({
   method,
   host,
   path,
-  body,
+  bodyDigest,
   callerService,
 }: RequestIdentity): bigint[] => {
   const shared = hash([method, host.toLowerCase(), path]);
   const ofCaller = hash([String(shared), callerService]);
-  return body ? [shared, ofCaller, hash([String(ofCaller), body])] : [shared, ofCaller];
+  return bodyDigest ? [shared, ofCaller, hash([String(ofCaller), bodyDigest])] : [shared, ofCaller];
 };
--- a/src/request/fingerprintRequest/test.ts
+++ b/src/request/fingerprintRequest/test.ts
@@ -1,12 +1,12 @@
 import tap from 'tap';
 
-import { fingerprintRequest } from './index.js';
+import { digestBody, fingerprintRequest } from './index.js';
 
 const identity = {
   method: 'POST',
   host: 'Desk.example',
   path: '/orders?page=1',
-  body: Buffer.from('bundle'),
+  bodyDigest: digestBody(Buffer.from('bundle')),
   callerService: 'desk',
 };
 
@@ -22,10 +22,13 @@
   t.equal(ofOther[0], shared);
   t.not(ofOther[1], ofCaller);
   t.not(ofOther[2], exact);
-  const withOtherBody = fingerprintRequest({ ...identity, body: Buffer.from('rods') });
+  const withOtherBody = fingerprintRequest({
+    ...identity,
+    bodyDigest: digestBody(Buffer.from('rods')),
+  });
   t.strictSame(withOtherBody.slice(0, 2), [shared, ofCaller]);
   t.not(withOtherBody[2], exact);
-  t.strictSame(fingerprintRequest({ ...identity, body: undefined }), [shared, ofCaller]);
+  t.strictSame(fingerprintRequest({ ...identity, bodyDigest: undefined }), [shared, ofCaller]);
   [{ method: 'PUT' }, { host: 'x.example' }, { path: '/orders' }].forEach((change) =>
     t.not(fingerprintRequest({ ...identity, ...change })[0], shared),
   );
--- a/src/request/trackCrashes/CrashLedger.ts
+++ b/src/request/trackCrashes/CrashLedger.ts
@@ -5,6 +5,11 @@
 
 /** A request under which so many servers ended is refused from then on. */
 const MAX_CRASHES = 3;
+/**
+ * Crashes from which on a streamed request is identified before it is sent. A server may end once while
+ * it runs any request; more crashes are needed than one, and fewer than lead to a refusal.
+ */
+const SUSPICIOUS_CRASHES = 2;
 /** Time after the last crash until a suspect is tried once more: all nodes count the same by then. */
 const TRIAL_DELAY_MS = 1_000;
 /** Crashes from which on an answer is published: before, only this node needs to know of it. */
@@ -111,6 +116,19 @@
     return this.#findBlocking(fingerprints).length > 0;
   }
 
+  /**
+   * Returns whether requests like this one were running when servers ended, answered or not, so that
+   * only its body can tell whether it is behind the crashes.
+   *
+   * @param fingerprints - fingerprints of a request whose body is not known yet
+   */
+  isSuspected(fingerprints: bigint[]): boolean {
+    const mostSpecific = fingerprints.slice(-1);
+    return mostSpecific
+      .flatMap((fingerprint) => this.#suspects.get(fingerprint) ?? [])
+      .some((suspect) => countCrashes(suspect) >= SUSPICIOUS_CRASHES);
+  }
+
   /**
    * Returns the node at which a blocked request may be tried once more, so that one that was only in
    * progress during the crashes is told from the one behind them.
