Bound the bodies of calls while they are received

What was seen: a caller of the control address that sends a body without end takes the program beyond the memory of its machine, and all requests on it end.

The operator API and the announcement routes bounded each body, but not the sum of those received at the same time.

Where all bodies in memory exceed the limit of the API, the largest incomplete one is refused with 503, so that slow large ones do not keep out the others. A body counts until its request is handled. The rest of a refused body is read and dropped, so that its sender can read the response.

--- a/src/process/localServers/createLocalServerRoutes/index.ts
+++ b/src/process/localServers/createLocalServerRoutes/index.ts
@@ -1,6 +1,6 @@
 import { Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 
+import { BodyRefusal, limitBodies } from '../../limitBodies/index.js';
 import { AnnouncementErrorCode } from '../AnnouncementError/index.js';
 import { parseAnnouncement } from '../_lib/parseAnnouncement.js';
 
@@ -8,6 +8,8 @@
 import type { LocalServers } from '../LocalServers/index.js';
 
 const MAX_BODY_BYTES = 16_384;
+/** Far above the announcements of the servers of a VM that arrive at the same time. */
+const MAX_HELD_BYTES = 1_048_576;
 
 const STATUS_BY_CODE = {
   [AnnouncementErrorCode.InvalidField]: 400,
@@ -16,6 +18,11 @@
   [AnnouncementErrorCode.NodeDraining]: 503,
 } as const;
 
+const STATUS_BY_REFUSAL = {
+  [BodyRefusal.TooLarge]: 413,
+  [BodyRefusal.TooManyBytes]: 503,
+} as const;
+
 const createErrorBody = (error: AnnouncementError) => ({
   code: error.code,
   message: error.message,
@@ -50,7 +57,12 @@
 ): Hono => {
   const getNowMs = options.getNowMs ?? Date.now;
   const app = new Hono();
-  app.put('/v1/servers/:serverId', bodyLimit({ maxSize: MAX_BODY_BYTES }), async (context) => {
+  const limitBody = limitBodies({
+    findMaxBytes: () => MAX_BODY_BYTES,
+    maxHeldBytes: MAX_HELD_BYTES,
+    refuse: (context, refusal) => context.body(null, STATUS_BY_REFUSAL[refusal]),
+  });
+  app.put('/v1/servers/:serverId', limitBody, async (context) => {
     const serverId = context.req.param('serverId');
     const result = parseAnnouncement(serverId, parseJson(await context.req.text())).andThen(
       (announcement) => localServers.announce(serverId, announcement, getNowMs()),
--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -4,11 +4,11 @@
 import { toJson } from '@bufbuild/protobuf';
 import { getConnInfo } from '@hono/node-server/conninfo';
 import { Hono } from 'hono';
-import { bodyLimit } from 'hono/body-limit';
 
 import type { Context, MiddlewareHandler } from 'hono';
 import { ConfigurationSchema } from '../../_generated/foxtailvane/v1/configuration_pb.js';
 import { MAX_SHEET_BYTES } from '../../version/parseSheet/index.js';
+import { BodyRefusal, limitBodies } from '../limitBodies/index.js';
 import { createLogger } from '../log/index.js';
 import { ApplyOutcome } from '../replication/ControlLog/index.js';
 import applySheet from './_lib/applySheet.js';
@@ -86,6 +86,9 @@
   rateLimit?: RateLimiterOptions;
 }
 
+/** Several large sheets at a time; parsed ones take a multiple of it. */
+const MAX_HELD_BYTES = 8 * MAX_SHEET_BYTES;
+
 const REQUEST_ID_HEADER = 'foxtailvane-request-id';
 const OPERATOR_HEADER = 'foxtailvane-operator';
 const DEFAULT_OPERATOR = 'operator';
@@ -163,15 +166,14 @@
     return respondWithError(context, ApiErrorCode.Unauthorized, 'a valid bearer token is required');
   };
 
-const limitBody = bodyLimit({
-  maxSize: MAX_SHEET_BYTES,
-  onError: (context) =>
-    respondWithError(
-      context,
-      ApiErrorCode.BodyTooLarge,
-      `the body is larger than ${MAX_SHEET_BYTES} bytes; nothing was applied`,
-    ),
-});
+const refuseBody = (context: Context, refusal: BodyRefusal) => {
+  if (refusal === BodyRefusal.TooLarge) {
+    const message = `the body is larger than ${MAX_SHEET_BYTES} bytes; nothing was applied`;
+    return respondWithError(context, ApiErrorCode.BodyTooLarge, message);
+  }
+  const message = 'too many requests with large bodies at the same time; nothing was applied';
+  return respondWithError(context, ApiErrorCode.Unavailable, message);
+};
 
 const parseVersion = (text: string): number | undefined => {
   const isVersion = VERSION_PATTERN.test(text) && Number(text) <= MAX_VERSION;
@@ -313,7 +315,13 @@
   app.use(createRateLimitMiddleware(options));
   app.get('/healthz', (context) => context.text('ok\n'));
   app.use(createAuthorizationMiddleware(options));
-  app.use(limitBody);
+  app.use(
+    limitBodies({
+      findMaxBytes: () => MAX_SHEET_BYTES,
+      maxHeldBytes: MAX_HELD_BYTES,
+      refuse: refuseBody,
+    }),
+  );
   app.post('/v1/versions/:number', createApplyHandler(options));
   addReadRoutes(app, options);
   addMemberRoutes(app, options);
