Treat a transfer coding other than chunked as a response without a length

Callers got a part of such an answer as a whole (MIXED) where its server broke off: an answer whose last transfer coding isn't chunked ends with its connection (RFC 9112, section 6.3), and undici reads it so, but a node took any Transfer-Encoding for a length of its own and sent the bytes on in complete chunks.

Only a last coding `chunked` counts as framed now, over all header lines; any other answer is held and ends with its connection, as one without a length.

Evidence: closeDelimited.test.ts with `gzip`, `identity`, `chunked, gzip` and two lines.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -88,12 +88,17 @@
 const decodeHeaders = (raw: Buffer[]): string[] => raw.map((part) => part.toString('latin1'));
 
 const BODYLESS_STATUS = new Set([204, 304]);
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
 /** Returns whether the end of a response is marked only by the end of its connection. */
 const isUnframed = (statusCode: number, method: string, raw: string[]): boolean => {
   if (method === 'HEAD' || BODYLESS_STATUS.has(statusCode)) return false;
-  const hasLength = findHeader(raw, 'content-length') !== undefined;
-  return !hasLength && findHeader(raw, 'transfer-encoding') === undefined;
+  const codings = raw.filter(
+    (_, index) => index % 2 === 1 && raw[index - 1]?.toLowerCase() === 'transfer-encoding',
+  );
+  // Any other last coding than chunked has no end of its own (RFC 9112, section 6.3).
+  if (codings.length > 0) return !CHUNKED_LAST.test(codings.join());
+  return findHeader(raw, 'content-length') === undefined;
 };
 
 const isBuffered = ({ headers }: ResponseHead): boolean => {
--- a/src/request/RequestServer/closeDelimited.test.ts
+++ b/src/request/RequestServer/closeDelimited.test.ts
@@ -175,3 +175,21 @@
   t.equal(readMetric(entry, 'held_responses_beyond_bound'), 1);
   t.equal(readMetric(entry, 'held_response_bytes'), 0);
 });
+
+// Guards against a part that a node frames as a whole, because its transfer coding has no end of its own.
+tap.test('a response with a coding other than chunked ends with its connection', async (t) => {
+  await Promise.all(
+    ['gzip', 'identity', 'chunked, gzip', 'chunked\r\nTransfer-Encoding: gzip'].map(
+      async (coding) => {
+        const answer = (socket: Socket): void => {
+          socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\npart`);
+          setTimeout(() => socket.end(), 50);
+        };
+        const entry = await startMesh(t, [answer], { hops: 2 });
+        const { text } = await openCaller(entry.address).received;
+        t.match(text, /connection: close[^]*\r\n\r\npart$/i, coding);
+        t.notMatch(text, /transfer-encoding|content-length/i, coding);
+      },
+    ),
+  );
+});
