Hold and reset responses in chunks for callers with HTTP/1.0

A caller with HTTP/1.0 took a part of an answer in chunks for the whole (MIXED) where the server or a node broke off: node:http sends it no chunks, so its answer ends with its connection, but a node closed it in order.

Such an answer now counts as one without a length on the way to this caller: it is held, and reset if it is too long for that.

Evidence: closeDelimited.test.ts, two hops. Before: `part` and an orderly end for a short and a long answer that are broken off (3 of 6 checks fail); after: 502 and a reset, and whole answers arrive unchanged.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -245,8 +245,7 @@
       this.#bufferedHead = head;
       return true;
     }
-    const isMarked = internal?.has(UNFRAMED_HEADER) === true;
-    if (isMarked || (!this.#options.isNode && isUnframed(statusCode, this.#method, decoded))) {
+    if (this.#endsWithConnection(head, decoded)) {
       this.#heldSpace = this.#options.holder?.open();
       if (this.#heldSpace) {
         this.#bufferedHead = head;
@@ -321,6 +320,17 @@
     }
   }
 
+  /** Returns whether the upstream or this node marks the end of the response only by closing. */
+  #endsWithConnection(head: ResponseHead, received: string[]): boolean {
+    const { statusCode, headers, internal } = head;
+    const isReceivedSo = this.#options.isNode
+      ? internal?.has(UNFRAMED_HEADER) === true
+      : isUnframed(statusCode, this.#method, received);
+    // Callers with HTTP/1.0 get no chunks.
+    const hasChunks = this.#response.useChunkedEncodingByDefault;
+    return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
+  }
+
   /** Sends what is held of a response that is too long to be held; the rest is streamed. */
   #sendHeld(head: ResponseHead, space: HeldSpace): void {
     this.#bufferedHead = undefined;
--- a/src/request/RequestServer/closeDelimited.test.ts
+++ b/src/request/RequestServer/closeDelimited.test.ts
@@ -193,3 +193,28 @@
     ),
   );
 });
+
+// Guards against a part that looks whole to a caller with HTTP/1.0, which gets no chunks.
+tap.test('a response in chunks that is broken off is not whole for HTTP/1.0', async (t) => {
+  const request = REQUEST.replace('HTTP/1.1', 'HTTP/1.0');
+  const start = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+  const long = 'x'.repeat(LONG_PART_BYTES);
+  const chunks = { short: '4\r\npart\r\n', long: `200000\r\n${long}\r\n` };
+  const fetchBody = async (chunk: string, end: string): Promise<Received> => {
+    const answer = (socket: Socket): void => {
+      socket.write(start + chunk);
+      setTimeout(() => socket.end(end), WAIT_MS);
+    };
+    const entry = await startMesh(t, [answer], { hops: 2 });
+    return openCaller(entry.address, request).received;
+  };
+  const short = await fetchBody(chunks.short, '');
+  t.match(short.text, /^HTTP\/1.1 502/);
+  t.notMatch(short.text, /part/);
+  t.equal((await fetchBody(chunks.long, '')).isOrderly, false);
+  const whole = await fetchBody(chunks.short, '0\r\n\r\n');
+  t.match(whole.text, /^HTTP\/1.1 200 OK[^]*\r\n\r\npart$/);
+  t.equal(whole.isOrderly, true);
+  const wholeLong = await fetchBody(chunks.long, '0\r\n\r\n');
+  t.equal(wholeLong.text.split('\r\n\r\n')[1], long);
+});
