Replay a response without a length as one that ends with its connection

A stored response now states that it ends with its connection, and its replay is delimited in the same way, also for callers with HTTP/1.0, which get no chunks.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -51,7 +51,8 @@
 
 /** Observes a response that is sent to the caller. */
 export interface ResponseTap {
-  addHead: (head: ResponseHead) => void;
+  /** Receives the head; `endsWithConnection`: whether nothing else marks the end of the response. */
+  addHead: (head: ResponseHead, options: { endsWithConnection: boolean }) => void;
   addChunk: (chunk: Buffer) => void;
   /** Awaited before the response is ended. */
   finish: () => Promise<void>;
@@ -240,12 +241,13 @@
     }
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
-    this.#options.tap?.addHead(head);
+    const endsWithConnection = this.#endsWithConnection(head, decoded);
+    this.#options.tap?.addHead(head, { endsWithConnection });
     if (isBuffered(head)) {
       this.#bufferedHead = head;
       return true;
     }
-    if (this.#endsWithConnection(head, decoded)) {
+    if (endsWithConnection) {
       this.#heldSpace = this.#options.holder?.open();
       if (this.#heldSpace) {
         this.#bufferedHead = head;
--- a/src/request/RequestServer/idempotency.test.ts
+++ b/src/request/RequestServer/idempotency.test.ts
@@ -66,6 +66,21 @@
   t.equal((await post(nodes[1], 'k2')).body, 'order 2');
 });
 
+// Guards against a part that a repeat gets as a whole, because the stored response is framed anew.
+tap.test('the replay of a response without a length ends with its connection', async (t) => {
+  const { nodes } = await startMesh(t, (_, response) => {
+    response.socket?.end('HTTP/1.1 200 OK\r\n\r\norder');
+  });
+  const replies = [await post(nodes[0], 'k1'), await post(nodes[1], 'k1')];
+  replies.forEach(({ headers, body }) => {
+    t.equal(body, 'order');
+    t.equal(headers.connection, 'close');
+    t.equal(headers['transfer-encoding'], undefined);
+    t.equal(headers['content-length'], undefined);
+  });
+  t.equal(replies[1]?.headers['idempotent-replayed'], 'true');
+});
+
 tap.test('concurrent repeats run once; the others are refused or replayed', async (t) => {
   const random = createRandom((line) => t.comment(line));
   const { nodes, seen } = await startMesh(t, (_, response) => {
--- a/src/request/_lib/ResponseRecorder.ts
+++ b/src/request/_lib/ResponseRecorder.ts
@@ -2,6 +2,7 @@
 
 import type { ServerResponse } from 'node:http';
 import { StoredResponseSchema } from '../../_generated/foxtailvane/v1/idempotency_pb.js';
+import { delimitByClose } from '../../connection/delimitByClose/index.js';
 
 import type { StoredResponse } from '../../_generated/foxtailvane/v1/idempotency_pb.js';
 import type { ResponseHead, ResponseTap } from '../../connection/UpstreamCall/index.js';
@@ -15,6 +16,8 @@
 
   #head: ResponseHead | undefined;
 
+  #endsWithConnection = false;
+
   #chunks: Buffer[] = [];
 
   #sizeBytes = 0;
@@ -24,8 +27,9 @@
     this.#store = store;
   }
 
-  addHead(head: ResponseHead): void {
+  addHead(head: ResponseHead, options: { endsWithConnection: boolean }): void {
     this.#head = head;
+    this.#endsWithConnection = options.endsWithConnection;
   }
 
   addChunk(chunk: Buffer): void {
@@ -41,6 +45,7 @@
           statusCode: this.#head?.statusCode,
           headers: this.#head?.headers,
           body: Buffer.concat(this.#chunks),
+          endsWithConnection: this.#endsWithConnection,
         })
       : undefined;
     await this.#store(response);
@@ -49,6 +54,8 @@
 
 /** Answers a repeated request with the stored response to the first one. */
 export const replayResponse = (response: ServerResponse, stored: StoredResponse): void => {
+  const hasChunks = response.useChunkedEncodingByDefault;
+  if (stored.endsWithConnection || !hasChunks) delimitByClose(response);
   response.writeHead(stored.statusCode, [...stored.headers, 'idempotent-replayed', 'true']);
   response.end(stored.body);
 };
