--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -338,8 +338,9 @@
     this.#bufferedHead = undefined;
     this.#options.onUnframed?.(head);
     this.#writeHead(head);
-    const held = this.#bufferedChunks.splice(0);
-    if (held.length > 0) this.#response.write(Buffer.concat(held));
+    this.#response.cork();
+    this.#bufferedChunks.splice(0).forEach((chunk) => this.#response.write(chunk));
+    this.#response.uncork();
     space.releaseAfter(this.#response);
   }
 
--- a/src/connection/holdResponses/index.ts
+++ b/src/connection/holdResponses/index.ts
@@ -7,8 +7,8 @@
 
 /** Covers answers of services to their callers; files and streams are longer, and sent on as they arrive. */
 const MAX_RESPONSE_BYTES = 1_048_576;
-/** An eighth of the memory of a node on the smallest VM, 250 MB, of which it uses 60 to 100 MB otherwise. */
-const MAX_TOTAL_BYTES = 32 * 1_048_576;
+/** Far below the memory of a node on the smallest VM, 250 MB, with a copy of each that is being written. */
+const MAX_TOTAL_BYTES = 16 * 1_048_576;
 
 export interface ResponseHolderOptions {
   metrics: MetricsRegistry;
