--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -55,7 +55,8 @@
 
 /** Observes a response that is sent to the caller. */
 export interface ResponseTap {
-  addHead: (head: ResponseHead) => void;
+  /** Receives the head; `endsWithConnection`: whether nothing else marks the end of the response. */
+  addHead: (head: ResponseHead, options: { endsWithConnection: boolean }) => void;
   addChunk: (chunk: Buffer) => void;
   /** Awaited before the response is ended. */
   finish: () => Promise<void>;
@@ -94,12 +95,17 @@
 const decodeHeaders = (raw: Buffer[]): string[] => raw.map((part) => part.toString('latin1'));
 
 const BODYLESS_STATUS = new Set([204, 304]);
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
 /** Returns whether the end of a response is marked only by the end of its connection. */
 const isUnframed = (statusCode: number, method: string, raw: string[]): boolean => {
   if (method === 'HEAD' || BODYLESS_STATUS.has(statusCode)) return false;
-  const hasLength = findHeader(raw, 'content-length') !== undefined;
-  return !hasLength && findHeader(raw, 'transfer-encoding') === undefined;
+  const codings = raw.filter(
+    (_, index) => index % 2 === 1 && raw[index - 1]?.toLowerCase() === 'transfer-encoding',
+  );
+  // Any other last coding than chunked has no end of its own (RFC 9112, section 6.3).
+  if (codings.length > 0) return !CHUNKED_LAST.test(codings.join());
+  return findHeader(raw, 'content-length') === undefined;
 };
 
 const isBuffered = ({ headers }: ResponseHead): boolean => {
@@ -247,13 +253,13 @@
     }
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
-    this.#options.tap?.addHead(head);
+    const endsWithConnection = this.#endsWithConnection(head, decoded);
+    this.#options.tap?.addHead(head, { endsWithConnection });
     if (isBuffered(head)) {
       this.#bufferedHead = head;
       return true;
     }
-    const isMarked = internal?.has(UNFRAMED_HEADER) === true;
-    if (isMarked || (!this.#options.isNode && isUnframed(statusCode, this.#method, decoded))) {
+    if (endsWithConnection) {
       this.#heldSpace = this.#options.holder?.open();
       if (this.#heldSpace) {
         this.#bufferedHead = head;
@@ -339,13 +345,25 @@
     }
   }
 
+  /** Returns whether the upstream or this node marks the end of the response only by closing. */
+  #endsWithConnection(head: ResponseHead, received: string[]): boolean {
+    const { statusCode, headers, internal } = head;
+    const isReceivedSo = this.#options.isNode
+      ? internal?.has(UNFRAMED_HEADER) === true
+      : isUnframed(statusCode, this.#method, received);
+    // Callers with HTTP/1.0 get no chunks.
+    const hasChunks = this.#response.useChunkedEncodingByDefault;
+    return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
+  }
+
   /** Sends what is held of a response that is too long to be held; the rest is streamed. */
   #sendHeld(head: ResponseHead, space: HeldSpace): void {
     this.#bufferedHead = undefined;
     this.#options.onUnframed?.(head);
     this.#writeHead(head);
-    const held = this.#bufferedChunks.splice(0);
-    if (held.length > 0) this.#response.write(Buffer.concat(held));
+    this.#response.cork();
+    this.#bufferedChunks.splice(0).forEach((chunk) => this.#response.write(chunk));
+    this.#response.uncork();
     space.releaseAfter(this.#response);
   }
 
--- a/src/request/RequestServer/closeDelimited.test.ts
+++ b/src/request/RequestServer/closeDelimited.test.ts
@@ -175,3 +175,46 @@
   t.equal(readMetric(entry, 'held_responses_beyond_bound'), 1);
   t.equal(readMetric(entry, 'held_response_bytes'), 0);
 });
+
+// Guards against a part that a node frames as a whole, because its transfer coding has no end of its own.
+tap.test('a response with a coding other than chunked ends with its connection', async (t) => {
+  await Promise.all(
+    ['gzip', 'identity', 'chunked, gzip', 'chunked\r\nTransfer-Encoding: gzip'].map(
+      async (coding) => {
+        const answer = (socket: Socket): void => {
+          socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\npart`);
+          setTimeout(() => socket.end(), 50);
+        };
+        const entry = await startMesh(t, [answer], { hops: 2 });
+        const { text } = await openCaller(entry.address).received;
+        t.match(text, /connection: close[^]*\r\n\r\npart$/i, coding);
+        t.notMatch(text, /transfer-encoding|content-length/i, coding);
+      },
+    ),
+  );
+});
+
+// Guards against a part that looks whole to a caller with HTTP/1.0, which gets no chunks.
+tap.test('a response in chunks that is broken off is not whole for HTTP/1.0', async (t) => {
+  const request = REQUEST.replace('HTTP/1.1', 'HTTP/1.0');
+  const start = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+  const long = 'x'.repeat(LONG_PART_BYTES);
+  const chunks = { short: '4\r\npart\r\n', long: `200000\r\n${long}\r\n` };
+  const fetchBody = async (chunk: string, end: string): Promise<Received> => {
+    const answer = (socket: Socket): void => {
+      socket.write(start + chunk);
+      setTimeout(() => socket.end(end), WAIT_MS);
+    };
+    const entry = await startMesh(t, [answer], { hops: 2 });
+    return openCaller(entry.address, request).received;
+  };
+  const short = await fetchBody(chunks.short, '');
+  t.match(short.text, /^HTTP\/1.1 502/);
+  t.notMatch(short.text, /part/);
+  t.equal((await fetchBody(chunks.long, '')).isOrderly, false);
+  const whole = await fetchBody(chunks.short, '0\r\n\r\n');
+  t.match(whole.text, /^HTTP\/1.1 200 OK[^]*\r\n\r\npart$/);
+  t.equal(whole.isOrderly, true);
+  const wholeLong = await fetchBody(chunks.long, '0\r\n\r\n');
+  t.equal(wholeLong.text.split('\r\n\r\n')[1], long);
+});
