Repeat a trial after crashes that showed nothing

Callers saw: a request that was only in progress while others crashed three servers could be refused as CRASHES_SERVERS for ten minutes, although no server ended under its trial.

Cause: each trial that reached a server counted as the only one, also when the caller left or the deadline passed before the server answered, or when the server refused it as not run. Found in logs of crashingRequest.test.ts beside load: a trial ended with "deadline passed" and none followed.

Change: a trial that is neither answered nor lost with its connection is inconclusive. Another one may follow after the same delay, two in all at a node, so that a request that does crash its servers stays within the three late runs that the users allow. A refusal as not run does not count.

The test of one trial keeps its checks and names the outcome where it passed isRun.

--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -4,6 +4,7 @@
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
 import { createLogger } from '../../process/log/index.js';
 import { ResponseKind } from '../httpDialect/index.js';
+import { TrialOutcome } from '../trackCrashes/index.js';
 
 import type {
   CallSummary,
@@ -102,6 +103,18 @@
   return options.isWritten && isLost && !exchange.isAborted;
 };
 
+const judgeTrial = (exchange: Exchange, result: Result<CallSummary, CallError>): TrialOutcome =>
+  result.match(
+    () => TrialOutcome.Conclusive,
+    (error) => {
+      if (!error.options.isWritten || error.code === CallErrorCode.Refused)
+        return TrialOutcome.NotRun;
+      return isConnectionLost(exchange, error)
+        ? TrialOutcome.Conclusive
+        : TrialOutcome.Inconclusive;
+    },
+  );
+
 const refuse = (reason: string): Result<never, CallError> =>
   err(new CallError(CallErrorCode.Refused, reason, { isWritten: false }));
 
@@ -169,7 +182,7 @@
     }
     log.info({ requestId: localRequest.requestId }, 'suspected request is tried once more');
     const result = await this.#callServer(exchange, local, localRequest, target, options);
-    ledger.endTrial(suspected, { isRun: result.isOk() || result.error.options.isWritten });
+    ledger.endTrial(suspected, judgeTrial(exchange, result), this.#context.getNowMs());
     return result;
   }
 
--- a/src/request/trackCrashes/CrashLedger.ts
+++ b/src/request/trackCrashes/CrashLedger.ts
@@ -12,6 +12,11 @@
 const SUSPICIOUS_CRASHES = 2;
 /** Time after the last crash until a suspect is tried once more: all nodes count the same by then. */
 const TRIAL_DELAY_MS = 1_000;
+/**
+ * Trials at one node, of which all but the last ended without showing anything. Together with one more
+ * at another node, after a restart, they stay within the three runs that are allowed after the crashes.
+ */
+const MAX_TRIALS = 2;
 /** Crashes from which on an answer is published: before, only this node needs to know of it. */
 const PUBLISHED_ANSWER_CRASHES = 2;
 /** Time for which a suspect is remembered after the last crash. */
@@ -30,8 +35,10 @@
   isAnswered: boolean;
   isAnsweredHere: boolean;
   lastCrashAtMs: number;
-  /** Whether a server beside this node has been given the request once more. */
-  isTried: boolean;
+  /** Trials that a server beside this node has been given. */
+  trialCount: number;
+  /** When the last trial ended, if it was neither answered nor lost with the server. */
+  inconclusiveAtMs: number;
   keptUntilMs: number;
 }
 
@@ -41,6 +48,16 @@
   answeredSuspects: bigint[];
 }
 
+/** What a trial has shown. */
+export enum TrialOutcome {
+  /** The request did not reach a server. */
+  NotRun = 'NOT_RUN',
+  /** Answered, or lost with its connection. */
+  Conclusive = 'CONCLUSIVE',
+  /** The caller disconnected, or the deadline passed, while a server ran it. */
+  Inconclusive = 'INCONCLUSIVE',
+}
+
 const formatReporter = ({ nodeId, incarnation }: NodeRecord): string => `${nodeId}/${incarnation}`;
 
 const countCrashes = ({ crashesByReporter }: Suspect): number =>
@@ -51,7 +68,7 @@
  *
  * When a server ends, every request that it was running is a suspect. A request that crashes its
  * servers is never answered, while the other suspects are, when they are repeated. A suspect that no
- * server has answered is refused, except for one trial at one node that reported it.
+ * server has answered is refused, except for a trial at one node that reported it.
  */
 export class CrashLedger {
   readonly #suspects = new Map<bigint, Suspect>();
@@ -163,30 +180,37 @@
    * Takes the trial of a blocked request at this node. One trial runs at a time: two that ran beside
    * each other would be suspects of the same crash.
    *
-   * @returns false if the request was tried already, or another trial runs
+   * @returns false if the request was tried already, not long ago without showing anything, or if
+   *   another trial runs
    */
   beginTrial(fingerprints: bigint[], nowMs: number): boolean {
     const blocking = this.#findBlocking(fingerprints);
     const isDue = blocking.every(
-      ({ isTried, lastCrashAtMs }) => !isTried && nowMs >= lastCrashAtMs + TRIAL_DELAY_MS,
+      ({ trialCount, inconclusiveAtMs, lastCrashAtMs }) =>
+        trialCount < MAX_TRIALS &&
+        nowMs >= Math.max(lastCrashAtMs, inconclusiveAtMs) + TRIAL_DELAY_MS,
     );
     if (!isDue || this.#isTrialRunning) return false;
     this.#isTrialRunning = true;
-    blocking.forEach((suspect) => Object.assign(suspect, { isTried: true }));
     return true;
   }
 
   /**
    * Ends the trial that runs at this node.
    *
-   * @param isRun - whether the request reached a server; otherwise it may be tried again
+   * @param fingerprints - fingerprints of the request
+   * @param outcome - what the trial has shown; unless it is conclusive, another one may follow
+   * @param nowMs - present time in milliseconds
    */
-  endTrial(fingerprints: bigint[], { isRun }: { isRun: boolean }): void {
+  endTrial(fingerprints: bigint[], outcome: TrialOutcome, nowMs: number): void {
     this.#isTrialRunning = false;
-    if (isRun) return;
-    this.#findBlocking(fingerprints).forEach((suspect) =>
-      Object.assign(suspect, { isTried: false }),
-    );
+    if (outcome === TrialOutcome.NotRun) return;
+    const isConclusive = outcome === TrialOutcome.Conclusive;
+    this.#findBlocking(fingerprints).forEach((target) => {
+      const suspect = target;
+      suspect.trialCount = isConclusive ? MAX_TRIALS : suspect.trialCount + 1;
+      if (!isConclusive) suspect.inconclusiveAtMs = nowMs;
+    });
   }
 
   #findBlocking(fingerprints: bigint[]): Suspect[] {
@@ -267,7 +291,8 @@
       isAnswered,
       isAnsweredHere: isAnswered,
       lastCrashAtMs: nowMs,
-      isTried: false,
+      trialCount: 0,
+      inconclusiveAtMs: 0,
       keptUntilMs: 0,
     };
     suspect.lastCrashAtMs = nowMs;
--- a/src/request/trackCrashes/index.ts
+++ b/src/request/trackCrashes/index.ts
@@ -1,4 +1,4 @@
 /** Requests that crash the servers that run them. */
 export { CrashDetector } from './CrashDetector.js';
-export { CrashLedger } from './CrashLedger.js';
+export { CrashLedger, TrialOutcome } from './CrashLedger.js';
 export type { LostRequest } from './CrashDetector.js';
--- a/src/request/trackCrashes/test.ts
+++ b/src/request/trackCrashes/test.ts
@@ -4,7 +4,7 @@
 import tap from 'tap';
 
 import { NodeRecordSchema, ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
-import { CrashDetector, CrashLedger } from './index.js';
+import { CrashDetector, CrashLedger, TrialOutcome } from './index.js';
 
 import type { NodeRecord } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import type { LocalServer } from '../../process/localServers/index.js';
@@ -106,14 +106,29 @@
   t.equal(nodes[0]?.ledger.findTrialNode(CRASHING, records, START_MS + 10), undefined, 'too early');
   const node = nodes.find(({ record }) => record.nodeId === chosen[0]);
   if (!node) throw new Error('no node');
-  t.equal(node.ledger.beginTrial(CRASHING, START_MS + TRIAL_DELAY_MS), true);
-  node.ledger.endTrial(CRASHING, { isRun: false });
-  t.equal(node.ledger.beginTrial(CRASHING, START_MS + TRIAL_DELAY_MS), true, 'it did not run');
-  t.equal(node.ledger.beginTrial(OTHER, START_MS + TRIAL_DELAY_MS), false, 'one at a time');
-  node.ledger.endTrial(CRASHING, { isRun: true });
+  const dueAtMs = START_MS + TRIAL_DELAY_MS;
+  t.equal(node.ledger.beginTrial(CRASHING, dueAtMs), true);
+  node.ledger.endTrial(CRASHING, TrialOutcome.NotRun, dueAtMs);
+  t.equal(node.ledger.beginTrial(CRASHING, dueAtMs), true, 'it did not run');
+  t.equal(node.ledger.beginTrial(OTHER, dueAtMs), false, 'one at a time');
+  node.ledger.endTrial(CRASHING, TrialOutcome.Conclusive, dueAtMs);
   t.equal(node.ledger.beginTrial(CRASHING, START_MS + RETENTION_MS), false, 'only once');
 });
 
+// Guards against refusing an innocent request for ten minutes because the caller of its trial has left.
+tap.test('a trial that showed nothing is repeated once, after a delay', async (t) => {
+  const [node] = createNodes();
+  if (!node) throw new Error('no node');
+  [0, 1, 2].forEach(() => node.crash(CRASHING));
+  const dueAtMs = START_MS + TRIAL_DELAY_MS;
+  t.equal(node.ledger.beginTrial(CRASHING, dueAtMs), true);
+  node.ledger.endTrial(CRASHING, TrialOutcome.Inconclusive, dueAtMs);
+  t.equal(node.ledger.beginTrial(CRASHING, dueAtMs + TRIAL_DELAY_MS - 1), false, 'too early');
+  t.equal(node.ledger.beginTrial(CRASHING, dueAtMs + TRIAL_DELAY_MS), true);
+  node.ledger.endTrial(CRASHING, TrialOutcome.Inconclusive, dueAtMs + TRIAL_DELAY_MS);
+  t.equal(node.ledger.beginTrial(CRASHING, START_MS + RETENTION_MS), false, 'not a third time');
+});
+
 // Guards against a refusal for ever, and against state that grows without bound.
 tap.test('a suspect is forgotten ten minutes after its last crash', async (t) => {
   const [node] = createNodes();
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -22,9 +22,13 @@
 /** Requested all the time, so that it is in progress during every crash. */
 const POPULAR_PATH = '/lookups/popular';
 const LOOKUP_MS = 20;
-/** Not answered until three servers have ended. */
+/** Answered by no server at first. */
 const UNANSWERED_PATH = '/lookups/unanswered';
 const UNANSWERED_MS = 500;
+/** Time in which a request reaches its server. */
+const IN_PROGRESS_MS = 50;
+/** Longer than the time after a crash, or a trial, until the next trial. */
+const TRIAL_PAUSE_MS = 1_300;
 /** The same at all nodes: their addresses would make one request at four nodes four requests. */
 const HOST = 'desk.example';
 
@@ -40,7 +44,12 @@
   setTimeout(() => server.listen(Number(address.split(':')[1]), '127.0.0.1'), RESTART_MS);
 };
 
-const startServers = async (t: Test, count: number): Promise<CrashingServers> => {
+const startServers = async (
+  t: Test,
+  count: number,
+  /** Returns whether servers answer the request that none has answered so far. */
+  isAnswering: (crashCount: number) => boolean = () => true,
+): Promise<CrashingServers> => {
   const mesh = new TestMesh();
   t.teardown(() => mesh.stop());
   const crashedAtMs: number[] = [];
@@ -63,7 +72,7 @@
           return;
         }
         const isUnanswered = request.url === UNANSWERED_PATH;
-        if (isUnanswered && crashedAtMs.length < 3) return;
+        if (isUnanswered && !isAnswering(crashedAtMs.length)) return;
         setTimeout(
           () => {
             const attemptId = String(request.headers['attempt-id']);
@@ -77,8 +86,16 @@
   return { nodes, crashedAtMs };
 };
 
-const request = (node: TestNode | undefined, path: string): Promise<TestReply> => {
-  const headers = { host: HOST, 'attempt-id': randomUUID(), 'deadline-remaining': '1500' };
+const request = (
+  node: TestNode | undefined,
+  path: string,
+  deadlineMs = 1_500,
+): Promise<TestReply> => {
+  const headers = {
+    host: HOST,
+    'attempt-id': randomUUID(),
+    'deadline-remaining': String(deadlineMs),
+  };
   return send(node?.address ?? '', { path, headers });
 };
 
@@ -150,7 +167,7 @@
 
 // Guards against refusing a request for long because no server answered it before the three crashes.
 tap.test('a request that was never answered is served after three crashes beside it', async (t) => {
-  const { nodes, crashedAtMs } = await startServers(t, 4);
+  const { nodes, crashedAtMs } = await startServers(t, 4, (crashCount) => crashCount >= 3);
   let sinceThirdCrashMs = 0;
   const stopClock = startClock((elapsedMs) => {
     if (crashedAtMs.length >= 3) sinceThirdCrashMs += elapsedMs;
@@ -165,3 +182,24 @@
   t.strictSame(new Set(replies.map(({ status }) => status)), new Set([200]));
   await delay(2 * RESTART_MS);
 });
+
+// Guards against refusing a request for ten minutes because its trial ended without an answer.
+tap.test('a request whose trial passed its deadline is tried once more', async (t) => {
+  let isAnswering = false;
+  const { nodes, crashedAtMs } = await startServers(t, 1, () => isAnswering);
+  for (let round = 0; round < 3; round += 1) {
+    const lost = request(nodes[0], UNANSWERED_PATH);
+    await delay(IN_PROGRESS_MS);
+    await Promise.all([lost, request(nodes[0], CRASHING_PATH)]);
+    await delay(2 * RESTART_MS);
+  }
+  t.equal(crashedAtMs.length, 3);
+  isAnswering = true;
+  await delay(TRIAL_PAUSE_MS);
+  const late = await request(nodes[0], UNANSWERED_PATH, UNANSWERED_MS / 2);
+  t.equal(late.status, 504, 'the deadline passed while a server ran it');
+  const refused = await request(nodes[0], UNANSWERED_PATH);
+  t.equal(refused.status, 503, 'refused until the next trial');
+  await delay(TRIAL_PAUSE_MS);
+  t.equal((await request(nodes[0], UNANSWERED_PATH)).status, 200);
+});
