Write no early hints into the body of a pipelined answer

Any sound server that sends hints causes it, where a caller sends requests behind one another.

Cause: a response that waits for the one before it has no socket yet. Node.js keeps what `writeEarlyHints` writes then, and puts the head in front of it when the body is a buffer, so the hints come after the head and count as body. Both hops relay hints; only the response to the caller can be waiting, since nodes send each other one request at a time on a connection.

Change: hints for a response without a socket are dropped. Hints are optional, and such a response can't send any before its turn.

The new test got `HTTP` in place of `body` over one hop and over two, and passes now; hints of the response at the head are still passed on. The reader of the keeping client now returns heads, bodies and informational responses, and reads answers that end with their connection.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -339,7 +339,8 @@
 
   #forwardInformational(statusCode: number, raw: Buffer[]): void {
     if (statusCode === PROCESSING) this.#options.onAcknowledged?.();
-    if (statusCode !== EARLY_HINTS) return;
+    // Node.js writes the hints of a response that waits for the one before it into its body.
+    if (statusCode !== EARLY_HINTS || this.#response.socket === null) return;
     const headers = decodeHeaders(raw);
     if (this.#options.validateHints?.(headers) === false) return;
     const links = headers.filter(
--- a/stand-ins/keepingClient/ResponseReader.ts
+++ b/stand-ins/keepingClient/ResponseReader.ts
@@ -1,10 +1,16 @@
-/** Reads the responses on one connection, with a length or in chunks. */
+/** Reads the responses on one connection, with a length, in chunks or up to its end. */
 
 /** A complete response. */
 export interface ReceivedResponse {
   statusCode: number;
   /** Whether the connection closes after it. */
   isClosing: boolean;
+  /** Status line and headers. */
+  head: string;
+  /** Body as it was framed, with the chunk sizes. */
+  framedBody: string;
+  /** Heads of the informational responses before it. */
+  informational: string[];
 }
 
 const HEAD_END = '\r\n\r\n';
@@ -25,6 +31,8 @@
 export default class ResponseReader {
   #bytes = '';
 
+  #informational: string[] = [];
+
   /**
    * Adds received bytes.
    *
@@ -34,30 +42,45 @@
   add(chunk: Buffer): ReceivedResponse[] {
     this.#bytes += chunk.toString('latin1');
     const complete: ReceivedResponse[] = [];
-    for (let next = this.#take(); next; next = this.#take()) {
+    for (let next = this.#take(false); next; next = this.#take(false)) {
       if (next.statusCode >= FIRST_FINAL_STATUS) complete.push(next);
     }
     return complete;
   }
 
+  /** Returns the response that is complete because the connection has ended in order, if any. */
+  finish(): ReceivedResponse | undefined {
+    return this.#take(true);
+  }
+
   /** The bytes of a response that is not complete. */
   get incomplete(): string {
     return this.#bytes;
   }
 
-  #take(): ReceivedResponse | undefined {
+  #take(isEnded: boolean): ReceivedResponse | undefined {
     const headEnd = this.#bytes.indexOf(HEAD_END);
     if (headEnd < 0) return undefined;
-    const head = this.#bytes.slice(0, headEnd).toLowerCase();
+    const head = this.#bytes.slice(0, headEnd);
     const bodyStart = headEnd + HEAD_END.length;
-    const statusCode = Number(head.split(' ')[1]);
-    const isInformational = statusCode < FIRST_FINAL_STATUS;
-    const lengthBytes = isInformational ? 0 : Number(/\r\ncontent-length: (\d+)/.exec(head)?.[1]);
-    const end = Number.isNaN(lengthBytes)
-      ? findChunkedEnd(this.#bytes, bodyStart)
-      : bodyStart + lengthBytes;
+    const end = this.#findEnd(head.toLowerCase(), bodyStart, isEnded);
     if (end === undefined || this.#bytes.length < end) return undefined;
+    const framedBody = this.#bytes.slice(bodyStart, end);
     this.#bytes = this.#bytes.slice(end);
-    return { statusCode, isClosing: /\r\nconnection: close/.test(head) };
+    const statusCode = Number(head.split(' ')[1]);
+    const informational = this.#informational;
+    this.#informational = statusCode < FIRST_FINAL_STATUS ? [...informational, head] : [];
+    const isClosing = /\r\nconnection: close/i.test(head);
+    return { statusCode, isClosing, head, framedBody, informational };
+  }
+
+  #findEnd(lowerCaseHead: string, bodyStart: number, isEnded: boolean): number | undefined {
+    if (Number(lowerCaseHead.split(' ')[1]) < FIRST_FINAL_STATUS) return bodyStart;
+    const lengthBytes = Number(/\r\ncontent-length: (\d+)/.exec(lowerCaseHead)?.[1]);
+    if (!Number.isNaN(lengthBytes)) return bodyStart + lengthBytes;
+    if (lowerCaseHead.includes('\r\ntransfer-encoding: chunked')) {
+      return findChunkedEnd(this.#bytes, bodyStart);
+    }
+    return isEnded ? this.#bytes.length : undefined;
   }
 }
--- a/stand-ins/keepingClient/index.ts
+++ b/stand-ins/keepingClient/index.ts
@@ -6,6 +6,9 @@
 import { drawInteger } from '../createSeededRandom/index.js';
 import type { Random } from '../createSeededRandom/index.js';
 import ResponseReader from './ResponseReader.js';
+import type { ReceivedResponse } from './ResponseReader.js';
+
+export type { ReceivedResponse };
 
 /** How a request ended for the client. */
 export enum RequestEnd {
@@ -33,6 +36,7 @@
   /** Whether its body was sent in chunks. */
   isChunked: boolean;
   statusCode: number | undefined;
+  response?: ReceivedResponse;
 }
 
 export interface KeepingClientOptions {
@@ -66,6 +70,9 @@
 export default class KeepingClient {
   readonly sent: KeptRequest[] = [];
 
+  /** Responses that arrived on a connection without a request waiting. */
+  readonly unasked: ReceivedResponse[] = [];
+
   readonly #options: KeepingClientOptions;
 
   constructor(options: KeepingClientOptions) {
@@ -90,17 +97,23 @@
     const reader = new ResponseReader();
     const pending: KeptRequest[] = [];
     let isClosing = false;
+    const accept = (response: ReceivedResponse): void => {
+      const request = pending.shift();
+      if (request) {
+        request.end = RequestEnd.Answered;
+        request.statusCode = response.statusCode;
+        request.response = response;
+      } else this.unasked.push(response);
+      isClosing ||= response.isClosing;
+    };
     socket.on('data', (chunk: Buffer) => {
-      reader.add(chunk).forEach((response) => {
-        const request = pending.shift();
-        if (request) {
-          request.end = RequestEnd.Answered;
-          request.statusCode = response.statusCode;
-        }
-        isClosing ||= response.isClosing;
-      });
+      reader.add(chunk).forEach(accept);
       socket.emit('answered');
     });
+    socket.on('end', () => {
+      const response = reader.finish();
+      if (response) accept(response);
+    });
     // A node that is down refuses the connection, and one that ends resets it.
     socket.on('error', () => undefined);
     socket.on('close', () => {
