Send 100 Continue only once the answers before it are sent

Cause: the same as for early hints: Node.js puts the head of a response that waits for its turn in front of what was written before it, so `100 Continue` landed behind the head.

Change: such a request is read on once its response has its connection. A caller that waits for `100 Continue` gets it at the same time as before, since it was held back until then anyway.

--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -211,7 +211,11 @@
   async readBody(): Promise<BodyState> {
     const lengthBytes = Number(this.#request.headers['content-length'] ?? 0);
     if (!hasChunkedBody(this.#request) && lengthBytes === 0) return BodyState.Repeatable;
-    if (this.#request.headers.expect !== undefined) this.response.writeContinue();
+    if (this.#request.headers.expect !== undefined) {
+      await this.#awaitTurn();
+      if (this.isAborted) return BodyState.Incomplete;
+      this.response.writeContinue();
+    }
     if (!hasChunkedBody(this.#request) && lengthBytes <= MAX_BUFFERED_BODY_BYTES) {
       const body = await this.#bufferBody(lengthBytes);
       if (!body) return BodyState.Incomplete;
@@ -271,6 +275,21 @@
     this.response.destroy();
   }
 
+  /**
+   * Waits until the responses before this one on its connection are sent. Node.js would write
+   * `100 Continue` after the head of a response that still waits, into its body.
+   */
+  async #awaitTurn(): Promise<void> {
+    if (this.response.socket !== null) return;
+    await new Promise<void>((resolve) => {
+      const unsubscribe = this.onAborted(resolve);
+      this.response.once('socket', () => {
+        unsubscribe();
+        resolve();
+      });
+    });
+  }
+
   #bufferBody(lengthBytes: number): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
