--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -424,9 +424,13 @@
     this.#options.onAcknowledged?.();
   }
 
-  /** Hints are optional, so none is kept for a caller that has not read what was sent before. */
+  /**
+   * Hints are optional, so none is kept for a caller that has not read what was sent before. Node.js
+   * would write the hints of a response that waits for the one before it into its body.
+   */
   #canForwardHint(): boolean {
-    return this.#earlyHints < MAX_EARLY_HINTS && this.#response.writableLength === 0;
+    const { socket, writableLength } = this.#response;
+    return this.#earlyHints < MAX_EARLY_HINTS && socket !== null && writableLength === 0;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -228,7 +228,11 @@
    */
   async readBody({ isHeld = false } = {}): Promise<BodyState> {
     if (!this.hasStreamedBody && this.#lengthBytes === 0) return BodyState.Repeatable;
-    if (this.#request.headers.expect !== undefined) this.response.writeContinue();
+    if (this.#request.headers.expect !== undefined) {
+      await this.#awaitTurn();
+      if (this.isAborted) return BodyState.Incomplete;
+      this.response.writeContinue();
+    }
     if (!this.hasStreamedBody) {
       const body = await this.#bufferBody(this.#lengthBytes);
       if (!body) return BodyState.Incomplete;
@@ -309,6 +313,21 @@
     return Promise.race([identified.then(() => true), aborted]);
   }
 
+  /**
+   * Waits until the responses before this one on its connection are sent. Node.js would write
+   * `100 Continue` after the head of a response that still waits, into its body.
+   */
+  async #awaitTurn(): Promise<void> {
+    if (this.response.socket !== null) return;
+    await new Promise<void>((resolve) => {
+      const unsubscribe = this.onAborted(resolve);
+      this.response.once('socket', () => {
+        unsubscribe();
+        resolve();
+      });
+    });
+  }
+
   #bufferBody(lengthBytes: number): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
