Handle few requests of one connection at a time

What callers saw: while one caller sent lookups ahead without reading the answers, no other caller of its node was served.

Cause: each request that node:http parses was handled at once, however many of its connection were unanswered, and each one scanned all of them (ResponsePipeline#add), which is quadratic. Node.js stops reading only when the bytes of written responses exceed a limit; unanswered requests count nothing.

--- a/src/process/daemon/serveHttp/index.ts
+++ b/src/process/daemon/serveHttp/index.ts
@@ -6,6 +6,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Result } from 'neverthrow';
 
+import ResponsePipeline from '../../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../../connection/splitAddress/index.js';
 import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
 
@@ -37,10 +38,15 @@
   address: string,
 ): Promise<Result<HttpListener, DaemonError>> => {
   const { host, port } = splitAddress(address);
+  // Keeps the global fetch classes of the process; see installFetchClasses.
+  const handle = getRequestListener(app.fetch, { overrideGlobalObjects: false });
   const server = createServer(
     { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
-    // Keeps the global fetch classes of the process; see installFetchClasses.
-    getRequestListener(app.fetch, { overrideGlobalObjects: false }),
+    (request, response) => {
+      const pipeline = ResponsePipeline.of(request.socket);
+      if (!pipeline.add(response, { isClosing: false })) pipeline.discard(request);
+      else pipeline.run(() => handle(request, response));
+    },
   );
   server.maxConnections = MAX_CONNECTIONS;
   const close = (): Promise<void> =>
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -477,7 +477,7 @@
     const listener = (request: IncomingMessage, response: ServerResponse) => {
       const pipeline = ResponsePipeline.of(request.socket);
       if (!pipeline.add(response, { isClosing: this.isDraining })) {
-        this.#discard(request);
+        this.#discard(request, pipeline);
         return;
       }
       this.#inFlight += 1;
@@ -486,7 +486,7 @@
           this.#inFlight -= 1;
         });
       });
-      this.#pacer.add(request, (waitedMs) => {
+      const handleAfter = (waitedMs: number): void => {
         handle(request, response, waitedMs).catch((error: unknown) => {
           log.error(
             { reason: String(error) },
@@ -494,7 +494,10 @@
           );
           response.destroy();
         });
-      });
+      };
+      pipeline.run((queuedMs) =>
+        this.#pacer.add(request, (waitedMs) => handleAfter(queuedMs + waitedMs)),
+      );
     };
     const server = tls
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
@@ -529,10 +532,10 @@
   }
 
   /** Reads and drops a request behind a response that closes its connection. */
-  #discard(request: IncomingMessage): void {
+  #discard(request: IncomingMessage, pipeline: ResponsePipeline): void {
     this.#context.metrics.counter('requests_discarded').value += 1;
     log.debug({ method: request.method }, 'request behind a closing response discarded');
-    request.resume();
+    pipeline.discard(request);
   }
 
   /** Closes the connections to servers and nodes that are no longer known, and drops their state. */
--- a/test/platform/endlessRequests.test.ts
+++ b/test/platform/endlessRequests.test.ts
@@ -1,4 +1,5 @@
 /** Resident memory of bundled programs whose callers send bytes without end, or do not read. */
+import { randomUUID } from 'node:crypto';
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -153,3 +154,33 @@
     `each is refused: ${[...new Set(statuses)].join(' ')}`,
   );
 });
+
+const createLookup = (path: string): string =>
+  [
+    `GET ${path} HTTP/1.1`,
+    ...['Host: shop.example', `Attempt-Id: ${randomUUID()}`, 'Deadline-Remaining: 2000', '\r\n'],
+  ].join('\r\n');
+
+/** Opens connections that send requests without end and read no response. */
+const floodUnread = (address: string, requests: string[]): Flood => {
+  const opened = requests.map((request) => flood(address, 1, request, request.repeat(300)));
+  const sockets = opened.flatMap((one) => one.sockets);
+  sockets.forEach((socket) => socket.pause());
+  return { sockets, answers: [] };
+};
+
+// Guards against one connection with many requests ahead, during which no other caller is served.
+tap.test('callers are served beside those that send requests without end', async (t) => {
+  const platform = await setUp(t);
+  const [node] = platform.nodes;
+  const [control] = platform.controls;
+  const paths = ['/ledger/1', '/desk/1', '/unknown/1'];
+  const lookups = floodUnread(node?.address('outbound') ?? '', paths.map(createLookup));
+  await outlast(t, platform, lookups, 'lookups');
+  const metrics = 'GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n';
+  const scrapes = floodUnread(node?.address('ready') ?? '', [metrics, metrics]);
+  await outlast(t, platform, scrapes, 'reads of metrics');
+  const read = createCall('configuration.read', 'Content-Length: 0');
+  const reads = floodUnread(control?.address('control') ?? '', [read, read]);
+  await outlast(t, platform, reads, 'reads of the configuration');
+});
