Share the bytes of a configuration between the reads of operators

What callers saw: operators that read a large configuration and do not take the answer bring a control VM beyond the memory of its machine.

Cause: each read inflated the document and made a string, a response object and an output buffer of its own, which are kept until the operator has read them. The operator API did the same with JSON.

--- a/src/process/operatorApi/index.ts
+++ b/src/process/operatorApi/index.ts
@@ -10,6 +10,8 @@
 import { MAX_SHEET_BYTES } from '../../version/parseSheet/index.js';
 import { BodyRefusal, limitBodies } from '../limitBodies/index.js';
 import { createLogger } from '../log/index.js';
+import memoizeLatest from '../memoizeLatest/index.js';
+import respondWithBytes from '../respondWithBytes/index.js';
 import { ApplyOutcome } from '../replication/ControlLog/index.js';
 import applySheet from './_lib/applySheet.js';
 import buildStatus from './_lib/buildStatus.js';
@@ -29,7 +31,7 @@
 import type { NodeStatus } from '../nodeStatus/types.js';
 import type { MetricsRegistry } from '../metrics/index.js';
 import type { WorkspaceStatus } from '../quotas/ShareComputer/index.js';
-import type { ControlLog } from '../replication/ControlLog/index.js';
+import type { CommittedConfiguration, ControlLog } from '../replication/ControlLog/index.js';
 import type { RateLimiterOptions } from './_lib/RateLimiter.js';
 import type { ApiErrorResponse } from './types.js';
 
@@ -228,15 +230,20 @@
   return context.json(read.value.map(toListedRollout));
 };
 
-const createConfigurationHandler = (options: OperatorApiOptions) => (context: Context) => {
-  const committed = options.log.committed();
-  if (!committed) {
-    return respondWithError(context, ApiErrorCode.NotFound, 'no version has been accepted yet');
-  }
-  return context.json({
-    holder: committed.holder,
-    configuration: toJson(ConfigurationSchema, committed.configuration),
-  });
+const createConfigurationHandler = (options: OperatorApiOptions) => {
+  const encodeOnce = memoizeLatest(({ holder, configuration }: CommittedConfiguration) =>
+    Buffer.from(
+      JSON.stringify({ holder, configuration: toJson(ConfigurationSchema, configuration) }),
+    ),
+  );
+  return (context: Context) => {
+    const committed = options.log.committed();
+    if (!committed) {
+      return respondWithError(context, ApiErrorCode.NotFound, 'no version has been accepted yet');
+    }
+    const contentType = 'application/json';
+    return respondWithBytes(context, encodeOnce(committed), { statusCode: 200, contentType });
+  };
 };
 
 const respondWithMembershipResult = (context: Context, result: MembershipResult) =>
