Bound the responses of other processes

What callers would see: a node or control VM whose peer responds without end runs out of memory, with all requests on it. Not seen in a deployment.

Cause: the listener of a process limits the messages that it reads, but the transport to other processes used the default of connect-es, 4 GiB.

Evidence: the new test did not end within 20 s before, as the call read on; now the call fails with ResourceExhausted after 8,454,144 bytes were sent, and its stream is closed. The limit is 8 MiB, twice that of a message that a process accepts.

--- a/src/connection/openTransport/index.ts
+++ b/src/connection/openTransport/index.ts
@@ -39,6 +39,9 @@
   close: () => void;
 }
 
+/** Twice the limit of requests, which a configuration and the records of all nodes are within. */
+const MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+
 const DEFAULT_PING_INTERVAL_MS = 2_000;
 const DEFAULT_PING_TIMEOUT_MS = 1_000;
 
@@ -99,6 +102,12 @@
     material ? createTlsOptions(() => readTls() ?? material, peerRole) : undefined,
     options.onBytesRead,
   );
-  const transport = createConnectTransport({ httpVersion: '2', baseUrl, sessionManager });
+  const transport = createConnectTransport({
+    httpVersion: '2',
+    baseUrl,
+    sessionManager,
+    acceptCompression: [],
+    readMaxBytes: MAX_RESPONSE_BYTES,
+  });
   return { transport, close: () => sessionManager.abort() };
 };
--- a/src/connection/openTransport/test.ts
+++ b/src/connection/openTransport/test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer as createTcpServer } from 'node:net';
 import type { AddressInfo, Server as TcpServer, Socket } from 'node:net';
 
-import { createClient } from '@connectrpc/connect';
+import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import tap from 'tap';
@@ -140,3 +140,34 @@
   }, Promise.resolve([]));
   t.strictSame(outcomes.slice(1), ['c1', 'c1', 'c1', 'c1'], 'later requests succeed');
 });
+
+const MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+/** Parts that are on their way when the limit is reached. */
+const MAX_EXCESS_BYTES = 2 * 1_024 * 1_024;
+const PART = Buffer.alloc(65_536);
+
+// Guards against a process whose memory ends as another one responds without end.
+tap.test('a response without end is given up at the limit', { timeout: 20_000 }, async (t) => {
+  let sentBytes = 0;
+  const server = createServer((_, response) => {
+    const send = (): void => {
+      if (response.stream.destroyed) return;
+      sentBytes += PART.length;
+      response.write(PART, () => setImmediate(send));
+    };
+    response.on('error', () => undefined);
+    response.writeHead(200, { 'content-type': 'application/proto' });
+    send();
+  });
+  const sessions = new Set<ServerHttp2Session>();
+  server.on('session', (session) => sessions.add(session));
+  const { opened, client } = openPeer(await listen(server));
+  t.teardown(() => {
+    opened.close();
+    sessions.forEach((session) => session.destroy());
+    server.close();
+  });
+  const error = await client.describe({}).catch((reason: unknown) => ConnectError.from(reason));
+  t.ok(error instanceof ConnectError && error.code === Code.ResourceExhausted, String(error));
+  t.ok(sentBytes < MAX_RESPONSE_BYTES + MAX_EXCESS_BYTES, `${sentBytes} bytes sent`);
+});
