Show that a caller is answered soon when its server sends bytes without end

The test of the resident memory of a node now also plays orders, callers at both nodes and callers that read, and requires that those that read are answered within half of their deadline. It no longer waits for the deadline of each form, so the unread callers of all forms overlap and last until their own deadline.

On the six forms that are no answer lasted 10.0 s, the deadline (bound 4.5 s); the body without a length is left to its callers.

--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -19,8 +19,16 @@
 const [FAULTY_SERVICE = '', SOUND_SERVICE = ''] = SERVICES;
 /** `memory_mb` of the smallest machine on which a node runs. */
 const MEMORY_LIMIT_BYTES = 250 * 1_048_576;
-const CALLERS = 64;
+/** Callers per form that leave their answers unread, at either node. */
+const UNREAD_CALLERS = [64, 32];
+/** Callers per form and node that read. */
+const READING_CALLERS = 8;
+const CONNECTIONS = 128;
 const DEADLINE_MS = 9_000;
+/** Half of the deadline, so that a caller has time for another attempt. */
+const MAX_ANSWER_MS = 4_500;
+/** How long callers read a body without end. */
+const BODY_MS = 2_000;
 const SOUND_LOOKUPS = 10;
 const RUNTIME_OPTIONS = ['--single-threaded', '--max-semi-space-size=1', '--liftoff-only'];
 const FIELDS = 'x-more: value\r\n'.repeat(1_000);
@@ -28,6 +36,8 @@
 interface EndlessAnswer {
   start: string;
   part: string;
+  /** Whether the bytes are those of an answer, which lasts until its callers leave. */
+  isBody?: boolean;
 }
 
 const ENDLESS: Record<string, EndlessAnswer> = {
@@ -49,7 +59,11 @@
     start: 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
     part: `4000\r\n${'x'.repeat(16_384)}\r\n`,
   },
-  'a body without a length': { start: 'HTTP/1.1 200 OK\r\n\r\n', part: 'x'.repeat(16_384) },
+  'a body without a length': {
+    start: 'HTTP/1.1 200 OK\r\n\r\n',
+    part: 'x'.repeat(16_384),
+    isBody: true,
+  },
 };
 
 const flood = (socket: Socket, part: string): void => {
@@ -67,28 +81,60 @@
   return true;
 };
 
-/** Sends a lookup and leaves its answer unread, until the connection is over. */
-const callEndless = async (outbound: string, form: string): Promise<void> => {
+interface EndlessCall {
+  outbound: string;
+  /** Path behind that of the service. */
+  path: string;
+  method: 'GET' | 'POST';
+  isRead: boolean;
+  /** Time after which the caller leaves. */
+  leaveAfterMs: number;
+}
+
+/** Sends a request; returns how long its connection lasted, in milliseconds. */
+const callEndless = async (call: EndlessCall): Promise<number> => {
+  const { outbound, path, method, isRead, leaveAfterMs } = call;
+  const startedAtMs = performance.now();
   const [host = '', port] = outbound.split(':');
   const socket = connect(Number(port), host);
   socket.on('error', () => undefined);
-  socket.pause();
+  if (isRead) socket.resume();
+  else socket.pause();
   const head = [
-    `GET /${FAULTY_SERVICE}/${encodeURIComponent(form)} HTTP/1.1`,
+    `${method} /${FAULTY_SERVICE}/${path} HTTP/1.1`,
     ...['Host: shop.example', `Attempt-Id: ${randomUUID()}`],
     ...[`Deadline-Remaining: ${DEADLINE_MS}`, 'Connection: close'],
+    ...(method === 'POST' ? ['Content-Length: 0'] : []),
   ];
   socket.write(`${head.join('\r\n')}\r\n\r\n`);
   await new Promise((resolve) => {
     socket.once('close', resolve);
-    setTimeout(() => socket.destroy(), DEADLINE_MS + 1_000);
+    setTimeout(() => socket.destroy(), leaveAfterMs);
   });
+  return performance.now() - startedAtMs;
 };
 
+/** Creates lookups and orders in turn. */
+const createCalls = (
+  form: string,
+  count: number,
+  rest: Omit<EndlessCall, 'path' | 'method'>,
+): EndlessCall[] =>
+  Array.from({ length: count }, (_, index) => {
+    const name = encodeURIComponent(form);
+    return index % 2 === 0
+      ? { ...rest, method: 'GET', path: name }
+      : { ...rest, method: 'POST', path: `orders/${name}` };
+  });
+
 const createDocument = (): object => {
   const document = createConfigurationDocument(1, 0, SERVICES);
   const routes = document.routes.map((route) => ({ ...route, timeout: '10s' }));
-  return { ...document, routes };
+  const services = document.services.map((service) => ({
+    ...service,
+    max_connections: CONNECTIONS,
+  }));
+  return { ...document, routes, services };
 };
 
 // Guards against a node whose machine runs out of memory through one faulty worker, with all requests on it.
@@ -100,7 +146,7 @@
     zones: ['zone-a'],
     machine: { isBundled: true, runtimeOptions: RUNTIME_OPTIONS },
     findWorkerOptions: () => ({
-      slots: CALLERS,
+      slots: CONNECTIONS,
       writeRawAnswer: ({ path, attemptId }, socket) => writeEndless(path, attemptId, socket),
     }),
   });
@@ -113,16 +159,34 @@
     t.ok(peakBytes < MEMORY_LIMIT_BYTES, `${title}: ${Math.round(peakBytes / 1_048_576)} MB`);
   };
 
+  const outbounds = platform.nodes.map((machine) => machine.address('outbound'));
+  const unread: Promise<number>[] = [];
   const play = async (form: string): Promise<void> => {
-    const calls = Array.from({ length: CALLERS }, () =>
-      callEndless(platform.nodes[0]?.address('outbound') ?? '', form),
+    unread.push(
+      ...outbounds
+        .flatMap((outbound, index) =>
+          createCalls(form, UNREAD_CALLERS[index] ?? 0, {
+            ...{ outbound, isRead: false, leaveAfterMs: DEADLINE_MS + 1_000 },
+          }),
+        )
+        .map(callEndless),
     );
-    const lookups = Array.from({ length: SOUND_LOOKUPS }, () =>
-      sendAttempt(platform.nodes[1]?.address('outbound') ?? '', { path: `/${SOUND_SERVICE}/1` }),
+    const isBody = ENDLESS[form]?.isBody ?? false;
+    const leaveAfterMs = isBody ? BODY_MS : DEADLINE_MS + 1_000;
+    const reading = outbounds
+      .flatMap((outbound) =>
+        createCalls(form, READING_CALLERS, { outbound, isRead: true, leaveAfterMs }),
+      )
+      .map(callEndless);
+    const lookups = outbounds.flatMap((outbound) =>
+      Array.from({ length: SOUND_LOOKUPS }, () =>
+        sendAttempt(outbound, { path: `/${SOUND_SERVICE}/1` }),
+      ),
     );
     const served = (await Promise.all(lookups)).filter(({ status }) => status === 200);
-    t.equal(served.length, SOUND_LOOKUPS, `${form}: lookups at another worker`);
-    await Promise.all(calls);
+    t.equal(served.length, lookups.length, `${form}: lookups at another worker`);
+    const slowestMs = Math.round(Math.max(...(await Promise.all(reading))));
+    t.ok(isBody || slowestMs < MAX_ANSWER_MS, `${form}: answered within ${slowestMs} ms`);
     await Promise.all(
       platform.nodes.map((machine) => checkMemory(machine, `${form}, ${machine.ip}`)),
     );
@@ -131,4 +195,8 @@
     (earlier, form) => earlier.then(() => play(form)),
     Promise.resolve(),
   );
+  await Promise.all(unread);
+  await Promise.all(
+    platform.nodes.map((machine) => checkMemory(machine, `at the end, ${machine.ip}`)),
+  );
 });
