--- a/src/connection/limitOverhead/_lib/OverheadBudget/index.ts
+++ b/src/connection/limitOverhead/_lib/OverheadBudget/index.ts
@@ -9,10 +9,10 @@
  * Limit on the lines of one head or trailer section. The parser keeps each field as two objects of about
  * 0.1 KB until the connection is closed, so its bytes alone do not bound the memory.
  */
-export const MAX_LINES = 500;
+export const MAX_LINES = 250;
 
 /** Largest part to parse at once where lines may come: they count only once they are parsed. */
-const MAX_PART_BYTES = 8_192;
+const MAX_PART_BYTES = 4_096;
 /** The same within a body in chunks; smaller parts of long bodies take more processor time. */
 const MAX_CHUNKED_PART_BYTES = 32_768;
 
