Refuse no request as not run after an attempt that may have run

Cause: the entry node keeps the error of the attempt that may have run, but an attempt that was cancelled unsent replaced it. The first server's answer was discarded, the second attempt was waiting as the deadline passed, and its "not written" became the outcome. Orders are not affected, as they are not sent again after an attempt that may have run.

Change: only an error of an attempt that may have run is kept as the outcome of the request.

Evidence: the new test got 503 and now gets 502; the server's log shows that the request ran.

--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -22,4 +22,11 @@
     durationMs: 8_000,
     cause: 'Early hints were written into the body of an answer that waited for the one before it.',
   },
+  {
+    seed: 1_216,
+    durationMs: 5_000,
+    cause:
+      'A lookup that had run got 503: its second attempt was cancelled unsent at the deadline, and hid ' +
+      'the first one.',
+  },
 ];
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -401,7 +401,8 @@
   /** Returns whether to retry the request, and charges the retry to the budget. */
   #reserveRetry(routed: RoutedRequest, state: AttemptState, error: CallError): boolean {
     const target = state;
-    if (!isNotRunError(error)) {
+    // A later attempt that was cancelled unsent leaves the outcome of an earlier one unknown.
+    if (!isKnownNotRun(error)) {
       target.possibleRuns += 1;
       target.possibleRunError = error;
     }
