--- a/soak/runStutters/index.ts
+++ b/soak/runStutters/index.ts
@@ -22,6 +22,8 @@
 const MIN_RESTART_GAP_MS = 1_000;
 const MAX_RESTART_GAP_MS = 3_000;
 const MAX_EVIDENCE_LINES = 20;
+/** Part of the log lines of a node that falls behind its requests. */
+const OVERLOAD_COMPONENT = '"component":"requests"';
 
 export interface StutterSoakOptions {
   seed: number;
@@ -39,7 +41,7 @@
   stutters: Partial<Record<string, number>>;
   /** Violated guarantees; empty if the run passed. */
   violations: string[];
-  /** Log lines that name the requests of the violations. */
+  /** Log lines that name the requests of the violations, and those of overloaded nodes. */
   evidence: string[];
 }
 
@@ -87,7 +89,9 @@
   return nodes.flatMap(({ ip, output }) =>
     output
       .split('\n')
-      .filter((line) => ids.some((id) => line.includes(`"${id}"`)))
+      .filter(
+        (line) => line.includes(OVERLOAD_COMPONENT) || ids.some((id) => line.includes(`"${id}"`)),
+      )
       .slice(0, MAX_EVIDENCE_LINES)
       .map((line) => `${ip}: ${line}`),
   );
