Bound the sum of the messages that a process receives

What callers would see: a node or control VM runs out of memory through unfinished messages on its listener for other processes. Not seen in a deployment.

Cause: a message is limited to 4 MiB, but each session may have 64 of them at the same time, and a peer any number of sessions.

The listener now counts the messages that are received or handled. Beyond 32 MiB the largest is reset with ENHANCE_YOUR_CALM, which its sender sees as ResourceExhausted. Messages of streams are read one after the other and are not counted.

--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -4,7 +4,13 @@
 import { createContextValues } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
+import type {
+  Http2SecureServer,
+  Http2Server,
+  Http2ServerRequest,
+  Http2ServerResponse,
+  ServerHttp2Session,
+} from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import type { TLSSocket } from 'node:tls';
 import type { ConnectRouter, ContextValues } from '@connectrpc/connect';
@@ -15,10 +21,14 @@
 import type { ProcessIdentity } from '../../process/tls/readIdentity/index.js';
 import type { TlsMaterial, TlsStore } from '../../process/tls/TlsStore/index.js';
 import { formatAddress, splitAddress } from '../splitAddress/index.js';
+import ReceivedMessages from './_lib/ReceivedMessages.js';
 
 /** Largest message accepted from another process. */
 const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
 
+/** Limit of the messages that are received at the same time; peers send few, and seldom large ones. */
+const MAX_RECEIVED_BYTES = 32 * 1_024 * 1_024;
+
 /** Maximum number of concurrent streams of one peer, which needs one stream and a few calls. */
 const MAX_STREAMS_PER_SESSION = 64;
 
@@ -88,7 +98,7 @@
 
 const createListener = (
   tls: TlsStore | undefined,
-  handler: ReturnType<typeof connectNodeAdapter>,
+  handler: (request: Http2ServerRequest, response: Http2ServerResponse) => void,
 ): AnyServer => {
   if (tls === undefined) return createServer({ settings: SETTINGS }, handler);
   const options = { settings: SETTINGS, ...createTlsOptions(tls.current()) };
@@ -138,7 +148,11 @@
     interceptors: [checkAccess],
   });
   const sessions = new Set<ServerHttp2Session>();
-  const server = createListener(options.tls, handler);
+  const received = new ReceivedMessages(MAX_RECEIVED_BYTES);
+  const server = createListener(options.tls, (request, response) => {
+    received.add(request, response);
+    handler(request, response);
+  });
   server.on('session', (session) => {
     sessions.add(session);
     session.once('close', () => sessions.delete(session));
