End connections whose peer reads no response

What callers would see: nothing by themselves; the memory that answers take while their callers do not read them is not freed until those callers close.

Cause: neither listener limits how long a complete response may wait in its connection. The deadline of a request ends its call, not a response that was already handed to the connection.

Connections are now ended when no byte of the waiting responses was taken for 15 s. Connections that wait for a response, are idle or read slowly are kept.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -7,6 +7,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
+import endStalledResponses from '../../connection/endStalledResponses/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -503,6 +504,7 @@
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
+    endStalledResponses(server);
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) =>
       Object.assign(socket, { destroySoon: () => closeInOrder(socket) }),
