Print the reasons of refusals in the platform test

Two entries of KNOWN-RED.txt about platform.test.js, lookups refused while a worker drains and an unknown path that is not answered 404, could not be traced: the checks print statuses only, while the reason is in the body. The messages of these checks, and of the reads of the configuration, now include it. What is checked is unchanged.

--- a/test/platform/platform.test.ts
+++ b/test/platform/platform.test.ts
@@ -52,6 +52,10 @@
   return status === 200;
 };
 
+/** Formats a reply for the message of a check; the body of a refusal states its reason. */
+const formatReply = ({ status, body }: { status: number; body: string }): string =>
+  status === 200 ? '200' : `${status} ${body}`;
+
 tap.test('the platform programs serve requests and changes', async (t) => {
   const platform = await startPlatform(t);
   const { controls, nodes, workers } = platform;
@@ -95,7 +99,8 @@
   );
 
   await t.test('an unknown path is answered 404', async (t2) => {
-    t2.equal((await sendAttempt(outbound, { path: '/nowhere/' })).status, 404);
+    const reply = await sendAttempt(outbound, { path: '/nowhere/' });
+    t2.equal(reply.status, 404, `404, answered ${formatReply(reply)}`);
   });
 
   await t.test('a change that is not based on the newest version is refused', async (t2) => {
@@ -119,7 +124,7 @@
       controls.map((one) => callControl(one.address('control'), 'configuration.read')),
     );
     replies.forEach(({ status, body }) => {
-      t2.equal(status, 200);
+      t2.equal(status, 200, `200, answered ${formatReply({ status, body })}`);
       t2.strictSame(JSON.parse(body), createConfigurationDocument(3, 0, SERVICES));
     });
   });
@@ -141,7 +146,7 @@
       );
       t2.ok(
         replies.every(({ status }) => status === 200),
-        replies.map(({ status }) => status).join(),
+        replies.map(formatReply).join(),
       );
     }
     const late = worker?.runs.filter(({ atMs }) => atMs > drainedAtMs + DRAIN_LIMIT_MS) ?? [];
