Check that held bodies reach servers unchanged

The servers of crashingBody.test.ts compare the digest of each order's body with the one that its caller sent, and answer 500 if they differ.

--- a/test/platform/crashingBody.test.ts
+++ b/test/platform/crashingBody.test.ts
@@ -1,5 +1,5 @@
 /** Orders with a streamed body that crash every backend server that runs them. */
-import { randomUUID } from 'node:crypto';
+import { createHash, randomUUID } from 'node:crypto';
 import { request as sendRequest } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 
@@ -59,6 +59,8 @@
   },
 };
 
+const digest = (body: Buffer): string => createHash('sha256').update(body).digest('hex');
+
 const crash = ({ server, address }: TestBackend): void => {
   if (!server.listening) return;
   server.close();
@@ -104,7 +106,8 @@
           }
           const attemptId = String(request.headers['attempt-id']);
           const headers = { 'attempt-id': attemptId, 'server-stamp': 's' };
-          setTimeout(() => response.writeHead(200, headers).end('ok'), 20);
+          const isUnchanged = digest(Buffer.concat(chunks)) === request.headers['x-digest'];
+          setTimeout(() => response.writeHead(isUnchanged ? 200 : 500, headers).end('ok'), 20);
         });
       });
     }),
@@ -120,6 +123,7 @@
     const headers = {
       'attempt-id': randomUUID(),
       'deadline-remaining': '1500',
+      'x-digest': digest(body),
       ...(isChunked ? { 'transfer-encoding': 'chunked' } : { 'content-length': sizeBytes }),
     };
     const options = { method: 'POST', headers, agent: false };
@@ -174,7 +178,11 @@
     );
     t.equal(fatal.at(-1), 503, 'the order is refused as not run');
     const lastOthers = others.slice(-Math.floor(others.length / 4));
-    t.strictSame(new Set(lastOthers), new Set([200]), 'other orders are served');
+    t.strictSame(
+      new Set(lastOthers),
+      new Set([200]),
+      'other orders are served, with their bodies unchanged',
+    );
     // A server that starts again during the teardown would keep the process running.
     await delay(2 * RESTART_MS);
   });
