Wait for requests instead of fixed times in the test of held bodies

"a bounded number of bodies is held" failed once beside load 36: 300 ms were too short for 130 connections.

--- a/src/request/_lib/BodyReader.test.ts
+++ b/src/request/_lib/BodyReader.test.ts
@@ -7,6 +7,7 @@
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http';
 import type { Test } from 'tap';
 import { NodeRecordSchema } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
+import waitFor from '../../../stand-ins/waitFor/index.js';
 import { listenOnLoopback } from '../../../test/requestMesh/index.js';
 import { CrashLedger } from '../trackCrashes/index.js';
 import BodyReader from './BodyReader.js';
@@ -24,6 +25,9 @@
   state?: BodyState;
 }
 
+const hasAllFingerprints = ({ exchange }: ReceivedRequest): boolean =>
+  exchange.computeFingerprints(PATH, CALLER).length === 3;
+
 /** Starts a listener that reads bodies with a ledger in which servers ended under such requests. */
 const startListener = async (t: Test, { crashCount }: { crashCount: number }) => {
   const ledger = new CrashLedger();
@@ -75,7 +79,10 @@
   await delay(50);
   chunked.end('dle');
   open().end('bundled');
-  await delay(100);
+  await waitFor(
+    'bodies with all fingerprints',
+    async () => received.filter(hasAllFingerprints).length === 3,
+  );
   const [withLength, inChunks, other] = received
     .toSorted(
       (left, right) =>
@@ -106,6 +113,7 @@
   short.write('part');
   const long = open(LONG_BYTES);
   long.write(Buffer.alloc(60_000));
+  await waitFor('requests', async () => received.length === 2);
   await delay(50);
   t.strictSame(
     received.map(({ state }) => state),
@@ -113,7 +121,7 @@
   );
   short.end();
   long.write(Buffer.alloc(60_000));
-  await delay(50);
+  await waitFor('bodies', async () => received.every(({ state }) => state !== undefined));
   t.strictSame(
     received.map(({ state }) => state),
     [BodyState.Streamed, BodyState.Streamed],
@@ -124,9 +132,9 @@
   );
   const gone = open();
   gone.write('part');
-  await delay(50);
+  await waitFor('request', async () => received.length === 3);
   gone.destroy();
-  await delay(50);
+  await waitFor('end of the request', async () => received[2]?.state !== undefined);
   t.equal(received[2]?.state, BodyState.Incomplete, 'the caller disconnected');
 });
 
@@ -135,14 +143,23 @@
   const { received, open } = await startListener(t, { crashCount: 2 });
   const requests = Array.from({ length: MAX_HELD_BODIES + 2 }, () => open());
   requests.forEach((request) => request.write('part'));
-  await delay(300);
-  const countStreamed = (): number =>
-    received.filter(({ state }) => state === BodyState.Streamed).length;
-  t.equal(received.length, MAX_HELD_BODIES + 2);
-  t.equal(countStreamed(), 2);
+  const countStates = (expected: BodyState | undefined): number =>
+    received.filter(({ state }) => state === expected).length;
+  await waitFor('requests', async () => received.length === requests.length);
+  await delay(50);
+  t.equal(countStates(BodyState.Streamed), 2);
+  t.equal(countStates(undefined), MAX_HELD_BODIES);
   requests.forEach((request) => request.destroy());
-  await delay(100);
+  await waitFor(
+    'end of the requests',
+    async () => countStates(BodyState.Incomplete) === MAX_HELD_BODIES,
+  );
   open().write('part');
-  await delay(100);
-  t.equal(countStreamed(), 2, 'bodies whose caller has disconnected are held no longer');
+  await waitFor('request', async () => received.length === requests.length + 1);
+  await delay(50);
+  t.equal(
+    countStates(BodyState.Streamed),
+    2,
+    'bodies whose caller has disconnected are held no longer',
+  );
 });
