Write the parts of a response that were parsed at once as one

Callers would see: their node ends beyond its memory, with all requests on it.

Cause: each part of a body was written on its own, and Node.js keeps several objects for each write, while its limit counts bytes only. The limit on overhead allows such a body, since it is one.

Parts that arrive in one turn are joined before they are written. Early hints are not passed on to callers with HTTP/1.0 either (RFC 9110, section 15.2).

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -92,9 +92,15 @@
   isNode: boolean;
 }
 
+const joinChunks = (chunks: Buffer[]): Buffer => {
+  const [first] = chunks;
+  return first && chunks.length === 1 ? first : Buffer.concat(chunks);
+};
+
 const decodeHeaders = (raw: Buffer[]): string[] => raw.map((part) => part.toString('latin1'));
 
 const BODYLESS_STATUS = new Set([204, 304]);
+
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
 /** Returns whether the end of a response is marked only by the end of its connection. */
@@ -161,6 +167,12 @@
 
   #pausedMs = 0;
 
+  /** Parts that were parsed and not written yet. */
+  readonly #unwrittenChunks: Buffer[] = [];
+
+  /** Since when the caller has not read what was written; undefined while it reads. */
+  #blockedAtMs: number | undefined;
+
   #cancelReason: string | undefined;
 
   #abort: ((error?: Error) => void) | undefined;
@@ -288,13 +300,9 @@
       this.#bufferedChunks.push(chunk);
       return true;
     }
-    if (this.#response.write(chunk)) return true;
-    const pausedAtMs = performance.now();
-    this.#response.once('drain', () => {
-      this.#pausedMs += performance.now() - pausedAtMs;
-      this.#resume?.();
-    });
-    return false;
+    this.#unwrittenChunks.push(chunk);
+    if (this.#unwrittenChunks.length === 1) queueMicrotask(() => this.#writeChunks());
+    return this.#blockedAtMs === undefined;
   }
 
   /** Called by undici when the response is complete. */
@@ -356,6 +364,24 @@
     return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
   }
 
+  /**
+   * Writes the parts that were parsed at once as one: Node.js keeps several objects for each write, and
+   * a part can be as short as a byte.
+   */
+  #writeChunks(): void {
+    const chunks = this.#unwrittenChunks.splice(0);
+    if (chunks.length === 0 || this.#response.destroyed) return;
+    const isWritable = this.#response.write(joinChunks(chunks));
+    if (isWritable || this.#blockedAtMs !== undefined) return;
+    const blockedAtMs = performance.now();
+    this.#blockedAtMs = blockedAtMs;
+    this.#response.once('drain', () => {
+      this.#blockedAtMs = undefined;
+      this.#pausedMs += performance.now() - blockedAtMs;
+      this.#resume?.();
+    });
+  }
+
   /** Sends what is held of a response that is too long to be held; the rest is streamed. */
   #sendHeld(head: ResponseHead, space: HeldSpace): void {
     this.#bufferedHead = undefined;
@@ -426,11 +452,13 @@
 
   /**
    * Hints are optional, so none is kept for a caller that has not read what was sent before. Node.js
-   * would write the hints of a response that waits for the one before it into its body.
+   * would write the hints of a response that waits for the one before it into its body. A caller with
+   * HTTP/1.0 would take them for its response (RFC 9110, section 15.2).
    */
   #canForwardHint(): boolean {
-    const { socket, writableLength } = this.#response;
-    return this.#earlyHints < MAX_EARLY_HINTS && socket !== null && writableLength === 0;
+    const { req, socket, writableLength } = this.#response;
+    if (req.httpVersion === '1.0' || this.#earlyHints >= MAX_EARLY_HINTS) return false;
+    return socket !== null && writableLength === 0;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
@@ -439,6 +467,7 @@
   }
 
   #end(trailers: Buffer[] | null): void {
+    this.#writeChunks();
     if (this.#bufferedHead && this.#heldSpace) this.#options.onUnframed?.(this.#bufferedHead);
     if (this.#bufferedHead) this.#writeHead(this.#bufferedHead);
     if (trailers && trailers.length > 0) {
