--- a/src/process/limitBodies/index.ts
+++ b/src/process/limitBodies/index.ts
@@ -26,7 +26,8 @@
 
 /** A body in memory. */
 interface HeldBody {
-  chunks: Uint8Array[];
+  /** Starts with the bytes of the body, and has room for more. */
+  buffer: Uint8Array<ArrayBuffer>;
   sizeBytes: number;
   refusal: BodyRefusal | undefined;
   /** Called when the body is complete or refused. */
@@ -38,6 +39,29 @@
 
 const logger = createRateLimitedLogger('request-bodies', LINES_PER_SECOND);
 
+const EMPTY = new Uint8Array(0);
+
+/** Appends bytes to a body; parts as short as a byte each take no object of their own. */
+const append = (target: HeldBody, chunk: Uint8Array): void => {
+  const body = target;
+  const sizeBytes = body.sizeBytes + chunk.length;
+  if (sizeBytes > body.buffer.length) {
+    const larger = new Uint8Array(Math.max(sizeBytes, 2 * body.buffer.length));
+    larger.set(body.buffer.subarray(0, body.sizeBytes));
+    body.buffer = larger;
+  }
+  body.buffer.set(chunk, body.sizeBytes);
+  body.sizeBytes = sizeBytes;
+};
+
+/** Returns the bytes of a complete body, which then no longer keeps them. */
+const takeBytes = (target: HeldBody): ArrayBuffer => {
+  const body = target;
+  const bytes = body.buffer.slice(0, body.sizeBytes);
+  body.buffer = EMPTY;
+  return bytes.buffer;
+};
+
 /** The bodies that one API receives or handles. */
 class HeldBodies {
   readonly #maxBytes: number;
@@ -62,7 +86,7 @@
   receive(reader: BodyReader, maxBytes: number): Promise<HeldBody> {
     return new Promise((resolve, reject) => {
       const body: HeldBody = {
-        chunks: [],
+        buffer: EMPTY,
         sizeBytes: 0,
         refusal: undefined,
         settle: () => {
@@ -84,7 +108,7 @@
     const body = target;
     this.#sizeBytes -= body.sizeBytes;
     body.sizeBytes = 0;
-    body.chunks = [];
+    body.buffer = EMPTY;
   }
 
   async #read(body: HeldBody, reader: BodyReader, maxBytes: number): Promise<void> {
@@ -97,8 +121,7 @@
 
   #keep(target: HeldBody, chunk: Uint8Array, maxBytes: number): void {
     const body = target;
-    body.chunks.push(chunk);
-    body.sizeBytes += chunk.length;
+    append(body, chunk);
     this.#sizeBytes += chunk.length;
     if (body.sizeBytes > maxBytes) this.#refuse(body, BodyRefusal.TooLarge);
     if (this.#sizeBytes > this.#maxBytes) this.#refuseLargest();
@@ -118,17 +141,6 @@
   }
 }
 
-const joinChunks = (target: HeldBody): ArrayBuffer => {
-  const body = target;
-  const joined = new Uint8Array(body.sizeBytes);
-  body.chunks.reduce((offset, chunk) => {
-    joined.set(chunk, offset);
-    return offset + chunk.length;
-  }, 0);
-  body.chunks = [];
-  return joined.buffer;
-};
-
 const readDeclaredBytes = (context: Context): number =>
   Number(context.req.header('content-length') ?? 0);
 
@@ -165,7 +177,7 @@
     }
     const body = await receiving;
     if (body.refusal) return refuseBody(context, body.refusal);
-    Object.assign(context.req.bodyCache, { arrayBuffer: Promise.resolve(joinChunks(body)) });
+    Object.assign(context.req.bodyCache, { arrayBuffer: Promise.resolve(takeBytes(body)) });
     try {
       return await next();
     } finally {
