--- a/src/process/localServers/_lib/parseAnnouncement.ts
+++ b/src/process/localServers/_lib/parseAnnouncement.ts
@@ -85,7 +85,7 @@
     err(new AnnouncementError(AnnouncementErrorCode.InvalidField, message, field));
   const parsedId = v.safeParse(nameSchema, serverId);
   if (!parsedId.success) return fail(`serverId: ${parsedId.issues[0].message}`, 'serverId');
-  const parsed = v.safeParse(announcementSchema, candidate);
+  const parsed = v.safeParse(announcementSchema, candidate, { abortEarly: true });
   if (parsed.success) return ok(parsed.output);
   const issue = parsed.issues[0];
   const field = v.getDotPath(issue) ?? 'body';
--- a/src/process/operatorApi/_lib/rolloutRoutes.ts
+++ b/src/process/operatorApi/_lib/rolloutRoutes.ts
@@ -54,7 +54,7 @@
 /** Parses the body of an order; undefined if it is not one. */
 export const parseRolloutOrder = (text: string): RolloutOrder | undefined => {
   try {
-    const parsed = v.safeParse(orderSchema, JSON.parse(text));
+    const parsed = v.safeParse(orderSchema, JSON.parse(text), { abortEarly: true });
     return parsed.success ? parsed.output : undefined;
   } catch {
     return undefined;
