Join the bytes of a held body

The bytes that identify it are copied into one buffer. BodyReader.test.ts and crashingBody.test.ts pass.

--- a/src/request/_lib/StreamedBody.ts
+++ b/src/request/_lib/StreamedBody.ts
@@ -15,6 +15,9 @@
 
   #hashedBytes = 0;
 
+  /** Bytes of a held body that has not been identified. */
+  readonly #held: Buffer | undefined;
+
   #digest: Buffer | undefined;
 
   #setIdentified: () => void = () => undefined;
@@ -26,15 +29,14 @@
     this.identified = new Promise((resolve) => {
       this.#setIdentified = resolve;
     });
+    this.#held = isHeld ? Buffer.allocUnsafe(IDENTIFIED_BODY_BYTES) : undefined;
     this.stream = new Transform({
       ...(isHeld && { readableHighWaterMark: IDENTIFIED_BODY_BYTES }),
-      transform: (chunk: Buffer, _, callback) => {
-        if (!this.#digest) this.#add(chunk);
-        callback(null, chunk);
-      },
+      transform: (chunk: Buffer, _, callback) => callback(null, this.#pass(chunk)),
       flush: (callback) => {
+        const rest = this.#digest ? undefined : this.#held?.subarray(0, this.#hashedBytes);
         if (!this.#digest) this.#identify();
-        callback();
+        callback(null, rest && rest.length > 0 ? rest : undefined);
       },
     });
   }
@@ -44,6 +46,20 @@
     return this.#digest;
   }
 
+  /**
+   * Returns what is passed on as a chunk arrives. A held body is joined until it is identified: a stream
+   * keeps an object for each chunk, which can be as short as a byte.
+   */
+  #pass(chunk: Buffer): Buffer | undefined {
+    if (this.#digest) return chunk;
+    const joinedBytes = this.#hashedBytes;
+    this.#add(chunk);
+    if (!this.#held) return chunk;
+    chunk.copy(this.#held, joinedBytes);
+    if (!this.#digest) return undefined;
+    return Buffer.concat([this.#held, chunk.subarray(this.#held.length - joinedBytes)]);
+  }
+
   #add(chunk: Buffer): void {
     const part = chunk.subarray(0, IDENTIFIED_BODY_BYTES - this.#hashedBytes);
     this.#hash.update(part);
