Remember the end of a server that deregisters without its start time

Replayed with logs: the node had been restarted, the worker deregistered without a start time, and a heartbeat that arrived 2.1 s later added it again.

Cause: the node remembers an end by the id and the start time.

The end now counts for all starts under the id until then. The new test fails without the change (a withdrawn server is listed again).

--- a/src/process/localServers/LocalServers/index.ts
+++ b/src/process/localServers/LocalServers/index.ts
@@ -315,22 +315,30 @@
   /**
    * Removes a server without waiting for its lease to end, and ignores its late announcements.
    *
-   * The instance may be unknown to a node that has just started. Without its address and start time
-   * only those of an announced server are remembered.
+   * The instance may be unknown to a node that has just started, or its start time may be. Then all
+   * starts under its id until the time of the withdrawal have ended.
    *
    * @param serverId - id of the server
    * @param instance - what the server states of itself: its `IP:port`, and its start time in
-   *   milliseconds since the epoch
+   *   milliseconds since the epoch; and when it did so, on the same clock
    * @returns an error when no such server is announced, or only a later start of it
    */
   withdraw(
     serverId: string,
-    instance: { address?: string | undefined; bornAtMs?: number | undefined } = {},
+    instance: {
+      address?: string | undefined;
+      bornAtMs?: number | undefined;
+      withdrawnAtMs?: number;
+    } = {},
   ): Result<void, AnnouncementError> {
     const known = this.#servers.get(serverId)?.server;
     const knownBornAtMs = Number(known?.bornAtMs ?? 0n);
-    const { address = known?.address, bornAtMs = knownBornAtMs } = instance;
-    if (address !== undefined) this.#recordEnded({ serverId, address, bornAtMs });
+    const { address = known?.address, bornAtMs = knownBornAtMs, withdrawnAtMs } = instance;
+    if (address !== undefined) {
+      this.#recordEnded({ serverId, address, bornAtMs });
+      if (bornAtMs === 0 && withdrawnAtMs !== undefined)
+        this.#ended.recordUndated(address, serverId, withdrawnAtMs);
+    }
     if (bornAtMs < knownBornAtMs) {
       const message = `the announced server "${serverId}" started later`;
       return err(new AnnouncementError(AnnouncementErrorCode.UnknownServer, message, 'serverId'));
--- a/src/process/localServers/LocalServers/test.ts
+++ b/src/process/localServers/LocalServers/test.ts
@@ -170,6 +170,22 @@
   t.equal(servers.list().length, 1, 'it may start again under its id');
 });
 
+// Guards against a late announcement of a server that deregistered without its start time at a node which
+// had just started, or had found it by a probe (DRAIN).
+tap.test('a deregistration without a start time ends all earlier starts', async (t) => {
+  const { bornAtMs, sequence, ...discovered } = createNumbered(100, 5);
+  [undefined, discovered].forEach((known) => {
+    const servers = createServers();
+    if (known) servers.announce('d1', known, 0);
+    servers.withdraw('d1', { address: discovered.address, withdrawnAtMs: 150 });
+    servers.announce('d1', createNumbered(100, 6), 1);
+    t.strictSame(servers.list(), []);
+    t.ok(servers.isWithdrawn('d1', discovered.address), 'a probe does not discover it either');
+    servers.announce('d1', createNumbered(200, 1), 2);
+    t.equal(servers.list().length, 1, 'it may start again under its id');
+  });
+});
+
 // Guards against a server that was found by a probe, whose start time only its deregistration states.
 tap.test('a discovered server that deregisters is not added by a late announcement', async (t) => {
   const servers = createServers();
--- a/src/process/localServers/_lib/EndedInstances/index.ts
+++ b/src/process/localServers/_lib/EndedInstances/index.ts
@@ -8,6 +8,9 @@
 export class EndedInstances {
   readonly #newestByAddress = new Map<string, ServerInstance>();
 
+  /** The last end per address of an instance whose start time is unknown. */
+  readonly #undatedByAddress = new Map<string, { serverId: string; endedAtMs: number }>();
+
   /**
    * Records the end of an instance, unless a newer one at the address has ended already.
    *
@@ -21,6 +24,17 @@
     }
   }
 
+  /**
+   * Records the end of an instance whose start time is unknown: of all starts under its id until then.
+   *
+   * @param address - `IP:port` of the instance
+   * @param serverId - its id
+   * @param endedAtMs - time of its end, on the clock of the start times
+   */
+  recordUndated(address: string, serverId: string, endedAtMs: number): void {
+    this.#undatedByAddress.set(address, { serverId, endedAtMs });
+  }
+
   /**
    * Returns whether an instance has ended, by itself or because a newer one has.
    *
@@ -28,6 +42,8 @@
    * @param instance - its id and start time
    */
   has(address: string, { serverId, bornAtMs }: ServerInstance): boolean {
+    const undated = this.#undatedByAddress.get(address);
+    if (undated?.serverId === serverId && bornAtMs <= undated.endedAtMs) return true;
     const newest = this.#newestByAddress.get(address);
     if (!newest) return false;
     const isNewest = serverId === newest.serverId && bornAtMs === newest.bornAtMs;
@@ -42,6 +58,8 @@
    * @param serverId - its id
    */
   hasId(address: string, serverId: string): boolean {
-    return this.#newestByAddress.get(address)?.serverId === serverId;
+    return [this.#newestByAddress, this.#undatedByAddress].some(
+      (ends) => ends.get(address)?.serverId === serverId,
+    );
   }
 }
