Test the limit on overhead over TLS

The limit compares the bytes received with those that wait to be parsed, which must both be those after decryption. Passes on the code as it is; no fault was found.

--- a/src/connection/limitOverhead/test.ts
+++ b/src/connection/limitOverhead/test.ts
@@ -1,12 +1,14 @@
 import { createServer } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { createServer as createTcpServer } from 'node:net';
 
 import tap from 'tap';
 
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import type { Test } from 'tap';
+import { TestAuthority } from '../../../stand-ins/certificates/index.js';
 import startFloodingServer from '../../../test/startFloodingServer/index.js';
 import { listenOnLoopback } from '../../../test/requestMesh/index.js';
 import { MetricsRegistry } from '../../process/metrics/index.js';
@@ -152,14 +154,9 @@
   t.equal(metrics.render(), '\n');
 });
 
-// Guards against a paused reader, whose unparsed bytes wait, being taken for a faulty upstream.
-tap.test('a response that is read with pauses arrives whole', async (t) => {
-  const long = Buffer.alloc(4 * 1_048_576, 'y');
-  const server = createServer((_, response) => response.end(long));
-  const { pools } = createPools(t);
-  const { body } = await pools
-    .get(await startServer(t, server), 1)
-    .request({ method: 'GET', path: '/' });
+/** Sends a request; returns the length of its body, which is read slower than it is sent. */
+const readWithPauses = async (pool: Dispatcher): Promise<number> => {
+  const { body } = await pool.request({ method: 'GET', path: '/' });
   let readBytes = 0;
   for await (const part of body) {
     readBytes += (part as Buffer).length;
@@ -167,7 +164,16 @@
       setTimeout(resolve, 1);
     });
   }
-  t.equal(readBytes, long.length);
+  return readBytes;
+};
+
+// Guards against a paused reader, whose unparsed bytes wait, being taken for a faulty upstream.
+tap.test('a response that is read with pauses arrives whole', async (t) => {
+  const long = Buffer.alloc(4 * 1_048_576, 'y');
+  const server = createServer((_, response) => response.end(long));
+  const { pools } = createPools(t);
+  const pool = pools.get(await startServer(t, server), 1);
+  t.equal(await readWithPauses(pool), long.length);
 });
 
 // Guards against requests that fail because of bytes on an idle connection.
@@ -194,3 +200,25 @@
   const labels = { reason: 'overhead', state: 'IDLE' };
   t.equal(metrics.counter('upstream_connections_closed', labels).value, 1);
 });
+
+// Guards against a count that takes encrypted or unread bytes for parsed ones.
+tap.test('with TLS, long responses arrive whole and floods are closed', async (t) => {
+  const authority = new TestAuthority();
+  const { key, cert } = authority.issue({ name: 'n1', role: 'node' });
+  const long = Buffer.alloc(8 * 1_048_576, 'y');
+  const hints = 'HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n'.repeat(200);
+  const flood = ({ socket }: Pick<ServerResponse, 'socket'>): void => {
+    if (socket && !socket.destroyed) socket.write(hints, () => setImmediate(flood, { socket }));
+  };
+  const server = createTlsServer({ key, cert }, ({ url }, response) => {
+    if (url === '/flood') flood(response);
+    else response.end(long);
+  });
+  const address = await startServer(t, server);
+  const pools = new UpstreamPools({ tls: () => ({ key, cert, ca: authority.cert }) });
+  t.teardown(() => pools.destroy());
+  const pool = pools.get(address, 1);
+  t.ok((await sendRequest(pool)).equals(long));
+  t.equal(await readWithPauses(pool), long.length);
+  await t.rejects(sendRequest(pool, '/flood'), { code: 'OVERHEAD' });
+});
