Test resets beyond the bound, and relay the early hints of the endless test

Without the reset in abortResponse, a streamed part whose server resets it ended in order at the caller, and the tests of it passed; the new tests fail then (1 and 2 hops). The endless early hints had no id, so that the node beside the worker dropped them and nothing was relayed.

--- a/src/request/RequestServer/closeDelimited.test.ts
+++ b/src/request/RequestServer/closeDelimited.test.ts
@@ -172,6 +172,23 @@
   t.pass('the space is given back');
 });
 
+// Guards against a streamed part that looks whole to the caller, because the node closes in order after
+// its server has reset the connection (MIXED).
+[1, 2].forEach((hops) =>
+  tap.test(`a response beyond the bound that is broken off is reset, ${hops} hops`, async (t) => {
+    const sockets: Socket[] = [];
+    const answer = (socket: Socket): void => {
+      sockets.push(socket);
+      writeLongPart(socket);
+    };
+    const entry = await startMesh(t, [answer], { hops });
+    const { socket, received } = openCaller(entry.address);
+    await waitFor('the whole part', () => Promise.resolve(socket.bytesRead > LONG_PART_BYTES));
+    sockets.forEach((broken) => broken.resetAndDestroy());
+    t.equal((await received).isOrderly, false);
+  }),
+);
+
 // Guards against a response beyond the bound that is altered as it changes from held to streamed.
 tap.test('a response beyond the bound is streamed unchanged', async (t) => {
   const part = 'abcdefghij'.repeat(100_000);
--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -33,6 +33,9 @@
 const RUNTIME_OPTIONS = ['--single-threaded', '--max-semi-space-size=1', '--liftoff-only'];
 const FIELDS = 'x-more: value\r\n'.repeat(1_000);
 
+/** Stands for the field with the id of the request, without which hints are dropped. */
+const ID_FIELD = '{id}';
+
 interface EndlessAnswer {
   start: string;
   part: string;
@@ -43,7 +46,9 @@
 const ENDLESS: Record<string, EndlessAnswer> = {
   'early hints with a link': {
     start: '',
-    part: 'HTTP/1.1 103 Early Hints\r\nLink: </style.css>; rel=preload\r\n\r\n'.repeat(200),
+    part: `HTTP/1.1 103 Early Hints\r\n${ID_FIELD}Link: </style.css>; rel=preload\r\n\r\n`.repeat(
+      200,
+    ),
   },
   'processing responses': { start: '', part: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500) },
   'a status line': { start: 'HTTP/1.1 200 ', part: 'x'.repeat(16_384) },
@@ -77,7 +82,7 @@
   socket.on('error', () => undefined);
   const id = `\r\nAttempt-Id: ${attemptId}\r\nServer-Stamp: s`;
   socket.write(answer.start.replace(/(?<=^[^\r]+)(?=\r\n)/, id));
-  flood(socket, answer.part);
+  flood(socket, answer.part.replaceAll(ID_FIELD, `Attempt-Id: ${attemptId}\r\n`));
   return true;
 };
 
