Revert "End connections whose peer reads no response"

Progress within one write can't be read from the public counters of a socket, so a response of up to 1 MiB that is read slowly looks stalled and would be broken off.

--- a/src/process/daemon/serveHttp/index.ts
+++ b/src/process/daemon/serveHttp/index.ts
@@ -6,7 +6,6 @@
 import type { AddressInfo } from 'node:net';
 import type { Result } from 'neverthrow';
 
-import endStalledResponses from '../../../connection/endStalledResponses/index.js';
 import ResponsePipeline from '../../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../../connection/splitAddress/index.js';
 import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
@@ -50,7 +49,6 @@
     },
   );
   server.maxConnections = MAX_CONNECTIONS;
-  endStalledResponses(server);
   const close = (): Promise<void> =>
     new Promise((resolve) => {
       server.close(() => resolve());
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -9,7 +9,6 @@
 import closeInOrder from '../../connection/closeInOrder/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
 import ResponseHolder from '../../connection/holdResponses/index.js';
-import endStalledResponses from '../../connection/endStalledResponses/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -541,7 +540,6 @@
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
-    endStalledResponses(server);
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
