--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -178,6 +178,7 @@
   const random = createSeededRandom(seed);
   const platform = createPlatform(options);
   const { controls, nodes, workers } = platform;
+  const ending = { isOver: false };
   try {
     await platform.start();
     const operator = new Operator(platform);
@@ -193,7 +194,6 @@
         return new KeepingClient({ address, service, name, random: own });
       }),
     );
-    const ending = { isOver: false };
     const running = clients.map((client) => client.run(() => ending.isOver));
     const work = await doPlannedWork(platform, random, options, operator);
     await platform.waitUntilServing();
@@ -208,7 +208,17 @@
     const violations = findViolations(sent, workers);
     const evidence = findEvidence(violations, [...controls, ...nodes]);
     return { seed, work, requests: sent.length, ends, violations, evidence };
+  } catch (error) {
+    // What the programs wrote apart from their log tells why one of them is missing.
+    const written = [...controls, ...nodes].flatMap(({ ip, output }) =>
+      output
+        .split('\n')
+        .filter((line) => line !== '' && !line.startsWith('{'))
+        .map((line) => `${ip}: ${line}`),
+    );
+    throw new Error([String(error), ...written.slice(-MAX_EVIDENCE_LINES)].join('\n'));
   } finally {
+    ending.isOver = true;
     await platform.stop();
   }
 };
