--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -209,7 +209,7 @@
     const evidence = findEvidence(violations, [...controls, ...nodes]);
     return { seed, work, requests: sent.length, ends, violations, evidence };
   } catch (error) {
-    // What the programs wrote apart from their log tells why one of them is missing.
+    // A program that ended wrote its reason outside of its log.
     const written = [...controls, ...nodes].flatMap(({ ip, output }) =>
       output
         .split('\n')
--- a/soak/runStutters/findViolations.ts
+++ b/soak/runStutters/findViolations.ts
@@ -41,7 +41,7 @@
   const stamp = readHeader(response, 'server-stamp');
   const isSuccess = statusCode >= FIRST_SUCCESS && statusCode < FIRST_REDIRECT;
   const id = readHeader(response, 'attempt-id');
-  // A node that knows no configuration refuses requests without reading their ids.
+  // A node without a configuration refuses requests without reading their ids.
   const isOwnRefusal = id === undefined && stamp === undefined && !isSuccess;
   const answer = answers.find((own) => own.stamp === stamp);
   const isKnown = answer !== undefined;
