Hold a body in a GrowingBuffer

StreamedBody joined the bytes of a held body in a buffer of its own, which the shared class does. What is passed on is the same. BodyReader.test.ts and crashingBody.test.ts pass.

--- a/src/request/_lib/StreamedBody.ts
+++ b/src/request/_lib/StreamedBody.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 import { Transform } from 'node:stream';
 
+import GrowingBuffer from '../../process/GrowingBuffer/index.js';
 import { IDENTIFIED_BODY_BYTES } from '../fingerprintRequest/index.js';
 
 /** Body of a request that is passed on while it arrives; its first bytes are hashed on the way. */
@@ -16,7 +17,7 @@
   #hashedBytes = 0;
 
   /** Bytes of a held body that has not been identified. */
-  readonly #held: Buffer | undefined;
+  readonly #held: GrowingBuffer | undefined;
 
   #digest: Buffer | undefined;
 
@@ -29,14 +30,13 @@
     this.identified = new Promise((resolve) => {
       this.#setIdentified = resolve;
     });
-    this.#held = isHeld ? Buffer.allocUnsafe(IDENTIFIED_BODY_BYTES) : undefined;
+    this.#held = isHeld ? new GrowingBuffer() : undefined;
     this.stream = new Transform({
       ...(isHeld && { readableHighWaterMark: IDENTIFIED_BODY_BYTES }),
       transform: (chunk: Buffer, _, callback) => callback(null, this.#pass(chunk)),
       flush: (callback) => {
-        const rest = this.#digest ? undefined : this.#held?.subarray(0, this.#hashedBytes);
         if (!this.#digest) this.#identify();
-        callback(null, rest && rest.length > 0 ? rest : undefined);
+        callback(null, this.#takeHeld());
       },
     });
   }
@@ -52,12 +52,15 @@
    */
   #pass(chunk: Buffer): Buffer | undefined {
     if (this.#digest) return chunk;
-    const joinedBytes = this.#hashedBytes;
     this.#add(chunk);
     if (!this.#held) return chunk;
-    chunk.copy(this.#held, joinedBytes);
-    if (!this.#digest) return undefined;
-    return Buffer.concat([this.#held, chunk.subarray(this.#held.length - joinedBytes)]);
+    this.#held.append(chunk);
+    return this.#digest ? this.#takeHeld() : undefined;
+  }
+
+  #takeHeld(): Buffer | undefined {
+    const held = this.#held?.take();
+    return held && held.length > 0 ? held : undefined;
   }
 
   #add(chunk: Buffer): void {
