--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -8,6 +8,7 @@
 import { isHandlingReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
 import findHeader from '../findHeader/index.js';
+import listHeaderValues from '../listHeaderValues/index.js';
 import { CallError, CallErrorCode } from '../CallError/index.js';
 import type ResponseHolder from '../holdResponses/index.js';
 import type { HeldSpace } from '../holdResponses/index.js';
@@ -104,9 +105,7 @@
 /** Returns whether the end of a response is marked only by the end of its connection. */
 const isUnframed = (statusCode: number, method: string, raw: string[]): boolean => {
   if (method === 'HEAD' || BODYLESS_STATUS.has(statusCode)) return false;
-  const codings = raw.filter(
-    (_, index) => index % 2 === 1 && raw[index - 1]?.toLowerCase() === 'transfer-encoding',
-  );
+  const codings = listHeaderValues(raw, 'transfer-encoding');
   // Any other last coding than chunked has no end of its own (RFC 9112, section 6.3).
   if (codings.length > 0) return !CHUNKED_LAST.test(codings.join());
   return findHeader(raw, 'content-length') === undefined;
@@ -439,9 +438,7 @@
     if (statusCode !== EARLY_HINTS || !this.#canForwardHint()) return;
     const headers = decodeHeaders(raw);
     if (this.#options.validateHints?.(headers) === false) return;
-    const links = headers.filter(
-      (_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === 'link',
-    );
+    const links = listHeaderValues(headers, 'link');
     if (links.length === 0) return;
     this.#earlyHints += 1;
     this.#response.writeEarlyHints({ link: links });
--- a/src/request/httpDialect/readCredential.ts
+++ b/src/request/httpDialect/readCredential.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import listHeaderValues from '../../connection/listHeaderValues/index.js';
 
 const AUTHORIZATION_HEADER = 'authorization';
 
@@ -14,9 +15,7 @@
   scheme: string,
 ): string | undefined => {
   // `request.headers` hides a repeated header, of which a server behind could read the other one.
-  const values = rawHeaders.filter(
-    (_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === AUTHORIZATION_HEADER,
-  );
+  const values = listHeaderValues(rawHeaders, AUTHORIZATION_HEADER);
   const [name, credential, ...rest] = values[0]?.split(' ') ?? [];
   const isWellFormed = values.length === 1 && rest.length === 0 && credential !== '';
   return isWellFormed && name?.toLowerCase() === scheme ? credential : undefined;
