Send no SIGHUP to a program that is not loaded yet in the stop soak

The soak was listed as failing once: after planned work a node was not there (ECONNREFUSED).

Cause: in the test. The soak waited for a second after a start and then sent SIGHUP. Node.js ends a process on it until our listener is registered, which takes longer beside load; the platform starts such a process again, the stand-in does not.

Evidence: the stand-in now writes how a program ended by itself. The soak now waits until the program has written a line, so it also sends signals earlier than before where a start is fast.

--- a/soak/runStops/index.ts
+++ b/soak/runStops/index.ts
@@ -16,8 +16,6 @@
 /** Execution times of the workers, which take turns. */
 const WORK_MS = [20, 150, 400];
 const CLIENTS_PER_NODE = 3;
-/** Node.js ends on a SIGHUP until the program is loaded; on the platform it is then started again. */
-const START_MS = 1_000;
 const MAX_EVIDENCE_LINES = 10;
 const MAX_EVENT_GAP_MS = 1_500;
 const REFUSED_STATUSES = new Set([408, 421, 429, 503]);
@@ -97,7 +95,8 @@
     starting.add(node);
     await node.start({ isFirstStart: false });
     busy.delete(node);
-    await sleep(START_MS);
+    // Node.js ends on a SIGHUP until the program is loaded; on the platform it is then started again.
+    await node.waitUntilLoaded();
     starting.delete(node);
   };
   let lastChange = Promise.resolve();
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -8,6 +8,7 @@
 import { stringify } from 'yaml';
 
 import type { ChildProcess } from 'node:child_process';
+import waitFor from '../waitFor/index.js';
 
 const FIRST_INTERNAL_PORT = 7_380;
 
@@ -51,6 +52,8 @@
 
   #output = '';
 
+  #hasWritten: () => boolean = () => false;
+
   constructor(options: PlatformMachineOptions) {
     this.#options = options;
     this.ip = options.ip;
@@ -86,6 +89,12 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
+    const earlierLength = this.#output.length;
+    this.#hasWritten = () => this.#output.length > earlierLength;
+    child.once('exit', (exitCode, signal) => {
+      if (this.#child !== child) return;
+      this.#output += `ended by itself: exit code ${exitCode}, signal ${signal}\n`;
+    });
     [child.stdout, child.stderr].forEach((stream) =>
       stream.on('data', (chunk: Buffer) => {
         this.#output += chunk.toString();
@@ -93,6 +102,11 @@
     );
   }
 
+  /** Waits until the program that was started last has written its first line. */
+  async waitUntilLoaded(): Promise<void> {
+    await waitFor(`output of ${this.ip}`, () => this.#hasWritten());
+  }
+
   /** Sends a signal and waits until the program has exited. */
   async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
     const child = this.#child;
