Find the client of a connection while it closes other files

Listed as failing once: a fault for one client of a proxy did not hit its connection (findClient.test, 'at most an announcement that was already past the proxy').

Cause: in the stand-in. findClient lists the descriptors of a process and reads each; one that was closed in between ended the whole search, so the client counted as unknown and no fault for it applied to its connection, which is kept. All proofs that set faults for one client are concerned.

That the listed run failed in this way is not shown, its logs were not kept; it is the only way found.

--- a/stand-ins/cluster/_lib/findClient.test.ts
+++ b/stand-ins/cluster/_lib/findClient.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { mkdtempSync } from 'node:fs';
 import { createServer } from 'node:http';
 import { tmpdir } from 'node:os';
@@ -6,7 +7,7 @@
 import tap from 'tap';
 import { request } from 'undici';
 
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { FaultProxy, LinkFault } from '../../faultProxy/index.js';
 import waitFor from '../../waitFor/index.js';
 import findClient from './findClient.js';
@@ -54,6 +55,37 @@
   await waitFor('announcement after the fault', () => seen.announcements > before + 1);
 });
 
+// Guards against a client that is not found, so that no fault hits it, because it closes another file.
+tap.test('a client is found while it opens and closes files', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'find-client-'));
+  const target = createServer();
+  await new Promise<void>((resolve) => {
+    target.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = target.address() as AddressInfo;
+  const script = `
+    const { closeSync, openSync } = require('node:fs');
+    require('node:net').connect(${port}, '127.0.0.1');
+    const churn = () => {
+      Array.from({ length: 200 }, () => openSync('/dev/null')).forEach((file) => closeSync(file));
+      setImmediate(churn);
+    };
+    churn();`;
+  const client = new ManagedProcess('churn', ['-e', script], join(folder, 'log'));
+  t.teardown(async () => {
+    await client.kill();
+    target.closeAllConnections();
+    target.close();
+  });
+  const connected = once(target, 'connection');
+  client.start();
+  const [socket] = (await connected) as [Socket];
+  const found = await Promise.all(
+    Array.from({ length: 50 }, () => findClient(socket.remotePort ?? 0, port, [client])),
+  );
+  t.equal(found.filter((one) => one === client).length, 50);
+});
+
 tap.test('a paused process answers nothing and continues after it is resumed', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'managed-process-'));
   const ticker = "setInterval(() => console.log('tick'), 10)";
--- a/stand-ins/cluster/_lib/findClient.ts
+++ b/stand-ins/cluster/_lib/findClient.ts
@@ -26,18 +26,31 @@
   return line.split(/\s+/)[INODE_FIELD];
 };
 
-const ownsSocket = (candidate: ManagedProcess, inode: string): boolean => {
+/** Returns what a descriptor refers to; undefined if it has been closed since it was listed. */
+const readDescriptor = (path: string): string | undefined => {
   try {
-    const folder = `/proc/${candidate.pid}/fd`;
-    return readdirSync(folder).some(
-      (name) => readlinkSync(`${folder}/${name}`) === `socket:[${inode}]`,
-    );
+    return readlinkSync(path);
   } catch {
-    // The process exited, or closed a descriptor between the two calls.
-    return false;
+    return undefined;
   }
 };
 
+const listDescriptors = (folder: string): string[] => {
+  try {
+    return readdirSync(folder);
+  } catch {
+    // The process has exited.
+    return [];
+  }
+};
+
+const ownsSocket = (candidate: ManagedProcess, inode: string): boolean => {
+  const folder = `/proc/${candidate.pid}/fd`;
+  return listDescriptors(folder).some(
+    (name) => readDescriptor(`${folder}/${name}`) === `socket:[${inode}]`,
+  );
+};
+
 /**
  * Finds the process that opened a connection from 127.0.0.1, so that a proxy can apply a fault to
  * one client only.
