Keep a connection that ends behind a paused response from ending the process

Cause: undici takes the end or the reset of a connection that is not kept (no length, or Connection: close) for the end of its response and finishes its parser in the listener of 'end', 'error' or 'close'. The parser asserts that it is not paused. It is paused while a caller does not read, and the exception of a listener is caught by nobody: the process ended with exit code 1 and all requests on it.

Change: the connections of all pools report an orderly end only once the parser has read all and is not paused, and a reset of a paused one gets the code of a lost connection.

--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -2,6 +2,7 @@
 
 import type { Dispatcher } from 'undici';
 
+import guardPausedResponses from '../guardPausedResponses/index.js';
 import { limitOverhead } from '../limitOverhead/index.js';
 import { watchResets } from '../watchResets/index.js';
 import { createLogger } from '../../process/log/index.js';
@@ -138,10 +139,12 @@
       keepAliveMaxTimeout: KEEP_ALIVE_MAX_TIMEOUT_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
       connect: limitOverhead(
-        watchResets({
-          timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-          ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
-        }),
+        guardPausedResponses(
+          watchResets({
+            timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+            ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
+          }),
+        ),
         this.#options.metrics,
       ),
     };
