Guard the probes of servers against a paused parser too

Cause: the probes read bodies with clients of their own, whose parser pauses like that of a request, and ends the process at the end of a connection that is not kept. Change: their connectors are guarded like those of the pools. Measured: not reproduced for probes, since their bodies are read at once; the tests of ServerProbes and discoverServer pass (12 assertions).

--- a/src/process/localServers/ServerProbes/index.ts
+++ b/src/process/localServers/ServerProbes/index.ts
@@ -2,6 +2,7 @@
 import { Pool, buildConnector } from 'undici';
 import * as v from 'valibot';
 
+import guardPausedResponses from '../../../connection/guardPausedResponses/index.js';
 import { limitOverhead } from '../../../connection/limitOverhead/index.js';
 
 import type { MetricsRegistry } from '../../metrics/index.js';
@@ -110,7 +111,10 @@
     const pool = new Pool(`http://${address}`, {
       connections: 1,
       maxResponseSize: MAX_RESPONSE_BYTES,
-      connect: limitOverhead(buildConnector({ timeout: PROBE_TIMEOUT_MS }), this.#metrics),
+      connect: limitOverhead(
+        guardPausedResponses(buildConnector({ timeout: PROBE_TIMEOUT_MS })),
+        this.#metrics,
+      ),
     });
     this.#pools.set(address, pool);
     return pool;
--- a/src/process/localServers/discoverServer/index.ts
+++ b/src/process/localServers/discoverServer/index.ts
@@ -1,6 +1,7 @@
 /** Discovery of the server of a restarted node before the server's next announcement. */
 import { Client, buildConnector } from 'undici';
 
+import guardPausedResponses from '../../../connection/guardPausedResponses/index.js';
 import { limitOverhead } from '../../../connection/limitOverhead/index.js';
 import { createLogger } from '../../log/index.js';
 import { AnnouncedState } from '../_lib/parseAnnouncement.js';
@@ -23,7 +24,7 @@
   identityHeader: string;
 }
 
-const connect = limitOverhead(buildConnector({ timeout: PROBE_TIMEOUT_MS }));
+const connect = limitOverhead(guardPausedResponses(buildConnector({ timeout: PROBE_TIMEOUT_MS })));
 
 const probeIdentity = async (server: ExpectedServer): Promise<string | undefined> => {
   const client = new Client(`http://${server.address}`, { connect });
