Pass on answers with a Trailer field that are not sent in chunks

Cause: Node.js throws on a head with a Trailer field unless the body is sent in chunks. An answer with a length or without a body was lost (502), and one to a request with an Idempotency-Key, whose head is written after the callback of the parser, ended the process with an unhandled rejection.

Change: the field is not copied to responses; it only announces trailers, which are passed on as before.

--- a/src/connection/copyHeaders/index.ts
+++ b/src/connection/copyHeaders/index.ts
@@ -18,6 +18,12 @@
 /** Request headers that this node handles itself. */
 const LOCAL_REQUEST_HEADERS = new Set(['expect', 'trailer', 'http2-settings']);
 
+/**
+ * Response headers that this node handles itself. Node.js refuses to write a head with a Trailer field
+ * unless the body is sent in chunks; the trailers themselves are passed on without it.
+ */
+const LOCAL_RESPONSE_HEADERS = new Set(['trailer']);
+
 /** Headers that a message needs; they are kept even if a Connection header names them. */
 const REQUIRED_HEADERS = new Set(['host', 'content-length', 'idempotency-key', 'authorization']);
 
@@ -42,7 +48,8 @@
 }
 
 const isDropped = (name: string, { isRequest, dropped }: CopyOptions): boolean =>
-  (isRequest && LOCAL_REQUEST_HEADERS.has(name)) || dropped?.has(name) === true;
+  (isRequest ? LOCAL_REQUEST_HEADERS : LOCAL_RESPONSE_HEADERS).has(name) ||
+  dropped?.has(name) === true;
 
 const hasHeaderNames = (name: string, value: string): boolean =>
   name === 'connection' && value !== 'close' && value !== 'keep-alive';
