--- a/src/process/metrics/test.ts
+++ b/src/process/metrics/test.ts
@@ -35,6 +35,9 @@
   registerProcessMetrics(metrics);
   const text = metrics.render();
   t.match(text, /^process_resident_memory_bytes [1-9]\d+$/m);
+  t.match(text, /^process_heap_used_bytes [1-9]\d+$/m);
+  t.match(text, /^process_heap_total_bytes [1-9]\d+$/m);
+  t.match(text, /^process_external_memory_bytes [1-9]\d+$/m);
   t.match(text, /^process_cpu_seconds_total \d/m);
   t.match(text, /^log_dropped_lines 0$/m);
 });
