Log the error that ends a process, and the memory in use

Cause: a process that met an uncaught exception or an unhandled rejection ended with a stack on stderr alone. The logs, which are all that users send, told it from a lack of memory in no way (the incident of the machine that ended by itself).

The record of a planned stop (draining, stopped, code 0) was there before.

--- a/src/process/daemon/runDaemon/index.ts
+++ b/src/process/daemon/runDaemon/index.ts
@@ -6,6 +6,7 @@
 import type { LogSettings, SettingsError } from '../../settings/index.js';
 import type { DaemonError } from '../DaemonError/index.js';
 import printError from '../printError/index.js';
+import reportFatalErrors from '../reportFatalErrors/index.js';
 import waitForStop from '../waitForStop/index.js';
 import type { Stoppable } from '../waitForStop/index.js';
 
@@ -45,6 +46,7 @@
   }
   const { log } = settings.value;
   await configureLog(log);
+  reportFatalErrors();
   const stopReopening = reopenOnHangup(log);
   try {
     const daemon = await definition.start(settings.value, Date.now());
--- a/src/process/daemon/runDaemon/test.ts
+++ b/src/process/daemon/runDaemon/test.ts
@@ -47,8 +47,9 @@
   return { settings, log: join(folder, 'control.log') };
 };
 
-const start = (settings: string) => {
-  const child = spawn(process.execPath, [MAIN, 'control', '--settings', settings], {
+const start = (settings: string, runtimeOptions: string[] = []) => {
+  const parameters = [...runtimeOptions, MAIN, 'control', '--settings', settings];
+  const child = spawn(process.execPath, parameters, {
     stdio: ['ignore', 'ignore', 'pipe'],
   });
   const chunks: Buffer[] = [];
@@ -99,3 +100,19 @@
   t.equal(exitCode, ExitCode.Refused);
   t.match(stderr, /^foxtailvane: cannot listen on [^\n]+\n$/);
 });
+
+// Guards against a daemon whose end leaves open what ended it, where its log is a file.
+tap.test('an error that nothing has caught is logged and ends the daemon', async (t) => {
+  const { settings, log } = await writeSettings();
+  const fault =
+    'data:text/javascript,setTimeout(() => { throw new Error("injected fault"); }, 1500)';
+  const { child, ended } = start(settings, ['--import', fault]);
+  t.teardown(() => child.kill('SIGKILL'));
+  const { exitCode, stderr } = await ended;
+  t.equal(exitCode, 1);
+  t.match(stderr, /Error: injected fault/);
+  const lines = readLog(log).trim().split('\n');
+  t.match(JSON.parse(lines.at(-1) ?? '{}'), {
+    context: { component: 'process', reason: /injected fault/, residentBytes: Number },
+  });
+});
--- a/src/process/log/_lib/LogSink.ts
+++ b/src/process/log/_lib/LogSink.ts
@@ -1,4 +1,6 @@
 /** Writes log lines to a stream and drops lines instead of buffering without limit or failing. */
+import { appendFileSync } from 'node:fs';
+
 import type { Writable } from 'node:stream';
 
 /** Lines are dropped above this many buffered bytes; the memory budget of a node is 64 MB. */
@@ -9,6 +11,8 @@
 
   readonly #ownsStream: boolean;
 
+  readonly #file: string | number;
+
   /** Resolves once the file has been opened or has failed to open. */
   readonly opened: Promise<void>;
 
@@ -16,11 +20,16 @@
 
   /**
    * @param stream - receives the lines
-   * @param ownsStream - whether closing the sink ends the stream
+   * @param options - `ownsStream`: whether closing the sink ends the stream; `file`: path or file
+   *   descriptor to which the stream writes
    */
-  constructor(stream: Writable, ownsStream: boolean) {
+  constructor(
+    stream: Writable,
+    { ownsStream, file }: { ownsStream: boolean; file: string | number },
+  ) {
     this.#stream = stream;
     this.#ownsStream = ownsStream;
+    this.#file = file;
     // An unhandled error event, as from a full disk or a closed pipe, would end the process.
     stream.on('error', this.#countDroppedLine);
     this.opened = ownsStream
@@ -44,6 +53,16 @@
     this.#stream.write(`${line}\n`);
   }
 
+  /** Writes a line at once, for a process that is about to end; lines that are still buffered are lost. */
+  writeNow(line: string): void {
+    try {
+      // eslint-disable-next-line n/no-sync -- the process ends before an asynchronous write would
+      appendFileSync(this.#file, `${line}\n`);
+    } catch {
+      this.#countDroppedLine();
+    }
+  }
+
   /** Flushes the buffered lines and closes the file. */
   async close(): Promise<void> {
     if (!this.#ownsStream) {
--- a/src/process/log/index.ts
+++ b/src/process/log/index.ts
@@ -42,10 +42,13 @@
   droppedLines: number;
 }
 
+const openStandardSink = (stream: typeof process.stdout | typeof process.stderr): LogSink =>
+  new LogSink(stream, { ownsStream: false, file: stream.fd });
+
 /** Without a sink nothing is logged, so that the output of tests and short commands stays clean. */
 const state: LogState = {
   level: LogLevel.Info,
-  sink: isLoggingRequested ? new LogSink(process.stdout, false) : undefined,
+  sink: isLoggingRequested ? openStandardSink(process.stdout) : undefined,
   droppedLines: 0,
 };
 
@@ -69,9 +72,10 @@
   level >= state.level && state.sink !== undefined;
 
 const openSink = (destination: string): LogSink => {
-  if (destination === 'stdout') return new LogSink(process.stdout, false);
-  if (destination === 'stderr') return new LogSink(process.stderr, false);
-  return new LogSink(createWriteStream(destination, { flags: 'a', mode: 0o640 }), true);
+  if (destination === 'stdout') return openStandardSink(process.stdout);
+  if (destination === 'stderr') return openStandardSink(process.stderr);
+  const stream = createWriteStream(destination, { flags: 'a', mode: 0o640 });
+  return new LogSink(stream, { ownsStream: true, file: destination });
 };
 
 /** Flushes the buffered lines and stops logging. */
@@ -133,3 +137,18 @@
     },
   };
 };
+
+/**
+ * Logs an error of a process that is about to end, before the call returns. Nothing is logged by the
+ * usual loggers afterwards.
+ *
+ * @param component - for example `process`
+ * @param context - fields of the line
+ * @param message - what happened
+ */
+export const logFinalError = (component: string, context: LogContext, message: string): void => {
+  const { sink } = state;
+  ROARR.write = (line) => sink?.writeNow(line);
+  createLogger(component).error(context, message);
+  ROARR.write = () => undefined;
+};
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -1,6 +1,6 @@
 /** Platform machine that runs one program, a node or a control VM, with a settings file. */
 import { spawn } from 'node:child_process';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readFile, readdir, readlink, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -39,6 +39,14 @@
 }
 
 const BYTES_PER_KIB = 1_024;
+const HEX_RADIX = 16;
+const LISTEN_STATE = '0A';
+
+/** How a process ended. */
+export interface ProcessEnd {
+  code: number | null;
+  signal: NodeJS.Signals | null;
+}
 
 export default class PlatformMachine {
   readonly ip: string;
@@ -72,6 +80,37 @@
     return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
   }
 
+  /** How the program ended, if it did without being stopped by the test. */
+  get ownEnd(): ProcessEnd | undefined {
+    const child = this.#child;
+    if (!child || (child.exitCode === null && child.signalCode === null)) return undefined;
+    return { code: child.exitCode, signal: child.signalCode };
+  }
+
+  /** Reads the present resident size of the process. */
+  async readResidentBytes(): Promise<number> {
+    const status = await readFile(`/proc/${this.#child?.pid}/status`, 'utf8');
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
+  }
+
+  /** Sums the bytes that have arrived on the connections of the process and that it has not read. */
+  async readUnreadBytes(): Promise<number> {
+    const folder = `/proc/${this.#child?.pid}/fd`;
+    const links = await Promise.all(
+      (await readdir(folder)).map((name) => readlink(join(folder, name)).catch(() => '')),
+    );
+    const inodes = new Set(links.flatMap((link) => /^socket:\[(\d+)\]$/.exec(link)?.[1] ?? []));
+    const rows = (await readFile('/proc/net/tcp', 'utf8')).trim().split('\n').slice(1);
+    // Columns of proc(5): state, then bytes to be sent and bytes to be read, later the inode.
+    return rows
+      .map((row) => row.trim().split(/\s+/))
+      .filter((fields) => fields[3] !== LISTEN_STATE && inodes.has(fields[9] ?? ''))
+      .reduce(
+        (sum, fields) => sum + Number.parseInt(fields[4]?.split(':')[1] ?? '0', HEX_RADIX),
+        0,
+      );
+  }
+
   /** Writes the settings file and starts the program. */
   async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
