Keep listening when the system cannot accept a connection

Cause: the listeners of a process had no listener for 'error' once they listened (that of the APIs: after the first error), so an error of accept(2), such as a lack of memory for sockets, ended the process. Change: such errors are logged, and the server listens on.

--- a/src/connection/startRpcServer/index.ts
+++ b/src/connection/startRpcServer/index.ts
@@ -15,6 +15,7 @@
 import type { TLSSocket } from 'node:tls';
 import type { ConnectRouter, ContextValues } from '@connectrpc/connect';
 import type { ConnectNodeAdapterOptions } from '@connectrpc/connect-node';
+import logAcceptErrors from '../logAcceptErrors/index.js';
 import { callerKey, checkAccess, isTlsKey } from '../checkAccess/index.js';
 import { readIdentity } from '../../process/tls/readIdentity/index.js';
 import { createLogger } from '../../process/log/index.js';
@@ -119,6 +120,7 @@
     server.once('error', reject);
     server.listen(port, host, () => {
       server.removeListener('error', reject);
+      logAcceptErrors(server);
       resolve(formatAddress({ host, port: (server.address() as AddressInfo).port }));
     });
   });
--- a/src/process/daemon/serveHttp/index.ts
+++ b/src/process/daemon/serveHttp/index.ts
@@ -6,6 +6,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Result } from 'neverthrow';
 
+import logAcceptErrors from '../../../connection/logAcceptErrors/index.js';
 import ResponsePipeline from '../../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../../connection/splitAddress/index.js';
 import { DaemonError, DaemonErrorCode } from '../DaemonError/index.js';
@@ -55,11 +56,14 @@
       server.closeAllConnections();
     });
   return new Promise((resolve) => {
-    server.once('error', (error) => {
+    const fail = (error: Error): void => {
       const message = `cannot listen on ${address}: ${error.message}`;
       resolve(err(new DaemonError(DaemonErrorCode.ListenFailed, message, error)));
-    });
+    };
+    server.once('error', fail);
     server.listen(port, host, () => {
+      server.off('error', fail);
+      logAcceptErrors(server);
       const bound = server.address() as AddressInfo;
       resolve(ok({ address: formatAddress({ host, port: bound.port }), close }));
     });
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -7,6 +7,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
+import logAcceptErrors from '../../connection/logAcceptErrors/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
 import ResponseHolder from '../../connection/holdResponses/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
@@ -161,6 +162,7 @@
     server.once('error', reject);
     server.listen({ host, port }, () => {
       server.off('error', reject);
+      logAcceptErrors(server);
       const bound = server.address() as AddressInfo;
       resolve(formatAddress({ host, port: bound.port }));
     });
