Let callers with bodies in chunks of one byte take turns

Cause: Node.js hands up to 2 MiB of a connection to its parser in one turn of the event loop. In chunks of one byte, 64 KiB are 11,000 callbacks of about 1 us each, and each byte was a write of its own through Transform and undici to the next hop, where it cost the same again. The limits count bytes.

Change: a connection that brings a body in chunks is parsed in pieces of 4 to 16 KiB. The parts of a piece are joined before they are pushed, so the next hop gets long chunks. A piece with more than 32 parts shorter than 64 bytes on average is wasteful: its connection then needs a turn for each piece of 4 KiB. All such connections of a process together get a quarter of its time. At the first wasteful piece, also the other connections and new ones are parsed in pieces for 10 s, so that their first read is not 64 KiB at once. Connections without bodies in chunks are left to Node.js as long as there is no waste.

--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -9,6 +9,7 @@
 import closeInOrder from '../../connection/closeInOrder/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
 import ResponseHolder from '../../connection/holdResponses/index.js';
+import { joinParts, limitCallerParts } from '../../connection/limitCallerParts/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -512,6 +513,7 @@
   ): Server {
     const options = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
     const listener = (request: IncomingMessage, response: ServerResponse) => {
+      joinParts(request);
       const pipeline = ResponsePipeline.of(request.socket);
       if (!pipeline.add(response, { isClosing: this.isDraining })) {
         this.#discard(request, pipeline);
@@ -543,6 +545,7 @@
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
+      limitCallerParts(socket);
       const resetOwn = (): number => resetUnfinished((other) => other === socket);
       // Node.js ends a connection in order whose caller has ended its side.
       socket.prependListener('end', resetOwn);
