Let upstreams with bodies in chunks of one byte take turns

Cause: undici parses 32 KiB of a response in chunks at once, and reads on until the connection is empty. In chunks of one byte, that are 5,461 callbacks for each of them.

Change: the reads of upstream connections take the same turns as those of callers: after a wasteful part, a connection is read 4 KiB at a time, within the quarter of the time that all wasteful connections share.

--- a/src/connection/limitOverhead/index.ts
+++ b/src/connection/limitOverhead/index.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { DiagnosticsChannel, buildConnector } from 'undici';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
+import { TurnTaker } from '../shareTurns/index.js';
 import OverheadBudget, { ConnectionState, MAX_LINES } from './_lib/OverheadBudget/index.js';
 
 import type { MetricsRegistry } from '../../process/metrics/index.js';
@@ -23,9 +24,20 @@
   override readonly name = 'OverheadError';
 }
 
+/** What came of the part that was parsed last. */
+interface OpenPiece {
+  parts: number;
+  sizeBytes: number;
+  /** When the part was read, and its last part of a body parsed, on the clock of `performance.now()`. */
+  readAtMs: number;
+  lastAtMs: number;
+}
+
 interface Meter {
   socket: Socket;
   budget: OverheadBudget;
+  taker: TurnTaker;
+  piece: OpenPiece;
   /** `host:port` of the upstream. */
   address: string;
   metrics: MetricsRegistry | undefined;
@@ -67,7 +79,12 @@
 subscribe('undici:request:bodyChunkReceived', (message) => {
   const { request, chunk } = message as DiagnosticsChannel.RequestBodyChunkReceivedMessage;
   const meter = metersByRequest.get(request);
-  if (meter) meter.budget.recordBody(chunk.length, countParsedBytes(meter));
+  if (!meter) return;
+  meter.budget.recordBody(chunk.length, countParsedBytes(meter));
+  const { piece } = meter;
+  piece.parts += 1;
+  piece.sizeBytes += chunk.length;
+  piece.lastAtMs = performance.now();
 });
 
 subscribe('undici:request:trailers', (message) => {
@@ -102,20 +119,31 @@
   return lines;
 };
 
+/** Records what came of the last part that was read. */
+const settlePiece = ({ socket, piece, taker }: Meter): void => {
+  const { parts, sizeBytes, readAtMs, lastAtMs } = piece;
+  const hasMore = socket.readableLength > 0;
+  taker.record({ parts, sizeBytes, hasMore, spentMs: Math.max(0, lastAtMs - readAtMs) });
+  Object.assign(piece, { parts: 0, sizeBytes: 0 });
+};
+
 /**
  * Reads the next part for the parser. One read from the system returns up to 64 KiB, whose fields would
  * take megabytes, so the limits are checked before each smaller part.
  *
- * @returns null if there is none, or the connection was closed
+ * @returns null if there is none, the connection was closed, or others have their turn first
  */
 const readPart = (meter: Meter, read: (sizeBytes?: number) => Buffer | null): Buffer | null => {
-  const { socket, budget } = meter;
+  const { socket, budget, taker, piece } = meter;
   if (socket.destroyed) return null;
   if (budget.isExceeded(countParsedBytes(meter))) {
     close(meter);
     return null;
   }
-  const { maxPartBytes } = budget;
+  settlePiece(meter);
+  if (socket.readableLength > 0 && !taker.take()) return null;
+  const maxPartBytes = Math.min(budget.maxPartBytes, taker.maxPieceBytes);
+  piece.readAtMs = performance.now();
   const part = socket.readableLength > maxPartBytes ? read(maxPartBytes) : read();
   if (part) budget.recordLines(countLines(part));
   return part;
@@ -126,7 +154,11 @@
   address: string,
   metrics: MetricsRegistry | undefined,
 ): void => {
-  const meter: Meter = { socket, budget: new OverheadBudget(), address, metrics };
+  // The parser of undici reads on at this event.
+  const taker = new TurnTaker(() => socket.emit('readable'));
+  socket.once('close', () => taker.close());
+  const piece = { parts: 0, sizeBytes: 0, readAtMs: 0, lastAtMs: 0 };
+  const meter: Meter = { socket, budget: new OverheadBudget(), taker, piece, address, metrics };
   metersBySocket.set(socket, meter);
   const read = socket.read.bind(socket) as (sizeBytes?: number) => Buffer | null;
   // The parser of undici reads without a size; the runtime itself reads 0 bytes to await more.
