End bodies that stay in very short chunks for 10 s

Cause: a body in chunks of one byte could go on until the deadline of its request, and without any after its answer.

Change: a request whose body has been wasteful without a break for 10 s, with further bytes waiting, is ended like one past its deadline: 504 once a byte may have been sent on, 503 as not run otherwise; its connection is closed in order. A stream of a few bytes at a time leaves nothing to parse and is not concerned.

--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,6 +8,7 @@
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
 import { abortResponse, delimitByClose } from '../../connection/delimitByClose/index.js';
+import { onWastefulBody } from '../../connection/limitCallerParts/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { digestBody, fingerprintRequest } from '../fingerprintRequest/index.js';
 import StreamedBody from './StreamedBody.js';
@@ -78,6 +79,9 @@
 
   #isPastDeadline = false;
 
+  /** Whether the body was in very short chunks for too long. */
+  #isBodyWasteful = false;
+
   #isBodySent = false;
 
   /**
@@ -99,6 +103,7 @@
     this.headers = copied.headers;
     this.internalHeaders = copied.internal ?? new Map();
     response.on('close', () => this.#handleClose());
+    if (hasChunkedBody(request)) onWastefulBody(request, () => this.#endWastefulBody());
   }
 
   /**
@@ -120,9 +125,9 @@
     return this.#isPastDeadline;
   }
 
-  /** Whether the caller disconnected or the deadline passed. */
+  /** Whether the caller disconnected, the deadline passed or the body was ended as too wasteful. */
   get isAborted(): boolean {
-    return this.#isCallerGone || this.#isPastDeadline;
+    return this.#isCallerGone || this.#isPastDeadline || this.#isBodyWasteful;
   }
 
   /** Whether the body can be sent to an upstream, possibly again. */
@@ -359,6 +364,14 @@
     this.#abort('caller disconnected');
   }
 
+  /** Has the request answered as not run, or as unknown once a byte of it may have been sent on. */
+  #endWastefulBody(): void {
+    this.#isBodyWasteful = true;
+    if (this.response.writableEnded) this.#request.socket.destroySoon();
+    else if (this.response.headersSent) this.destroy();
+    else this.#abort('the body consists of very short chunks');
+  }
+
   #abort(reason: string): void {
     this.#call?.cancel(reason);
     this.#abortListeners.splice(0).forEach((listener) => listener());
