Parse no more requests of a connection than it may have pending

Cause: Node.js gives its parser up to 64 KiB of a connection at once, and the parser creates all requests in them. The pause at 32 pending requests took effect behind that. 400 lookups sent ahead are 62 KB, of which each takes about 7.6 KB once it is parsed. A paused connection was not read, so the departure of its caller was not seen before a response was written.

Change: the received bytes of a connection are passed to the parser request by request, and held otherwise (InputHolder). The connection is read on within bounds, so that a departure is noticed. Time in which bytes were held counts as waiting. Requests beyond the first few of a connection are bounded over all connections as well. Bodies are parsed as they were read.

Measured: the test that paused at 32 pending requests saw up to a whole read parsed, and now 32.

--- a/src/connection/ResponsePipeline/index.ts
+++ b/src/connection/ResponsePipeline/index.ts
@@ -1,11 +1,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { InputHolder } from '../holdInput/index.js';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 
 /** Requests of one connection that are handled at the same time; callers send few ahead. */
 const MAX_RUNNING = 16;
 /** Pending requests from which on a connection is not read; above `MAX_RUNNING`, as a body is read. */
 const MAX_PENDING = 32;
+/** Pending requests of a connection that it may have whatever others send ahead. */
+const FEW_PENDING = 8;
+/** Pending requests of all connections beyond their first few, from which on no more of them are read. */
+const MAX_TOTAL_AHEAD = 256;
+/** Bytes parsed at once of a body whose length is not known. */
+const CHUNKED_SLICE_BYTES = 16_384;
 /** Requests read and dropped after the last response until the connection is destroyed. */
 const MAX_DISCARDED = 1_024;
 const LINES_PER_SECOND = 5;
@@ -14,8 +21,11 @@
 
 const pipelines = new WeakMap<Socket, ResponsePipeline>();
 
+let totalAhead = 0;
+
 /** A request that waits until enough of those before it are answered. */
 interface WaitingRequest {
+  response: ServerResponse;
   receivedAtMs: number;
   start: (waitedMs: number) => void;
 }
@@ -28,7 +38,7 @@
  * be handled.
  *
  * A caller that sends many requests ahead, or does not read its responses, gets a few of them handled
- * at the same time; then its connection is not read until some are sent.
+ * at the same time. What it has sent beyond those is not parsed.
  *
  * @example
  * const pipeline = ResponsePipeline.of(request.socket);
@@ -38,11 +48,14 @@
 export default class ResponsePipeline {
   readonly #socket: Socket;
 
-  readonly #resume: () => Socket;
+  readonly #input: InputHolder;
 
   readonly #pending = new Set<ServerResponse>();
 
-  readonly #waiting: WaitingRequest[] = [];
+  #waiting: WaitingRequest[] = [];
+
+  /** The response to the request that was received last. */
+  #last: ServerResponse | undefined;
 
   /** The last response, if it closes the connection only as long as it is the last. */
   #closingLast: ServerResponse | undefined;
@@ -51,21 +64,24 @@
 
   #isPaused = false;
 
+  #isStarting = false;
+
   #discardedCount = 0;
 
   private constructor(socket: Socket) {
     this.#socket = socket;
-    this.#resume = socket.resume.bind(socket);
-    // Node.js resumes a connection to read the body of any of its requests.
-    Object.assign(socket, { resume: () => (this.#isPaused ? socket : this.#resume()) });
-    socket.on('resume', () => {
-      // A resumption that was scheduled before the pause; Node.js stops reading on this event.
-      if (this.#isPaused) socket.emit('pause');
+    this.#input = new InputHolder(socket, {
+      mayParse: () => !this.#isPaused,
+      countBodyBytes: () => this.#countBodyBytes(),
+      onParsed: () => this.#startWaiting(),
     });
+    socket.once('end', () => this.#dropWaiting());
     socket.once('close', () => this.#endQueued());
   }
 
-  /** Returns the pipeline of a connection; creates it at the first request. */
+  /**
+   * Returns the pipeline of a connection; creates it if there is none, best before its first request.
+   */
   static of(socket: Socket): ResponsePipeline {
     const existing = pipelines.get(socket);
     if (existing) return existing;
@@ -88,8 +104,10 @@
     this.#closingLast = isClosing && response.shouldKeepAlive ? response : undefined;
     if (this.#closingLast) this.#closingLast.shouldKeepAlive = false;
     this.#pending.add(response);
+    this.#last = response;
+    if (this.#pending.size > FEW_PENDING) totalAhead += 1;
     response.once('close', () => this.#remove(response));
-    if (this.#pending.size >= MAX_PENDING) this.#pause();
+    if (!this.#mayAddMore()) this.#pause();
     return true;
   }
 
@@ -112,8 +130,17 @@
    *   the connection closes before
    */
   run(start: (waitedMs: number) => void): void {
-    if (this.#pending.size <= MAX_RUNNING) start(0);
-    else this.#waiting.push({ receivedAtMs: performance.now(), start });
+    const response = this.#last;
+    if (!response) return;
+    const nowMs = performance.now();
+    const receivedAtMs = nowMs - this.#input.computeHeldMs(nowMs);
+    this.#waiting.push({ response, receivedAtMs, start });
+    if (this.#isStarting) return;
+    this.#isStarting = true;
+    queueMicrotask(() => {
+      this.#isStarting = false;
+      this.#startWaiting();
+    });
   }
 
   /** Reads and drops a request that must not be handled. */
@@ -126,25 +153,53 @@
 
   #remove(response: ServerResponse): void {
     this.#isClosed ||= !response.shouldKeepAlive || this.#socket.destroyed;
+    if (this.#pending.size > FEW_PENDING) totalAhead -= 1;
     this.#pending.delete(response);
-    if (this.#pending.size < MAX_PENDING || this.#isClosed) this.#continue();
-    if (this.#isClosed || this.#pendingCloses()) this.#waiting.length = 0;
-    if (this.#pending.size - this.#waiting.length < MAX_RUNNING) this.#startNext();
+    if (this.#mayAddMore() || this.#isClosed) this.#continue();
+    if (this.#isClosed || this.#pendingCloses()) this.#dropWaiting();
+    if (this.#waiting.length === 0) return;
+    // In a later turn of the event loop, so that other connections are read.
+    setImmediate(() => this.#startWaiting());
   }
 
-  /** Starts the next request in a later turn of the event loop, so that other connections are read. */
-  #startNext(): void {
-    const next = this.#waiting.shift();
-    if (!next) return;
-    setImmediate(() => {
-      if (!this.#isClosed) next.start(performance.now() - next.receivedAtMs);
-    });
+  /** Whether a further request may be read. */
+  #mayAddMore(): boolean {
+    const { size } = this.#pending;
+    return size <= FEW_PENDING || (size < MAX_PENDING && totalAhead < MAX_TOTAL_AHEAD);
+  }
+
+  #mayStart(): boolean {
+    const isOpen = !this.#isClosed && !this.#socket.readableEnded;
+    return isOpen && this.#pending.size - this.#waiting.length < MAX_RUNNING;
+  }
+
+  #startWaiting(): void {
+    while (this.#waiting.length > 0 && this.#mayStart()) {
+      const next = this.#waiting.shift();
+      if (next) this.#start(next);
+    }
+  }
+
+  #start({ start, receivedAtMs }: WaitingRequest): void {
+    start(performance.now() - receivedAtMs);
+  }
+
+  /** Gives up the requests that were not started. */
+  #dropWaiting(): void {
+    this.#waiting = [];
+  }
+
+  /** Bytes that the body of the last request still lacks; an estimate for chunks. */
+  #countBodyBytes(): number {
+    const request = this.#last?.req;
+    if (!request || request.complete) return 0;
+    const lengthBytes = request.headers['content-length'];
+    return lengthBytes === undefined ? CHUNKED_SLICE_BYTES : Number(lengthBytes);
   }
 
   #pause(): void {
     if (this.#isPaused) return;
     this.#isPaused = true;
-    this.#socket.pause();
     const createFields = () => ({
       remoteAddress: this.#socket.remoteAddress,
       pendingRequests: this.#pending.size,
@@ -155,7 +210,7 @@
   #continue(): void {
     if (!this.#isPaused) return;
     this.#isPaused = false;
-    this.#resume();
+    this.#input.schedule();
   }
 
   #pendingCloses(): boolean {
@@ -171,6 +226,7 @@
    */
   #endQueued(): void {
     this.#isClosed = true;
+    this.#dropWaiting();
     const queued = [...this.#pending].filter(({ socket }) => socket === null);
     queued.forEach((response) => response.emit('close'));
   }
--- a/src/connection/ResponsePipeline/test.ts
+++ b/src/connection/ResponsePipeline/test.ts
@@ -12,6 +12,8 @@
 
 /** As many as a connection may have handled at the same time. */
 const MAX_RUNNING = 16;
+/** As many as may be received unanswered. */
+const MAX_PENDING = 32;
 const REQUEST_COUNT = 3_000;
 
 type Handle = (request: IncomingMessage, response: ServerResponse) => void;
@@ -36,10 +38,12 @@
       handle(request, response);
     });
   });
+  server.on('connection', (socket) => ResponsePipeline.of(socket));
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const { port } = server.address() as AddressInfo;
+  const caller = connect(port, '127.0.0.1');
   caller.on('error', () => undefined);
   t.teardown(() => {
     caller.destroy();
@@ -88,8 +92,7 @@
   send();
   await sleep(500);
   t.equal(counts.running, MAX_RUNNING);
-  // Requests that arrived in one piece with the last one that was still read.
-  t.ok(counts.received < 65_536 / createGet('0').length, `${counts.received} received`);
+  t.equal(counts.received, MAX_PENDING);
 });
 
 // Guards against a paused connection that does not read the body of a request that it handles.
--- /dev/null
+++ b/src/connection/holdInput/index.ts
@@ -0,0 +1,170 @@
+/** Received bytes of a connection, of which the parser gets no more than it can use. */
+import type { Socket } from 'node:net';
+
+/** End of the head of a request. */
+const HEAD_END = '\r\n\r\n';
+/** Held bytes of a connection from which on it is not read; one read of Node.js. */
+const MAX_HELD_BYTES = 65_536;
+/** Held bytes of all connections from which on none that holds some is read. */
+const MAX_TOTAL_HELD_BYTES = 32 * 1_048_576;
+
+const findHeadEnd = (bytes: Buffer): number => {
+  const index = bytes.indexOf(HEAD_END);
+  return index < 0 ? bytes.length : index + HEAD_END.length;
+};
+
+let totalHeldBytes = 0;
+
+export interface InputHolderOptions {
+  /** Returns whether the next requests may be parsed. */
+  mayParse: () => boolean;
+  /** Returns how many bytes of a body are known to follow; 0 outside of a body. */
+  countBodyBytes: () => number;
+  /** Called after bytes were parsed that had been held. */
+  onParsed: () => void;
+}
+
+/**
+ * Passes the received bytes of a connection to the parser of Node.js by request, and holds the others.
+ *
+ * The parser creates all requests of the bytes that it gets, up to 64 KiB at once. Held bytes are
+ * small compared with the requests in them. The connection is read on meanwhile, within bounds, so
+ * that the departure of its caller is noticed.
+ */
+export class InputHolder {
+  readonly #socket: Socket;
+
+  readonly #options: InputHolderOptions;
+
+  readonly #parse: (bytes: Buffer) => void;
+
+  readonly #pauseSocket: () => Socket;
+
+  readonly #resumeSocket: () => Socket;
+
+  #held: Buffer[] = [];
+
+  #heldBytes = 0;
+
+  /** When the oldest of the held bytes arrived, on the clock of `performance.now()`. */
+  #heldSinceMs = 0;
+
+  /** Whether Node.js has paused the connection, for a body or a response that is not taken. */
+  #isPausedByNode = false;
+
+  /** Whether the connection is not read because too much is held. */
+  #isFull = false;
+
+  #isParsing = false;
+
+  #isScheduled = false;
+
+  /**
+   * @param socket - connection with the listeners of an HTTP server
+   * @param options - when to parse
+   */
+  constructor(socket: Socket, options: InputHolderOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.#pauseSocket = socket.pause.bind(socket);
+    this.#resumeSocket = socket.resume.bind(socket);
+    const parsers = socket.listeners('data');
+    this.#parse = (bytes) => parsers.forEach((parse) => parse.call(socket, bytes));
+    // Node.js passes received bytes to its parser itself until there is a listener for them.
+    socket.on('data', (bytes: Buffer) => this.#receive(bytes));
+    parsers.forEach((parse) => socket.off('data', parse as () => void));
+    Object.assign(socket, { pause: () => this.#pause(), resume: () => this.#resume() });
+    socket.once('close', () => this.#drop());
+  }
+
+  /** Whether bytes are held that Node.js is ready to parse. */
+  get isBehind(): boolean {
+    return this.#heldBytes > 0 && !this.#isPausedByNode;
+  }
+
+  /**
+   * Returns how long ago the bytes arrived that are parsed, in milliseconds; 0 for those of this turn.
+   *
+   * @param nowMs - present time on the clock of `performance.now()`
+   */
+  computeHeldMs(nowMs: number): number {
+    return this.#heldBytes > 0 ? nowMs - this.#heldSinceMs : 0;
+  }
+
+  /** Parses held bytes in a later turn of the event loop, so that other connections are read. */
+  schedule(): void {
+    if (this.#isScheduled || this.#heldBytes === 0) return;
+    this.#isScheduled = true;
+    setImmediate(() => {
+      this.#isScheduled = false;
+      this.#parseHeld();
+    });
+  }
+
+  #pause(): Socket {
+    this.#isPausedByNode = true;
+    return this.#pauseSocket();
+  }
+
+  #resume(): Socket {
+    this.#isPausedByNode = false;
+    this.schedule();
+    return this.#isFull ? this.#socket : this.#resumeSocket();
+  }
+
+  #receive(bytes: Buffer): void {
+    if (this.#heldBytes === 0) this.#heldSinceMs = performance.now();
+    this.#held.push(bytes);
+    this.#count(bytes.length);
+    if (!this.#isScheduled) this.#parseHeld();
+    this.#checkBounds();
+  }
+
+  #parseHeld(): void {
+    if (this.#isParsing) return;
+    this.#isParsing = true;
+    while (this.#canParse()) {
+      const bytes = this.#take();
+      this.#parse(bytes);
+      this.#count(-bytes.length);
+    }
+    this.#isParsing = false;
+    if (this.#socket.destroyed) this.#drop();
+    this.#checkBounds();
+    this.#options.onParsed();
+  }
+
+  #canParse(): boolean {
+    const isOpen = !this.#socket.destroyed && !this.#isPausedByNode;
+    return isOpen && this.#held.length > 0 && this.#options.mayParse();
+  }
+
+  /** Takes held bytes of no more than one request; of a body, as many as belong to it. */
+  #take(): Buffer {
+    const [first = Buffer.alloc(0)] = this.#held;
+    const sizeBytes = this.#options.countBodyBytes() || findHeadEnd(first);
+    if (first.length <= sizeBytes) this.#held.shift();
+    else this.#held[0] = first.subarray(sizeBytes);
+    return first.subarray(0, sizeBytes);
+  }
+
+  #checkBounds(): void {
+    const isFull =
+      this.#heldBytes >= MAX_HELD_BYTES ||
+      (this.#heldBytes > 0 && totalHeldBytes >= MAX_TOTAL_HELD_BYTES);
+    if (isFull === this.#isFull) return;
+    this.#isFull = isFull;
+    if (isFull) this.#pauseSocket();
+    else if (!this.#isPausedByNode) this.#resumeSocket();
+  }
+
+  #count(changeBytes: number): void {
+    this.#heldBytes += changeBytes;
+    totalHeldBytes += changeBytes;
+  }
+
+  #drop(): void {
+    this.#held = [];
+    this.#count(-this.#heldBytes);
+  }
+}
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -543,6 +543,7 @@
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
+      ResponsePipeline.of(socket);
       const resetOwn = (): number => resetUnfinished((other) => other === socket);
       // Node.js ends a connection in order whose caller has ended its side.
       socket.prependListener('end', resetOwn);
