Share turns among connections whose callers send many requests ahead

Cause: each connection could have 16 requests handled at the same time, so 100 callers with lookups ahead had 1,600 of them in the queues of the servers, and others waited behind these until their deadline. Requests were started although their caller took none of the responses.

Change: a connection with more than 8 pending requests starts further ones in turn with others like it, at most 32 in all (TurnShare). It leaves as much free as it uses, so one alone has 16, as before. Other connections start their requests at once, as before. Responses that wait unsent, an ended connection or one that was closed start nothing.

--- a/src/connection/ResponsePipeline/index.ts
+++ b/src/connection/ResponsePipeline/index.ts
@@ -1,13 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { InputHolder } from '../holdInput/index.js';
+import { TurnShare } from '../shareTurns/index.js';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 
 /** Requests of one connection that are handled at the same time; callers send few ahead. */
 const MAX_RUNNING = 16;
 /** Pending requests from which on a connection is not read; above `MAX_RUNNING`, as a body is read. */
 const MAX_PENDING = 32;
-/** Pending requests of a connection that it may have whatever others send ahead. */
+/** Pending requests of a connection that don't wait for a turn among those that send many ahead. */
 const FEW_PENDING = 8;
 /** Pending requests of all connections beyond their first few, from which on no more of them are read. */
 const MAX_TOTAL_AHEAD = 256;
@@ -21,6 +22,8 @@
 
 const pipelines = new WeakMap<Socket, ResponsePipeline>();
 
+const turns = new TurnShare();
+
 let totalAhead = 0;
 
 /** A request that waits until enough of those before it are answered. */
@@ -38,7 +41,7 @@
  * be handled.
  *
  * A caller that sends many requests ahead, or does not read its responses, gets a few of them handled
- * at the same time. What it has sent beyond those is not parsed.
+ * at the same time, in turn with others like it. What it has sent beyond those is not parsed.
  *
  * @example
  * const pipeline = ResponsePipeline.of(request.socket);
@@ -54,6 +57,9 @@
 
   #waiting: WaitingRequest[] = [];
 
+  /** Running requests that were started in a turn. */
+  readonly #inTurn = new Set<ServerResponse>();
+
   /** The response to the request that was received last. */
   #last: ServerResponse | undefined;
 
@@ -75,6 +81,7 @@
       countBodyBytes: () => this.#countBodyBytes(),
       onParsed: () => this.#startWaiting(),
     });
+    socket.on('drain', () => this.#startWaiting());
     socket.once('end', () => this.#dropWaiting());
     socket.once('close', () => this.#endQueued());
   }
@@ -137,12 +144,28 @@
     this.#waiting.push({ response, receivedAtMs, start });
     if (this.#isStarting) return;
     this.#isStarting = true;
+    // The requests that were received together with it show whether the caller sends many ahead.
     queueMicrotask(() => {
       this.#isStarting = false;
       this.#startWaiting();
     });
   }
 
+  /** Running requests that were started in a turn. */
+  get runningTurns(): number {
+    return this.#inTurn.size;
+  }
+
+  /** Starts the next request in a turn; called by the share of turns. */
+  startNext(): boolean {
+    const next = this.#mayStart() ? this.#waiting.shift() : undefined;
+    if (!next) return false;
+    this.#inTurn.add(next.response);
+    this.#start(next);
+    this.#askForTurn();
+    return true;
+  }
+
   /** Reads and drops a request that must not be handled. */
   discard(request: IncomingMessage): void {
     this.#discardedCount += 1;
@@ -155,9 +178,10 @@
     this.#isClosed ||= !response.shouldKeepAlive || this.#socket.destroyed;
     if (this.#pending.size > FEW_PENDING) totalAhead -= 1;
     this.#pending.delete(response);
+    if (this.#inTurn.delete(response)) turns.end();
     if (this.#mayAddMore() || this.#isClosed) this.#continue();
     if (this.#isClosed || this.#pendingCloses()) this.#dropWaiting();
-    if (this.#waiting.length === 0) return;
+    if (this.#waiting.length === 0 && turns.waiting === 0) return;
     // In a later turn of the event loop, so that other connections are read.
     setImmediate(() => this.#startWaiting());
   }
@@ -173,11 +197,25 @@
     return isOpen && this.#pending.size - this.#waiting.length < MAX_RUNNING;
   }
 
+  /** Whether the caller has sent many requests ahead. */
+  get #isAhead(): boolean {
+    const { size } = this.#pending;
+    return size > FEW_PENDING || (size > 1 && this.#input.isBehind);
+  }
+
   #startWaiting(): void {
-    while (this.#waiting.length > 0 && this.#mayStart()) {
+    while (this.#waiting.length > 0 && this.#mayStart() && !this.#isAhead) {
       const next = this.#waiting.shift();
       if (next) this.#start(next);
     }
+    this.#askForTurn();
+    turns.grant();
+  }
+
+  /** Asks for a turn if a request may be started and the caller reads the responses. */
+  #askForTurn(): void {
+    const mayAsk = this.#waiting.length > 0 && this.#mayStart() && !this.#socket.writableNeedDrain;
+    if (mayAsk) turns.ask(this);
   }
 
   #start({ start, receivedAtMs }: WaitingRequest): void {
@@ -187,6 +225,7 @@
   /** Gives up the requests that were not started. */
   #dropWaiting(): void {
     this.#waiting = [];
+    turns.withdraw(this);
   }
 
   /** Bytes that the body of the last request still lacks; an estimate for chunks. */
--- a/src/connection/ResponsePipeline/test.ts
+++ b/src/connection/ResponsePipeline/test.ts
@@ -14,6 +14,8 @@
 const MAX_RUNNING = 16;
 /** As many as may be received unanswered. */
 const MAX_PENDING = 32;
+/** As many as all connections with many requests may have handled at the same time. */
+const MAX_IN_TURN = 32;
 const REQUEST_COUNT = 3_000;
 
 type Handle = (request: IncomingMessage, response: ServerResponse) => void;
@@ -50,7 +52,13 @@
     server.closeAllConnections();
     server.close();
   });
-  return { counts, caller };
+  const openOther = (): Socket => {
+    const other = connect(port, '127.0.0.1');
+    other.on('error', () => undefined);
+    t.teardown(() => other.destroy());
+    return other;
+  };
+  return { counts, caller, openOther };
 };
 
 const collect = (caller: Socket): { text: string } => {
@@ -95,6 +103,79 @@
   t.equal(counts.received, MAX_PENDING);
 });
 
+// Guards against callers with many requests ahead who together take the turns of those with one each.
+tap.test('connections with many requests ahead share a bound; others do not wait', async (t) => {
+  const AHEAD_CONNECTIONS = 20;
+  const runningByPath: Record<string, number> = {};
+  const { counts, caller, openOther } = await setUp(t, ({ url = '' }, response) => {
+    runningByPath[url] = (runningByPath[url] ?? 0) + 1;
+    if (url === '/one') response.end('<1>');
+    else setTimeout(() => response.end(), 200);
+  });
+  caller.destroy();
+  const numbers = createNumbers(AHEAD_CONNECTIONS);
+  numbers.forEach((name) => {
+    const requests = createNumbers(100).map(() => createGet(name));
+    openOther().write(requests.join(''));
+  });
+  await waitFor('turns of all', () => Object.keys(runningByPath).length === AHEAD_CONNECTIONS);
+  await sleep(500);
+  t.ok(counts.maxRunning <= MAX_IN_TURN, `${counts.maxRunning} at the same time`);
+  const handled = Object.values(runningByPath).toSorted((left, right) => left - right);
+  t.ok((handled.at(-1) ?? 0) <= (handled[0] ?? 0) + MAX_RUNNING, String(handled));
+  t.ok(counts.received < AHEAD_CONNECTIONS * MAX_PENDING, `${counts.received} received`);
+  const single = openOther();
+  const received = collect(single);
+  single.write(createGet('one'));
+  await waitFor('a single response', () => listBodies(received.text).length === 1);
+  const runningAhead = counts.running;
+  const few = openOther();
+  few.write(
+    createNumbers(8)
+      .map(() => createGet('few'))
+      .join(''),
+  );
+  await waitFor('a few requests', () => runningByPath['/few'] === 8);
+  t.ok(runningAhead > MAX_IN_TURN / 2, `${runningAhead} beside them`);
+});
+
+// Guards against turns that are lost with connections that close.
+tap.test('turns of departed callers are given to others', async (t) => {
+  const { counts, openOther } = await setUp(t, () => undefined);
+  const requests = createNumbers(100).map(createGet).join('');
+  const open = (): Socket => {
+    const socket = openOther();
+    socket.write(requests);
+    return socket;
+  };
+  const leaving = createNumbers(10).map(open);
+  await waitFor('requests in all turns', () => counts.running === MAX_IN_TURN);
+  open();
+  await sleep(50);
+  t.equal(counts.running, MAX_IN_TURN);
+  leaving.forEach((socket) => socket.destroy());
+  await waitFor('requests of the one that stays', () => counts.running === MAX_RUNNING);
+  await sleep(50);
+  t.equal(counts.running, MAX_RUNNING);
+});
+
+// Guards against further requests handled for a caller that does not read the responses written so far.
+tap.test('no request ahead is started while responses wait in the socket', async (t) => {
+  const body = Buffer.alloc(1_000_000, 'x');
+  let handled = 0;
+  const { caller } = await setUp(t, (_, response) => {
+    handled += 1;
+    response.end(body);
+  });
+  caller.pause();
+  caller.write(createNumbers(200).map(createGet).join(''));
+  await sleep(300);
+  const handledUnread = handled;
+  t.ok(handledUnread < 60, `${handledUnread} handled`);
+  caller.resume();
+  await waitFor('all requests', () => handled === 200);
+});
+
 // Guards against a paused connection that does not read the body of a request that it handles.
 tap.test('requests with bodies behind one another are all answered', async (t) => {
   const { caller } = await setUp(t, (request, response) => {
