Answer requests that waited beyond their deadline without an attempt

Cause: a request without a body whose deadline had passed when it was handled was charged to its quota, and a server was selected for it, before the call noticed the abort. Behind many requests sent ahead, most are in that state.

Change: it is answered as not run once it is routed, and counted as such.

--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -194,8 +194,9 @@
     // Read before any refusal, since an answer to an unread body closes the connection.
     const { bodies } = this.#dependencies;
     const body = await bodies.read(exchange, routed.path, this.#context.callerService());
-    if (body === BodyState.Incomplete) {
-      answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
+    if (body === BodyState.Incomplete || exchange.isAborted) {
+      const refused = answerFailure(exchange, undefined, (answer) => this.#write(exchange, answer));
+      if (refused) this.#countRefusal(refused);
       return;
     }
     const refusal = this.#findRefusal(routed);
