--- a/src/connection/limitCallerParts/_lib/JoinedBody.ts
+++ b/src/connection/limitBodyParts/_lib/JoinedBody.ts
@@ -10,11 +10,6 @@
 
   sizeBytes = 0;
 
-  /** When the first and the last part were received, on the clock of `performance.now()`. */
-  firstAtMs = 0;
-
-  lastAtMs = 0;
-
   readonly request: IncomingMessage;
 
   readonly #push: IncomingMessage['push'];
@@ -59,8 +54,6 @@
   }
 
   #add(part: Buffer): void {
-    this.lastAtMs = performance.now();
-    if (this.parts === 0) this.firstAtMs = this.lastAtMs;
     this.parts += 1;
     this.sizeBytes += part.length;
     if (this.#joined.sizeBytes === 0 && part.length >= MIN_PASSED_BYTES)
--- a/src/connection/limitCallerParts/test.ts
+++ b/src/connection/limitBodyParts/test.ts
@@ -11,7 +11,7 @@
 import type { Test } from 'tap';
 import { TestAuthority } from '../../../stand-ins/certificates/index.js';
 import createRandom from '../../../test/requestMesh/createRandom.js';
-import { joinParts, limitCallerParts } from './index.js';
+import ResponsePipeline from '../ResponsePipeline/index.js';
 
 const HOST = '127.0.163.1';
 const HEAD = 'POST / HTTP/1.1\r\nhost: any\r\ntransfer-encoding: chunked\r\n\r\n';
@@ -25,11 +25,12 @@
   tls?: ReturnType<TestAuthority['issue']>,
 ): Promise<(text?: string) => Socket> => {
   const listener = (request: IncomingMessage, response: ServerResponse): void => {
-    joinParts(request);
-    handle(request, response);
+    const pipeline = ResponsePipeline.of(request.socket);
+    if (pipeline.add(response, { isClosing: false })) pipeline.run(() => handle(request, response));
+    else pipeline.discard(request);
   };
   const server: Server = tls ? createTlsServer(tls, listener) : createServer(listener);
-  server.on(tls ? 'secureConnection' : 'connection', limitCallerParts);
+  server.on(tls ? 'secureConnection' : 'connection', ResponsePipeline.of);
   await new Promise<void>((resolve) => {
     server.listen(0, HOST, resolve);
   });
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,7 +8,7 @@
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
 import { abortResponse, delimitByClose } from '../../connection/delimitByClose/index.js';
-import { onWastefulBody } from '../../connection/limitCallerParts/index.js';
+import { onWastefulBody } from '../../connection/limitBodyParts/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { digestBody, fingerprintRequest } from '../fingerprintRequest/index.js';
 import StreamedBody from './StreamedBody.js';
