--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -39,6 +39,11 @@
 }
 
 const BYTES_PER_KIB = 1_024;
+/** Fields of `/proc/PID/stat`, counted from the state. */
+const USER_TIME_FIELD = 11;
+const SYSTEM_TIME_FIELD = 12;
+/** Clock ticks are hundredths of a second on all supported systems. */
+const MS_PER_TICK = 10;
 
 export default class PlatformMachine {
   readonly ip: string;
@@ -72,6 +77,15 @@
     return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
   }
 
+  /** Reads the processor time of the process so far, in milliseconds. */
+  async readProcessorMs(): Promise<number> {
+    const stat = await readFile(`/proc/${this.#child?.pid}/stat`, 'utf8');
+    // The fields behind the name, which ends with the last parenthesis.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    const ticks = Number(fields[USER_TIME_FIELD]) + Number(fields[SYSTEM_TIME_FIELD]);
+    return ticks * MS_PER_TICK;
+  }
+
   /** Writes the settings file and starts the program. */
   async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
