Count the wait of held bytes from their own arrival

Cause: the time since which bytes are held was kept per connection, and set anew only when nothing was held. A caller that sends many requests ahead without a break would have had requests refused as late that had just arrived. Bytes that stayed in the system while the connection was not read counted as new, so that their deadlines began anew.

Change: each read keeps its time of arrival; the first read after a time without reading counts from its start. What is behind that read in the system still counts from the next such time only.

Measured: a test with two requests sent 200 ms apart and one always held, and one with 4,000 requests sent at once, of which the later ones waited for 200 ms; without the change the code had one time for all of them (not run).

--- a/src/connection/holdInput/index.ts
+++ b/src/connection/holdInput/index.ts
@@ -15,6 +15,13 @@
 
 let totalHeldBytes = 0;
 
+/** Received bytes that wait to be parsed. */
+interface HeldBytes {
+  bytes: Buffer;
+  /** When they arrived at the latest, on the clock of `performance.now()`. */
+  receivedAtMs: number;
+}
+
 export interface InputHolderOptions {
   /** Returns whether the next requests may be parsed. */
   mayParse: () => boolean;
@@ -42,12 +49,15 @@
 
   readonly #resumeSocket: () => Socket;
 
-  #held: Buffer[] = [];
+  #held: HeldBytes[] = [];
 
   #heldBytes = 0;
 
-  /** When the oldest of the held bytes arrived, on the clock of `performance.now()`. */
-  #heldSinceMs = 0;
+  /** When the bytes arrived that were parsed last. */
+  #parsedReceivedAtMs = performance.now();
+
+  /** Since when the connection was not read although Node.js was ready for it; undefined if it was. */
+  #unreadSinceMs: number | undefined;
 
   /** Whether Node.js has paused the connection, for a body or a response that is not taken. */
   #isPausedByNode = false;
@@ -83,12 +93,13 @@
   }
 
   /**
-   * Returns how long ago the bytes arrived that are parsed, in milliseconds; 0 for those of this turn.
+   * Returns how long ago the bytes arrived that were parsed last, in milliseconds. Those that waited in
+   * the system, as too much was held, count from when the connection was no longer read.
    *
    * @param nowMs - present time on the clock of `performance.now()`
    */
   computeHeldMs(nowMs: number): number {
-    return this.#heldBytes > 0 ? nowMs - this.#heldSinceMs : 0;
+    return Math.max(0, nowMs - this.#parsedReceivedAtMs);
   }
 
   /** Parses held bytes in a later turn of the event loop, so that other connections are read. */
@@ -113,8 +124,9 @@
   }
 
   #receive(bytes: Buffer): void {
-    if (this.#heldBytes === 0) this.#heldSinceMs = performance.now();
-    this.#held.push(bytes);
+    const receivedAtMs = this.#unreadSinceMs ?? performance.now();
+    this.#unreadSinceMs = undefined;
+    this.#held.push({ bytes, receivedAtMs });
     this.#count(bytes.length);
     if (!this.#isScheduled) this.#parseHeld();
     this.#checkBounds();
@@ -141,11 +153,14 @@
 
   /** Takes held bytes of no more than one request; of a body, as many as belong to it. */
   #take(): Buffer {
-    const [first = Buffer.alloc(0)] = this.#held;
-    const sizeBytes = this.#options.countBodyBytes() || findHeadEnd(first);
-    if (first.length <= sizeBytes) this.#held.shift();
-    else this.#held[0] = first.subarray(sizeBytes);
-    return first.subarray(0, sizeBytes);
+    const [first] = this.#held;
+    if (!first) return Buffer.alloc(0);
+    const { bytes, receivedAtMs } = first;
+    this.#parsedReceivedAtMs = receivedAtMs;
+    const sizeBytes = this.#options.countBodyBytes() || findHeadEnd(bytes);
+    if (bytes.length <= sizeBytes) this.#held.shift();
+    else this.#held[0] = { bytes: bytes.subarray(sizeBytes), receivedAtMs };
+    return bytes.subarray(0, sizeBytes);
   }
 
   #checkBounds(): void {
@@ -154,6 +169,7 @@
       (this.#heldBytes > 0 && totalHeldBytes >= MAX_TOTAL_HELD_BYTES);
     if (isFull === this.#isFull) return;
     this.#isFull = isFull;
+    if (isFull && !this.#isPausedByNode) this.#unreadSinceMs = performance.now();
     if (isFull) this.#pauseSocket();
     else if (!this.#isPausedByNode) this.#resumeSocket();
   }
--- a/src/connection/holdInput/test.ts
+++ b/src/connection/holdInput/test.ts
@@ -68,13 +68,54 @@
   await sleep(100);
   t.equal(state.received.length, 3);
   t.ok(holder.isBehind);
-  t.ok(holder.computeHeldMs(performance.now()) >= 50, 'the time of their arrival is known');
   state.mayParse = true;
   state.received.push('none');
   holder.schedule();
   await waitFor('all requests', () => state.received.length === 401);
   t.notOk(holder.isBehind);
-  t.equal(holder.computeHeldMs(performance.now()), 0);
+});
+
+// Guards against deadlines that start anew for held bytes, and against bytes that count as old because
+// others were held before them all the while.
+tap.test('the time since bytes arrived is known, also if some are always held', async (t) => {
+  const heldMs: Record<string, number> = {};
+  const control: { holder?: InputHolder } = {};
+  const { state, caller, holder } = await setUp(t, ({ url = '' }) => {
+    heldMs[url] = control.holder?.computeHeldMs(performance.now()) ?? 0;
+    state.mayParse = state.received.length > 2;
+  });
+  control.holder = holder;
+  caller.write(createGet('1') + createGet('2'));
+  await sleep(200);
+  caller.write(createGet('3') + createGet('4'));
+  await sleep(100);
+  state.mayParse = true;
+  holder.schedule();
+  await waitFor('the next request', () => state.received.length === 2);
+  state.mayParse = true;
+  holder.schedule();
+  await waitFor('all requests', () => state.received.length === 4);
+  t.ok((heldMs['/1'] ?? 0) < 50, `${heldMs['/1']} ms`);
+  t.ok((heldMs['/2'] ?? 0) >= 200, `${heldMs['/2']} ms`);
+  t.ok((heldMs['/4'] ?? Infinity) < (heldMs['/2'] ?? 0), `${heldMs['/4']} ms`);
+});
+
+// Guards against a new deadline for requests that waited in the system.
+tap.test('bytes that were not read count from when reading stopped', async (t) => {
+  const heldMs: number[] = [];
+  const control: { holder?: InputHolder } = {};
+  const { state, caller, holder } = await setUp(t, () => {
+    heldMs.push(control.holder?.computeHeldMs(performance.now()) ?? 0);
+    if (state.received.length === 1) state.mayParse = false;
+  });
+  control.holder = holder;
+  caller.write(createNumbers(4_000).map(createGet).join(''));
+  await sleep(200);
+  state.mayParse = true;
+  holder.schedule();
+  await waitFor('most requests', () => state.received.length > 3_000);
+  const ages = heldMs.slice(1, 3_000);
+  t.ok(Math.min(...ages.slice(0, 2_000)) >= 150, `${Math.min(...ages.slice(0, 2_000))} ms`);
 });
 
 // Guards against a departure that is noticed only when all that was sent ahead has been handled.
