--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -19,6 +19,12 @@
 /** Listener ports, the same on every machine, since each machine has its own IP address. */
 export const PLATFORM_PORTS = { app: 8_761, ready: 8_141, control: 8_144, outbound: 8_147 };
 
+/** How a process ended. */
+export interface ProcessEnd {
+  code: number | null;
+  signal: NodeJS.Signals | null;
+}
+
 export interface PlatformMachineOptions {
   program: PlatformProgram;
   /** Loopback address of the machine. */
@@ -36,16 +42,26 @@
   isBundled?: boolean;
   /** Options of the runtime; none by default. */
   runtimeOptions?: readonly string[];
+  /** Memory limit in the settings; none by default. */
+  memoryMb?: number;
 }
 
 const BYTES_PER_KIB = 1_024;
-const HEX_RADIX = 16;
-const LISTEN_STATE = '0A';
+const HEXADECIMAL = 16;
+
+/** Memory that a process takes, as a machine counts it. */
+export interface MemoryUse {
+  residentBytes: number;
+  /** Bytes that have arrived at its connections and are not read. */
+  unreadBytes: number;
+  /** Bytes that it has sent and its peers have not taken. */
+  untakenBytes: number;
+}
 
-/** How a process ended. */
-export interface ProcessEnd {
-  code: number | null;
-  signal: NodeJS.Signals | null;
+/** Columns of the kernel's table of connections. */
+enum ConnectionColumn {
+  Queues = 4,
+  Inode = 9,
 }
 
 export default class PlatformMachine {
@@ -80,35 +96,33 @@
     return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
   }
 
-  /** How the program ended, if it did without being stopped by the test. */
-  get ownEnd(): ProcessEnd | undefined {
-    const child = this.#child;
-    if (!child || (child.exitCode === null && child.signalCode === null)) return undefined;
-    return { code: child.exitCode, signal: child.signalCode };
-  }
-
-  /** Reads the present resident size of the process. */
-  async readResidentBytes(): Promise<number> {
-    const status = await readFile(`/proc/${this.#child?.pid}/status`, 'utf8');
-    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
-  }
-
-  /** Sums the bytes that have arrived on the connections of the process and that it has not read. */
-  async readUnreadBytes(): Promise<number> {
-    const folder = `/proc/${this.#child?.pid}/fd`;
+  /** Reads the resident size of the process and the queues of its connections in the kernel. */
+  async readMemoryUse(): Promise<MemoryUse> {
+    const folder = `/proc/${this.#child?.pid}`;
+    const [status, table, descriptors] = await Promise.all([
+      readFile(`${folder}/status`, 'utf8'),
+      readFile('/proc/net/tcp', 'utf8'),
+      readdir(`${folder}/fd`),
+    ]);
     const links = await Promise.all(
-      (await readdir(folder)).map((name) => readlink(join(folder, name)).catch(() => '')),
+      // A descriptor may be closed meanwhile.
+      descriptors.map((name) => readlink(`${folder}/fd/${name}`).catch(() => '')),
     );
-    const inodes = new Set(links.flatMap((link) => /^socket:\[(\d+)\]$/.exec(link)?.[1] ?? []));
-    const rows = (await readFile('/proc/net/tcp', 'utf8')).trim().split('\n').slice(1);
-    // Columns of proc(5): state, then bytes to be sent and bytes to be read, later the inode.
-    return rows
-      .map((row) => row.trim().split(/\s+/))
-      .filter((fields) => fields[3] !== LISTEN_STATE && inodes.has(fields[9] ?? ''))
-      .reduce(
-        (sum, fields) => sum + Number.parseInt(fields[4]?.split(':')[1] ?? '0', HEX_RADIX),
-        0,
-      );
+    const inodes = new Set(links.map((link) => /^socket:\[(\d+)\]$/.exec(link)?.[1]));
+    const queues = table
+      .split('\n')
+      .map((line) => line.trim().split(/\s+/))
+      .filter(({ [ConnectionColumn.Inode]: inode }) => inode !== undefined && inodes.has(inode))
+      .map((columns) => (columns[ConnectionColumn.Queues] ?? '').split(':'))
+      .map(([untaken = '', unread = '']) => ({
+        untakenBytes: Number.parseInt(untaken, HEXADECIMAL),
+        unreadBytes: Number.parseInt(unread, HEXADECIMAL),
+      }));
+    return {
+      residentBytes: Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB,
+      unreadBytes: queues.reduce((sum, { unreadBytes }) => sum + unreadBytes, 0),
+      untakenBytes: queues.reduce((sum, { untakenBytes }) => sum + untakenBytes, 0),
+    };
   }
 
   /** Writes the settings file and starts the program. */
@@ -144,6 +158,13 @@
     await ended;
   }
 
+  /** How the program ended, if it did without being stopped by `stop`. */
+  get ownEnd(): ProcessEnd | undefined {
+    const child = this.#child;
+    if (!child || (child.exitCode === null && child.signalCode === null)) return undefined;
+    return { code: child.exitCode, signal: child.signalCode };
+  }
+
   /** Sends a signal and does not wait for its effect. */
   signal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
@@ -161,7 +182,7 @@
   }
 
   #createSettings(isFirstStart: boolean): object {
-    const { ip, zone, service, program, seedIps, contracts = [] } = this.#options;
+    const { ip, zone, service, program, seedIps, contracts = [], memoryMb } = this.#options;
     const isNode = program === PlatformProgram.Node;
     return {
       self: {
@@ -171,6 +192,7 @@
         region: 'south',
         first_start: isFirstStart,
         data_dir: isNode ? null : join(this.#folder, 'data'),
+        ...(memoryMb !== undefined && { limits: { memory_mb: memoryMb } }),
         ...(service !== undefined && { app: this.address('app'), service }),
       },
       network: {
--- a/test/platform/endingAnswers.test.ts
+++ b/test/platform/endingAnswers.test.ts
@@ -23,6 +23,7 @@
 /** What the platform grants a node, its resident size and what it has not read together. */
 const MEMORY_LIMIT_BYTES = 350 * 1_048_576;
 const SAMPLE_INTERVAL_MS = 250;
+const NO_MEMORY = { residentBytes: 0, unreadBytes: 0 };
 const CONNECTIONS = 128;
 const DEADLINE_MS = 9_800;
 const FORM_MS = 5_000;
@@ -131,10 +132,7 @@
 const watchMemory = async (machine: PlatformMachine, isOver: () => boolean): Promise<number> => {
   let largestBytes = 0;
   while (!isOver() && machine.ownEnd === undefined) {
-    const [residentBytes, unreadBytes] = await Promise.all([
-      machine.readResidentBytes(),
-      machine.readUnreadBytes(),
-    ]).catch(() => [0, 0] as const);
+    const { residentBytes, unreadBytes } = await machine.readMemoryUse().catch(() => NO_MEMORY);
     // A process that has just ended has no resident size.
     if (Number.isFinite(residentBytes))
       largestBytes = Math.max(largestBytes, residentBytes + unreadBytes);
