Count chunks of up to 256 bytes as short

Cause: the limit on wasteful pieces began below 64 bytes per part. 64 callers with endless orders in chunks of 70 bytes left others 45 of 90 lookups served, 17 of 91 at the owner (60 of 105 and 45 of 105 without any limit). Timers of 1 ms ended waits of 0.2 ms, so that short chunks got less than their share, and pieces of at most 16 KiB made uploads in long chunks slower: 3.9 ms of processor time per MB in place of 1.4 to 2.4.

Change: parts below 256 bytes on average need turns; 2 ms that late timers left unused count for the next turns; pieces grow to 64 KiB as long as there are no wasteful ones in the process. Only bodies with parts below 16 bytes are ended after 10 s, as a long upload in short records is of use.

--- a/src/connection/limitCallerParts/index.ts
+++ b/src/connection/limitCallerParts/index.ts
@@ -5,8 +5,8 @@
 import { MAX_TURN_BYTES, TurnTaker, turnQueue } from '../shareTurns/index.js';
 import JoinedBody from './_lib/JoinedBody.js';
 
-/** Largest piece of a connection without wasteful ones; larger pieces save little. */
-const MAX_PIECE_BYTES = 16_384;
+/** Largest piece as long as there are no wasteful ones; Node.js reads up to this size. */
+const MAX_PIECE_BYTES = 65_536;
 /** Parts after which the cost of a body is recorded while Node.js parses the connection by itself. */
 const MAX_UNRECORDED_PARTS = 64;
 const LINES_PER_SECOND = 5;
@@ -136,16 +136,20 @@
         this.#isHeld = true;
         break;
       }
-      const piece = rest.subarray(0, Math.min(this.#pieceBytes, this.#taker.maxPieceBytes));
+      const piece = rest.subarray(0, this.#takePieceBytes());
       rest = rest.subarray(piece.length);
       this.#parsePiece(piece, rest.length > 0);
-      this.#pieceBytes = turnQueue.isUnderPressure()
-        ? MAX_TURN_BYTES
-        : Math.min(2 * this.#pieceBytes, MAX_PIECE_BYTES);
     }
     if (rest.length > 0 && !this.#socket.destroyed) this.#putBack(rest);
   }
 
+  /** Returns the largest size of the next piece; it is small again from the first wasteful piece on. */
+  #takePieceBytes(): number {
+    const sizeBytes = turnQueue.isUnderPressure() ? MAX_TURN_BYTES : this.#pieceBytes;
+    this.#pieceBytes = Math.min(2 * sizeBytes, MAX_PIECE_BYTES);
+    return Math.min(sizeBytes, this.#taker.maxPieceBytes);
+  }
+
   #parsePiece(piece: Buffer, hasRest: boolean): void {
     const startedAtMs = performance.now();
     this.#isParsing = true;
--- a/src/connection/shareTurns/_lib/PartMeter/index.ts
+++ b/src/connection/shareTurns/_lib/PartMeter/index.ts
@@ -1,7 +1,12 @@
 /** Parts of one piece up to which it is never wasteful; a slow upload brings a few at a time. */
-const MAX_FREE_PARTS = 32;
-/** Mean length below which a part costs more for its callback than for its bytes. */
-const MIN_PART_BYTES = 64;
+const MAX_FREE_PARTS = 12;
+/**
+ * Mean length below which a part costs far more for its callback than for its bytes. 64 callers with
+ * endless bodies in chunks of 256 bytes leave others their answers, with 70 bytes they do not.
+ */
+const MIN_PART_BYTES = 256;
+/** Mean length below which no useful body stays: a third of its bytes is the framing of its chunks. */
+const MIN_SUSTAINED_PART_BYTES = 16;
 /** Largest piece that a connection with wasteful pieces may have parsed in one turn. */
 export const MAX_TURN_BYTES = 4_096;
 /** Time without a wasteful piece after which the next one counts as the first. */
@@ -30,7 +35,7 @@
 
   #lastWasteAtMs = -Infinity;
 
-  /** Since when each piece was wasteful, and left further bytes to parse. */
+  /** Since when each piece was wasteful beyond use, and left further bytes to parse. */
   #sustainedSinceMs: number | undefined;
 
   /** Whether the last piece was wasteful, so that the next one needs a turn. */
@@ -53,15 +58,16 @@
   record({ parts, sizeBytes, hasMore }: ParsedPiece, nowMs: number): boolean {
     this.#isWasteful = parts > MAX_FREE_PARTS && sizeBytes < parts * MIN_PART_BYTES;
     const hasRecovered = nowMs - this.#lastWasteAtMs > RECOVERY_MS;
-    if (!this.#isWasteful || !hasMore) this.#sustainedSinceMs = undefined;
+    const isUseless = this.#isWasteful && sizeBytes < parts * MIN_SUSTAINED_PART_BYTES;
+    if (!isUseless || !hasMore) this.#sustainedSinceMs = undefined;
     else if (this.#sustainedSinceMs === undefined || hasRecovered) this.#sustainedSinceMs = nowMs;
     if (this.#isWasteful) this.#lastWasteAtMs = nowMs;
     return this.#isWasteful;
   }
 
   /**
-   * Returns whether the connection has been wasteful for too long. A slow stream is not, as it leaves
-   * no bytes to parse.
+   * Returns whether the connection has been wasteful beyond use for too long. A slow stream is not, as
+   * it leaves no bytes to parse.
    *
    * @param nowMs - present time, on the same clock
    */
--- a/src/connection/shareTurns/_lib/PartMeter/test.ts
+++ b/src/connection/shareTurns/_lib/PartMeter/test.ts
@@ -47,6 +47,16 @@
   t.equal(mixed, Infinity);
 });
 
+// Guards against the end of a long upload in short records.
+tap.test('short parts that carry most of the bytes are never overdue', async (t) => {
+  const records = { parts: 38, sizeBytes: 3_800 };
+  t.ok(new PartMeter().record({ ...SHORT, ...records }, 0), 'they need turns');
+  t.equal(
+    findOverdueMs(new PartMeter(), 60_000, () => records),
+    Infinity,
+  );
+});
+
 // Guards against counting the time for which a body was not read because its server did not read it.
 tap.test('a pause starts the time anew', async (t) => {
   const meter = new PartMeter();
--- a/src/connection/shareTurns/_lib/TurnBudget/index.ts
+++ b/src/connection/shareTurns/_lib/TurnBudget/index.ts
@@ -2,6 +2,8 @@
 const MAX_SHARE = 0.25;
 /** Longest time without a turn; a process that was suspended during a piece has not used that time. */
 const MAX_WAIT_MS = 1_000;
+/** Unused time that counts for the next pieces; a timer may fire so much later than it is due. */
+const MAX_CREDIT_MS = 2;
 /** Time after a wasteful piece for which further ones are expected. */
 const PRESSURE_MS = 10_000;
 
@@ -22,11 +24,8 @@
    */
   record(spentMs: number, nowMs: number): void {
     this.#lastWasteAtMs = nowMs;
-    const restMs = spentMs * (1 / MAX_SHARE - 1);
-    this.#nextTurnAtMs = Math.min(
-      Math.max(this.#nextTurnAtMs, nowMs) + restMs,
-      nowMs + MAX_WAIT_MS,
-    );
+    const startedAtMs = Math.max(this.#nextTurnAtMs, nowMs - spentMs - MAX_CREDIT_MS);
+    this.#nextTurnAtMs = Math.min(startedAtMs + spentMs / MAX_SHARE, nowMs + MAX_WAIT_MS);
   }
 
   /**
--- a/src/connection/shareTurns/_lib/TurnBudget/test.ts
+++ b/src/connection/shareTurns/_lib/TurnBudget/test.ts
@@ -23,9 +23,20 @@
 tap.test('pieces without a turn delay the next turn', async (t) => {
   const budget = new TurnBudget();
   t.equal(budget.computeWaitMs(0), 0);
-  Array.from({ length: 64 }).forEach(() => budget.record(1, 0));
-  t.equal(budget.computeWaitMs(0), 192);
-  t.equal(budget.computeWaitMs(192), 0);
+  Array.from({ length: 64 }).forEach((_, index) => budget.record(1, index + 1));
+  t.equal(budget.computeWaitMs(64), 190, 'four times 64 ms from the first on, less the credit');
+  t.equal(budget.computeWaitMs(254), 0);
+});
+
+// Guards against connections that get far less than their share, as timers of 1 ms end the waits.
+tap.test('time that a late turn left unused counts for the next ones', async (t) => {
+  const budget = new TurnBudget();
+  budget.record(0.25, 1_000);
+  t.equal(budget.computeWaitMs(1_000), 0);
+  budget.record(0.25, 1_001);
+  t.equal(budget.computeWaitMs(1_001), 0);
+  Array.from({ length: 8 }).forEach(() => budget.record(0.25, 1_001));
+  t.ok(budget.computeWaitMs(1_001) > 5, 'a long time without waste counts for 2 ms only');
 });
 
 // Guards against a process that was suspended during a piece and then reads no wasteful connection.
