--- a/src/connection/holdInput/index.ts
+++ b/src/connection/holdInput/index.ts
@@ -172,7 +172,7 @@
     const { bytes, receivedAtMs } = first;
     this.#parsedReceivedAtMs = receivedAtMs;
     const bodyBytes = this.#options.countBodyBytes() || findHeadEnd(bytes);
-    const sizeBytes = bodyBytes === Infinity ? this.#parts.maxPieceBytes : bodyBytes;
+    const sizeBytes = bodyBytes === Infinity ? this.#parts.takePieceBytes() : bodyBytes;
     if (bytes.length <= sizeBytes) this.#held.shift();
     else this.#held[0] = { bytes: bytes.subarray(sizeBytes), receivedAtMs };
     return bytes.subarray(0, sizeBytes);
--- a/src/connection/limitBodyParts/index.ts
+++ b/src/connection/limitBodyParts/index.ts
@@ -4,8 +4,8 @@
 import { MAX_TURN_BYTES, TurnTaker, turnQueue } from '../shareTurns/index.js';
 import JoinedBody from './_lib/JoinedBody.js';
 
-/** Largest piece of a connection without wasteful ones; larger pieces save little. */
-const MAX_PIECE_BYTES = 16_384;
+/** Largest piece as long as there are no wasteful ones; Node.js reads up to this size. */
+const MAX_PIECE_BYTES = 65_536;
 const LINES_PER_SECOND = 5;
 
 const logger = createRateLimitedLogger('connections', LINES_PER_SECOND);
@@ -25,7 +25,6 @@
   /** Bodies of which parts came since the last piece was recorded; mostly one. */
   readonly #bodies = new Set<JoinedBody>();
 
-  /** Largest next piece; grows as long as there are no wasteful ones. */
   #pieceBytes = MAX_TURN_BYTES;
 
   /** @param onTurn - called when a piece may be parsed that was refused before */
@@ -33,9 +32,14 @@
     this.#taker = new TurnTaker(onTurn);
   }
 
-  /** Largest piece of a body in chunks that may be parsed at once. */
-  get maxPieceBytes(): number {
-    return Math.min(this.#pieceBytes, this.#taker.maxPieceBytes);
+  /**
+   * Returns the largest size of the next piece of a body in chunks; it grows with each call, and is small
+   * again from the first wasteful piece on.
+   */
+  takePieceBytes(): number {
+    const sizeBytes = turnQueue.isUnderPressure() ? MAX_TURN_BYTES : this.#pieceBytes;
+    this.#pieceBytes = Math.min(2 * sizeBytes, MAX_PIECE_BYTES);
+    return Math.min(sizeBytes, this.#taker.maxPieceBytes);
   }
 
   /** Returns whether the next piece may be parsed now; otherwise `onTurn` is called later. */
@@ -68,9 +72,6 @@
       sizeBytes: sum(bodies, ({ sizeBytes }) => sizeBytes),
       ...piece,
     });
-    this.#pieceBytes = turnQueue.isUnderPressure()
-      ? MAX_TURN_BYTES
-      : Math.min(2 * this.#pieceBytes, MAX_PIECE_BYTES);
     const isRead = bodies.map((body) => body.flush()).every(Boolean);
     bodies.forEach((body) => body.reset());
     if (this.#taker.isOverdue) bodies.forEach(({ request }) => this.#endOverdue(request));
