Pass legal early hints on that Node.js refuses to write

Cause: writeEarlyHints of Node.js throws on Link fields that its pattern doesn't match (a space, semicolon or comma in quotes, two links in one field, a parameter without a value). Inside onHeaders that aborted the call, and the caller got 502 instead of the good answer.

Change: the informational head is written to the connection of the response. Link fields are checked against RFC 8288, section 3, without control characters but tabs; invalid ones are dropped with a rate-limited line. The guards on order, HTTP/1.0, backpressure and number are as before, and the head must not have been sent.

The counter of informational.test.ts counted calls of writeEarlyHints, which is no longer called. It now counts the hints written to the connection, and the first test checks that it sees them. Without the guard on unsent bytes, the second test fails as before.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import GrowingBuffer from '../../process/GrowingBuffer/index.js';
+import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import { isHandlingReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
 import findHeader from '../findHeader/index.js';
@@ -12,6 +13,7 @@
 import { CallError, CallErrorCode } from '../CallError/index.js';
 import type ResponseHolder from '../holdResponses/index.js';
 import type { HeldSpace } from '../holdResponses/index.js';
+import writeEarlyHints from './_lib/writeEarlyHints/index.js';
 
 const PROCESSING = 102;
 const EARLY_HINTS = 103;
@@ -30,6 +32,10 @@
 const MIN_WRITE_BYTES = 4_096;
 /** A withheld body up to this length is dropped, so that its connection can be kept. */
 const MAX_DROPPED_BYTES = 65_536;
+/** Limit on log lines about parts of responses that are not passed on. */
+const LINES_PER_SECOND = 5;
+
+const droppedLog = createRateLimitedLogger('upstream', LINES_PER_SECOND);
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -441,7 +447,17 @@
     const links = listHeaderValues(headers, 'link');
     if (links.length === 0) return;
     this.#earlyHints += 1;
-    this.#response.writeEarlyHints({ link: links });
+    const droppedFields = writeEarlyHints(this.#response, links);
+    if (droppedFields > 0) this.#logDropped('early hints', `${droppedFields} invalid Link fields`);
+  }
+
+  /** Logs that an optional part of a response is not passed on. */
+  #logDropped(part: string, reason: string): void {
+    droppedLog.info(
+      performance.now(),
+      () => ({ part, reason, statusCode: this.#statusCode }),
+      'optional part of a response dropped',
+    );
   }
 
   #acknowledge(): void {
@@ -456,9 +472,9 @@
    * HTTP/1.0 would take them for its response (RFC 9110, section 15.2).
    */
   #canForwardHint(): boolean {
-    const { req, socket, writableLength } = this.#response;
+    const { req, socket, writableLength, headersSent } = this.#response;
     if (req.httpVersion === '1.0' || this.#earlyHints >= MAX_EARLY_HINTS) return false;
-    return socket !== null && writableLength === 0;
+    return socket !== null && writableLength === 0 && !headersSent;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
--- a/src/connection/UpstreamCall/informational.test.ts
+++ b/src/connection/UpstreamCall/informational.test.ts
@@ -22,11 +22,15 @@
   const responses: ServerResponse[] = [];
   const relay = createServer((_, response) => {
     responses.push(response);
-    const writeEarlyHints = response.writeEarlyHints.bind(response);
-    response.writeEarlyHints = (...hint) => {
-      counts.hints += 1;
-      writeEarlyHints(...hint);
-    };
+    const { socket } = response;
+    const write = socket?.write.bind(socket);
+    // Hints are written to the connection itself.
+    Object.assign(socket ?? {}, {
+      write: (...written: Parameters<Socket['write']>) => {
+        if (String(written[0]).startsWith('HTTP/1.1 103 ')) counts.hints += 1;
+        return write?.(...written);
+      },
+    });
     const onAcknowledged = (): void => {
       counts.acknowledgements += 1;
     };
@@ -68,6 +72,7 @@
   };
   const few = await startRelay(t, (_, response) => writeHint(response, 2));
   t.same(await countHints(few.address), { hints: 2, status: 200 });
+  t.equal(few.counts.hints, 2);
   const many = await startRelay(t, (_, response) => writeHint(response, HINTS));
   const { hints, status } = await countHints(many.address);
   t.equal(status, 200);
--- /dev/null
+++ b/src/request/RequestServer/optionalParts.test.ts
@@ -0,0 +1,77 @@
+/** Answers with parts that a caller does not need, over one hop and over two. */
+import tap from 'tap';
+
+import type { Socket } from 'node:net';
+import type { Test } from 'tap';
+import { TestMesh } from '../../../test/requestMesh/index.js';
+import sendRaw from '../../../test/requestMesh/sendRaw.js';
+import startRawBackend from '../../../test/requestMesh/startRawBackend.js';
+
+const FINAL = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+const REQUEST = 'GET / HTTP/1.1\r\nhost: desk\r\nattempt-id: a\r\nconnection: close\r\n\r\n';
+
+/** Starts an owner with a backend that answers so, and an entry node before it. */
+const startHops = async (t: Test, write: (socket: Socket) => void) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry');
+  const owner = await mesh.startNode('owner');
+  t.teardown(await startRawBackend(mesh, owner, (_, socket) => write(socket)));
+  return { one: owner.address, two: entry.address };
+};
+
+/** Returns what a caller receives over one hop and over two. */
+const receive = async (t: Test, answer: string, request = REQUEST): Promise<string[]> => {
+  const { one, two } = await startHops(t, (socket) => socket.write(answer, 'latin1'));
+  return [await sendRaw(one, request), await sendRaw(two, request)];
+};
+
+const listHints = (received: string): string[] =>
+  [...received.matchAll(/^link: (.*)\r$/gim)].map(([, value]) => value ?? '');
+
+const createHint = (...links: string[]): string =>
+  `HTTP/1.1 103 Early Hints\r\n${links.map((link) => `Link: ${link}\r\n`).join('')}\r\n`;
+
+const LEGAL_LINKS: Record<string, string[]> = {
+  'one link': ['</a.css>; rel=preload'],
+  'a space in quotes': ['</a.css>; rel="preload prefetch"'],
+  'a semicolon and a comma in quotes': ['</a.css>; title="a; b, <c>"'],
+  'two links in one field': ['</a.css>; rel=preload; as=style, </b.js>; rel=preload'],
+  'two fields': ['</a.css>; rel=preload', '<https://cdn.example/b?c=d,e>;rel=preload'],
+  'a parameter without a value, and an empty one': ['</a.css> ; crossorigin ;; rel = preload'],
+};
+
+const ILLEGAL_LINKS: Record<string, string> = {
+  'no brackets': '/a.css; rel=preload',
+  'an open bracket': '</a.css; rel=preload',
+  'an open quote': '</a.css>; title="a',
+  'a space in the target': '</a b.css>; rel=preload',
+  'no semicolon': '</a.css> rel=preload',
+};
+
+// Guards against a good answer that is lost because of early hints that Node.js would refuse to write.
+Object.entries(LEGAL_LINKS).forEach(([name, links]) =>
+  tap.test(`early hints with ${name} are passed on before the answer`, async (t) => {
+    const received = await receive(t, createHint(...links) + FINAL);
+    received.forEach((text) => {
+      t.match(
+        text,
+        /^HTTP\/1\.1 103 Early Hints\r\n[^]*\r\n\r\nHTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/,
+      );
+      t.equal(listHints(text).join(', '), links.join(', '));
+    });
+  }),
+);
+
+Object.entries(ILLEGAL_LINKS).forEach(([name, link]) =>
+  tap.test(
+    `a link with ${name} is dropped; a legal one and the answer are passed on`,
+    async (t) => {
+      const received = await receive(t, createHint(link, '</b.js>') + createHint(link) + FINAL);
+      received.forEach((text) => {
+        t.match(text, /HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/);
+        t.strictSame(listHints(text), ['</b.js>']);
+      });
+    },
+  ),
+);
