Drop 100 responses that were not asked for before the parser sees them

Cause: undici refuses 100 Continue as a bad response if the request has no Expect, and the caller got 502 in place of the good answer that followed. A client must accept informational responses that it did not ask for (RFC 9110, section 15.2).

Change: a state machine over the received bytes of a connection that awaits a head drops such heads, where limitOverhead replaces socket.read. All other bytes stay as they are. Dropped bytes count toward the overhead like others. On an idle connection nothing is dropped, so that unrequested bytes still close it.

--- a/src/connection/limitOverhead/index.ts
+++ b/src/connection/limitOverhead/index.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { DiagnosticsChannel, buildConnector } from 'undici';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
+import ContinueFilter from './_lib/ContinueFilter/index.js';
 import OverheadBudget, { ConnectionState, MAX_LINES } from './_lib/OverheadBudget/index.js';
 
 import type { MetricsRegistry } from '../../process/metrics/index.js';
@@ -26,6 +27,7 @@
 interface Meter {
   socket: Socket;
   budget: OverheadBudget;
+  continueFilter: ContinueFilter;
   /** `host:port` of the upstream. */
   address: string;
   metrics: MetricsRegistry | undefined;
@@ -53,6 +55,7 @@
   if (!meter) return;
   metersByRequest.set(request, meter);
   meter.budget.recordRequest(countParsedBytes(meter));
+  meter.continueFilter.reset();
 });
 
 subscribe('undici:request:headers', (message) => {
@@ -121,18 +124,32 @@
   return part;
 };
 
+/** Reads received bytes without the `100` responses to a request. */
+const readFiltered = (
+  { budget, continueFilter }: Meter,
+  read: (sizeBytes?: number) => Buffer | null,
+  sizeBytes?: number,
+): Buffer | null => {
+  const part = read(sizeBytes);
+  // Without a request, any bytes must reach the parser, which then closes the connection.
+  const isAwaited = part !== null && budget.state === ConnectionState.AwaitingHead;
+  return isAwaited ? continueFilter.filter(part) : part;
+};
+
 const limitSocket = (
   socket: Socket,
   address: string,
   metrics: MetricsRegistry | undefined,
 ): void => {
-  const meter: Meter = { socket, budget: new OverheadBudget(), address, metrics };
+  const budget = new OverheadBudget();
+  const meter = { socket, budget, continueFilter: new ContinueFilter(), address, metrics };
   metersBySocket.set(socket, meter);
   const read = socket.read.bind(socket) as (sizeBytes?: number) => Buffer | null;
+  const readForParser = (sizeBytes?: number) => readFiltered(meter, read, sizeBytes);
   // The parser of undici reads without a size; the runtime itself reads 0 bytes to await more.
   Object.assign(socket, {
     read: (sizeBytes?: number) =>
-      sizeBytes === undefined ? readPart(meter, read) : read(sizeBytes),
+      sizeBytes === undefined ? readPart(meter, readForParser) : read(sizeBytes),
   });
 };
 
--- a/src/connection/limitOverhead/test.ts
+++ b/src/connection/limitOverhead/test.ts
@@ -43,6 +43,16 @@
     part: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500),
     state: 'AWAITING_HEAD',
   },
+  '100 responses': {
+    start: '',
+    part: 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(500),
+    state: 'AWAITING_HEAD',
+  },
+  'a 100 response': {
+    start: 'HTTP/1.1 100 Continue\r\n',
+    part: FIELDS,
+    state: 'AWAITING_HEAD',
+  },
   'unknown informational responses': {
     start: '',
     part: 'HTTP/1.1 199 Later\r\n\r\n'.repeat(500),
@@ -201,6 +211,58 @@
   t.equal(metrics.counter('upstream_connections_closed', labels).value, 1);
 });
 
+const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n';
+const DONE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone';
+
+// Guards against a good answer that is lost because of a 100 response that was not asked for.
+tap.test('100 responses before an answer are dropped, however they are cut', async (t) => {
+  const ports = new Set<number | undefined>();
+  const writeParts = (socket: Socket, parts: string[]): void => {
+    const [part, ...rest] = parts;
+    if (part !== undefined) socket.write(part, () => setImmediate(writeParts, socket, rest));
+  };
+  const server = createTcpServer((socket) => {
+    ports.add(socket.remotePort);
+    socket.setNoDelay();
+    socket.on('error', () => undefined);
+    socket.on('data', (request) => {
+      const answer = `${CONTINUE}HTTP/1.1 102 Processing\r\n\r\n${CONTINUE}${DONE}`;
+      const isCut = request.includes('/cut');
+      writeParts(socket, isCut ? [...answer] : [answer]);
+    });
+  });
+  const { metrics, pools } = createPools(t);
+  const pool = pools.get(await listenOnLoopback(server), 1);
+  t.teardown(() => server.close());
+  t.equal((await sendRequest(pool)).toString(), 'done');
+  t.equal((await sendRequest(pool, '/cut')).toString(), 'done');
+  t.equal((await sendRequest(pool)).toString(), 'done');
+  t.equal(ports.size, 1, 'the connection is kept');
+  t.equal(metrics.render(), '\n');
+});
+
+// Guards against bytes that came without a request and count toward the next one.
+tap.test('a 100 response on an idle connection closes it', async (t) => {
+  const sockets: Socket[] = [];
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write(DONE));
+  });
+  const address = await listenOnLoopback(server);
+  t.teardown(() => server.close());
+  const unrequested: string[] = [];
+  const pools = new UpstreamPools({ onUnrequestedBytes: (from) => unrequested.push(from) });
+  t.teardown(() => pools.destroy());
+  t.equal((await sendRequest(pools.get(address, 1))).toString(), 'done');
+  const closed = new Promise((resolve) => {
+    sockets[0]?.once('close', resolve);
+  });
+  sockets[0]?.write(CONTINUE);
+  await closed;
+  t.strictSame(unrequested, [address]);
+});
+
 // Guards against a count that takes encrypted or unread bytes for parsed ones.
 tap.test('with TLS, long responses arrive whole and floods are closed', async (t) => {
   const authority = new TestAuthority();
@@ -212,7 +274,9 @@
   };
   const server = createTlsServer({ key, cert }, ({ url }, response) => {
     if (url === '/flood') flood(response);
-    else response.end(long);
+    else if (url === '/continue') response.writeContinue();
+    if (url === '/continue') response.end('done');
+    else if (url !== '/flood') response.end(long);
   });
   const address = await startServer(t, server);
   const pools = new UpstreamPools({ tls: () => ({ key, cert, ca: authority.cert }) });
@@ -220,5 +284,6 @@
   const pool = pools.get(address, 1);
   t.ok((await sendRequest(pool)).equals(long));
   t.equal(await readWithPauses(pool), long.length);
+  t.equal((await sendRequest(pool, '/continue')).toString(), 'done');
   await t.rejects(sendRequest(pool, '/flood'), { code: 'OVERHEAD' });
 });
--- a/src/request/RequestServer/optionalParts.test.ts
+++ b/src/request/RequestServer/optionalParts.test.ts
@@ -75,3 +75,23 @@
     },
   ),
 );
+
+const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n';
+const ANSWERS_AFTER_CONTINUE: Record<string, string> = {
+  one: CONTINUE + FINAL,
+  'several between other informational heads':
+    CONTINUE + createHint('</a.css>') + CONTINUE + CONTINUE + FINAL,
+  'one with fields': `HTTP/1.1 100 Continue\r\nDate: now\r\n\r\n${FINAL}`,
+};
+
+// Guards against a good answer that is lost because of a 100 response that was not asked for.
+Object.entries(ANSWERS_AFTER_CONTINUE).forEach(([name, answer]) =>
+  tap.test(`100 responses that were not asked for are dropped: ${name}`, async (t) => {
+    const received = await receive(t, answer);
+    received.forEach((text) => {
+      t.notMatch(text, ' 100 ');
+      t.match(text, /HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/);
+      t.equal(text.includes(' 103 '), answer.includes(' 103 '));
+    });
+  }),
+);
