End a call as failed when one of its steps throws

Cause: an exception in a callback of undici aborted the call without a decision; in a microtask, in a listener of 'drain', or after a recorded answer (tap.finish().then) nothing caught it, and Node.js ends the process on an unhandled rejection. A call that had failed while its answer was being recorded wrote that answer as well.

Change: each callback, microtask and listener runs its step guarded. An exception ends the call with a CallError and a rate-limited line. Informational responses and trailers are optional: they are dropped with a line that gives the reason, valid trailers are still sent, and the answer goes on. Fields are checked before writeHead, because Node.js keeps the reason and the lack of a body of a head that it refuses for the next one. After a call is settled, nothing of its response is written. fail() leaves a response alone that has arrived.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -13,6 +13,7 @@
 import { CallError, CallErrorCode } from '../CallError/index.js';
 import type ResponseHolder from '../holdResponses/index.js';
 import type { HeldSpace } from '../holdResponses/index.js';
+import findFieldFault from './_lib/findFieldFault/index.js';
 import writeEarlyHints from './_lib/writeEarlyHints/index.js';
 
 const PROCESSING = 102;
@@ -36,6 +37,7 @@
 const LINES_PER_SECOND = 5;
 
 const droppedLog = createRateLimitedLogger('upstream', LINES_PER_SECOND);
+const exceptionLog = createRateLimitedLogger('upstream', LINES_PER_SECOND);
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -143,6 +145,9 @@
 
   #isWritten = false;
 
+  /** Whether all of the response has arrived. */
+  #isReceived = false;
+
   #isHeadWritten = false;
 
   #hasBody = false;
@@ -224,12 +229,13 @@
   }
 
   /**
-   * Ends the call as failed without a response, for example because its connection is dead.
+   * Ends the call as failed without a response, for example because its connection is dead. A response
+   * that has arrived is sent nevertheless.
    *
    * @param reason - message of the error
    */
   fail(reason: string): void {
-    if (this.#isSettled) return;
+    if (this.#isSettled || this.#isReceived) return;
     const error = new Error(reason);
     this.onError(error);
     this.#abort?.(error);
@@ -249,11 +255,40 @@
 
   /** Called by undici for each response head, including informational ones. */
   onHeaders(statusCode: number, raw: Buffer[], resume: () => void): boolean {
+    if (this.#isSettled) return true;
     if (statusCode < FIRST_FINAL_STATUS) {
-      this.#forwardInformational(statusCode, raw);
+      this.#runOptional('informational response', () => {
+        this.#forwardInformational(statusCode, raw);
+      });
       return true;
     }
     this.#resume = resume;
+    return this.#run('head', () => this.#receiveHead(statusCode, raw)) ?? false;
+  }
+
+  /** Called by undici for each part of the body; false pauses the upstream. */
+  onData(chunk: Buffer): boolean {
+    if (this.#isSettled) return true;
+    return this.#run('body', () => this.#receivePart(chunk)) ?? false;
+  }
+
+  /** Called by undici when the response is complete. */
+  onComplete(trailers: unknown): void {
+    if (isHandlingReset() && !this.#withheldError) {
+      const reason = 'the connection was reset before the end of the response';
+      this.#finish(err(this.#toCallError(new Error(reason))));
+      return;
+    }
+    this.#receiveEnd(trailers as Buffer[] | null);
+  }
+
+  /** Called by undici when the request failed. */
+  onError(error: Error): void {
+    this.#finish(err(this.#withheldError ?? this.#toCallError(error)));
+  }
+
+  /** Returns whether to read on. */
+  #receiveHead(statusCode: number, raw: Buffer[]): boolean {
     this.#statusCode = statusCode;
     const decoded = decodeHeaders(raw);
     const copied = copyHeaders(decoded, { isRequest: false });
@@ -284,12 +319,12 @@
       this.#options.onUnframed?.(head);
     }
     this.#writeHead(head);
-    queueMicrotask(() => this.#flushHead());
+    this.#schedule('head', () => this.#flushHead());
     return true;
   }
 
-  /** Called by undici for each part of the body; false pauses the upstream. */
-  onData(chunk: Buffer): boolean {
+  /** Returns whether to read on. */
+  #receivePart(chunk: Buffer): boolean {
     if (this.#withheldError) {
       this.#dropChunk(chunk, this.#withheldError);
       return true;
@@ -305,43 +340,65 @@
     }
     if (this.#unwritten.sizeBytes === 0) {
       if (chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
-      queueMicrotask(() => this.#writeJoined());
+      this.#schedule('body', () => this.#writeJoined());
     }
     this.#unwritten.append(chunk);
     return this.#blockedAtMs === undefined;
   }
 
-  /** Called by undici when the response is complete. */
-  onComplete(trailers: unknown): void {
+  /** Sends the end of a response that has arrived completely; `trailers`: names and values. */
+  #receiveEnd(trailers: Buffer[] | null): void {
     if (this.#withheldError) {
       this.#finish(err(this.#withheldError));
       return;
     }
-    if (isHandlingReset()) {
-      this.#finish(
-        err(
-          this.#toCallError(new Error('the connection was reset before the end of the response')),
-        ),
-      );
-      return;
-    }
+    this.#isReceived = true;
     const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     const complete = (): void => {
-      this.#end(trailers as Buffer[] | null);
-      this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+      if (this.#isSettled) return;
+      this.#run('end', () => {
+        this.#end(trailers);
+        this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+      });
     };
     const { tap } = this.#options;
-    if (tap) tap.finish().then(complete, complete);
+    if (tap) this.#run('end', () => tap.finish().then(complete, complete));
     else complete();
   }
 
-  /** Called by undici when the request failed. */
-  onError(error: Error): void {
-    if (this.#withheldError) {
-      this.#finish(err(this.#withheldError));
-      return;
+  /**
+   * Runs a step of the call. Nothing catches its exception outside of a callback of undici, and inside
+   * of one the parser stops, so an exception ends the call as failed.
+   *
+   * @returns undefined after an exception
+   */
+  #run<Outcome>(step: string, run: () => Outcome): Outcome | undefined {
+    try {
+      return run();
+    } catch (error) {
+      const { message } = error as Error;
+      const createContext = () => ({ step, reason: message, statusCode: this.#statusCode });
+      exceptionLog.info(performance.now(), createContext, 'response cannot be passed on');
+      this.#finish(err(this.#toCallError(error as Error)));
+      this.#abort?.(error as Error);
+      return undefined;
     }
-    this.#finish(err(this.#toCallError(error)));
+  }
+
+  /** Runs a step that the caller does not need; an exception is logged. */
+  #runOptional(part: string, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.#logDropped(part, (error as Error).message);
+    }
+  }
+
+  /** Runs a step once the parser has returned. */
+  #schedule(step: string, run: () => void): void {
+    queueMicrotask(() => {
+      if (!this.#isSettled) this.#run(step, run);
+    });
   }
 
   /** Drops a part of a withheld body; ends the call if the body is too long. */
@@ -354,7 +411,7 @@
 
   /** Sends the head if no body has arrived yet, so that the caller receives it without delay. */
   #flushHead(): void {
-    if (!this.#hasBody && !this.#isSettled && !this.#response.destroyed) {
+    if (!this.#hasBody && !this.#response.destroyed) {
       this.#response.flushHeaders();
     }
   }
@@ -385,7 +442,8 @@
     this.#response.once('drain', () => {
       this.#blockedAtMs = undefined;
       this.#pausedMs += performance.now() - blockedAtMs;
-      this.#resume?.();
+      // The connection may serve another call by then.
+      if (!this.#isSettled) this.#run('resume', () => this.#resume?.());
     });
     return false;
   }
@@ -478,6 +536,9 @@
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
+    // Node.js would keep the reason and the framing of a head that it refuses for the next one.
+    const fault = findFieldFault(headers);
+    if (fault) throw fault;
     this.#response.writeHead(statusCode, headers);
     this.#isHeadWritten = true;
   }
@@ -487,15 +548,24 @@
     if (this.#bufferedHead && this.#heldSpace) this.#options.onUnframed?.(this.#bufferedHead);
     if (this.#bufferedHead) this.#writeHead(this.#bufferedHead);
     if (trailers && trailers.length > 0) {
-      const copied = copyHeaders(decodeHeaders(trailers), { isRequest: false }).headers;
-      const pairs = copied.flatMap((name, index): [string, string][] =>
-        index % 2 === 0 ? [[name, copied[index + 1] ?? '']] : [],
-      );
-      this.#response.addTrailers(pairs);
+      this.#runOptional('trailers', () => this.#addTrailers(trailers));
     }
     this.#response.end(
       this.#bufferedChunks.length > 0 ? Buffer.concat(this.#bufferedChunks.splice(0)) : undefined,
     );
     this.#heldSpace?.releaseAfter(this.#response);
   }
+
+  #addTrailers(raw: Buffer[]): void {
+    const copied = copyHeaders(decodeHeaders(raw), { isRequest: false }).headers;
+    const pairs = copied.flatMap((name, index): [string, string][] =>
+      index % 2 === 0 ? [[name, copied[index + 1] ?? '']] : [],
+    );
+    const valid = pairs.filter((pair) => {
+      const fault = findFieldFault(pair);
+      if (fault) this.#logDropped('trailers', fault.message);
+      return fault === undefined;
+    });
+    this.#response.addTrailers(valid);
+  }
 }
