Announce trailers only in responses that are sent in chunks

Cause: Node.js throws on a head with the field Trailer unless the response is sent in chunks: one with a length, to HEAD, without a body, without a length, or to a caller with HTTP/1.0. The caller got 502 instead of the good answer, after 204 only at the deadline. With Idempotency-Key the exception came after the answer was recorded, as an unhandled rejection: the node process ended.

Change: the field is dropped from such responses, and from recorded ones, which hold no trailers.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -124,6 +124,12 @@
   return lengthBytes !== undefined && Number(lengthBytes) <= MAX_BUFFERED_BYTES;
 };
 
+/** Returns the headers, alternating names and values, without the one of a lower-case name. */
+const dropHeader = (headers: string[], name: string): string[] =>
+  findHeader(headers, name) === undefined
+    ? headers
+    : headers.filter((_, index) => headers[index - (index % 2)]?.toLowerCase() !== name);
+
 const parseRetryAfterMs = (headers: string[]): number | undefined => {
   const seconds = Number(findHeader(headers, 'retry-after') ?? Number.NaN);
   return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
@@ -304,7 +310,14 @@
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
     const endsWithConnection = this.#endsWithConnection(head, decoded);
-    this.#options.tap?.addHead(head, { endsWithConnection });
+    if (!this.#isSentInChunks(head, endsWithConnection)) {
+      head.headers = dropHeader(head.headers, 'trailer');
+    }
+    // Trailers are not part of what is observed.
+    this.#options.tap?.addHead(
+      { ...head, headers: dropHeader(head.headers, 'trailer') },
+      { endsWithConnection },
+    );
     if (isBuffered(head)) {
       this.#bufferedHead = head;
       return true;
@@ -427,6 +440,12 @@
     return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
   }
 
+  /** Returns whether trailers can follow the response; Node.js refuses to announce them otherwise. */
+  #isSentInChunks({ statusCode, headers }: ResponseHead, endsWithConnection: boolean): boolean {
+    const hasBody = this.#method !== 'HEAD' && !BODYLESS_STATUS.has(statusCode);
+    return hasBody && !endsWithConnection && findHeader(headers, 'content-length') === undefined;
+  }
+
   /** Writes the short parts that were parsed at once as one. */
   #writeJoined(): void {
     if (this.#unwritten.sizeBytes > 0 && !this.#response.destroyed)
--- a/src/request/RequestServer/idempotency.test.ts
+++ b/src/request/RequestServer/idempotency.test.ts
@@ -191,3 +191,35 @@
   t.equal((await post(nodes[1], 'k1')).status, 409);
   t.equal(seen.runs, 1);
 });
+
+const ANSWERS_WITH_TRAILERS: Record<string, string> = {
+  'an announcement of trailers and a length':
+    'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\ncontent-length: 2\r\n\r\nok',
+  trailers:
+    'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx-sum: a\r\n\r\n',
+};
+
+// Guards against a process that ends because of an exception after an answer was stored.
+Object.entries(ANSWERS_WITH_TRAILERS).forEach(([name, answer]) =>
+  tap.test(
+    `an order whose answer has ${name} is answered and replayed`,
+    { timeout: 30_000 },
+    async (t) => {
+      const rejections: unknown[] = [];
+      const recordRejection = (reason: unknown): void => {
+        rejections.push(reason);
+      };
+      process.on('unhandledRejection', recordRejection);
+      t.teardown(() => process.off('unhandledRejection', recordRejection));
+      const { nodes, seen } = await startMesh(t, (_, response) => response.socket?.end(answer));
+      const first = await post(nodes[0], 'k1');
+      const repeat = await post(nodes[1], 'k1');
+      await delay(10);
+      t.strictSame(rejections, []);
+      [first, repeat].forEach(({ status, body, isComplete }) =>
+        t.strictSame({ status, body, isComplete }, { status: 200, body: 'ok', isComplete: true }),
+      );
+      t.equal(seen.runs, 1);
+    },
+  ),
+);
--- a/src/request/RequestServer/optionalParts.test.ts
+++ b/src/request/RequestServer/optionalParts.test.ts
@@ -95,3 +95,33 @@
     });
   }),
 );
+
+const ANNOUNCED = 'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\n';
+const ANNOUNCED_TRAILERS: Record<string, [answer: string, request: string, body: string]> = {
+  'with a length': [`${ANNOUNCED}content-length: 2\r\n\r\nok`, REQUEST, 'ok'],
+  'of HEAD': [`${ANNOUNCED}content-length: 2\r\n\r\n`, REQUEST.replace('GET', 'HEAD'), ''],
+  'without a body': [`${ANNOUNCED.replace('200 OK', '204 No Content')}\r\n`, REQUEST, ''],
+  'in chunks to a caller with HTTP/1.0': [
+    `${ANNOUNCED}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx-sum: a\r\n\r\n`,
+    REQUEST.replace('HTTP/1.1', 'HTTP/1.0'),
+    'ok',
+  ],
+};
+
+// Guards against a good answer that is lost because Node.js sends the field Trailer only with chunks.
+Object.entries(ANNOUNCED_TRAILERS).forEach(([name, [answer, request, body]]) =>
+  tap.test(`an answer ${name} that announces trailers is passed on`, async (t) => {
+    const received = await receive(t, answer, request);
+    received.forEach((text) => {
+      t.match(text, /^HTTP\/1\.1 20[04] /);
+      t.equal(text.slice(text.indexOf('\r\n\r\n') + 4), body);
+    });
+  }),
+);
+
+// Guards against an answer without a length that is lost because it announces trailers.
+tap.test('an answer without a length that announces trailers is passed on', async (t) => {
+  const { one, two } = await startHops(t, (socket) => socket.end(`${ANNOUNCED}\r\nok`));
+  const received = [await sendRaw(one, REQUEST), await sendRaw(two, REQUEST)];
+  received.forEach((text) => t.match(text, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/));
+});
