Pass an answer on whose trailers cannot be parsed

Cause: the parser of undici refuses trailers with control characters, a space in the name, a folded line, a length, or more than 32 KiB of fields. The answer was broken off, though its last chunk had arrived.

Change: an error of the parser about header fields that follows the final head can only come from trailers, which are parsed after the last chunk. The trailers are dropped (RFC 9110, section 6.5.1) with a rate-limited line that gives the reason of the parser, and the answer ends as whole. Errors in chunks still break it off.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -1,4 +1,5 @@
 import { err, ok } from 'neverthrow';
+import { errors } from 'undici';
 
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
@@ -130,6 +131,14 @@
     ? headers
     : headers.filter((_, index) => headers[index - (index % 2)]?.toLowerCase() !== name);
 
+/**
+ * Returns whether an error that follows the head of a response is one of its trailers. Headers are
+ * parsed again only after the last chunk, so the body is whole.
+ */
+const isTrailerError = (error: Error): boolean =>
+  error instanceof errors.HeadersOverflowError ||
+  (error instanceof errors.HTTPParserError && /header|Content-Length/.test(error.message));
+
 const parseRetryAfterMs = (headers: string[]): number | undefined => {
   const seconds = Number(findHeader(headers, 'retry-after') ?? Number.NaN);
   return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
@@ -290,6 +299,12 @@
 
   /** Called by undici when the request failed. */
   onError(error: Error): void {
+    const isWhole = this.#statusCode !== 0 && isTrailerError(error);
+    if (isWhole && !this.#isSettled && this.#cancelReason === undefined) {
+      this.#logDropped('trailers', error.message);
+      this.#receiveEnd(null);
+      return;
+    }
     this.#finish(err(this.#withheldError ?? this.#toCallError(error)));
   }
 
--- a/src/request/RequestServer/idempotency.test.ts
+++ b/src/request/RequestServer/idempotency.test.ts
@@ -195,6 +195,8 @@
 const ANSWERS_WITH_TRAILERS: Record<string, string> = {
   'an announcement of trailers and a length':
     'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\ncontent-length: 2\r\n\r\nok',
+  'trailers that cannot be parsed':
+    'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx sum: \u0001\r\n\r\n',
   trailers:
     'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx-sum: a\r\n\r\n',
 };
--- a/src/request/RequestServer/optionalParts.test.ts
+++ b/src/request/RequestServer/optionalParts.test.ts
@@ -96,6 +96,41 @@
   }),
 );
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n';
+const INVALID_TRAILERS: Record<string, string> = {
+  'a control character': 'x-sum: a\u0001b\r\n\r\n',
+  'a space in the name': 'x sum: a\r\n\r\n',
+  'no name': ': a\r\n\r\n',
+  'a folded line': 'x-sum: a\r\n b\r\n\r\n',
+  'a line feed alone': 'x-sum: a\n\r\n',
+  'a length': 'content-length: 7\r\n\r\n',
+  'more than the limit': `x-sum: ${'a'.repeat(33_000)}\r\n\r\n`,
+};
+
+// Guards against a whole answer that is broken off because of its trailers (RFC 9110, section 6.5.1).
+Object.entries(INVALID_TRAILERS).forEach(([name, trailers]) =>
+  tap.test(`trailers with ${name} are dropped from an answer, which is whole`, async (t) => {
+    const received = await receive(t, CHUNKED + trailers);
+    received.forEach((text) =>
+      t.match(text, /HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\n2\r\nok\r\n0\r\n\r\n$/),
+    );
+  }),
+);
+
+const BROKEN_OFF: Record<string, string> = {
+  'a chunk without its end': `${CHUNKED.slice(0, -5)}XX0\r\n\r\n`,
+  'an invalid chunk extension': `${CHUNKED.slice(0, -3)}0;\u0001\r\n\r\n`,
+  'an invalid chunk length': `${CHUNKED.slice(0, -3)}x-sum: a\r\n\r\n`,
+};
+
+// Guards against a part of an answer that is taken for the whole because of an error behind it.
+Object.entries(BROKEN_OFF).forEach(([name, answer]) =>
+  tap.test(`an answer with ${name} is visibly not whole`, async (t) => {
+    const received = await receive(t, answer);
+    received.forEach((text) => t.notMatch(text, /\r\n0\r\n\r\n$/));
+  }),
+);
+
 const ANNOUNCED = 'HTTP/1.1 200 OK\r\ntrailer: x-sum\r\n';
 const ANNOUNCED_TRAILERS: Record<string, [answer: string, request: string, body: string]> = {
   'with a length': [`${ANNOUNCED}content-length: 2\r\n\r\nok`, REQUEST, 'ok'],
