Close a connection whose trailers frame messages

Cause: the parser of undici heeds the trailers Connection, Transfer-Encoding and others, although they are forbidden (RFC 9110, section 6.5.1): it counts the connection as closed, while undici keeps it. The next good answer on the connection was refused ('Data after Connection: close') and its caller got 502. Found by the fuzz of answers.

Change: the connection is closed after such a response, whose answer is passed on as before.

Measurement: without the change, 2 of the 3 new tests of optionalParts.test.ts fail (connection, transfer-encoding); upgrade passes with and without it.

--- a/src/connection/limitOverhead/index.ts
+++ b/src/connection/limitOverhead/index.ts
@@ -5,6 +5,7 @@
 import type { DiagnosticsChannel, buildConnector } from 'undici';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import ContinueFilter from './_lib/ContinueFilter/index.js';
+import hasFramingTrailer from './_lib/hasFramingTrailer/index.js';
 import OverheadBudget, { ConnectionState, MAX_LINES } from './_lib/OverheadBudget/index.js';
 
 import type { MetricsRegistry } from '../../process/metrics/index.js';
@@ -74,9 +75,11 @@
 });
 
 subscribe('undici:request:trailers', (message) => {
-  const { request } = message as DiagnosticsChannel.RequestTrailersMessage;
+  const { request, trailers } = message as DiagnosticsChannel.RequestTrailersMessage;
   const meter = metersByRequest.get(request);
-  if (meter) meter.budget.recordEnd(countParsedBytes(meter));
+  if (!meter) return;
+  meter.budget.recordEnd(countParsedBytes(meter));
+  if (hasFramingTrailer(trailers)) meter.socket.destroy();
 });
 
 /** Closes the connection; its request then fails at once. */
--- a/src/request/RequestServer/optionalParts.test.ts
+++ b/src/request/RequestServer/optionalParts.test.ts
@@ -160,3 +160,23 @@
   const received = [await sendRaw(one, REQUEST), await sendRaw(two, REQUEST)];
   received.forEach((text) => t.match(text, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nok$/));
 });
+
+const FRAMING_TRAILERS = ['connection: close', 'transfer-encoding: gzip', 'upgrade: x'];
+
+// Guards against an answer that is lost because of the trailers of the one before it on its connection.
+FRAMING_TRAILERS.forEach((trailer) =>
+  tap.test(`the answer after one with the trailer ${trailer} is passed on`, async (t) => {
+    const { one, two } = await startHops(t, (socket) =>
+      socket.write(`${CHUNKED}${trailer}\r\n\r\n`),
+    );
+    const received = [
+      await sendRaw(one, REQUEST),
+      await sendRaw(one, REQUEST),
+      await sendRaw(two, REQUEST),
+      await sendRaw(two, REQUEST),
+    ];
+    received.forEach((text) =>
+      t.match(text, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\n2\r\nok\r\n0\r\n\r\n$/),
+    );
+  }),
+);
