--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -1,10 +1,12 @@
 import { err, ok } from 'neverthrow';
+import { errors } from 'undici';
 
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import GrowingBuffer from '../../process/GrowingBuffer/index.js';
+import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import { isHandlingReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
 import findHeader from '../findHeader/index.js';
@@ -12,6 +14,8 @@
 import { CallError, CallErrorCode } from '../CallError/index.js';
 import type ResponseHolder from '../holdResponses/index.js';
 import type { HeldSpace } from '../holdResponses/index.js';
+import findFieldFault from './_lib/findFieldFault/index.js';
+import writeEarlyHints from './_lib/writeEarlyHints/index.js';
 
 const PROCESSING = 102;
 const EARLY_HINTS = 103;
@@ -30,6 +34,11 @@
 const MIN_WRITE_BYTES = 4_096;
 /** A withheld body up to this length is dropped, so that its connection can be kept. */
 const MAX_DROPPED_BYTES = 65_536;
+/** Limit on log lines about parts of responses that are not passed on. */
+const LINES_PER_SECOND = 5;
+
+const droppedLog = createRateLimitedLogger('upstream', LINES_PER_SECOND);
+const exceptionLog = createRateLimitedLogger('upstream', LINES_PER_SECOND);
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -116,6 +125,20 @@
   return lengthBytes !== undefined && Number(lengthBytes) <= MAX_BUFFERED_BYTES;
 };
 
+/** Returns the headers, alternating names and values, without the one of a lower-case name. */
+const dropHeader = (headers: string[], name: string): string[] =>
+  findHeader(headers, name) === undefined
+    ? headers
+    : headers.filter((_, index) => headers[index - (index % 2)]?.toLowerCase() !== name);
+
+/**
+ * Returns whether an error that follows the head of a response is one of its trailers. Headers are
+ * parsed again only after the last chunk, so the body is whole.
+ */
+const isTrailerError = (error: Error): boolean =>
+  error instanceof errors.HeadersOverflowError ||
+  (error instanceof errors.HTTPParserError && /header|Content-Length/.test(error.message));
+
 const parseRetryAfterMs = (headers: string[]): number | undefined => {
   const seconds = Number(findHeader(headers, 'retry-after') ?? Number.NaN);
   return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
@@ -137,6 +160,9 @@
 
   #isWritten = false;
 
+  /** Whether all of the response has arrived. */
+  #isReceived = false;
+
   #isHeadWritten = false;
 
   #hasBody = false;
@@ -218,12 +244,13 @@
   }
 
   /**
-   * Ends the call as failed without a response, for example because its connection is dead.
+   * Ends the call as failed without a response, for example because its connection is dead. A response
+   * that has arrived is sent nevertheless.
    *
    * @param reason - message of the error
    */
   fail(reason: string): void {
-    if (this.#isSettled) return;
+    if (this.#isSettled || this.#isReceived) return;
     const error = new Error(reason);
     this.onError(error);
     this.#abort?.(error);
@@ -243,11 +270,46 @@
 
   /** Called by undici for each response head, including informational ones. */
   onHeaders(statusCode: number, raw: Buffer[], resume: () => void): boolean {
+    if (this.#isSettled) return true;
     if (statusCode < FIRST_FINAL_STATUS) {
-      this.#forwardInformational(statusCode, raw);
+      this.#runOptional('informational response', () => {
+        this.#forwardInformational(statusCode, raw);
+      });
       return true;
     }
     this.#resume = resume;
+    return this.#run('head', () => this.#receiveHead(statusCode, raw)) ?? false;
+  }
+
+  /** Called by undici for each part of the body; false pauses the upstream. */
+  onData(chunk: Buffer): boolean {
+    if (this.#isSettled) return true;
+    return this.#run('body', () => this.#receivePart(chunk)) ?? false;
+  }
+
+  /** Called by undici when the response is complete. */
+  onComplete(trailers: unknown): void {
+    if (isHandlingReset() && !this.#withheldError) {
+      const reason = 'the connection was reset before the end of the response';
+      this.#finish(err(this.#toCallError(new Error(reason))));
+      return;
+    }
+    this.#receiveEnd(trailers as Buffer[] | null);
+  }
+
+  /** Called by undici when the request failed. */
+  onError(error: Error): void {
+    const isWhole = this.#statusCode !== 0 && isTrailerError(error);
+    if (isWhole && !this.#isSettled && this.#cancelReason === undefined) {
+      this.#logDropped('trailers', error.message);
+      this.#receiveEnd(null);
+      return;
+    }
+    this.#finish(err(this.#withheldError ?? this.#toCallError(error)));
+  }
+
+  /** Returns whether to read on. */
+  #receiveHead(statusCode: number, raw: Buffer[]): boolean {
     this.#statusCode = statusCode;
     const decoded = decodeHeaders(raw);
     const copied = copyHeaders(decoded, { isRequest: false });
@@ -263,7 +325,14 @@
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
     const endsWithConnection = this.#endsWithConnection(head, decoded);
-    this.#options.tap?.addHead(head, { endsWithConnection });
+    if (!this.#isSentInChunks(head, endsWithConnection)) {
+      head.headers = dropHeader(head.headers, 'trailer');
+    }
+    // Trailers are not part of what is observed.
+    this.#options.tap?.addHead(
+      { ...head, headers: dropHeader(head.headers, 'trailer') },
+      { endsWithConnection },
+    );
     if (isBuffered(head)) {
       this.#bufferedHead = head;
       return true;
@@ -278,12 +347,12 @@
       this.#options.onUnframed?.(head);
     }
     this.#writeHead(head);
-    queueMicrotask(() => this.#flushHead());
+    this.#schedule('head', () => this.#flushHead());
     return true;
   }
 
-  /** Called by undici for each part of the body; false pauses the upstream. */
-  onData(chunk: Buffer): boolean {
+  /** Returns whether to read on. */
+  #receivePart(chunk: Buffer): boolean {
     if (this.#withheldError) {
       this.#dropChunk(chunk, this.#withheldError);
       return true;
@@ -299,43 +368,65 @@
     }
     if (this.#unwritten.sizeBytes === 0) {
       if (chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
-      queueMicrotask(() => this.#writeJoined());
+      this.#schedule('body', () => this.#writeJoined());
     }
     this.#unwritten.append(chunk);
     return this.#blockedAtMs === undefined;
   }
 
-  /** Called by undici when the response is complete. */
-  onComplete(trailers: unknown): void {
+  /** Sends the end of a response that has arrived completely; `trailers`: names and values. */
+  #receiveEnd(trailers: Buffer[] | null): void {
     if (this.#withheldError) {
       this.#finish(err(this.#withheldError));
       return;
     }
-    if (isHandlingReset()) {
-      this.#finish(
-        err(
-          this.#toCallError(new Error('the connection was reset before the end of the response')),
-        ),
-      );
-      return;
-    }
+    this.#isReceived = true;
     const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     const complete = (): void => {
-      this.#end(trailers as Buffer[] | null);
-      this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+      if (this.#isSettled) return;
+      this.#run('end', () => {
+        this.#end(trailers);
+        this.#finish(ok({ statusCode: this.#statusCode, upstreamMs }));
+      });
     };
     const { tap } = this.#options;
-    if (tap) tap.finish().then(complete, complete);
+    if (tap) this.#run('end', () => tap.finish().then(complete, complete));
     else complete();
   }
 
-  /** Called by undici when the request failed. */
-  onError(error: Error): void {
-    if (this.#withheldError) {
-      this.#finish(err(this.#withheldError));
-      return;
+  /**
+   * Runs a step of the call. Nothing catches its exception outside of a callback of undici, and inside
+   * of one the parser stops, so an exception ends the call as failed.
+   *
+   * @returns undefined after an exception
+   */
+  #run<Outcome>(step: string, run: () => Outcome): Outcome | undefined {
+    try {
+      return run();
+    } catch (error) {
+      const { message } = error as Error;
+      const createContext = () => ({ step, reason: message, statusCode: this.#statusCode });
+      exceptionLog.info(performance.now(), createContext, 'response cannot be passed on');
+      this.#finish(err(this.#toCallError(error as Error)));
+      this.#abort?.(error as Error);
+      return undefined;
+    }
+  }
+
+  /** Runs a step that the caller does not need; an exception is logged. */
+  #runOptional(part: string, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.#logDropped(part, (error as Error).message);
     }
-    this.#finish(err(this.#toCallError(error)));
+  }
+
+  /** Runs a step once the parser has returned. */
+  #schedule(step: string, run: () => void): void {
+    queueMicrotask(() => {
+      if (!this.#isSettled) this.#run(step, run);
+    });
   }
 
   /** Drops a part of a withheld body; ends the call if the body is too long. */
@@ -348,7 +439,7 @@
 
   /** Sends the head if no body has arrived yet, so that the caller receives it without delay. */
   #flushHead(): void {
-    if (!this.#hasBody && !this.#isSettled && !this.#response.destroyed) {
+    if (!this.#hasBody && !this.#response.destroyed) {
       this.#response.flushHeaders();
     }
   }
@@ -364,6 +455,12 @@
     return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
   }
 
+  /** Returns whether trailers can follow the response; Node.js refuses to announce them otherwise. */
+  #isSentInChunks({ statusCode, headers }: ResponseHead, endsWithConnection: boolean): boolean {
+    const hasBody = this.#method !== 'HEAD' && !BODYLESS_STATUS.has(statusCode);
+    return hasBody && !endsWithConnection && findHeader(headers, 'content-length') === undefined;
+  }
+
   /** Writes the short parts that were parsed at once as one. */
   #writeJoined(): void {
     if (this.#unwritten.sizeBytes > 0 && !this.#response.destroyed)
@@ -379,7 +476,8 @@
     this.#response.once('drain', () => {
       this.#blockedAtMs = undefined;
       this.#pausedMs += performance.now() - blockedAtMs;
-      this.#resume?.();
+      // The connection may serve another call by then.
+      if (!this.#isSettled) this.#run('resume', () => this.#resume?.());
     });
     return false;
   }
@@ -441,7 +539,17 @@
     const links = listHeaderValues(headers, 'link');
     if (links.length === 0) return;
     this.#earlyHints += 1;
-    this.#response.writeEarlyHints({ link: links });
+    const droppedFields = writeEarlyHints(this.#response, links);
+    if (droppedFields > 0) this.#logDropped('early hints', `${droppedFields} invalid Link fields`);
+  }
+
+  /** Logs that an optional part of a response is not passed on. */
+  #logDropped(part: string, reason: string): void {
+    droppedLog.info(
+      performance.now(),
+      () => ({ part, reason, statusCode: this.#statusCode }),
+      'optional part of a response dropped',
+    );
   }
 
   #acknowledge(): void {
@@ -456,12 +564,15 @@
    * HTTP/1.0 would take them for its response (RFC 9110, section 15.2).
    */
   #canForwardHint(): boolean {
-    const { req, socket, writableLength } = this.#response;
+    const { req, socket, writableLength, headersSent } = this.#response;
     if (req.httpVersion === '1.0' || this.#earlyHints >= MAX_EARLY_HINTS) return false;
-    return socket !== null && writableLength === 0;
+    return socket !== null && writableLength === 0 && !headersSent;
   }
 
   #writeHead({ statusCode, headers }: ResponseHead): void {
+    // Node.js would keep the reason and the framing of a head that it refuses for the next one.
+    const fault = findFieldFault(headers);
+    if (fault) throw fault;
     this.#response.writeHead(statusCode, headers);
     this.#isHeadWritten = true;
   }
@@ -471,15 +582,24 @@
     if (this.#bufferedHead && this.#heldSpace) this.#options.onUnframed?.(this.#bufferedHead);
     if (this.#bufferedHead) this.#writeHead(this.#bufferedHead);
     if (trailers && trailers.length > 0) {
-      const copied = copyHeaders(decodeHeaders(trailers), { isRequest: false }).headers;
-      const pairs = copied.flatMap((name, index): [string, string][] =>
-        index % 2 === 0 ? [[name, copied[index + 1] ?? '']] : [],
-      );
-      this.#response.addTrailers(pairs);
+      this.#runOptional('trailers', () => this.#addTrailers(trailers));
     }
     this.#response.end(
       this.#bufferedChunks.length > 0 ? Buffer.concat(this.#bufferedChunks.splice(0)) : undefined,
     );
     this.#heldSpace?.releaseAfter(this.#response);
   }
+
+  #addTrailers(raw: Buffer[]): void {
+    const copied = copyHeaders(decodeHeaders(raw), { isRequest: false }).headers;
+    const pairs = copied.flatMap((name, index): [string, string][] =>
+      index % 2 === 0 ? [[name, copied[index + 1] ?? '']] : [],
+    );
+    const valid = pairs.filter((pair) => {
+      const fault = findFieldFault(pair);
+      if (fault) this.#logDropped('trailers', fault.message);
+      return fault === undefined;
+    });
+    this.#response.addTrailers(valid);
+  }
 }
--- a/src/connection/limitOverhead/index.ts
+++ b/src/connection/limitOverhead/index.ts
@@ -5,6 +5,8 @@
 import type { DiagnosticsChannel, buildConnector } from 'undici';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import { TurnTaker } from '../shareTurns/index.js';
+import ContinueFilter from './_lib/ContinueFilter/index.js';
+import hasFramingTrailer from './_lib/hasFramingTrailer/index.js';
 import OverheadBudget, { ConnectionState, MAX_LINES } from './_lib/OverheadBudget/index.js';
 
 import type { MetricsRegistry } from '../../process/metrics/index.js';
@@ -38,6 +40,7 @@
   budget: OverheadBudget;
   taker: TurnTaker;
   piece: OpenPiece;
+  continueFilter: ContinueFilter;
   /** `host:port` of the upstream. */
   address: string;
   metrics: MetricsRegistry | undefined;
@@ -65,6 +68,7 @@
   if (!meter) return;
   metersByRequest.set(request, meter);
   meter.budget.recordRequest(countParsedBytes(meter));
+  meter.continueFilter.reset();
 });
 
 subscribe('undici:request:headers', (message) => {
@@ -88,9 +92,11 @@
 });
 
 subscribe('undici:request:trailers', (message) => {
-  const { request } = message as DiagnosticsChannel.RequestTrailersMessage;
+  const { request, trailers } = message as DiagnosticsChannel.RequestTrailersMessage;
   const meter = metersByRequest.get(request);
-  if (meter) meter.budget.recordEnd(countParsedBytes(meter));
+  if (!meter) return;
+  meter.budget.recordEnd(countParsedBytes(meter));
+  if (hasFramingTrailer(trailers)) meter.socket.destroy();
 });
 
 /** Closes the connection; its request then fails at once. */
@@ -149,6 +155,18 @@
   return part;
 };
 
+/** Reads received bytes without the `100` responses to a request. */
+const readFiltered = (
+  { budget, continueFilter }: Meter,
+  read: (sizeBytes?: number) => Buffer | null,
+  sizeBytes?: number,
+): Buffer | null => {
+  const part = read(sizeBytes);
+  // Without a request, any bytes must reach the parser, which then closes the connection.
+  const isAwaited = part !== null && budget.state === ConnectionState.AwaitingHead;
+  return isAwaited ? continueFilter.filter(part) : part;
+};
+
 const limitSocket = (
   socket: Socket,
   address: string,
@@ -157,14 +175,19 @@
   // The parser of undici reads on at this event.
   const taker = new TurnTaker(() => socket.emit('readable'));
   socket.once('close', () => taker.close());
-  const piece = { parts: 0, sizeBytes: 0, readAtMs: 0, lastAtMs: 0 };
-  const meter: Meter = { socket, budget: new OverheadBudget(), taker, piece, address, metrics };
+  const meter: Meter = {
+    ...{ socket, address, metrics, taker },
+    budget: new OverheadBudget(),
+    piece: { parts: 0, sizeBytes: 0, readAtMs: 0, lastAtMs: 0 },
+    continueFilter: new ContinueFilter(),
+  };
   metersBySocket.set(socket, meter);
   const read = socket.read.bind(socket) as (sizeBytes?: number) => Buffer | null;
+  const readForParser = (sizeBytes?: number) => readFiltered(meter, read, sizeBytes);
   // The parser of undici reads without a size; the runtime itself reads 0 bytes to await more.
   Object.assign(socket, {
     read: (sizeBytes?: number) =>
-      sizeBytes === undefined ? readPart(meter, read) : read(sizeBytes),
+      sizeBytes === undefined ? readPart(meter, readForParser) : read(sizeBytes),
   });
 };
 
