Bound the answers that wait for callers that do not read

Cause: an answer without end whose caller does not read is paused only once the kernel takes no more, with up to 3.8 MB in the send queue and several MB in the receive queue of its upstream, at both nodes. Nothing bounds all of them together.

Change: one account per node for both listeners, of an eighth of limits.memory_mb (250 MB if unset). An answer is sent beyond a burst of 64 KiB only with room for a full queue; without room its upstream is paused. While answers wait, the one that has been paused longest is reset, with a log line and a counter. Held answers without a length are written part by part, so that they are paused as well.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import GrowingBuffer from '../../process/GrowingBuffer/index.js';
+import { openAnswerFlow } from '../boundAnswers/index.js';
 import { isHandlingReset } from '../watchResets/index.js';
 import { copyHeaders } from '../copyHeaders/index.js';
 import findHeader from '../findHeader/index.js';
@@ -12,6 +13,7 @@
 import { CallError, CallErrorCode } from '../CallError/index.js';
 import type ResponseHolder from '../holdResponses/index.js';
 import type { HeldSpace } from '../holdResponses/index.js';
+import type { AnswerFlow } from '../boundAnswers/index.js';
 
 const PROCESSING = 102;
 const EARLY_HINTS = 103;
@@ -158,6 +160,9 @@
 
   #statusCode = 0;
 
+  /** Length of the body, if it is known. */
+  #lengthBytes: number | undefined;
+
   #method = '';
 
   #writtenAtMs = 0;
@@ -170,6 +175,9 @@
   /** Since when the caller has not read what was written; undefined while it reads. */
   #blockedAtMs: number | undefined;
 
+  /** Place in the account of the node, once a part of the body is streamed. */
+  #flow: AnswerFlow | undefined;
+
   #cancelReason: string | undefined;
 
   #abort: ((error?: Error) => void) | undefined;
@@ -277,6 +285,8 @@
       }
       this.#options.onUnframed?.(head);
     }
+    const length = findHeader(head.headers, 'content-length');
+    this.#lengthBytes = length === undefined ? undefined : Number(length);
     this.#writeHead(head);
     queueMicrotask(() => this.#flushHead());
     return true;
@@ -291,12 +301,16 @@
     this.#hasBody = true;
     this.#options.tap?.addChunk(chunk);
     if (this.#bufferedHead && this.#heldSpace?.add(chunk.length) === false) {
-      this.#sendHeld(this.#bufferedHead, this.#heldSpace);
+      this.#sendHeld(this.#bufferedHead);
     }
     if (this.#bufferedHead) {
       this.#bufferedChunks.push(chunk);
       return true;
     }
+    if (this.#bufferedChunks.length > 0) {
+      this.#bufferedChunks.push(chunk);
+      return false;
+    }
     if (this.#unwritten.sizeBytes === 0) {
       if (chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
       queueMicrotask(() => this.#writeJoined());
@@ -370,29 +384,45 @@
       this.#write(this.#unwritten.take());
   }
 
-  /** Returns whether the caller reads; otherwise the upstream is resumed once it does. */
+  /**
+   * Returns whether the caller reads and the node has room; otherwise the upstream is resumed once that
+   * is so.
+   */
   #write(chunk: Buffer): boolean {
-    if (this.#response.write(chunk)) return this.#blockedAtMs === undefined;
+    const isTaken = this.#response.write(chunk);
+    this.#flow ??= openAnswerFlow(this.#response, this.#lengthBytes);
+    const hasRoom = this.#flow?.record(chunk.length) ?? true;
     if (this.#blockedAtMs !== undefined) return false;
+    if (isTaken && hasRoom) return true;
     const blockedAtMs = performance.now();
     this.#blockedAtMs = blockedAtMs;
-    this.#response.once('drain', () => {
+    const resume = (): void => {
       this.#blockedAtMs = undefined;
       this.#pausedMs += performance.now() - blockedAtMs;
-      this.#resume?.();
-    });
+      if (this.#writeBuffered()) this.#resume?.();
+    };
+    if (hasRoom) this.#response.once('drain', resume);
+    else this.#flow?.onceRoom(resume);
     return false;
   }
 
   /** Sends what is held of a response that is too long to be held; the rest is streamed. */
-  #sendHeld(head: ResponseHead, space: HeldSpace): void {
+  #sendHeld(head: ResponseHead): void {
     this.#bufferedHead = undefined;
     this.#options.onUnframed?.(head);
     this.#writeHead(head);
-    this.#response.cork();
-    this.#bufferedChunks.splice(0).forEach((chunk) => this.#response.write(chunk));
-    this.#response.uncork();
-    space.releaseAfter(this.#response);
+    this.#writeBuffered();
+  }
+
+  /** Returns whether all that was buffered of a streamed response is written, and more may be. */
+  #writeBuffered(): boolean {
+    const isWritten = this.#bufferedChunks.splice(0).every((chunk, index, chunks) => {
+      if (this.#write(chunk)) return true;
+      this.#bufferedChunks.push(...chunks.slice(index + 1));
+      return false;
+    });
+    if (this.#bufferedChunks.length === 0) this.#heldSpace?.releaseAfter(this.#response);
+    return isWritten;
   }
 
   #finish(result: Result<CallSummary, CallError>): void {
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -92,6 +92,7 @@
     | 'createBudget'
     | 'drainGraceMs'
     | 'drainAnnounceDelayMs'
+    | 'memoryMb'
   >;
 }
 
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import AnswerBounds from '../../connection/boundAnswers/index.js';
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
@@ -133,6 +134,8 @@
   startedAtMs?: number;
   /** Interval between probes of the local servers; 0 disables probes. */
   probeIntervalMs?: number;
+  /** Memory of the VM, from which the bound on unread answers follows; the smallest VM by default. */
+  memoryMb?: number | undefined;
   /** Time for which a draining node still accepts new requests. */
   drainGraceMs?: number;
   /**
@@ -241,6 +244,8 @@
   /** Open connections to this node. */
   readonly #callerSockets = new WeakSet<Socket>();
 
+  readonly #answerBounds: AnswerBounds;
+
   #maintenanceRounds = 0;
 
   #inFlight = 0;
@@ -278,7 +283,8 @@
         abandonedRequests.value += 1;
       },
     });
-    const { metrics } = options;
+    const { metrics, memoryMb } = options;
+    this.#answerBounds = new AnswerBounds({ metrics, memoryMb });
     this.#serverPools = new UpstreamPools({
       metrics,
       connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS,
@@ -543,6 +549,7 @@
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
+      this.#answerBounds.addConnection(socket, { isNode: server === this.#ownerListener });
       const resetOwn = (): number => resetUnfinished((other) => other === socket);
       // Node.js ends a connection in order whose caller has ended its side.
       socket.prependListener('end', resetOwn);
@@ -623,6 +630,7 @@
     const nowMs = this.#context.getNowMs();
     this.#exchangeCrashes(nowMs);
     this.#updateLateness();
+    this.#answerBounds.review(performance.now());
     this.#pauses.recordRun(this.#readInstant());
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseLateWaiters(nowMs));
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -1,6 +1,6 @@
 /** Platform machine that runs one program, a node or a control VM, with a settings file. */
 import { spawn } from 'node:child_process';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readFile, readdir, readlink, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -36,9 +36,27 @@
   isBundled?: boolean;
   /** Options of the runtime; none by default. */
   runtimeOptions?: readonly string[];
+  /** Memory limit in the settings; none by default. */
+  memoryMb?: number;
 }
 
 const BYTES_PER_KIB = 1_024;
+const HEXADECIMAL = 16;
+
+/** Memory that a process takes, as a machine counts it. */
+export interface MemoryUse {
+  residentBytes: number;
+  /** Bytes that have arrived at its connections and are not read. */
+  unreadBytes: number;
+  /** Bytes that it has sent and its peers have not taken. */
+  untakenBytes: number;
+}
+
+/** Columns of the kernel's table of connections. */
+enum ConnectionColumn {
+  Queues = 4,
+  Inode = 9,
+}
 
 export default class PlatformMachine {
   readonly ip: string;
@@ -72,6 +90,35 @@
     return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB;
   }
 
+  /** Reads the resident size of the process and the queues of its connections in the kernel. */
+  async readMemoryUse(): Promise<MemoryUse> {
+    const folder = `/proc/${this.#child?.pid}`;
+    const [status, table, descriptors] = await Promise.all([
+      readFile(`${folder}/status`, 'utf8'),
+      readFile('/proc/net/tcp', 'utf8'),
+      readdir(`${folder}/fd`),
+    ]);
+    const links = await Promise.all(
+      // A descriptor may be closed meanwhile.
+      descriptors.map((name) => readlink(`${folder}/fd/${name}`).catch(() => '')),
+    );
+    const inodes = new Set(links.map((link) => /^socket:\[(\d+)\]$/.exec(link)?.[1]));
+    const queues = table
+      .split('\n')
+      .map((line) => line.trim().split(/\s+/))
+      .filter(({ [ConnectionColumn.Inode]: inode }) => inode !== undefined && inodes.has(inode))
+      .map((columns) => (columns[ConnectionColumn.Queues] ?? '').split(':'))
+      .map(([untaken = '', unread = '']) => ({
+        untakenBytes: Number.parseInt(untaken, HEXADECIMAL),
+        unreadBytes: Number.parseInt(unread, HEXADECIMAL),
+      }));
+    return {
+      residentBytes: Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KIB,
+      unreadBytes: queues.reduce((sum, { unreadBytes }) => sum + unreadBytes, 0),
+      untakenBytes: queues.reduce((sum, { untakenBytes }) => sum + untakenBytes, 0),
+    };
+  }
+
   /** Writes the settings file and starts the program. */
   async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
@@ -122,7 +169,7 @@
   }
 
   #createSettings(isFirstStart: boolean): object {
-    const { ip, zone, service, program, seedIps, contracts = [] } = this.#options;
+    const { ip, zone, service, program, seedIps, contracts = [], memoryMb } = this.#options;
     const isNode = program === PlatformProgram.Node;
     return {
       self: {
@@ -132,6 +179,7 @@
         region: 'south',
         first_start: isFirstStart,
         data_dir: isNode ? null : join(this.#folder, 'data'),
+        ...(memoryMb !== undefined && { limits: { memory_mb: memoryMb } }),
         ...(service !== undefined && { app: this.address('app'), service }),
       },
       network: {
