Keep one read per paused upstream connection

Cause: undici lets a connection read up to 64 KiB ahead, so that a paused one keeps two reads of 64 KiB.

Change: a high-water mark of 16 KiB, which one read fills.

--- a/src/connection/UpstreamPools/index.ts
+++ b/src/connection/UpstreamPools/index.ts
@@ -17,6 +17,8 @@
 /** Upper limit for the keep-alive timeout that an upstream requests. */
 const KEEP_ALIVE_MAX_TIMEOUT_MS = 60_000;
 const MAX_HEADER_BYTES = 32_768;
+/** One read from the system fills it, so that a paused connection keeps no second one; 64 KiB in undici. */
+const SOCKET_OPTIONS = { highWaterMark: 16_384 };
 /** Message of undici's error for a connection that receives bytes without a request. */
 const UNREQUESTED_BYTES_MESSAGE = 'bad response';
 
@@ -140,6 +142,7 @@
       connect: limitOverhead(
         watchResets({
           timeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+          ...SOCKET_OPTIONS,
           ...(tls ? { key: tls.key, cert: tls.cert, ca: tls.ca } : {}),
         }),
         this.#options.metrics,
