--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { ConnectRouter } from '@connectrpc/connect';
+import AnswerBounds from '../../connection/boundAnswers/index.js';
 import canConnect from '../../connection/canConnect/index.js';
 import closeInOrder from '../../connection/closeInOrder/index.js';
 import logAcceptErrors from '../../connection/logAcceptErrors/index.js';
@@ -134,6 +135,8 @@
   startedAtMs?: number;
   /** Interval between probes of the local servers; 0 disables probes. */
   probeIntervalMs?: number;
+  /** Memory of the VM, from which the bound on unread answers follows; the smallest VM by default. */
+  memoryMb?: number | undefined;
   /** Time for which a draining node still accepts new requests. */
   drainGraceMs?: number;
   /**
@@ -243,6 +246,8 @@
   /** Open connections to this node. */
   readonly #callerSockets = new WeakSet<Socket>();
 
+  readonly #answerBounds: AnswerBounds;
+
   #maintenanceRounds = 0;
 
   #inFlight = 0;
@@ -280,7 +285,8 @@
         abandonedRequests.value += 1;
       },
     });
-    const { metrics } = options;
+    const { metrics, memoryMb } = options;
+    this.#answerBounds = new AnswerBounds({ metrics, memoryMb });
     this.#serverPools = new UpstreamPools({
       metrics,
       connectTimeoutMs: SERVER_CONNECT_TIMEOUT_MS,
@@ -546,6 +552,7 @@
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
       ResponsePipeline.of(socket);
+      this.#answerBounds.addConnection(socket, { isNode: server === this.#ownerListener });
       const resetOwn = (): number => resetUnfinished((other) => other === socket);
       // Node.js ends a connection in order whose caller has ended its side.
       socket.prependListener('end', resetOwn);
@@ -626,6 +633,7 @@
     const nowMs = this.#context.getNowMs();
     this.#exchangeCrashes(nowMs);
     this.#updateLateness();
+    this.#answerBounds.review(performance.now());
     this.#pauses.recordRun(this.#readInstant());
     this.#context.localServers.expire(nowMs);
     this.#context.localServers.list().forEach(({ gate }) => gate.refuseLateWaiters(nowMs));
