--- a/test/platform/shortParts.test.ts
+++ b/test/platform/shortParts.test.ts
@@ -25,7 +25,14 @@
 /** `memory_mb` of the smallest machine on which a node runs. */
 const MEMORY_LIMIT_BYTES = 250 * 1_048_576;
 const CONNECTIONS = 160;
-const CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_922));
+const createChunk = (lengthBytes: number): string =>
+  `${lengthBytes.toString(16)}\r\n${'x'.repeat(lengthBytes)}\r\n`;
+
+const CHUNKS = Buffer.from(createChunk(1).repeat(10_922));
+/** Chunks that a limit on those of a few bytes does not concern. */
+const LONGER_CHUNKS = Buffer.from(createChunk(70).repeat(860));
+/** Long chunks, between which short ones cost as much as without them. */
+const MIXED_CHUNKS = Buffer.from((createChunk(4_080) + createChunk(1).repeat(683)).repeat(8));
 const ENDLESS_PATH = '/desk/endless';
 
 const createDocument = (): object => {
@@ -53,22 +60,24 @@
     .resume();
 };
 
-const writeEndlessly = (socket: Socket): void => {
-  if (!socket.destroyed) socket.write(CHUNKS, () => setImmediate(writeEndlessly, socket));
+const writeEndlessly = (socket: Socket, chunks: Buffer): void => {
+  if (!socket.destroyed) socket.write(chunks, () => setImmediate(writeEndlessly, socket, chunks));
 };
 
 /** Starts callers; returns a function that ends them. */
 type Flood = (address: string, count: number) => () => void;
 
-const sendOrders: Flood = (address, count) => {
-  const sockets = Array.from({ length: count }, () => {
-    const socket = openSocket(address);
-    socket.write(createHead('POST', '/desk/orders/1'));
-    writeEndlessly(socket);
-    return socket;
-  });
-  return () => sockets.forEach((socket) => socket.destroy());
-};
+const sendOrders =
+  (chunks: Buffer): Flood =>
+  (address, count) => {
+    const sockets = Array.from({ length: count }, () => {
+      const socket = openSocket(address);
+      socket.write(createHead('POST', '/desk/orders/1'));
+      writeEndlessly(socket, chunks);
+      return socket;
+    });
+    return () => sockets.forEach((socket) => socket.destroy());
+  };
 
 /** Callers that leave after 64 KiB and come back on a new connection. */
 const sendShortOrders: Flood = (address, count) => {
@@ -100,7 +109,7 @@
   socket.on('error', () => undefined);
   const head = ['HTTP/1.1 200 OK', `Attempt-Id: ${attemptId}`, 'Server-Stamp: s'];
   socket.write(`${[...head, 'Transfer-Encoding: chunked'].join('\r\n')}\r\n\r\n`);
-  writeEndlessly(socket);
+  writeEndlessly(socket, CHUNKS);
   return true;
 };
 
@@ -197,13 +206,15 @@
     await platform.start();
     await platform.applyConfiguration(createDocument());
     await platform.waitUntilServing();
-    const floods: Record<string, Flood> = {
-      'endless orders': sendOrders,
-      'orders on new connections': sendShortOrders,
-      'endless answers': readEndlessAnswers,
-    };
-    const plays = Object.entries(floods).flatMap(([title, flood]) =>
-      [4, 16, 64].map((count) => ({ title, flood, count })),
+    const floods: { title: string; flood: Flood; counts: number[] }[] = [
+      { title: 'endless orders', flood: sendOrders(CHUNKS), counts: [4, 16, 64] },
+      { title: 'orders on new connections', flood: sendShortOrders, counts: [4, 16, 64] },
+      { title: 'endless answers', flood: readEndlessAnswers, counts: [4, 16, 64] },
+      { title: 'orders in chunks of 70 bytes', flood: sendOrders(LONGER_CHUNKS), counts: [64] },
+      { title: 'orders with long chunks too', flood: sendOrders(MIXED_CHUNKS), counts: [64] },
+    ];
+    const plays = floods.flatMap(({ title, flood, counts }) =>
+      counts.map((count) => ({ title, flood, count })),
     );
     await plays.reduce(
       (earlier, play) => earlier.then(() => checkOthers(t, platform, play)),
