Reset connections with TLS without an exception

Cause: Node.js throws ERR_INVALID_HANDLE_TYPE when a TLS socket is to be reset. A response between nodes that ends with its connection is reset when it is broken off, also in the listener of 'end', whose exception nothing catches: with TLS between nodes, an owner node ended by itself as an entry node closed its connection within such a response. boundAnswers closed connections with TLS in order instead, so a part of a response without a length looked whole.

Change: a TLS server keeps the connections below TLS, and resetConnection resets these. One function for both users.

--- a/src/connection/boundAnswers/index.ts
+++ b/src/connection/boundAnswers/index.ts
@@ -1,10 +1,9 @@
 /** Bounds the memory of answers that wait for callers that do not read them. */
-import { TLSSocket } from 'node:tls';
-
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import type { Counter, MetricsRegistry } from '../../process/metrics/index.js';
+import { resetConnection } from '../resetConnection/index.js';
 import AnswerFlow from './_lib/AnswerFlow.js';
 import AnswerLedger, { MIN_PAUSE_MS } from './_lib/AnswerLedger/index.js';
 import type { AnswerEntry, AnswerOptions } from './_lib/AnswerLedger/index.js';
@@ -33,12 +32,6 @@
 
 const connections = new WeakMap<Socket, Connection>();
 
-/** Breaks an answer off; a reset also frees what waits in the kernel. */
-const resetConnection = (socket: Socket): void => {
-  if (socket instanceof TLSSocket) socket.destroy();
-  else socket.resetAndDestroy();
-};
-
 interface OpenAnswer {
   response: ServerResponse;
   /** Called when the answer may be sent on; undefined if it does not wait for that. */
@@ -156,6 +149,7 @@
       createFields,
       'answer broken off: its caller does not read, and room is short',
     );
+    // A reset also frees what waits in the kernel.
     resetConnection(socket);
   }
 }
--- a/src/connection/delimitByClose/index.ts
+++ b/src/connection/delimitByClose/index.ts
@@ -1,13 +1,14 @@
 /** Responses whose end is marked only by the orderly end of their connection. */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { resetConnection } from '../resetConnection/index.js';
 
 /** Responses of this process that are not sent completely. */
 const unfinished = new Set<ServerResponse>();
 
 /** Resets the connection of a response, so that its end doesn't count as that of the response. */
-const resetConnection = (response: ServerResponse): void => {
-  response.socket?.resetAndDestroy();
+const resetResponse = ({ socket }: ServerResponse): void => {
+  if (socket) resetConnection(socket);
 };
 
 const listUnfinished = (): ServerResponse[] =>
@@ -17,7 +18,7 @@
  * The system closes the connections of a process in order as it exits, whether it ends as planned or
  * because of an uncaught error.
  */
-const resetAllAtExit = (): void => listUnfinished().forEach(resetConnection);
+const resetAllAtExit = (): void => listUnfinished().forEach(resetResponse);
 
 /**
  * Delimits a response by closing its connection, because its length is not known.
@@ -43,7 +44,7 @@
  * @param response - response that has not been sent completely
  */
 export const abortResponse = (response: ServerResponse): void => {
-  if (unfinished.has(response)) resetConnection(response);
+  if (unfinished.has(response)) resetResponse(response);
   response.destroy();
 };
 
@@ -56,6 +57,6 @@
  */
 export const resetUnfinished = (isConcerned: (socket: Socket) => boolean = () => true): number => {
   const concerned = listUnfinished().filter(({ socket }) => socket !== null && isConcerned(socket));
-  concerned.forEach(resetConnection);
+  concerned.forEach(resetResponse);
   return concerned.length;
 };
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -11,6 +11,7 @@
 import logAcceptErrors from '../../connection/logAcceptErrors/index.js';
 import { abortResponse, resetUnfinished } from '../../connection/delimitByClose/index.js';
 import ResponseHolder from '../../connection/holdResponses/index.js';
+import { keepTransports } from '../../connection/resetConnection/index.js';
 import ResponsePipeline from '../../connection/ResponsePipeline/index.js';
 import { formatAddress, splitAddress } from '../../connection/splitAddress/index.js';
 import { UpstreamPools } from '../../connection/UpstreamPools/index.js';
@@ -548,6 +549,7 @@
       ? createHttpsServer({ ...options, ...createTlsOptions(tls) })
       : createHttpServer(options);
     server.maxConnections = MAX_CONNECTIONS;
+    if (tls) keepTransports(server);
     // Node.js calls it after the last response of a connection.
     server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
       this.#callerSockets.add(socket);
