--- a/stand-ins/platform/index.ts
+++ b/stand-ins/platform/index.ts
@@ -2,6 +2,7 @@
 export { default as PlatformCluster } from './PlatformCluster.js';
 export { default as PlatformMachine, PLATFORM_PORTS, PlatformProgram } from './PlatformMachine.js';
 export { default as PlatformWorker } from './PlatformWorker.js';
+export { default as readRuntimeOptions } from './readRuntimeOptions.js';
 export { callControl, createConfigurationDocument, sendAttempt } from './clients.js';
 export type { AttemptReply, ControlReply } from './clients.js';
 export type { WorkerRun } from './PlatformWorker.js';
