Read on behind a body in chunks that filled its buffer at its end

Cause: the last piece of a body in chunks may fill the buffer of its request (16 KiB), if its reader is late. Node.js reads on at the end of the body, but the holder then paused the connection because the body was not read. A request that has ended asks for no more bytes, so nothing resumed the connection: its next request was not handled, and the departure of its caller not noticed.

Change: a joined body no longer counts as full once it has ended.

The test fails without the change for 16,384 and 18,432 bytes.

--- a/src/connection/limitBodyParts/_lib/JoinedBody.ts
+++ b/src/connection/limitBodyParts/_lib/JoinedBody.ts
@@ -27,6 +27,8 @@
       push: (part: Buffer | null): boolean => {
         if (part === null) {
           this.flush();
+          // Node.js reads on behind a body, and no later read of the body would resume the connection.
+          this.#isFull = false;
           return this.#push(null);
         }
         this.#add(part);
--- a/src/connection/limitBodyParts/test.ts
+++ b/src/connection/limitBodyParts/test.ts
@@ -186,6 +186,30 @@
   socket.destroy();
 });
 
+// Guards against a kept connection that is read no more behind a body that filled its buffer at its end.
+tap.test('a request behind a body that is taken late is answered', async (t) => {
+  const open = await startServer(t, (request, response) => {
+    setTimeout(() => echo(request, response), 50);
+  });
+  const sizes = Array.from({ length: 30 }, (_, index) => 2_048 * (index + 1));
+  const answers = await Promise.all(
+    sizes.map(async (size) => {
+      const chunk = `${size.toString(16)}\r\n${'x'.repeat(size)}\r\n0\r\n\r\n`;
+      const socket = open(HEAD + chunk);
+      const answered = new Promise((resolve) => {
+        socket.once('readable', resolve);
+      });
+      setTimeout(() => socket.destroy(), 2_000);
+      await answered;
+      await sleep(100);
+      socket.write(LAST_LOOKUP);
+      return readAnswers(socket).catch(() => 'no answer to the lookup');
+    }),
+  );
+  const lost = sizes.filter((_, index) => answers[index]?.match(/HTTP\/1\.1 200/g)?.length !== 2);
+  t.strictSame(lost, []);
+});
+
 // Guards against a node that takes the rest of a body for complete, or ends by itself, when its caller
 // leaves in the middle of a piece.
 tap.test('a caller that leaves aborts its request', async (t) => {
