Parse no more requests behind a body than a connection may have pending

Cause: held bytes are parsed by request, but the piece of a body was cut by its whole length, whatever of it was parsed already, and that of a body in chunks by size alone. The last piece of a body of 64 KiB or more thus brought up to 64 KiB of requests behind it, all created at once, past the bound of 32. A head whose end is split over two reads was not cut either.

Change: what is left of a body with a length is counted, and the end of one in chunks is found in its framing. Only the place of a cut depends on it; the parser alone still decides what is valid.

--- a/src/connection/ResponsePipeline/test.ts
+++ b/src/connection/ResponsePipeline/test.ts
@@ -103,6 +103,27 @@
   t.equal(counts.received, MAX_PENDING);
 });
 
+const BODIES: Record<string, string> = {
+  length: `Content-Length: 200000\r\n\r\n${'x'.repeat(200_000)}`,
+  chunks: `Transfer-Encoding: chunked\r\n\r\n${`10000\r\n${'x'.repeat(65_536)}\r\n`.repeat(8)}0\r\n\r\n`,
+};
+
+// Guards against one read of 64 KiB whose 2,000 requests are all created at once behind a body.
+Object.entries(BODIES).forEach(([name, body]) => {
+  tap.test(`no more requests are parsed behind a body: ${name}`, async (t) => {
+    const { counts, caller } = await setUp(t, ({ method }, response) => {
+      response.req.resume();
+      if (method === 'PUT') response.end('<0>');
+    });
+    const received = collect(caller);
+    const upload = `PUT /0 HTTP/1.1\r\nHost: a\r\n${body}`;
+    caller.write(upload + upload + createNumbers(REQUEST_COUNT).map(createGet).join(''));
+    await waitFor('the responses to both bodies', () => listBodies(received.text).length === 2);
+    await sleep(300);
+    t.equal(counts.received, 2 + MAX_PENDING);
+  });
+});
+
 // Guards against callers with many requests ahead who together take the turns of those with one each.
 tap.test('connections with many requests ahead share a bound; others do not wait', async (t) => {
   const AHEAD_CONNECTIONS = 20;
--- a/src/connection/holdInput/index.ts
+++ b/src/connection/holdInput/index.ts
@@ -2,6 +2,9 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { BodyParts } from '../limitBodyParts/index.js';
+import ChunksEnd from './_lib/BodyEnd/ChunksEnd.js';
+import LengthEnd from './_lib/BodyEnd/LengthEnd.js';
+import type BodyEnd from './_lib/BodyEnd/index.js';
 
 /** End of the head of a request. */
 const HEAD_END = '\r\n\r\n';
@@ -10,7 +13,18 @@
 /** Held bytes of all connections from which on none that holds some is read. */
 const MAX_TOTAL_HELD_BYTES = 32 * 1_048_576;
 
-const findHeadEnd = (bytes: Buffer): number => {
+/** Bytes of a head that may be followed by the rest of its end. */
+const TAIL_BYTES = HEAD_END.length - 1;
+
+/**
+ * Returns the size of the rest of a head; all bytes if it does not end in them.
+ *
+ * @param tail - the last bytes before them
+ */
+const findHeadEnd = (bytes: Buffer, tail: Buffer): number => {
+  const start = Buffer.concat([tail, bytes.subarray(0, TAIL_BYTES)]);
+  const cutIndex = start.indexOf(HEAD_END);
+  if (cutIndex >= 0) return cutIndex + HEAD_END.length - tail.length;
   const index = bytes.indexOf(HEAD_END);
   return index < 0 ? bytes.length : index + HEAD_END.length;
 };
@@ -27,7 +41,7 @@
 export interface InputHolderOptions {
   /** Returns whether the next requests may be parsed. */
   mayParse: () => boolean;
-  /** Returns how many bytes of a body follow; 0 outside of a body, Infinity if that is not known. */
+  /** Returns the length of the body that is received; 0 outside of a body, Infinity for one in chunks. */
   countBodyBytes: () => number;
   /** Called after bytes were parsed that had been held. */
   onParsed: () => void;
@@ -53,6 +67,12 @@
 
   readonly #parts = new BodyParts(() => this.schedule());
 
+  /** End of the body that is parsed; undefined outside of a body. */
+  #bodyEnd: BodyEnd | undefined;
+
+  /** The last bytes of a head that were parsed. */
+  #headTail: Buffer = Buffer.alloc(0);
+
   #held: HeldBytes[] = [];
 
   #heldBytes = 0;
@@ -171,13 +191,34 @@
     if (!first) return Buffer.alloc(0);
     const { bytes, receivedAtMs } = first;
     this.#parsedReceivedAtMs = receivedAtMs;
-    const bodyBytes = this.#options.countBodyBytes() || findHeadEnd(bytes);
-    const sizeBytes = bodyBytes === Infinity ? this.#parts.takePieceBytes() : bodyBytes;
+    const sizeBytes = this.#passBody(bytes) || this.#passHead(bytes);
     if (bytes.length <= sizeBytes) this.#held.shift();
     else this.#held[0] = { bytes: bytes.subarray(sizeBytes), receivedAtMs };
     return bytes.subarray(0, sizeBytes);
   }
 
+  /** Returns how many of the bytes belong to a body and may be parsed at once; 0 outside of a body. */
+  #passBody(bytes: Buffer): number {
+    const lengthBytes = this.#options.countBodyBytes();
+    if (lengthBytes === 0) {
+      this.#bodyEnd = undefined;
+      return 0;
+    }
+    this.#headTail = Buffer.alloc(0);
+    const isChunked = lengthBytes === Infinity;
+    this.#bodyEnd ??= isChunked ? new ChunksEnd() : new LengthEnd(lengthBytes);
+    const maxBytes = isChunked ? this.#parts.takePieceBytes() : bytes.length;
+    return this.#bodyEnd.pass(bytes.subarray(0, maxBytes));
+  }
+
+  /** Returns how many of the bytes belong to a head. */
+  #passHead(bytes: Buffer): number {
+    const sizeBytes = findHeadEnd(bytes, this.#headTail);
+    const parsed = bytes.subarray(Math.max(0, sizeBytes - TAIL_BYTES), sizeBytes);
+    this.#headTail = Buffer.concat([this.#headTail, parsed]).subarray(-TAIL_BYTES);
+    return sizeBytes;
+  }
+
   #checkBounds(): void {
     const isFull =
       this.#heldBytes >= MAX_HELD_BYTES ||
