Take no answer that waits behind another one for an unread one

Cause: an answer behind others of its connection has no socket yet, and Node.js holds 16 KiB of it. The account of unread answers took that for a caller that does not read. Where room was short, it reset the connection after 0.5 s, with the requests before it that were still at their servers.

Change: such an answer counts as paused only once those before it are sent.

--- a/src/connection/boundAnswers/index.ts
+++ b/src/connection/boundAnswers/index.ts
@@ -43,6 +43,8 @@
   response: ServerResponse;
   /** Called when the answer may be sent on; undefined if it does not wait for that. */
   onRoom: (() => void) | undefined;
+  /** Whether it waits for the answers before it. */
+  isQueued: boolean;
 }
 
 export interface AnswerBoundsOptions {
@@ -88,7 +90,7 @@
    */
   open(response: ServerResponse, options: AnswerOptions): AnswerFlow {
     const entry = this.#ledger.open(options);
-    this.#answers.set(entry, { response, onRoom: undefined });
+    this.#answers.set(entry, { response, onRoom: undefined, isQueued: false });
     response.once('close', () => {
       this.#ledger.remove(entry);
       this.#answers.delete(entry);
@@ -101,7 +103,10 @@
   record(entry: AnswerEntry, sentBytes: number, nowMs: number): boolean {
     const response = this.#answers.get(entry)?.response;
     if (!response) return true;
-    const isPaused = response.writableNeedDrain;
+    // Behind other answers of its connection, it waits for those, not for its caller.
+    const isQueued = response.socket === null;
+    const isPaused = response.writableNeedDrain && !isQueued;
+    if (isQueued) this.#awaitSocket(entry, response);
     if (isPaused && entry.pausedSinceMs === undefined) {
       response.once('drain', () => {
         this.#ledger.resume(entry);
@@ -113,6 +118,18 @@
     return false;
   }
 
+  /** Records whether an answer is paused once the answers before it are sent. */
+  #awaitSocket(entry: AnswerEntry, response: ServerResponse): void {
+    const answer = this.#answers.get(entry);
+    if (!answer || answer.isQueued) return;
+    answer.isQueued = true;
+    response.once('socket', () => {
+      answer.isQueued = false;
+      // Node.js writes what it holds of the answer after this event.
+      queueMicrotask(() => this.record(entry, 0, performance.now()));
+    });
+  }
+
   /** See `AnswerFlow.onceRoom`. */
   onceRoom(entry: AnswerEntry, onRoom: () => void): void {
     const answer = this.#answers.get(entry);
--- a/src/request/RequestServer/slowCallers.test.ts
+++ b/src/request/RequestServer/slowCallers.test.ts
@@ -23,11 +23,25 @@
 /** Room for the queues of two callers that do not read. */
 const SMALL_MEMORY_MB = 60;
 const UNREAD_CALLERS = 10;
+/** Streamed, and more than Node.js takes of an answer that waits for others. */
+const SHORT_PARTS = Array.from({ length: 5 }, () => Buffer.alloc(8_192, 'x'));
 const LAST_CHUNK = '0\r\n\r\n';
 const PATHS = ['/chunks', '/length'];
 
+/** Longer than the pause after which an answer may be ended, and the time until room is short. */
+const LATE_MS = 2_000;
+
 /** Sends a long answer, with its length or in chunks by the path of the request. */
 const answer: RequestListener = (request, response) => {
+  if (request.url === '/late') {
+    setTimeout(() => response.end('late'), LATE_MS);
+    return;
+  }
+  if (request.url === '/short') {
+    SHORT_PARTS.forEach((part) => response.write(part));
+    response.end();
+    return;
+  }
   if (request.url === '/length') response.setHeader('content-length', ANSWER_BYTES);
   let leftBytes = ANSWER_BYTES;
   const write = (): void => {
@@ -148,3 +162,25 @@
   t.ok(broken.length > 0, `${broken.length} broken off`);
   t.notOk(broken.some(({ hasLastChunk }) => hasLastChunk()));
 });
+
+// Guards against a caller that reads and is cut off, as its second answer waits for the first one.
+tap.test('an answer behind a late one is not ended where room is short', async (t) => {
+  const [entry] = await startMesh(t, SMALL_MEMORY_MB);
+  const [host = '', port] = entry.address.split(':');
+  const pipelined = Array.from({ length: UNREAD_CALLERS }, async () => {
+    const socket = connect(Number(port), host);
+    socket.write('GET /late HTTP/1.1\r\nHost: a\r\n\r\n');
+    socket.write('GET /short HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+    const parts = (await socket.toArray().catch(() => [])) as Buffer[];
+    return Buffer.concat(parts).toString();
+  });
+  await sleep(READ_INTERVAL_MS);
+  Array.from({ length: UNREAD_CALLERS }, () => call(t, entry, '/chunks'));
+  const texts = await Promise.all(pipelined);
+  t.ok(entry.metrics.counter('unread_answers_ended').value > 0);
+  const wholeLengthBytes = SHORT_PARTS.length * 8_192;
+  const whole = texts.filter(
+    (text) => text.includes('late') && (text.match(/x/g) ?? []).length >= wholeLengthBytes,
+  );
+  t.equal(whole.length, UNREAD_CALLERS);
+});
