Drop the rest of an unread body on the control listener

Cause: the pipeline of a connection reads once of each body in chunks, so that Node.js passes it all parts. Node.js then no longer drops what is left of the body after the answer. The adapter of hono does so for all methods but GET and HEAD; behind a GET with a long body in chunks the connection stood still.

Change: the listener reads on once the response is closed.

Measurement: a GET with a body of 200,000 bytes in one chunk, then a GET on the same connection: no answer within 1.5 s before, answered now; answers as well. The new test fails without the change for GET (POST passed before too).

--- a/src/process/daemon/serveHttp/index.ts
+++ b/src/process/daemon/serveHttp/index.ts
@@ -45,6 +45,8 @@
     { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
     (request, response) => {
       const pipeline = ResponsePipeline.of(request.socket);
+      // Node.js drops the rest of a body only if nothing was read of it, and the pipeline reads.
+      response.once('close', () => request.resume());
       if (!pipeline.add(response, { isClosing: false })) pipeline.discard(request);
       else pipeline.run(() => handle(request, response));
     },
