--- a/test/platform/fatalErrors.test.ts
+++ b/test/platform/fatalErrors.test.ts
@@ -49,7 +49,7 @@
   ),
 );
 
-// Guards against a planned stop that can't be told from one of the ends above.
+// Guards against a planned stop that can't be distinguished from one of the ends above.
 tap.test('a planned stop is logged, and the process exits with code 0', async (t) => {
   const machine = new PlatformMachine({
     ...{ program: PlatformProgram.Node, zone: 'zone-a', seedIps: [CONTROL_IP], isBundled: true },
