--- a/src/process/replication/_lib/Replica/index.ts
+++ b/src/process/replication/_lib/Replica/index.ts
@@ -545,7 +545,7 @@
   async #compact(baseIndex: number): Promise<void> {
     const base = { index: baseIndex, term: this.log.termAt(baseIndex) ?? 0 };
     const snapshot = this.encodeSnapshot();
-    // Every entry in memory is stored, or its write was queued before this one.
+    // Includes entries that are not synced yet; their writes, queued behind this one, replace or skip them.
     const retained = this.log.from(baseIndex + 1);
     const saved = await this.storage.saveSnapshot(snapshot, retained, base);
     if (saved.isErr()) this.fail(saved.error);
--- a/src/process/storage/DurableStorage/index.ts
+++ b/src/process/storage/DurableStorage/index.ts
@@ -14,6 +14,7 @@
 import { encodeFrame, encodeLogHeader } from '../_lib/logFormat/index.js';
 import type { StoredEntry } from '../_lib/logFormat/index.js';
 import { LOG_FILE, SNAPSHOT_FILE, STATE_FILE, loadFolder } from '../_lib/loadFolder/index.js';
+import type { LoadedFolder } from '../_lib/loadFolder/index.js';
 import { encodeRecord, replaceFile } from '../_lib/recordFile/index.js';
 import { encodeSnapshot } from '../_lib/snapshotFormat/index.js';
 import type { StoredSnapshot } from '../_lib/snapshotFormat/index.js';
@@ -70,18 +71,21 @@
 
   #logBytes: number;
 
+  /** Index of the entry before the first one in the log file. */
+  #baseIndex: number;
+
   private constructor(
     folder: string,
     files: FileOperations,
-    diskIdentity: string,
     file: AppendFile,
-    logBytes: number,
+    { diskIdentity, logBytes, baseIndex }: LoadedFolder,
   ) {
     this.#folder = folder;
     this.#files = files;
     this.diskIdentity = diskIdentity;
     this.#logFile = file;
     this.#logBytes = logBytes;
+    this.#baseIndex = baseIndex;
   }
 
   /**
@@ -101,9 +105,7 @@
       if (loaded.isErr()) return err(loaded.error);
       const file = await files.open(join(folder, LOG_FILE));
       const { logBytes, ...recovered } = loaded.value;
-      const { diskIdentity } = recovered;
-      const storage = new DurableStorage(folder, files, diskIdentity, file, logBytes);
-      return ok({ storage, recovered });
+      return ok({ storage: new DurableStorage(folder, files, file, loaded.value), recovered });
     } catch (error) {
       return err(convertError(error, `cannot open the data folder ${folder}`));
     }
@@ -120,7 +122,8 @@
   }
 
   /**
-   * Appends entries in one synced write; replaces stored entries from the first index on.
+   * Appends entries in one synced write; replaces stored entries from the first index on. Entries that a
+   * snapshot has covered since the call are left out.
    *
    * @param entries - consecutive entries; the first index is at most one past the last stored one
    * @returns once synced; DiskFull, SyncFailed or IoFailed otherwise
@@ -128,7 +131,9 @@
   append(entries: StoredEntry[]): Promise<Result<void, StorageError>> {
     if (entries.length === 0) return Promise.resolve(ok(undefined));
     return this.#write('cannot append to the log', async () => {
-      const frame = encodeFrame(entries, this.diskIdentity);
+      const uncovered = entries.filter(({ index }) => index > this.#baseIndex);
+      if (uncovered.length === 0) return;
+      const frame = encodeFrame(uncovered, this.diskIdentity);
       await this.#logFile.append(frame);
       await this.#syncFile(this.#logFile);
       this.#logBytes += frame.length;
@@ -167,6 +172,7 @@
       await this.#logFile.close();
       this.#logFile = await this.#files.open(join(this.#folder, LOG_FILE));
       this.#logBytes = log.length;
+      this.#baseIndex = base.index;
     });
   }
 
--- a/src/process/storage/DurableStorage/test.ts
+++ b/src/process/storage/DurableStorage/test.ts
@@ -306,6 +306,23 @@
 const describeHardState = ({ term, votedFor, clusterId }: HardState): string =>
   `${term} ${votedFor} ${clusterId}`;
 
+// Guards against a log that can't be opened: a leader with a slow disk syncs entries that it has compacted
+// meanwhile, as a majority of others had stored them.
+tap.test('entries that a snapshot covers may be appended behind it', async (t) => {
+  const disk = new SimulatedDisk(createSeededRandom(SEED));
+  const { storage } = await openDisk(disk);
+  const snapshot = { lastIndex: 12, lastTerm: 1, payload: Buffer.from('state') };
+  const [saved, appended] = await Promise.all([
+    storage.saveSnapshot(snapshot, createEntries(11, 5, 1), { index: 10, term: 1 }),
+    storage.append(createEntries(6, 11, 1)),
+  ]);
+  t.ok(saved.isOk() && appended.isOk());
+  await storage.close();
+  const { recovered } = await openDisk(disk);
+  t.equal(recovered.baseIndex, 10);
+  t.equal(describeEntries(recovered.entries), describeEntries(createEntries(11, 6, 1)));
+});
+
 tap.test('no acknowledged state is lost by a crash at any step', async (t) => {
   const complete = new SimulatedDisk(createSeededRandom(SEED));
   await runScenario(complete, createAcknowledged());
