--- a/src/connection/shareTurns/_lib/PartMeter/index.ts
+++ b/src/connection/shareTurns/_lib/PartMeter/index.ts
@@ -1,9 +1,6 @@
 /** Parts of one piece up to which it is never wasteful; a slow upload brings a few at a time. */
 const MAX_FREE_PARTS = 12;
-/**
- * Mean length below which a part costs far more for its callback than for its bytes. 64 callers with
- * endless bodies in chunks of 256 bytes leave others their answers, with 70 bytes they do not.
- */
+/** Mean length below which a part costs far more for its callback than for its bytes. */
 const MIN_PART_BYTES = 256;
 /** Mean length below which no useful body stays: a third of its bytes is the framing of its chunks. */
 const MIN_SUSTAINED_PART_BYTES = 16;
