--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -127,12 +127,6 @@
   return lengthBytes !== undefined && Number(lengthBytes) <= MAX_BUFFERED_BYTES;
 };
 
-/** Returns the headers, alternating names and values, without the one of a lower-case name. */
-const dropHeader = (headers: string[], name: string): string[] =>
-  findHeader(headers, name) === undefined
-    ? headers
-    : headers.filter((_, index) => headers[index - (index % 2)]?.toLowerCase() !== name);
-
 /**
  * Returns whether an error that follows the head of a response is one of its trailers. Headers are
  * parsed again only after the last chunk, so the body is whole.
@@ -333,14 +327,7 @@
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
     const endsWithConnection = this.#endsWithConnection(head, decoded);
-    if (!this.#isSentInChunks(head, endsWithConnection)) {
-      head.headers = dropHeader(head.headers, 'trailer');
-    }
-    // Trailers are not part of what is observed.
-    this.#options.tap?.addHead(
-      { ...head, headers: dropHeader(head.headers, 'trailer') },
-      { endsWithConnection },
-    );
+    this.#options.tap?.addHead(head, { endsWithConnection });
     if (isBuffered(head)) {
       this.#bufferedHead = head;
       return true;
@@ -469,12 +456,6 @@
     return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
   }
 
-  /** Returns whether trailers can follow the response; Node.js refuses to announce them otherwise. */
-  #isSentInChunks({ statusCode, headers }: ResponseHead, endsWithConnection: boolean): boolean {
-    const hasBody = this.#method !== 'HEAD' && !BODYLESS_STATUS.has(statusCode);
-    return hasBody && !endsWithConnection && findHeader(headers, 'content-length') === undefined;
-  }
-
   /** Writes the short parts that were parsed at once as one. */
   #writeJoined(): void {
     if (this.#unwritten.sizeBytes > 0 && !this.#response.destroyed)
--- a/src/connection/shareTurns/_lib/TurnQueue.ts
+++ b/src/connection/shareTurns/_lib/TurnQueue.ts
@@ -15,8 +15,6 @@
 
   readonly #waiting = new Set<Waiter>();
 
-  readonly #pressureListeners = new Set<() => void>();
-
   #isScheduled = false;
 
   /** Whether wasteful pieces are expected. */
@@ -24,15 +22,8 @@
     return this.#budget.isUnderPressure(performance.now());
   }
 
-  /** Registers a listener for the first wasteful piece after a time without any. */
-  onPressure(listener: () => void): void {
-    this.#pressureListeners.add(listener);
-  }
-
   record(spentMs: number, nowMs: number): void {
-    const isNew = !this.#budget.isUnderPressure(nowMs);
     this.#budget.record(spentMs, nowMs);
-    if (isNew) this.#pressureListeners.forEach((listener) => listener());
   }
 
   add(waiter: Waiter): void {
