Join the parts of buffered answers

What callers saw: a faulty worker sent a short answer of known length in segments of one byte, and the machine of the node beside it ran out of memory, with the requests of all other callers on it.

Cause: an answer of up to 64 KiB is buffered until it is complete, and each part was kept as a buffer of its own. A part of one byte takes some 200 bytes, so 65 KB took 14 MB, and nothing counted parts.

Change: the parts are copied into one growing buffer. What waits behind a paused caller, and answers without a length, are kept in the same way.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -34,6 +34,8 @@
 const MAX_EARLY_HINTS = 8;
 /** Shorter parts are joined: Node.js keeps several objects for each write, and a part may be a byte. */
 const MIN_WRITE_BYTES = 4_096;
+/** Largest part of a buffered body that is written at once. */
+const MAX_WRITE_BYTES = 16_384;
 /** A withheld body up to this length is dropped, so that its connection can be kept. */
 const MAX_DROPPED_BYTES = 65_536;
 /** Limit on log lines about parts of responses that are not passed on. */
@@ -173,7 +175,8 @@
 
   #bufferedHead: ResponseHead | undefined;
 
-  readonly #bufferedChunks: Buffer[] = [];
+  /** Body of a buffered response, or what of a streamed one waits to be written. */
+  readonly #buffered = new GrowingBuffer();
 
   /** Space of a held response without a length. */
   #heldSpace: HeldSpace | undefined;
@@ -359,13 +362,9 @@
     if (this.#bufferedHead && this.#heldSpace?.add(chunk.length) === false) {
       this.#sendHeld(this.#bufferedHead);
     }
-    if (this.#bufferedHead) {
-      this.#bufferedChunks.push(chunk);
-      return true;
-    }
-    if (this.#bufferedChunks.length > 0) {
-      this.#bufferedChunks.push(chunk);
-      return false;
+    if (this.#bufferedHead || this.#buffered.sizeBytes > 0) {
+      this.#buffered.append(chunk);
+      return this.#bufferedHead !== undefined;
     }
     if (this.#unwritten.sizeBytes === 0) {
       if (chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
@@ -495,13 +494,12 @@
 
   /** Returns whether all that was buffered of a streamed response is written, and more may be. */
   #writeBuffered(): boolean {
-    const isWritten = this.#bufferedChunks.splice(0).every((chunk, index, chunks) => {
-      if (this.#write(chunk)) return true;
-      this.#bufferedChunks.push(...chunks.slice(index + 1));
-      return false;
-    });
-    if (this.#bufferedChunks.length === 0) this.#heldSpace?.releaseAfter(this.#response);
-    return isWritten;
+    let mayWrite = true;
+    while (mayWrite && this.#buffered.sizeBytes > 0) {
+      mayWrite = this.#write(this.#buffered.take(MAX_WRITE_BYTES));
+    }
+    if (this.#buffered.sizeBytes === 0) this.#heldSpace?.releaseAfter(this.#response);
+    return mayWrite;
   }
 
   #finish(result: Result<CallSummary, CallError>): void {
@@ -595,9 +593,7 @@
     if (trailers && trailers.length > 0) {
       this.#runOptional('trailers', () => this.#addTrailers(trailers));
     }
-    this.#response.end(
-      this.#bufferedChunks.length > 0 ? Buffer.concat(this.#bufferedChunks.splice(0)) : undefined,
-    );
+    this.#response.end(this.#buffered.sizeBytes > 0 ? this.#buffered.take() : undefined);
     this.#heldSpace?.releaseAfter(this.#response);
   }
 
--- a/src/process/GrowingBuffer/index.ts
+++ b/src/process/GrowingBuffer/index.ts
@@ -12,10 +12,13 @@
 export default class GrowingBuffer {
   #bytes = Buffer.alloc(0);
 
-  #sizeBytes = 0;
+  /** Part of `#bytes` that is in use. */
+  #start = 0;
+
+  #end = 0;
 
   get sizeBytes(): number {
-    return this.#sizeBytes;
+    return this.#end - this.#start;
   }
 
   /**
@@ -24,24 +27,35 @@
    * @param part - bytes, which may change afterwards
    */
   append(part: Uint8Array): void {
-    const sizeBytes = this.#sizeBytes + part.length;
-    if (sizeBytes > this.#bytes.length) this.#grow(sizeBytes);
-    this.#bytes.set(part, this.#sizeBytes);
-    this.#sizeBytes = sizeBytes;
+    if (this.#end + part.length > this.#bytes.length) this.#grow(this.sizeBytes + part.length);
+    this.#bytes.set(part, this.#end);
+    this.#end += part.length;
   }
 
-  /** Returns all parts as one, and keeps none of them. */
-  take(): Buffer<ArrayBuffer> {
-    const taken = this.#bytes.subarray(0, this.#sizeBytes);
-    this.#bytes = Buffer.alloc(0);
-    this.#sizeBytes = 0;
+  /**
+   * Takes bytes from the start.
+   *
+   * @param maxBytes - how many at most; all by default
+   * @returns the bytes as one, which are kept no longer
+   */
+  take(maxBytes = Infinity): Buffer<ArrayBuffer> {
+    const takenBytes = Math.min(maxBytes, this.sizeBytes);
+    const taken = this.#bytes.subarray(this.#start, this.#start + takenBytes);
+    this.#start += takenBytes;
+    if (this.sizeBytes === 0) {
+      this.#bytes = Buffer.alloc(0);
+      this.#start = 0;
+      this.#end = 0;
+    }
     return taken;
   }
 
   #grow(sizeBytes: number): void {
-    const capacityBytes = Math.max(sizeBytes, 2 * this.#bytes.length, MIN_CAPACITY_BYTES);
+    const capacityBytes = Math.max(sizeBytes, 2 * this.sizeBytes, MIN_CAPACITY_BYTES);
     const larger = Buffer.allocUnsafe(capacityBytes);
-    larger.set(this.#bytes.subarray(0, this.#sizeBytes));
+    larger.set(this.#bytes.subarray(this.#start, this.#end));
     this.#bytes = larger;
+    this.#end -= this.#start;
+    this.#start = 0;
   }
 }
