Join the parts of recorded answers

Cause: an answer to a keyed request is recorded up to 64 KiB, and each part was kept as a buffer of its own. It is the same as with buffered answers.

--- a/src/request/_lib/ResponseRecorder.ts
+++ b/src/request/_lib/ResponseRecorder.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http';
 import { StoredResponseSchema } from '../../_generated/foxtailvane/v1/idempotency_pb.js';
 import { delimitByClose } from '../../connection/delimitByClose/index.js';
+import GrowingBuffer from '../../process/GrowingBuffer/index.js';
 
 import type { StoredResponse } from '../../_generated/foxtailvane/v1/idempotency_pb.js';
 import type { ResponseHead, ResponseTap } from '../../connection/UpstreamCall/index.js';
@@ -18,9 +19,9 @@
 
   #endsWithConnection = false;
 
-  #chunks: Buffer[] = [];
+  readonly #body = new GrowingBuffer();
 
-  #sizeBytes = 0;
+  #isTooLarge = false;
 
   /** @param store - stores the response; receives undefined when it is too large or has no head */
   constructor(store: (response: StoredResponse | undefined) => Promise<void>) {
@@ -33,18 +34,19 @@
   }
 
   addChunk(chunk: Buffer): void {
-    this.#sizeBytes += chunk.length;
-    if (this.#sizeBytes <= MAX_STORED_BYTES) this.#chunks.push(Buffer.from(chunk));
-    else this.#chunks = [];
+    this.#isTooLarge ||= this.#body.sizeBytes + chunk.length > MAX_STORED_BYTES;
+    if (this.#isTooLarge) this.#body.take();
+    else this.#body.append(chunk);
   }
 
   async finish(): Promise<void> {
-    const isStorable = this.#head !== undefined && this.#sizeBytes <= MAX_STORED_BYTES;
+    const isStorable = this.#head !== undefined && !this.#isTooLarge;
     const response = isStorable
       ? create(StoredResponseSchema, {
           statusCode: this.#head?.statusCode,
           headers: this.#head?.headers,
-          body: Buffer.concat(this.#chunks),
+          // Stored for long, so without the room that it was given to grow.
+          body: Buffer.from(this.#body.take()),
           endsWithConnection: this.#endsWithConnection,
         })
       : undefined;
