Join the short segments that wait to be parsed

What callers saw: callers sent segments of one byte behind many requests without an answer, or orders in chunks of one byte, and the machine of their entry node ran out of memory.

Cause: what a connection receives while its parser waits is held up to 64 KiB, in an entry for each segment.

Change: short segments that arrive within 50 ms are joined, so that requests in them keep their time of arrival. A segment with nothing before it, the usual case, is passed on without a copy.

--- a/src/connection/holdInput/index.ts
+++ b/src/connection/holdInput/index.ts
@@ -4,6 +4,7 @@
 import { BodyParts } from '../limitBodyParts/index.js';
 import ChunksEnd from './_lib/BodyEnd/ChunksEnd.js';
 import LengthEnd from './_lib/BodyEnd/LengthEnd.js';
+import HeldInput from './_lib/HeldInput/index.js';
 import type BodyEnd from './_lib/BodyEnd/index.js';
 
 /** End of the head of a request. */
@@ -31,13 +32,6 @@
 
 let totalHeldBytes = 0;
 
-/** Received bytes that wait to be parsed. */
-interface HeldBytes {
-  bytes: Buffer;
-  /** When they arrived at the latest, on the clock of `performance.now()`. */
-  receivedAtMs: number;
-}
-
 export interface InputHolderOptions {
   /** Returns whether the next requests may be parsed. */
   mayParse: () => boolean;
@@ -73,7 +67,7 @@
   /** The last bytes of a head that were parsed. */
   #headTail: Buffer = Buffer.alloc(0);
 
-  #held: HeldBytes[] = [];
+  readonly #held = new HeldInput();
 
   #heldBytes = 0;
 
@@ -155,7 +149,7 @@
   #receive(bytes: Buffer): void {
     const receivedAtMs = this.#unreadSinceMs ?? performance.now();
     this.#unreadSinceMs = undefined;
-    this.#held.push({ bytes, receivedAtMs });
+    this.#held.append(bytes, receivedAtMs);
     this.#count(bytes.length);
     if (!this.#isScheduled) this.#parseHeld();
     this.#checkBounds();
@@ -182,18 +176,17 @@
 
   #canParse(): boolean {
     const isOpen = !this.#socket.destroyed && !this.#isPausedByNode;
-    return isOpen && this.#held.length > 0 && this.#options.mayParse();
+    return isOpen && this.#held.first !== undefined && this.#options.mayParse();
   }
 
   /** Takes held bytes of no more than one request; of a body, as many as belong to it. */
   #take(): Buffer {
-    const [first] = this.#held;
+    const { first } = this.#held;
     if (!first) return Buffer.alloc(0);
     const { bytes, receivedAtMs } = first;
     this.#parsedReceivedAtMs = receivedAtMs;
     const sizeBytes = this.#passBody(bytes) || this.#passHead(bytes);
-    if (bytes.length <= sizeBytes) this.#held.shift();
-    else this.#held[0] = { bytes: bytes.subarray(sizeBytes), receivedAtMs };
+    this.#held.drop(sizeBytes);
     return bytes.subarray(0, sizeBytes);
   }
 
@@ -237,7 +230,7 @@
 
   #drop(): void {
     this.#parts.close();
-    this.#held = [];
+    this.#held.clear();
     this.#count(-this.#heldBytes);
   }
 }
