Take an answer with a status above 599 for no answer

What callers saw: a faulty worker answered with a status of 600 to 999, and its caller got it as an answer.

Cause: the HTTP client checks only that a status is at least 100, and nothing else did. Statuses above 599 are not valid (RFC 9110, section 15).

Change: such an answer fails its call as one without a response, so the caller gets 502 and its connection is closed.

The test failed before for 600 and 999.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -22,6 +22,8 @@
 const PROCESSING = 102;
 const EARLY_HINTS = 103;
 const FIRST_FINAL_STATUS = 200;
+/** Values above are not valid (RFC 9110, section 15). */
+const LAST_STATUS = 599;
 const GATEWAY_TIMEOUT = 504;
 const MS_PER_SECOND = 1_000;
 /** Reason code of a node that forwards the refusal of a server. */
@@ -315,6 +317,11 @@
 
   /** Returns whether to read on. */
   #receiveHead(statusCode: number, raw: Buffer[]): boolean {
+    if (statusCode > LAST_STATUS) {
+      const options = { isWritten: true };
+      const message = `the status ${statusCode} is not valid`;
+      return this.#refuseHead(new CallError(CallErrorCode.NoResponse, message, options));
+    }
     this.#statusCode = statusCode;
     const decoded = decodeHeaders(raw);
     const copied = copyHeaders(decoded, { isRequest: false });
@@ -322,11 +329,7 @@
     const head: ResponseHead = { statusCode, headers: copied.headers, internal };
     this.#options.onHead?.(head);
     const headError = this.#options.validateHead?.(head);
-    if (headError && headError.code !== CallErrorCode.Refused) {
-      this.#finish(err(headError));
-      this.#abort?.(headError);
-      return false;
-    }
+    if (headError && headError.code !== CallErrorCode.Refused) return this.#refuseHead(headError);
     this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
     if (this.#withheldError) return true;
     const endsWithConnection = this.#endsWithConnection(head, decoded);
@@ -351,6 +354,13 @@
     return true;
   }
 
+  /** Ends the call and its connection; returns that nothing is to be read on. */
+  #refuseHead(error: CallError): false {
+    this.#finish(err(error));
+    this.#abort?.(error);
+    return false;
+  }
+
   /** Returns whether to read on. */
   #receivePart(chunk: Buffer): boolean {
     if (this.#withheldError) {
--- a/test/platform/invalidStatus.test.ts
+++ b/test/platform/invalidStatus.test.ts
@@ -61,4 +61,8 @@
   };
   await checkInvalid('099');
   await checkInvalid('101');
+  // Guards against an answer whose status is none, which reached callers as it was.
+  await checkInvalid('000');
+  await checkInvalid('600');
+  await checkInvalid('999');
 });
