Join short parts of an answer that its caller has not taken

What callers saw: a faulty worker sent long answers in segments of one byte, to callers with several requests behind one another, and the machine of their entry node ran out of memory, with the requests of all others on it.

Cause: parts that were parsed at once are joined, but a segment of one byte is parsed on its own. Each was handed to the response, where it waits up to 16 KiB by bytes: behind the answer before it, or while the caller does not read. A byte took 1 KB there, the least that the joining buffer reserves.

Change: while the system has not taken a short write, further parts are joined up to 4 KiB. A caller that reads gets each part as before.

--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -197,6 +197,11 @@
   /** Short parts that were parsed and not written yet. */
   readonly #unwritten = new GrowingBuffer();
 
+  #isWriteScheduled = false;
+
+  /** Whether joined parts were written that the system has not taken. */
+  #isWriting = false;
+
   /** Since when the caller has not read what was written; undefined while it reads. */
   #blockedAtMs: number | undefined;
 
@@ -376,11 +381,10 @@
       this.#buffered.append(chunk);
       return this.#bufferedHead !== undefined;
     }
-    if (this.#unwritten.sizeBytes === 0) {
-      if (chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
-      this.#schedule('body', () => this.#writeJoined());
-    }
+    const isFirst = this.#unwritten.sizeBytes === 0;
+    if (isFirst && chunk.length >= MIN_WRITE_BYTES) return this.#write(chunk);
     this.#unwritten.append(chunk);
+    if (isFirst || this.#unwritten.sizeBytes >= MIN_WRITE_BYTES) this.#scheduleWrite();
     return this.#blockedAtMs === undefined;
   }
 
@@ -465,18 +469,34 @@
     return isReceivedSo || (!hasChunks && isUnframed(statusCode, this.#method, headers));
   }
 
-  /** Writes the short parts that were parsed at once as one. */
+  #scheduleWrite(): void {
+    if (this.#isWriteScheduled) return;
+    this.#isWriteScheduled = true;
+    this.#schedule('body', () => {
+      this.#isWriteScheduled = false;
+      if (!this.#isWriting || this.#unwritten.sizeBytes >= MIN_WRITE_BYTES) this.#writeJoined();
+    });
+  }
+
+  /**
+   * Writes the short parts that were parsed as one. Further ones are joined until the system has taken
+   * it, since a caller may read slowly or not at all.
+   */
   #writeJoined(): void {
-    if (this.#unwritten.sizeBytes > 0 && !this.#response.destroyed)
-      this.#write(this.#unwritten.take());
+    if (this.#unwritten.sizeBytes === 0 || this.#response.destroyed) return;
+    this.#isWriting = true;
+    this.#write(this.#unwritten.take(), () => {
+      this.#isWriting = false;
+      if (!this.#isSettled) this.#run('body', () => this.#writeJoined());
+    });
   }
 
   /**
    * Returns whether the caller reads and the node has room; otherwise the upstream is resumed once that
    * is so.
    */
-  #write(chunk: Buffer): boolean {
-    const isTaken = this.#response.write(chunk);
+  #write(chunk: Buffer, onTaken?: () => void): boolean {
+    const isTaken = this.#response.write(chunk, onTaken);
     this.#flow ??= openAnswerFlow(this.#response, this.#lengthBytes);
     const hasRoom = this.#flow?.record(chunk.length) ?? true;
     if (this.#blockedAtMs !== undefined) return false;
--- a/test/platform/shortSegments.test.ts
+++ b/test/platform/shortSegments.test.ts
@@ -31,10 +31,17 @@
 const HTTP_OK = 200;
 /** Below the size up to which nodes buffer a body before they pass it on. */
 const BODY_BYTES = 65_000;
-/** Lookups with this name get an answer byte by byte, with that name none. */
-const DRIPPED = 'dripped';
+/** Lookups with these names get an answer byte by byte, the last one none. */
+const BUFFERED = 'buffered';
+const STREAMED = 'streamed';
 const NEVER = 'never';
 
+/** Framing of the answers to lookups. */
+const FRAMING: Record<string, string> = {
+  [BUFFERED]: `Content-Length: ${BODY_BYTES}\r\n`,
+  [STREAMED]: 'Content-Length: 100000000\r\n',
+};
+
 /** Writes a part in a segment of its own, again and again until the connection is closed. */
 const drip = (socket: Socket, part: string): void => {
   if (!socket.writable) return;
@@ -44,12 +51,13 @@
 };
 
 const writeFaulty = ({ path, attemptId }: WorkerRun, socket: Socket): boolean => {
-  const name = path.split('/').at(-1);
+  const name = path.split('/').at(-1) ?? '';
   if (name === NEVER) return true;
-  if (name !== DRIPPED) return false;
+  const framing = FRAMING[name];
+  if (framing === undefined) return false;
   socket.setNoDelay(true).on('error', () => undefined);
   const id = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s\r\n`;
-  socket.write(`HTTP/1.1 200 OK\r\n${id}Content-Length: ${BODY_BYTES}\r\n\r\n`);
+  socket.write(`HTTP/1.1 200 OK\r\n${id}${framing}\r\n`);
   drip(socket, 'x');
   return true;
 };
@@ -65,7 +73,12 @@
 }
 
 const FORMS: Record<string, Form> = {
-  'answers with a length': { line: `GET /${FAULTY_SERVICE}/${DRIPPED}`, fields: [] },
+  'answers with a length': { line: `GET /${FAULTY_SERVICE}/${BUFFERED}`, fields: [] },
+  'long answers behind one another': {
+    line: `GET /${FAULTY_SERVICE}/${STREAMED}`,
+    fields: [],
+    requests: 3,
+  },
   'orders with a length': {
     line: `POST /${FAULTY_SERVICE}/orders/1`,
     fields: [`Content-Length: ${BODY_BYTES}`],
