--- a/src/connection/holdResponses/_lib/HeldSpace.ts
+++ b/src/connection/holdResponses/_lib/HeldSpace.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type ResponseHolder from '../index.js';
 
-/** Memory of a buffer besides its bytes, so that many small parts don't exceed the bounds. */
+/** Counted for each part besides its bytes, more than the room that joining it takes. */
 const BUFFER_OVERHEAD_BYTES = 512;
 
 /** Space for one held response. */
--- a/test/platform/shortSegments.test.ts
+++ b/test/platform/shortSegments.test.ts
@@ -34,12 +34,14 @@
 /** Lookups with these names get an answer byte by byte, the last one none. */
 const BUFFERED = 'buffered';
 const STREAMED = 'streamed';
+const UNFRAMED = 'unframed';
 const NEVER = 'never';
 
 /** Framing of the answers to lookups. */
 const FRAMING: Record<string, string> = {
   [BUFFERED]: `Content-Length: ${BODY_BYTES}\r\n`,
   [STREAMED]: 'Content-Length: 100000000\r\n',
+  [UNFRAMED]: '',
 };
 
 /** Writes a part in a segment of its own, again and again until the connection is closed. */
@@ -74,6 +76,7 @@
 
 const FORMS: Record<string, Form> = {
   'answers with a length': { line: `GET /${FAULTY_SERVICE}/${BUFFERED}`, fields: [] },
+  'answers without a length': { line: `GET /${FAULTY_SERVICE}/${UNFRAMED}`, fields: [] },
   'long answers behind one another': {
     line: `GET /${FAULTY_SERVICE}/${STREAMED}`,
     fields: [],
