Share the empty buffer of growing buffers

Each request creates several growing buffers, most of which stay empty, and each allocated an empty buffer of its own.

--- a/src/process/GrowingBuffer/index.ts
+++ b/src/process/GrowingBuffer/index.ts
@@ -1,4 +1,6 @@
 const MIN_CAPACITY_BYTES = 1_024;
+/** Shared, since each request creates several buffers that mostly stay empty. */
+const EMPTY = Buffer.alloc(0);
 
 /**
  * Joins parts as they arrive. Parts can be as short as a byte, and one that is kept on its own takes a
@@ -10,7 +12,7 @@
  * request.on('end', () => handle(body.take()));
  */
 export default class GrowingBuffer {
-  #bytes = Buffer.alloc(0);
+  #bytes = EMPTY;
 
   /** Part of `#bytes` that is in use. */
   #start = 0;
@@ -43,7 +45,7 @@
     const taken = this.#bytes.subarray(this.#start, this.#start + takenBytes);
     this.#start += takenBytes;
     if (this.sizeBytes === 0) {
-      this.#bytes = Buffer.alloc(0);
+      this.#bytes = EMPTY;
       this.#start = 0;
       this.#end = 0;
     }
