--- a/soak/runFloods/FloodingCaller.ts
+++ b/soak/runFloods/FloodingCaller.ts
@@ -3,9 +3,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { Socket } from 'node:net';
-import { drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import { drawInteger, drawOne } from '../../stand-ins/createSeededRandom/index.js';
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
-import { drawOne } from '../runStutters/drawAnswer.js';
 import { drawRequestFlood } from './drawFlood.js';
 import writeFlood from './writeFlood.js';
 
--- a/soak/runFloods/drawFlood.ts
+++ b/soak/runFloods/drawFlood.ts
@@ -1,7 +1,6 @@
 /** What a faulty worker or caller sends without end, and how. */
-import { drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import { drawInteger, drawOne } from '../../stand-ins/createSeededRandom/index.js';
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
-import { drawOne } from '../runStutters/drawAnswer.js';
 
 /** How a connection ends after a number of bytes. */
 export enum FloodEnd {
@@ -12,7 +11,6 @@
 
 /** Bytes without end. */
 export interface Flood {
-  form: string;
   /** Sent once. */
   start: string;
   /** Sent again and again, in segments. */
@@ -104,8 +102,8 @@
   fields: { start: '', part: FIELDS },
 };
 
-const drawPace = (random: Random, form: string, { start, part }: FloodBytes): Flood => ({
-  ...{ form, start, part: Buffer.from(part, 'latin1') },
+const drawPace = (random: Random, { start, part }: FloodBytes): Flood => ({
+  ...{ start, part: Buffer.from(part, 'latin1') },
   segmentBytes: drawOne(random, SEGMENT_BYTES),
   paceMs: drawOne(random, PACES_MS),
   end: drawOne(random, ENDS),
@@ -122,11 +120,11 @@
   const form = drawOne(random, Object.keys(ANSWER_FORMS));
   const format = ANSWER_FORMS[form] ?? formatHead('200 OK', '');
   const id = `Attempt-Id: ${attemptId}\r\nServer-Stamp: s.${attemptId}\r\n`;
-  return drawPace(random, form, format(id));
+  return drawPace(random, format(id));
 };
 
 /** Draws what a caller sends behind the first fields of an order. */
 export const drawRequestFlood = (random: Random): Flood => {
   const form = drawOne(random, Object.keys(REQUEST_FORMS));
-  return drawPace(random, form, REQUEST_FORMS[form] ?? { start: '\r\n', part: FILLER });
+  return drawPace(random, REQUEST_FORMS[form] ?? { start: '\r\n', part: FILLER });
 };
--- a/soak/runStutters/StutteringWorker.ts
+++ b/soak/runStutters/StutteringWorker.ts
@@ -1,6 +1,6 @@
 /** Writes the answers of a worker, and sometimes parts of them again. */
 import type { Socket } from 'node:net';
-import { drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import { drawInteger, drawOne } from '../../stand-ins/createSeededRandom/index.js';
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
 import type { WorkerRun } from '../../stand-ins/platform/index.js';
 import {
@@ -8,7 +8,6 @@
   Moment,
   SecondAnswer,
   drawAnswer,
-  drawOne,
   formatAnswer,
   formatHints,
   formatSecondAnswer,
--- a/soak/runStutters/drawAnswer.ts
+++ b/soak/runStutters/drawAnswer.ts
@@ -1,5 +1,5 @@
 /** Answers of a faulty worker, and what it writes again of them. */
-import { drawInteger } from '../../stand-ins/createSeededRandom/index.js';
+import { drawInteger, drawOne } from '../../stand-ins/createSeededRandom/index.js';
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
 
 /** How the end of an answer is marked. */
@@ -61,10 +61,6 @@
 const SHORT_BODY_BYTES = 300;
 const NOT_EXECUTED = 'Not-Executed: 1\r\n';
 
-/** Draws one of several values. */
-export const drawOne = <Value>(random: Random, values: readonly Value[]): Value =>
-  values[drawInteger(random, 0, values.length - 1)] as Value;
-
 const drawStatus = (random: Random): { status: string; isRun: boolean } => {
   const draw = drawInteger(random, 1, STATUS_DRAWS);
   if (draw === 1) return { status: drawOne(random, FAILURES), isRun: true };
--- a/stand-ins/createSeededRandom/index.ts
+++ b/stand-ins/createSeededRandom/index.ts
@@ -28,6 +28,10 @@
 export const drawInteger = (random: Random, low: number, high: number): number =>
   low + Math.floor(random() * (high - low + 1));
 
+/** Draws one of several values. */
+export const drawOne = <Value>(random: Random, values: readonly Value[]): Value =>
+  values[drawInteger(random, 0, values.length - 1)] as Value;
+
 /** Draws a seed for a run, or takes it from the environment variable `SEED`. */
 export const chooseSeed = (): number =>
   Number(process.env.SEED ?? Math.floor(Math.random() * 1_000_000_000));
