--- a/review/8/play.js
+++ b/review/8/play.js
@@ -1,112 +1,107 @@
-/** A node is killed while it passes on a long answer without a length: no part of it may look whole. */
-import { connect } from 'node:net';
+/** An operator takes the last tenant away: its key, and keys that nobody ever held, must run nothing. */
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { PLATFORM_PORTS } from '../stand-ins-2/platform.js';
+import { callControl, sendAttempt } from '../stand-ins-2/platform.js';
 import {
   applyConfiguration,
   createDeployment,
   waitUntilServing,
 } from '../stand-ins-2/Deployment.js';
-import RawWorker, { formatAnswer } from '../stand-ins-2/RawWorker.js';
 import { hasTrouble, runCase } from '../stand-ins-2/runCase.js';
 
 const SERVICE = 'desk';
-const NODE_COUNT = 4;
-const CLIENT_COUNT = 5;
-const PART = 'x'.repeat(16_384);
-const PART_COUNT = 192;
-const PART_GAP_MS = 10;
-const BODY_BYTES = PART.length * PART_COUNT;
-const KILL_AFTER_MS = 1_500;
+const NODE_COUNT = 6;
+const REVOKE_MS = 5_000;
+const CHECK_MS = 3_000;
+const GAP_MS = 500;
+const HELD_KEY = 'key-of-oak-71c0';
+const OTHER_KEY = 'key-of-nobody-9e12';
+const FORGED_NAME = 'elm';
 
-const createDocument = () => ({
-  version: 'r1',
-  base_version: 'r0',
+const ROUTE = {
+  ...{ host: 'shop.example', route_class: 'safe', priority: 1, service: SERVICE },
+  ...{ timeout: '2s', target_latency: '500ms', max_attempts: 2 },
+};
+
+const createDocument = (version, baseVersion, tenants) => ({
+  ...{ version: `r${version}`, base_version: `r${baseVersion}` },
   routes: [
-    {
-      ...{ name: 'lookups', host: 'shop.example', path_prefix: '/desk/', route_class: 'safe' },
-      ...{ timeout: '10s', target_latency: '5s', priority: 1, service: SERVICE, max_attempts: 1 },
-    },
+    { ...ROUTE, name: 'lookups', path_prefix: '/desk/' },
+    { ...ROUTE, name: 'open', path_prefix: '/open/', auth_exempt: true },
   ],
   services: [{ name: SERVICE, health_path: '/health', max_connections: 600 }],
+  tenants,
 });
 
-/** Sends a lookup; resolves at the end of the connection with what was received. */
-const receive = (ip, attemptId) =>
-  new Promise((resolve) => {
-    const socket = connect(PLATFORM_PORTS.outbound, ip);
-    const chunks = [];
-    let isReset = false;
-    socket.write(
-      `GET /desk/export HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${attemptId}\r\n` +
-        'Deadline-Remaining: 10000\r\n\r\n',
-    );
-    socket.on('data', (bytes) => chunks.push(bytes));
-    socket.on('error', () => {
-      isReset = true;
-    });
-    socket.on('close', () => resolve({ attemptId, isReset, bytes: Buffer.concat(chunks) }));
+/** Sends a lookup with a key, and a name of a tenant that only the system may set. */
+const sendWithKey = (node, key, path) =>
+  sendAttempt(node.address('outbound'), {
+    path,
+    headers: { authorization: `Token ${key}`, 'tenant-id': FORGED_NAME },
   });
 
-const describe = ({ attemptId, isReset, bytes }) => {
-  const text = bytes.toString('latin1');
-  const headBytes = text.indexOf('\r\n\r\n') + 4;
-  const head = text.slice(0, headBytes).toLowerCase();
-  const isFramed = /content-length|transfer-encoding/.test(head);
-  const isSuccess = /^http\/1\.1 200/.test(head);
-  const bodyBytes = bytes.length - headBytes;
-  const looksWhole = isSuccess && !isFramed && !isReset;
-  return { attemptId, isSuccess, isFramed, isReset, bodyBytes, looksWhole };
-};
-
 await runCase(import.meta.url, async (record, cleanups) => {
-  const cluster = await createDeployment({ nodeCount: NODE_COUNT, services: [SERVICE] });
+  const cluster = await createDeployment({
+    nodeCount: NODE_COUNT,
+    services: [SERVICE],
+    contracts: ['tenants'],
+    bounds: { strict_revoke: true, revoke: `${REVOKE_MS}ms` },
+  });
   cleanups.push(() => cluster.stop());
-  const answer = async ({ attemptId, path }, socket) => {
-    const stamp = `s.${attemptId}`;
-    if (path !== '/desk/export') {
-      socket.write(formatAnswer({ attemptId, stamp, body: 'item' }));
-      return;
-    }
-    record.add('worker answers', { attemptId, bodyBytes: BODY_BYTES });
-    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\nServer-Stamp: ${stamp}\r\n\r\n`);
-    for (let index = 0; index < PART_COUNT && !socket.destroyed; index += 1) {
-      socket.write(PART);
-      await delay(PART_GAP_MS);
-    }
-    socket.end();
-  };
-  const workers = cluster.nodes.map(
-    (node, index) =>
-      new RawWorker({
-        ...{ instanceId: `i-${index}`, service: SERVICE, zone: 'zone-a', answer },
-        ...{ address: node.address('app'), control: node.address('control') },
-      }),
-  );
-  cluster.workers.splice(0, NODE_COUNT, ...workers);
   await cluster.start();
-  await applyConfiguration(cluster, createDocument());
-  await waitUntilServing(cluster, { path: '/desk/ready' });
+  await applyConfiguration(cluster, createDocument(1, 0, [{ name: 'oak', api_keys: [HELD_KEY] }]));
+  await waitUntilServing(cluster, { path: '/open/1' });
+  const [node] = cluster.nodes;
+  const before = await Promise.all(
+    [HELD_KEY, OTHER_KEY].map((key) => sendWithKey(node, key, '/desk/before')),
+  );
+  record.add('before the change', { statuses: before.map(({ status }) => status) });
 
-  const [entry] = cluster.nodes;
-  const receiving = Array.from({ length: CLIENT_COUNT }, (_, index) =>
-    receive(entry.ip, `export-${index}`),
+  const tenants = hasTrouble ? [] : [{ name: 'oak', api_keys: [] }];
+  const reply = await callControl(
+    cluster.controls[0].address('control'),
+    'configuration.replace',
+    createDocument(3, 1, tenants),
   );
-  await delay(KILL_AFTER_MS);
-  if (hasTrouble) {
-    record.add('node is killed', { node: entry.ip });
-    await entry.stop('SIGKILL');
+  record.add('change answered', { version: 'r3', tenants, status: reply.status });
+  if (reply.status !== 200) return { isBroken: false, summary: `refused with ${reply.status}` };
+  await delay(REVOKE_MS + GAP_MS);
+
+  const sent = new Map();
+  const endMs = performance.now() + CHECK_MS;
+  while (performance.now() < endMs) {
+    await Promise.all(
+      cluster.nodes.flatMap((entry) =>
+        [HELD_KEY, OTHER_KEY].map(async (key) => {
+          const path = `/desk/${sent.size}`;
+          sent.set(path, key);
+          record.add('client sends', { path, key, node: entry.ip });
+          const { status } = await sendWithKey(entry, key, path);
+          record.add('client got', { path, status });
+        }),
+      ),
+    );
+    await delay(GAP_MS);
   }
-  const answers = (await Promise.all(receiving)).map(describe);
-  answers.forEach((seen) => record.add('client got', seen));
-  const broken = answers.filter(
-    ({ looksWhole, bodyBytes }) => looksWhole && bodyBytes < BODY_BYTES,
+  const runs = cluster.workers
+    .flatMap((worker) => worker.runs)
+    .filter(({ path }) => sent.has(path));
+  const readHeader = ({ rawHeaders }, name) =>
+    rawHeaders[rawHeaders.findIndex((field) => field.toLowerCase() === name) + 1];
+  runs.forEach((run) =>
+    record.add('run', {
+      path: run.path,
+      key: sent.get(run.path),
+      authorization: run.rawHeaders.some((field) => field.toLowerCase() === 'authorization'),
+      tenant: readHeader(run, 'tenant-id'),
+    }),
   );
+  const countOf = (key) => runs.filter(({ path }) => sent.get(path) === key).length;
   return {
-    isBroken: broken.length > 0,
+    isBroken: runs.length > 0,
     summary:
-      `${broken.length} of ${CLIENT_COUNT} clients got a success of fewer than ${BODY_BYTES} bytes ` +
-      'that ended as a whole one does',
+      `${countOf(HELD_KEY)} requests with the key that was taken away and ${countOf(OTHER_KEY)} with a ` +
+      `key that no configuration held ran, of ${sent.size} sent more than ${REVOKE_MS} ms after the ` +
+      'acknowledgement',
   };
 });
--- a/review/stand-ins-2/RawWorker.js
+++ b/review/stand-ins-2/RawWorker.js
@@ -52,14 +52,23 @@
   }
 
   async stop() {
-    clearInterval(this.timer);
-    clearInterval(this.firstTimer);
+    this.stopHeartbeats();
     this.server.close();
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  stopHeartbeats() {
+    clearInterval(this.timer);
+    clearInterval(this.firstTimer);
+  }
+
   /** Sends a heartbeat; resolves with the status of its answer, 0 without one. */
   sendHeartbeat(changes = {}) {
+    return this.holdHeartbeat(changes)();
+  }
+
+  /** Formats the next heartbeat, and returns a function that sends it. */
+  holdHeartbeat(changes = {}) {
     const { instanceId, service, address, zone, slots = 18 } = this.options;
     this.#sequence += 1;
     const body = JSON.stringify({
@@ -67,7 +76,11 @@
       ...{ sequence: this.#sequence, born: this.#bornAtMs },
       ...changes,
     });
-    return this.call(`instances.heartbeat&of=${instanceId}`, body);
+    return () => this.call(`instances.heartbeat&of=${instanceId}`, body);
+  }
+
+  formatDeregistration() {
+    return JSON.stringify({ born: this.#bornAtMs });
   }
 
   /** Sends a call to the node beside the worker. */
@@ -113,10 +126,11 @@
   }
 
   #handleRequest(message, socket, connection) {
-    const { instanceId, answer } = this.options;
+    const { instanceId, answer, isHealthy = () => true } = this.options;
     const { path, headers } = message;
     if (path === '/health') {
-      socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${instanceId}\r\nContent-Length: 0\r\n\r\n`);
+      const status = isHealthy() ? '200 OK' : '503 Service Unavailable';
+      socket.write(`HTTP/1.1 ${status}\r\nInstance-Id: ${instanceId}\r\nContent-Length: 0\r\n\r\n`);
       return;
     }
     const attemptId = headers['attempt-id'];
