review: tell a case that fails to run from a broken rule

A process that ends with an error exits with 1, so play.js exits with 10 for a broken rule and run.sh converts it.

--- a/review/stand-ins-2/runCase.js
+++ b/review/stand-ins-2/runCase.js
@@ -2,9 +2,10 @@
 import { writeFile } from 'node:fs/promises';
 
 const EXIT_HELD = 0;
-const EXIT_BROKEN = 1;
+/** Differs from that of a process that fails with an error; `run.sh` exits with 1 instead. */
+const EXIT_BROKEN = 10;
 const EXIT_NOT_RUN = 2;
-const TIME_LIMIT_MS = 110_000;
+const TIME_LIMIT_MS = 105_000;
 
 /** Whether the disruption takes place. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -27,7 +28,7 @@
 }
 
 /**
- * Runs a case and sets the exit code: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+ * Runs a case and sets the exit code: 0 if the rule held, 10 if it was broken, 2 if the case could not run.
  *
  * @param folderUrl - URL of a file in the folder of the case
  * @param play - receives the record and a list of functions that end what was started; resolves with
