Grant no quota shares before a control VM has counts

What callers saw: after a restart of all control VMs, a workspace far within its quota was refused for seconds, and a hot one got a full quota on top of what it had just used.

Cause, by a trace of the pool (level -73 of 24 right after the restart): counts of nodes were taken for new spending if they came before the quotas were known, or from a node that attached late; a control VM without a leader divided a part of zero; and one that had been suspended forgave the excess of its pause.

Change: the counts in the first report of a node are its base, whenever it comes. Shares are sent once nodes have reported, a leader has been heard from twice, and, after a pause, the reports have been read; what a pause earned and used is then added up. Until that, nodes use their reserves.

--- a/src/process/quotas/ShareComputer/index.ts
+++ b/src/process/quotas/ShareComputer/index.ts
@@ -10,8 +10,14 @@
 const OUT_OF_TOUCH_MS = 1_000;
 /** Time without a computation, because this process was suspended or there were no requests. */
 const PAUSE_MS = 1_000;
-/** Time after the start during which counts of unknown nodes only serve as the base of later ones. */
-const LEARNING_MS = 2_000;
+/** Part of the rate up to which demand shows that the quota is not used up. */
+const MODEST_SHARE = 0.7;
+/** Time after a pause in which the reports of all nodes arrive, by way of other control VMs too. */
+const READING_MS = 700;
+/** Time after the start in which nodes attach and report, before the first shares. */
+const LEARNING_MS = 1_200;
+/** Computations with a leader before the first shares: the first one still has a part of zero. */
+const MIN_CONFIRMED_ROUNDS = 2;
 /** Part of the rate of a second, and of the pool, that nodes may hold unused. */
 const HELD_RATE_S = 0.1;
 const HELD_POOL_SHARE = 0.25;
@@ -120,6 +126,13 @@
 
   #ownNodeCount = 0;
 
+  #confirmedRounds = 0;
+
+  #canGrant = false;
+
+  #resumedAtMs = -Infinity;
+
+  /** Time of the first computation with nodes and quotas. */
   #startedAtMs: number | undefined;
 
   #updatedAtMs = 0;
@@ -135,26 +148,32 @@
    * @param nowMs - present time in milliseconds, by a clock that does not step
    */
   update(input: ShareInput, nowMs: number): void {
-    this.#startedAtMs ??= nowMs;
+    if (input.nodes.length > 0 && input.quotas.length > 0) this.#startedAtMs ??= nowMs;
     const elapsedMs = this.#updatedAtMs === 0 ? 0 : Math.max(0, nowMs - this.#updatedAtMs);
-    const isBaseKnown = nowMs - this.#startedAtMs >= LEARNING_MS;
+    const isLearning = nowMs - (this.#startedAtMs ?? nowMs) < LEARNING_MS;
     this.#updatedAtMs = nowMs;
     const silence = this.#updateContacts(input, nowMs);
-    this.#adoptQuotas(input.quotas, isBaseKnown);
+    this.#adoptQuotas(input.quotas, !isLearning);
+    if (elapsedMs > PAUSE_MS) this.#resumedAtMs = nowMs;
+    // What a pause has earned and used is known once the reports are read, but not in its order.
+    const areReportsRead = nowMs - this.#resumedAtMs >= READING_MS;
     this.#workspaces.forEach(({ demand, pool }) => {
       demand.fade(elapsedMs);
       pool.refill(elapsedMs);
+      if (areReportsRead) pool.settle();
     });
-    input.nodes.forEach((node) => this.#count(node, isBaseKnown));
-    // The requests of a pause of this process were counted all at once, against one burst.
-    const isAfterPause = elapsedMs > PAUSE_MS;
+    input.nodes.forEach((node) => this.#count(node));
+    if (input.isConfirmed) this.#confirmedRounds += 1;
+    const hasLeader = this.#confirmedRounds >= MIN_CONFIRMED_ROUNDS;
+    this.#canGrant = !isLearning && areReportsRead && hasLeader;
     const activeCount = [...this.#contacts.values()].filter(({ isActive }) => isActive).length;
     const nodeCount = Math.max(activeCount, input.minNodeCount ?? 1);
     const mayRise = input.isConfirmed && input.silentMemberIds.size === 0;
     this.#workspaces.forEach((state) => {
       const { pool, demand } = state;
       pool.spend(-demand.takeAssumed());
-      if (isAfterPause) pool.forgive();
+      if (areReportsRead) pool.settle();
+      if (isLearning && ShareComputer.#mayBeUsedUp(state)) pool.drain();
       this.#assumeSpending(state, silence, elapsedMs);
       this.#divide(state, nodeCount, mayRise);
     });
@@ -168,8 +187,11 @@
    * the node admits its requests up to the quota.
    *
    * @param nodeId - a node that is attached to this control VM
+   * @returns undefined while this control VM lacks the counts to grant anything: after its start, and
+   *   after a pause
    */
-  computeShares(nodeId: string): NodeShare[] {
+  computeShares(nodeId: string): NodeShare[] | undefined {
+    if (!this.#canGrant) return undefined;
     const sent = this.#sent.get(nodeId) ?? new Map<string, NodeShare>();
     this.#sent.set(nodeId, sent);
     return [...this.#workspaces].flatMap(([name, state]) => {
@@ -213,7 +235,9 @@
       const isOutOfTouch = silentMs >= OUT_OF_TOUCH_MS || silentMemberIds.has(owner);
       const isSilent = isActive && isOutOfTouch;
       const isOwn = isActive && owner === memberId;
-      const contact = this.#contacts.get(nodeId) ?? { nodeId, isSilent: false };
+      const contact = this.#contacts.get(nodeId) ?? {
+        ...{ nodeId, isSilent: false, hasReported: false },
+      };
       const state = { nodeId, incarnation, isKnown: true, isActive, isSilent, isOwn };
       const wasSilent = contact.isSilent;
       const updated = Object.assign(contact, state);
@@ -242,6 +266,12 @@
     });
   }
 
+  /** Whether nodes may have used the quota up before this control VM counted: too much is asked for. */
+  static #mayBeUsedUp({ demand, pool }: WorkspaceState): boolean {
+    const offeredPerSecond = DemandTable.toRate(demand.sum(1).demand);
+    return demand.hasUnknownPast && offeredPerSecond > MODEST_SHARE * pool.quota.ratePerSecond;
+  }
+
   #createState(quota: Quota, isFull: boolean): WorkspaceState {
     const pool = new QuotaPool(quota, this.#options.bounds, isFull);
     return {
@@ -262,13 +292,17 @@
     };
   }
 
-  #count({ nodeId, usage }: NodeUsage, isBaseKnown: boolean): void {
+  #count({ nodeId, usage }: NodeUsage): void {
     const contact = this.#contacts.get(nodeId);
     if (!contact?.isActive) return;
+    // A node may have counted for long before this control VM started or could reach it.
+    const isBaseKnown = contact.hasReported;
     usage.forEach((count) => {
       const state = this.#workspaces.get(count.workspace);
       state?.pool.spend(state.demand.add(contact, count, isBaseKnown));
     });
+    // Right after the start, the quotas are not known yet.
+    contact.hasReported ||= usage.length > 0 && this.#workspaces.size > 0;
   }
 
   /**
--- a/src/process/quotas/_lib/DemandTable.ts
+++ b/src/process/quotas/_lib/DemandTable.ts
@@ -66,6 +66,8 @@
 
   #hasAssumed = false;
 
+  #hasUnknownPast = false;
+
   /** Parts of the requests since the last computation that have not faded. */
   #demandPart = 1;
 
@@ -76,6 +78,11 @@
     return (this.#admitted * MS_PER_SECOND) / ADMISSION_DECAY_MS;
   }
 
+  /** Whether nodes had counted requests before this control VM watched, at an unknown time. */
+  get hasUnknownPast(): boolean {
+    return this.#hasUnknownPast;
+  }
+
   /** Demand of a node without the prior. */
   getDemand(nodeId: string): number {
     return this.#nodes.get(nodeId)?.demand ?? 0;
@@ -110,18 +117,22 @@
    *
    * @param contact - the node
    * @param count - counts of the node since its start; the same object as before if they are the same
-   * @param isBaseKnown - whether a node that is new here began to count since this control VM watches
+   * @param isBaseKnown - whether what is new here was counted since an earlier report of the node
    * @returns requests admitted since the former report, less those that did not run; may be negative
    */
   add(contact: NodeContact, count: UsageCount, isBaseKnown: boolean): number {
-    const known = this.#nodes.get(contact.nodeId);
     const { incarnation } = contact;
-    if (known?.count === count && known.incarnation === incarnation) return 0;
+    const entry = this.#getNode(contact);
+    if (entry.count === count && entry.incarnation === incarnation) return 0;
     const offered = Number(count.offered);
     const used = Number(count.admitted - count.returned);
-    const base = isBaseKnown ? { offered: 0, used: 0 } : { offered, used };
-    const entry = known ?? this.#createNode(contact, { incarnation, ...base });
+    if (entry.count === undefined && !isBaseKnown) {
+      this.#hasUnknownPast = true;
+      Object.assign(entry, { incarnation, offered, used });
+    }
     const isSameProcess = entry.incarnation === incarnation;
+    // What the former process admitted after its last report stays assumed, as it is never reported.
+    if (!isSameProcess) entry.assumed = 0;
     const spent = used - (isSameProcess ? entry.used : 0);
     const arrived = Math.max(0, offered - (isSameProcess ? entry.offered : 0));
     entry.demand += arrived * this.#demandPart;
@@ -182,14 +193,12 @@
 
   #getNode(contact: NodeContact): NodeDemand {
     const known = this.#nodes.get(contact.nodeId);
-    return known ?? this.#createNode(contact, { incarnation: 0n, offered: 0, used: 0 });
-  }
-
-  #createNode(
-    contact: NodeContact,
-    counts: Pick<NodeDemand, 'incarnation' | 'offered' | 'used'>,
-  ): NodeDemand {
-    const entry = { contact, count: undefined, ...counts, demand: 0, assumed: 0, frozenPart: 0 };
+    if (known) return known;
+    const counts = { incarnation: contact.incarnation, offered: 0, used: 0 };
+    const entry = {
+      ...{ contact, count: undefined, ...counts },
+      ...{ demand: 0, assumed: 0, frozenPart: 0 },
+    };
     this.#nodes.set(contact.nodeId, entry);
     return entry;
   }
--- a/src/process/quotas/_lib/NodeContact.ts
+++ b/src/process/quotas/_lib/NodeContact.ts
@@ -9,6 +9,8 @@
   isActive: boolean;
   /** Whether an active node is out of touch, by itself or with its control VM. */
   isSilent: boolean;
+  /** Whether this control VM has counted a report of the node. */
+  hasReported: boolean;
   /** Whether the node is attached to this control VM. */
   isOwn: boolean;
 }
--- a/src/process/quotas/_lib/QuotaPool.ts
+++ b/src/process/quotas/_lib/QuotaPool.ts
@@ -55,18 +55,23 @@
     this.#level = Math.min(this.size, this.#level + Math.max(0, this.size - formerSize));
   }
 
+  /** Adds what has been earned; `settle` limits the level to the size. */
   refill(elapsedMs: number): void {
-    const earned = (elapsedMs * this.#quota.ratePerSecond) / MS_PER_SECOND;
-    this.#level = Math.min(this.size, this.#level + earned);
+    this.#level += (elapsedMs * this.#quota.ratePerSecond) / MS_PER_SECOND;
   }
 
-  /** Forgets an excess, for a time in which the use is not known in its order. */
-  forgive(): void {
-    this.#level = Math.max(0, this.#level);
+  spend(requests: number): void {
+    this.#level -= requests;
   }
 
-  spend(requests: number): void {
-    this.#level = Math.min(this.size, this.#level - requests);
+  /** Drops what the pool cannot hold. */
+  settle(): void {
+    this.#level = Math.min(this.size, this.#level);
+  }
+
+  /** Drops what was earned while the use was not known. */
+  drain(): void {
+    this.#level = Math.min(0, this.#level);
   }
 
   /** The level less the admissions that are not reported yet, in requests. */
--- a/src/process/quotas/createShareSource/index.ts
+++ b/src/process/quotas/createShareSource/index.ts
@@ -37,8 +37,9 @@
    *
    * @param nodeId - id of the node
    * @param nowMs - present time in milliseconds, by a clock that does not step
+   * @returns undefined while this control VM lacks the counts to grant anything
    */
-  computeShares: (nodeId: string, nowMs: number) => QuotaShare[];
+  computeShares: (nodeId: string, nowMs: number) => QuotaShare[] | undefined;
   /** Returns the use of each quota. */
   list: () => WorkspaceStatus[];
 }
@@ -133,7 +134,7 @@
     computeShares: (nodeId, nowMs) => {
       askedAtMs.set(nodeId, nowMs);
       if (nowMs - updatedAtMs >= MIN_INTERVAL_MS) update(nowMs);
-      return computer.computeShares(nodeId).map((share) => create(QuotaShareSchema, share));
+      return computer.computeShares(nodeId)?.map((share) => create(QuotaShareSchema, share));
     },
     list: () => computer.list(),
   };
