Accept a version only if nodes can put it in force

A number above 32 bits was answered 500, again and again.

Cause: a route with a service and an empty `traffic_split` was read as one without targets. Each node refuses such a version in its own check; neither the decoder nor the replicated log made that check.

Change: the log runs the check of the nodes, `compileConfiguration`, before a version is proposed, and answers what cannot be encoded as invalid.

--- a/src/process/replication/_lib/validateChange/index.ts
+++ b/src/process/replication/_lib/validateChange/index.ts
@@ -1,18 +1,24 @@
 import { create, toBinary } from '@bufbuild/protobuf';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import { Result, err } from 'neverthrow';
 
 import { ConfigurationSchema } from '../../../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { Configuration } from '../../../../_generated/foxtailvane/v1/configuration_pb.js';
 import { AcceptedVersionSchema } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
 import type { AcceptedVersion } from '../../../../_generated/foxtailvane/v1/replication_pb.js';
-import { hashConfiguration } from '../../../../version/hashConfiguration/index.js';
+import { compileConfiguration } from '../../../../version/compileConfiguration/index.js';
 import type { ConfigurationChange } from '../../ControlLog/index.js';
 
+/** The encoder throws on numbers that the type of a field cannot hold. */
+const encodeConfiguration = Result.fromThrowable(
+  (configuration: Configuration) => toBinary(ConfigurationSchema, configuration),
+  (error) => `the configuration cannot be encoded: ${String(error)}`,
+);
+
 /**
- * Validates a change and encodes it for the log. Version and content hash are checked again here,
- * because conflicts are detected by comparing them.
+ * Validates a change and encodes it for the log. The check is that of the nodes themselves, since a
+ * version that they refuse must not be acknowledged.
  *
- * @param change - the change; the caller has validated its rows
+ * @param change - the change
  * @param nowMs - time of acceptance, in milliseconds since the epoch
  * @param maxBytes - limit of the encoded configuration, in bytes
  * @returns the content of the log entry, or the reason why the change is invalid
@@ -24,27 +30,26 @@
 ): Result<AcceptedVersion, string> => {
   const { configuration, operator, requestId } = change;
   const { version, contentHash } = configuration;
-  if (version === 0) return err('the version number must be at least 1');
   if (requestId === '') return err('the request id is empty');
-  if (Buffer.compare(contentHash, hashConfiguration(configuration)) !== 0) {
-    return err('the content hash does not match the content');
-  }
-  const encoded = toBinary(ConfigurationSchema, configuration);
-  if (encoded.length > maxBytes) {
-    return err(`the configuration has ${encoded.length} bytes; at most ${maxBytes} are accepted`);
-  }
-  return ok(
-    create(AcceptedVersionSchema, {
-      version,
-      contentHash,
-      operator,
-      requestId,
-      acceptedAtMs: BigInt(Math.max(0, Math.floor(nowMs))),
-      configuration: encoded,
-      ...(change.baseVersion !== undefined && { baseVersion: change.baseVersion }),
-      ...(change.document && { document: change.document }),
-    }),
-  );
+  return encodeConfiguration(configuration).andThen((encoded) => {
+    if (encoded.length > maxBytes) {
+      return err(`the configuration has ${encoded.length} bytes; at most ${maxBytes} are accepted`);
+    }
+    const createEntry = (): AcceptedVersion =>
+      create(AcceptedVersionSchema, {
+        version,
+        contentHash,
+        operator,
+        requestId,
+        acceptedAtMs: BigInt(Math.max(0, Math.floor(nowMs))),
+        configuration: encoded,
+        ...(change.baseVersion !== undefined && { baseVersion: change.baseVersion }),
+        ...(change.document && { document: change.document }),
+      });
+    return compileConfiguration(configuration)
+      .map(createEntry)
+      .mapErr(({ message }) => message);
+  });
 };
 
 export default validateChange;
