Tell an empty list of workspaces from none

Cause: requests needed a key if the list of workspaces had a row.

Change: `has_empty_workspaces` in the configuration, in deltas and in the content hash. Stored versions keep their hash.

--- a/bench/forwarding/worker.ts
+++ b/bench/forwarding/worker.ts
@@ -59,7 +59,7 @@
     configuration: create(ConfigurationSchema, { version: 1, services, routes: [route] }),
     version: 1,
     findService: () => services[0],
-    hasWorkspaces: false,
+    needsKeys: false,
     findWorkspace: () => undefined,
     findWorkspaceByKeyId: () => undefined,
     matchRoute: (_, path) => (path.startsWith('/') ? route : undefined),
--- a/src/process/node/openNode/index.ts
+++ b/src/process/node/openNode/index.ts
@@ -251,7 +251,7 @@
   metrics.gauge('requests_in_flight', () => server.inFlight);
   metrics.gauge('endpoint_records', () => directory.records().length);
   holder.onInstalled(({ configuration }) => server.applyLimits(configuration.limits));
-  const canAdmitKeys = (): boolean => !holder.current()?.hasWorkspaces || readKeyProofLeftMs() > 0;
+  const canAdmitKeys = (): boolean => !holder.current()?.needsKeys || readKeyProofLeftMs() > 0;
   return { metrics, holder, directory, localServers, link, server, versions, canAdmitKeys };
 };
 
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -139,7 +139,7 @@
     const key = parseKeyHeader(exchange.internalHeaders.get(KEY_HEADER));
     const workspace = key && { name: key.workspaceName };
     // An entry node with a version without workspaces passes the headers of callers on.
-    if (this.#context.current()?.hasWorkspaces)
+    if (this.#context.current()?.needsKeys)
       exchange.dropHeaders(this.#context.dialect.workspaceHeaders);
     const localRequest = {
       routeName: call.routeName,
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -92,7 +92,7 @@
     readKeyProofLeftMs: context.readKeyProofLeftMs,
   });
   if (admitted && 'reason' in admitted) return admitted;
-  if (compiled.hasWorkspaces) exchange.dropHeaders(context.dialect.workspaceHeaders);
+  if (compiled.needsKeys) exchange.dropHeaders(context.dialect.workspaceHeaders);
   const limitBytes = compiled.configuration.limits?.maxBodyBytes ?? 0;
   if (limitBytes > 0 && Number(request.headers['content-length'] ?? 0) > limitBytes) {
     const message = `the request body exceeds the limit of ${limitBytes} bytes`;
--- a/src/request/admitKey/index.ts
+++ b/src/request/admitKey/index.ts
@@ -48,7 +48,7 @@
   readKey: () => string | undefined,
   { compiled, route, isCurrent, readKeyProofLeftMs }: KeyFacts,
 ): AdmittedKey | Refusal | undefined => {
-  if (!compiled.hasWorkspaces || route.isKeyless) return undefined;
+  if (!compiled.needsKeys || route.isKeyless) return undefined;
   const key = readKey();
   const digest = key === undefined ? undefined : digestKey(key);
   const workspace = digest && compiled.findWorkspace(digest.toString('hex'));
@@ -84,7 +84,7 @@
 ): RefusalReason | undefined => {
   if (!isProven) return RefusalReason.KeyUnconfirmed;
   // The entry node may hold a newer version, in which the key was added.
-  if (!compiled?.hasWorkspaces || compiled.version < version) return undefined;
+  if (!compiled?.needsKeys || compiled.version < version) return undefined;
   const holder = compiled.findWorkspaceByKeyId(keyId);
   return holder?.name === workspaceName ? undefined : RefusalReason.UnknownKey;
 };
--- a/src/version/applyDelta/index.ts
+++ b/src/version/applyDelta/index.ts
@@ -58,6 +58,7 @@
     routes: mergeRows(base.routes, delta.upsertedRoutes, delta.removedRoutes),
     ...(delta.limits && { limits: delta.limits }),
     workspaces: mergeRows(base.workspaces, delta.upsertedWorkspaces, delta.removedWorkspaces),
+    hasEmptyWorkspaces: delta.hasEmptyWorkspaces,
   });
   if (!verifyHash(next)) {
     const message = `content of version ${delta.version} does not match its hash after the delta`;
--- a/src/version/compileConfiguration/index.ts
+++ b/src/version/compileConfiguration/index.ts
@@ -31,7 +31,7 @@
     return {
       configuration: checked,
       version: checked.version,
-      hasWorkspaces: checked.workspaces.length > 0,
+      needsKeys: checked.workspaces.length > 0 || checked.hasEmptyWorkspaces,
       findWorkspace: (digestHex) => keys.byDigest.get(digestHex),
       findWorkspaceByKeyId: (keyId) => keys.byKeyId.get(keyId),
       findService: (name) => services.get(name),
--- a/src/version/compileConfiguration/test.ts
+++ b/src/version/compileConfiguration/test.ts
@@ -91,10 +91,10 @@
 tap.test('findWorkspace returns the holder of a key', async (t) => {
   const oak = { name: 'oak', keyDigests: [createDigest(1), createDigest(2)] };
   const compiled = expectOk(compile({ workspaces: [oak, { name: 'elm' }] }));
-  t.equal(compiled.hasWorkspaces, true);
+  t.equal(compiled.needsKeys, true);
   t.equal(compiled.findWorkspace(toHex(2))?.name, 'oak');
   t.equal(compiled.findWorkspace(toHex(3)), undefined);
-  t.equal(expectOk(compile({ services })).hasWorkspaces, false);
+  t.equal(expectOk(compile({ services })).needsKeys, false);
 });
 
 // Guards against a version that finds the keys of the version before it.
--- a/src/version/compileConfiguration/types.ts
+++ b/src/version/compileConfiguration/types.ts
@@ -9,8 +9,8 @@
 export interface CompiledConfiguration {
   readonly configuration: Configuration;
   readonly version: number;
-  /** Whether requests need the key of a workspace, except on keyless routes. */
-  readonly hasWorkspaces: boolean;
+  /** Whether requests need the key of a workspace, except on keyless routes; there may be none. */
+  readonly needsKeys: boolean;
   /**
    * Returns the workspace that holds a key.
    *
--- a/src/version/createDelta/index.ts
+++ b/src/version/createDelta/index.ts
@@ -74,6 +74,7 @@
       ...(next.limits && { limits: next.limits }),
       upsertedWorkspaces: selectUpserted(WorkspaceSchema, base.workspaces, next.workspaces),
       removedWorkspaces: selectRemoved(base.workspaces, next.workspaces),
+      hasEmptyWorkspaces: next.hasEmptyWorkspaces,
     }),
   );
 };
--- a/src/version/hashConfiguration/index.ts
+++ b/src/version/hashConfiguration/index.ts
@@ -26,6 +26,8 @@
   limits?: CallerLimits | undefined;
   /** Absent when requests need no key. */
   workspaces?: Workspace[] | undefined;
+  /** Whether requests need a key although there is no workspace. */
+  hasEmptyWorkspaces?: boolean | undefined;
 }
 
 const compareNames = (left: { name: string }, right: { name: string }): number => {
@@ -39,7 +41,8 @@
  * Computes the content hash of a configuration, independent of version and row order: the digest of
  * the encoded configuration without version and hash, with sorted rows.
  *
- * @param content - services, routes and workspaces in any order, and limits; rows must not be
+ * @param content - services, routes and workspaces in any order, limits, and whether there is an empty
+ *   list of workspaces; rows must not be
  *   modified after the call
  * @returns SHA-256 digest, 32 bytes
  *
@@ -51,6 +54,7 @@
   routes,
   limits,
   workspaces = [],
+  hasEmptyWorkspaces = false,
 }: ConfigurationContent): Uint8Array => {
   const writer = new BinaryWriter();
   const write = ({ number }: { number: number }, encoded: Uint8Array): void => {
@@ -66,5 +70,8 @@
   workspaces
     .toSorted(compareNames)
     .forEach((workspace) => write(FIELDS.workspaces, encodeRow(WorkspaceSchema, workspace)));
+  if (hasEmptyWorkspaces) {
+    writer.tag(FIELDS.hasEmptyWorkspaces.number, WireType.Varint).bool(hasEmptyWorkspaces);
+  }
   return createHash('sha256').update(writer.finish()).digest();
 };
--- a/test/platform/workspaces.test.ts
+++ b/test/platform/workspaces.test.ts
@@ -22,11 +22,15 @@
 /** Time after which a withdrawn key must run nothing. */
 const REVOKE_MS = 2_500;
 
-const createDocument = (version: number, baseVersion: number, keys: string[]): object => {
+const createDocument = (
+  version: number,
+  baseVersion: number,
+  keys: string[] | undefined,
+): object => {
   const document = createConfigurationDocument(version, baseVersion, [SERVICE]);
   const open = { name: 'open', path_prefix: '/open/', auth_exempt: true, service: SERVICE };
   const routes = [...document.routes, { ...document.routes[0], ...open }];
-  return { ...document, routes, tenants: [{ name: 'oak', api_keys: keys }] };
+  return { ...document, routes, tenants: keys ? [{ name: 'oak', api_keys: keys }] : [] };
 };
 
 const start = async (t: Test): Promise<PlatformCluster> => {
@@ -136,4 +140,22 @@
       keyed.every(({ rawHeaders }) => rawHeaders[rawHeaders.indexOf('tenant-id') + 1] === 'oak'),
     );
   });
+
+  // Guards against an empty list of workspaces that is taken for none, so that every key is admitted.
+  await t.test('no key runs anything after the last workspace is taken away', async (t2) => {
+    await platform.applyConfiguration(createDocument(12, 5, undefined));
+    await delay(REVOKE_MS);
+    const before = countRuns();
+    const statuses = await Promise.all(
+      nodes.flatMap((node) => [KEPT_KEY, 'unknown', undefined].map((key) => sendWith(node, key))),
+    );
+    t2.ok(
+      statuses.every((status) => status === 401),
+      statuses.join(),
+    );
+    t2.equal(countRuns(), before);
+    t2.equal(await sendWith(first, undefined, '/open/1'), 200, 'keyless routes are served');
+    await platform.applyConfiguration(createDocument(13, 12, [KEPT_KEY]));
+    await waitUntilServed(KEPT_KEY);
+  });
 });
--- a/test/requestMesh/index.ts
+++ b/test/requestMesh/index.ts
@@ -39,7 +39,7 @@
 ): CompiledConfiguration => ({
   configuration: create(ConfigurationSchema, { version, routes, services }),
   version,
-  hasWorkspaces: false,
+  needsKeys: false,
   findWorkspace: () => undefined,
   findWorkspaceByKeyId: () => undefined,
   findService: (name) => services.find((service) => service.name === name),
