--- a/test/platform/workspaces.test.ts
+++ b/test/platform/workspaces.test.ts
@@ -158,4 +158,17 @@
     await platform.applyConfiguration(createDocument(13, 12, [KEPT_KEY]));
     await waitUntilServed(KEPT_KEY);
   });
+
+  // Guards against a server that takes the name of a workspace from a client, where there are none.
+  await t.test('a name made up by a client reaches no server without workspaces', async (t2) => {
+    const without = { ...createDocument(15, 13, []), tenants: undefined };
+    await platform.applyConfiguration(without);
+    await waitFor('no key is needed', async () => (await sendWith(first, undefined)) === 200);
+    const path = '/desk/without-workspaces';
+    t2.equal(await sendWith(second, 'any', path), 200);
+    const run = workers.flatMap(({ runs }) => runs).find((candidate) => candidate.path === path);
+    t2.ok(run);
+    t2.notOk(run?.rawHeaders.includes('tenant-id'));
+    t2.ok(run?.rawHeaders.includes('Token any'), 'other headers are forwarded');
+  });
 });
