--- a/src/process/quotas/ShareComputer/index.ts
+++ b/src/process/quotas/ShareComputer/index.ts
@@ -66,6 +66,17 @@
   newContacts: ReadonlySet<NodeContact>;
 }
 
+/** Which counts this control VM has. */
+interface Readiness {
+  /** Nodes still attach and report after the start. */
+  isLearning: boolean;
+  /**
+   * Whether the reports of the last pause have arrived. Until then, what it has earned and what was
+   * used are known in part only, and not in their order.
+   */
+  areReportsRead: boolean;
+}
+
 interface WorkspaceState {
   pool: QuotaPool;
   demand: DemandTable;
@@ -148,24 +159,17 @@
    * @param nowMs - present time in milliseconds, by a clock that does not step
    */
   update(input: ShareInput, nowMs: number): void {
-    if (input.nodes.length > 0 && input.quotas.length > 0) this.#startedAtMs ??= nowMs;
     const elapsedMs = this.#updatedAtMs === 0 ? 0 : Math.max(0, nowMs - this.#updatedAtMs);
-    const isLearning = nowMs - (this.#startedAtMs ?? nowMs) < LEARNING_MS;
     this.#updatedAtMs = nowMs;
+    const { isLearning, areReportsRead } = this.#updateReadiness(input, elapsedMs, nowMs);
     const silence = this.#updateContacts(input, nowMs);
     this.#adoptQuotas(input.quotas, !isLearning);
-    if (elapsedMs > PAUSE_MS) this.#resumedAtMs = nowMs;
-    // What a pause has earned and used is known once the reports are read, but not in its order.
-    const areReportsRead = nowMs - this.#resumedAtMs >= READING_MS;
     this.#workspaces.forEach(({ demand, pool }) => {
       demand.fade(elapsedMs);
       pool.refill(elapsedMs);
       if (areReportsRead) pool.settle();
     });
     input.nodes.forEach((node) => this.#count(node));
-    if (input.isConfirmed) this.#confirmedRounds += 1;
-    const hasLeader = this.#confirmedRounds >= MIN_CONFIRMED_ROUNDS;
-    this.#canGrant = !isLearning && areReportsRead && hasLeader;
     const activeCount = [...this.#contacts.values()].filter(({ isActive }) => isActive).length;
     const nodeCount = Math.max(activeCount, input.minNodeCount ?? 1);
     const mayRise = input.isConfirmed && input.silentMemberIds.size === 0;
@@ -266,6 +270,18 @@
     });
   }
 
+  /** Updates whether this control VM has the counts that shares need. */
+  #updateReadiness(input: ShareInput, elapsedMs: number, nowMs: number): Readiness {
+    if (input.nodes.length > 0 && input.quotas.length > 0) this.#startedAtMs ??= nowMs;
+    if (input.isConfirmed) this.#confirmedRounds += 1;
+    if (elapsedMs > PAUSE_MS) this.#resumedAtMs = nowMs;
+    const isLearning = nowMs - (this.#startedAtMs ?? nowMs) < LEARNING_MS;
+    const areReportsRead = nowMs - this.#resumedAtMs >= READING_MS;
+    const hasLeader = this.#confirmedRounds >= MIN_CONFIRMED_ROUNDS;
+    this.#canGrant = !isLearning && areReportsRead && hasLeader;
+    return { isLearning, areReportsRead };
+  }
+
   /** Whether nodes may have used the quota up before this control VM counted: too much is asked for. */
   static #mayBeUsedUp({ demand, pool }: WorkspaceState): boolean {
     const offeredPerSecond = DemandTable.toRate(demand.sum(1).demand);
--- a/src/request/limitWorkspaces/_lib/QuotaReserve.ts
+++ b/src/request/limitWorkspaces/_lib/QuotaReserve.ts
@@ -37,8 +37,8 @@
  *
  * Answers control VMs that are all silent, suspended or without their counts. The sum over the nodes
  * needs no message: their usual requests, those before the window, add up to the rate of the quota at
- * most, and all else is divided equally. Requests that a share has admitted count in the window too, so that a node that has
- * just used much has nothing left.
+ * most, and all else is divided equally. Requests that a share has admitted count in the window too,
+ * so that a node that has just used much has nothing left.
  *
  * Where less than one request is left, a threshold decides. It is drawn once and not for each request,
  * since repeated requests would otherwise make each of many nodes admit one.
