Keep the usual requests of a node while it uses its reserve

Seen: with all control VMs suspended for a minute, and keys that stay valid without them, a hot workspace with a quota of 4 per second used 1.14 of its bound, one of 15 per second 1.03; one of 456 1.05 where control VMs come and go.

Cause: the part of the reserve that follows from the usual requests of a node also counted what the reserve itself had admitted, slack and burst included, so that the sum over the nodes grew with each window.

Change: usual requests are those that shares have admitted, and they stay as they are while the reserve is in use.

--- a/src/process/quotas/ShareComputer/disruptions.test.ts
+++ b/src/process/quotas/ShareComputer/disruptions.test.ts
@@ -103,6 +103,37 @@
   ),
 );
 
+const SILENCES: Record<string, Partial<Load>> = {
+  suspended: { isFrozen: (_member, nowMs) => nowMs >= FROM_MS },
+  'gone, and back for a while': {
+    isDown: (_member, nowMs) => nowMs >= FROM_MS && nowMs % 10_000 < 7_000,
+  },
+};
+
+// Guards against reserves that grow with what they have admitted themselves, where keys stay valid
+// without a control VM.
+Object.entries(SILENCES).forEach(([name, silence]) =>
+  tap.test(
+    `a hot workspace stays within its bound in a minute of control VMs ${name}`,
+    async (t) => {
+      NODE_COUNTS.slice(0, 2).forEach((nodeCount) => {
+        const random = createSeededRandom(SEEDS[0] ?? 1);
+        const load: Load = {
+          ...{ nodeCount, quotas: () => QUOTAS, keyLifetimeMs: Infinity, lengthMs: 70_000 },
+          rate: ({ ratePerSecond }, nowMs) =>
+            ratePerSecond * USUAL_SHARE * (nowMs >= FROM_MS ? HOT_FACTOR : 1),
+          pickNode: (_quota, drawn) => Math.floor(drawn * nodeCount),
+        };
+        const tallies = simulate({ ...load, ...silence }, random);
+        QUOTAS.forEach((quota) => {
+          const use = computeHighestUse(quota, tallies.get(quota.name) ?? assert.fail(quota.name));
+          t.ok(use <= 1, `${quota.name}, ${nodeCount} nodes: ${use.toFixed(2)} of the bound`);
+        });
+      });
+    },
+  ),
+);
+
 const RESTART: Partial<Load> = {
   isDown: (_member, nowMs) => nowMs >= FROM_MS && nowMs < FROM_MS + MAX_DOWN_MS,
 };
--- a/src/request/limitWorkspaces/_lib/QuotaReserve.ts
+++ b/src/request/limitWorkspaces/_lib/QuotaReserve.ts
@@ -21,6 +21,13 @@
   nodeCount: number;
 }
 
+/** Requests of an interval. */
+interface IntervalCounts {
+  admitted: number;
+  /** Those that a share admitted. */
+  fromShares: number;
+}
+
 export interface QuotaReserveOptions {
   bounds: QuotaBounds;
   /** Returns a number in [0, 1). */
@@ -38,7 +45,8 @@
  * Answers control VMs that are all silent, suspended or without their counts. The sum over the nodes
  * needs no message: their usual requests, those before the window, add up to the rate of the quota at
  * most, and all else is divided equally. Requests that a share has admitted count in the window too,
- * so that a node that has just used much has nothing left.
+ * so that a node that has just used much has nothing left. Requests that the reserve has admitted are
+ * never usual ones, and while it is in use the usual ones stay as they are: their sum would grow.
  *
  * Where less than one request is left, a threshold decides. It is drawn once and not for each request,
  * since repeated requests would otherwise make each of many nodes admit one.
@@ -49,7 +57,9 @@
   readonly #intervalMs: number;
 
   /** Requests by interval, of which the last ones span the window. */
-  readonly #counts: number[] = Array.from({ length: INTERVALS + 1 }, () => 0);
+  readonly #counts: IntervalCounts[] = Array.from({ length: INTERVALS + 1 }, () => ({
+    ...{ admitted: 0, fromShares: 0 },
+  }));
 
   /** Number of the present interval. */
   #interval: number;
@@ -59,6 +69,11 @@
   /** Decaying count of the requests that have left the window, as of the last update. */
   #usual = 0;
 
+  #isInUse = false;
+
+  /** Time in which this reserve was in use. */
+  #usedMs = 0;
+
   #updatedAtMs: number;
 
   #limits: ReserveLimits;
@@ -77,12 +92,20 @@
     this.#thresholdAtMs = nowMs;
   }
 
-  /** Drops what has left the window; to be called before the other methods. */
-  update(limits: ReserveLimits, nowMs: number): void {
-    const elapsedS = Math.max(0, nowMs - this.#updatedAtMs) / MS_PER_SECOND;
+  /**
+   * Drops what has left the window; to be called before the other methods.
+   *
+   * @param limits - the quota in force
+   * @param isInUse - whether the reserve admits requests now, and not a share
+   * @param nowMs - present time in milliseconds
+   */
+  update(limits: ReserveLimits, isInUse: boolean, nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs);
     // The usual requests under a lower quota are fewer.
-    const lowered = Math.min(1, limits.ratePerSecond / this.#limits.ratePerSecond);
-    this.#usual *= lowered * Math.exp(-elapsedS / USUAL_DECAY_S);
+    this.#usual *= Math.min(1, limits.ratePerSecond / this.#limits.ratePerSecond);
+    if (isInUse) this.#usedMs += elapsedMs;
+    else this.#usual *= Math.exp(-elapsedMs / MS_PER_SECOND / USUAL_DECAY_S);
+    this.#isInUse = isInUse;
     this.#limits = limits;
     this.#updatedAtMs = nowMs;
     const interval = Math.max(this.#interval, Math.floor(nowMs / this.#intervalMs));
@@ -103,26 +126,32 @@
   /** Counts a request, whatever has admitted it. */
   charge(): void {
     if (this.hasRoom) this.#drawThreshold();
-    this.#count(1);
+    this.#add(1);
   }
 
   /** Takes back a request that certainly did not run. */
   giveBack(): void {
-    if (this.#usedInWindow > 0) this.#count(-1);
+    if (this.#usedInWindow > 0) this.#add(-1);
   }
 
-  #count(requests: number): void {
-    const slot = this.#interval % this.#counts.length;
-    this.#counts[slot] = (this.#counts[slot] ?? 0) + requests;
+  #add(requests: number): void {
+    const counts = this.#getCounts(this.#interval);
+    counts.admitted += requests;
+    if (!this.#isInUse) counts.fromShares += requests;
     this.#usedInWindow += requests;
   }
 
   #clear(interval: number): void {
-    const slot = interval % this.#counts.length;
-    const left = this.#counts[slot] ?? 0;
-    this.#usedInWindow -= left;
-    this.#usual += left;
-    this.#counts[slot] = 0;
+    const counts = this.#getCounts(interval);
+    this.#usedInWindow -= counts.admitted;
+    if (!this.#isInUse) this.#usual += counts.fromShares;
+    Object.assign(counts, { admitted: 0, fromShares: 0 });
+  }
+
+  #getCounts(interval: number): IntervalCounts {
+    const counts = this.#counts[interval % this.#counts.length];
+    if (!counts) throw new Error(`no counts of the interval ${interval}`);
+    return counts;
   }
 
   #drawThreshold(): void {
@@ -135,7 +164,8 @@
     const { bounds, startedAtMs, firstRequestAtMs } = this.#options;
     const { ratePerSecond, burst, nodeCount } = this.#limits;
     const { windowS } = bounds;
-    const historyS = (this.#updatedAtMs - firstRequestAtMs) / MS_PER_SECOND - windowS;
+    const learnedMs = this.#updatedAtMs - firstRequestAtMs - this.#usedMs;
+    const historyS = learnedMs / MS_PER_SECOND - windowS;
     const usualShare = USUAL_SHARE * Math.max(0, Math.min(1, historyS / windowS));
     const weightS = USUAL_DECAY_S * (1 - Math.exp(-historyS / USUAL_DECAY_S));
     const usual = usualShare > 0 ? Math.min(ratePerSecond, this.#usual / weightS) : 0;
--- a/src/request/limitWorkspaces/index.ts
+++ b/src/request/limitWorkspaces/index.ts
@@ -139,8 +139,9 @@
     bucket.offered += 1;
     WorkspaceLimiter.#refill(bucket, share, nowMs);
     const limits = this.#createLimits(workspace);
-    bucket.reserve.update(limits, nowMs);
-    if (this.isRenewed(nowMs)) {
+    const isRenewed = this.isRenewed(nowMs);
+    bucket.reserve.update(limits, !isRenewed, nowMs);
+    if (isRenewed) {
       if (bucket.level < 1 && this.#options.random() >= bucket.level) {
         const missingMs = ((1 - bucket.level) * MS_PER_SECOND) / share.ratePerSecond;
         return { retryAfterMs: limitWait(missingMs), isFromReserve: false };
--- a/test/quotas/simulateQuotas.ts
+++ b/test/quotas/simulateQuotas.ts
@@ -35,6 +35,8 @@
   restartsMember?: (member: number, nowMs: number) => boolean;
   /** Whether the servers refuse a request that was admitted, as not run. */
   isRefused?: (random: number) => boolean;
+  /** Time for which nodes accept keys without a confirmation. */
+  keyLifetimeMs?: number;
   lengthMs?: number;
 }
 
@@ -58,13 +60,14 @@
 /** Runs limiters and share computers in simulated time; messages take one step. */
 export const simulate = (load: Load, random: () => number): Map<string, Tally> => {
   const { nodeCount, isLost = () => false, lengthMs = 20_000 } = load;
+  const { keyLifetimeMs = KEY_LIFETIME_MS } = load;
   const workspace = (quota: Quota) => create(WorkspaceSchema, quota);
   const tallies = new Map<string, Tally>();
   const createMember = (index: number) => ({
     computer: new ShareComputer({
       memberId: `c${index}`,
       bounds: BOUNDS,
-      keyLifetimeMs: KEY_LIFETIME_MS,
+      keyLifetimeMs,
     }),
     known: new Map<string, NodeUsage>(),
     isConfirmed: true,
@@ -149,7 +152,7 @@
   };
   const send = (quota: Quota, nowMs: number): void => {
     const node = nodes[load.pickNode(quota, random(), nowMs)];
-    if (!node || nowMs - node.confirmedAtMs > KEY_LIFETIME_MS) return;
+    if (!node || nowMs - node.confirmedAtMs > keyLifetimeMs) return;
     const { burst, ratePerSecond } = quota;
     const fresh = {
       offered: 0,
