Test that no name made up by a client passes without workspaces

The test is replaced: it asks the credentials to pass as before, and the made-up name to be removed, at the entry node and at the node beside the server.

--- a/src/request/RequestServer/workspaces.test.ts
+++ b/src/request/RequestServer/workspaces.test.ts
@@ -120,9 +120,17 @@
   t.equal(seen.length, 2);
 });
 
-// Guards against a change for deployments that authenticate their callers behind foxtailvane.
-tap.test('without workspaces the headers of callers pass unchanged', async (t) => {
-  const { entry, seen } = await start(t, undefined);
-  t.equal((await sendWith(entry, `Token ${KEY}`)).status, 200);
-  t.match(seen[0]?.headers, { authorization: `Token ${KEY}`, 'tenant-id': 'forged' });
+// Guards against a change for deployments that authenticate their callers behind foxtailvane, and against
+// a server that is shown the name of a workspace which the caller chose.
+tap.test('without workspaces the credentials of callers pass, and no name of theirs', async (t) => {
+  const { entry, owner, seen } = await start(t, undefined);
+  t.equal((await sendWith(entry, `Token ${KEY}`)).status, 200, 'forwarded');
+  t.equal((await sendWith(owner, `Token ${KEY}`)).status, 200, 'local');
+  t.strictSame(
+    seen.map(({ headers }) => [headers.authorization, headers['tenant-id']]),
+    [
+      [`Token ${KEY}`, undefined],
+      [`Token ${KEY}`, undefined],
+    ],
+  );
 });
