--- a/src/process/daemon/runDaemon/test.ts
+++ b/src/process/daemon/runDaemon/test.ts
@@ -105,9 +105,11 @@
 tap.test('an error that nothing has caught is logged and ends the daemon', async (t) => {
   const { settings, log } = await writeSettings();
   const fault =
-    'data:text/javascript,setTimeout(() => { throw new Error("injected fault"); }, 1500)';
+    'data:text/javascript,process.on("SIGUSR2", () => { throw new Error("injected fault"); })';
   const { child, ended } = start(settings, ['--import', fault]);
   t.teardown(() => child.kill('SIGKILL'));
+  await waitFor('start', () => readLog(log).includes('control daemon started'));
+  child.kill('SIGUSR2');
   const { exitCode, stderr } = await ended;
   t.equal(exitCode, 1);
   t.match(stderr, /Error: injected fault/);
