Wait for the state that two tests need instead of a fixed time

PolledTimeout slept 10 ms before it refreshed a timeout of 20 ms, and slept longer; it now blocks the event loop until then. The assertions are the same.

--- a/src/connection/limitBodyParts/test.ts
+++ b/src/connection/limitBodyParts/test.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { Test } from 'tap';
 import { TestAuthority } from '../../../stand-ins/certificates/index.js';
+import waitFor from '../../../stand-ins/waitFor/index.js';
 import createRandom from '../../../test/requestMesh/createRandom.js';
 import ResponsePipeline from '../ResponsePipeline/index.js';
 
@@ -224,7 +225,7 @@
     );
   });
   const sockets = Array.from({ length: 8 }, () => open(`${HEAD}${SHORT_CHUNKS.repeat(4)}`));
-  await sleep(50);
+  await waitFor('all requests', () => aborted.length === sockets.length);
   sockets.forEach((socket, index) => (index % 2 === 0 ? socket.destroy() : socket.end()));
   const results = await Promise.all(aborted);
   t.equal(results.length, sockets.length);
--- a/src/process/PolledTimeout/test.ts
+++ b/src/process/PolledTimeout/test.ts
@@ -42,7 +42,8 @@
   const timeout = new PolledTimeout(() => {
     firedAtMs = performance.now();
   }, DELAY_MS);
-  await delay(DELAY_MS / 2);
+  // Without a turn of the event loop, in which the timeout could fire before the refresh.
+  blockFor(DELAY_MS / 2);
   const refreshedAtMs = performance.now();
   timeout.refresh();
   await delay(4 * DELAY_MS);
