Log the times of each attempt and why no other one followed

A line of an entry node named the servers tried and how each attempt ended, but not when, whether the node beside the server acknowledged it, nor why no further server was asked. Each attempt is now logged with its times, an acknowledgement after the timeout has a line of its own, and the node beside the server logs how long a request waited for its event loop.

--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -9,6 +9,7 @@
 import { LogLevel, createLogger, isLogged } from '../../process/log/index.js';
 import { formatServerKey } from '../observeServers/index.js';
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
+import { NoFurtherAttempt } from './AttemptRecord.js';
 import EntryLog from './EntryLog.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { createDrainRefusal, mayOutlastDrain } from './refuseLate.js';
@@ -34,6 +35,7 @@
 import type { CrashLedger } from '../trackCrashes/index.js';
 import type DepartureTracker from '../trackDepartures/index.js';
 import type PeerTracker from '../trackPeers/index.js';
+import type { AttemptRecord } from './AttemptRecord.js';
 import type BodyReader from './BodyReader.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
@@ -46,8 +48,6 @@
 
 /** Maximum number of servers tried for a request that certainly did not run. */
 const MAX_SERVERS_TRIED = 3;
-/** No server is expected to have a free slot in time. */
-const NO_ROOM_IN_TIME = 'NO_ROOM_IN_TIME';
 const SERVICE_UNAVAILABLE = 503;
 const US_PER_MS = 1_000;
 const ID_RADIX = 36;
@@ -112,10 +112,14 @@
     },
   );
 
-const formatResult = (result: Result<CallSummary, CallError>): string =>
+/** Returns the time since the request was received, in whole milliseconds. */
+const readElapsedMs = ({ exchange }: RoutedRequest): number =>
+  Math.round(performance.now() - exchange.startedAtMs);
+
+const describeEnd = (result: Result<CallSummary, CallError>): Partial<AttemptRecord> =>
   result.match(
-    ({ statusCode }) => String(statusCode),
-    ({ code }) => code,
+    ({ statusCode }) => ({ result: String(statusCode) }),
+    ({ code, message }) => ({ result: code, reason: message }),
   );
 
 const createCrashRefusal = (): Refusal =>
@@ -313,7 +317,8 @@
     let mayContinue = true;
     while (mayContinue) {
       const selection = this.#selectServer(routed, state);
-      if (!selection || this.#isTooBusy(routed, selection, state)) break;
+      Object.assign(routed, { noFurtherAttempt: this.#findObstacle(routed, selection, state) });
+      if (!selection || routed.noFurtherAttempt) break;
       const { entry } = selection;
       const result = await this.#attempt(routed, entry, state, tap);
       if (result.isOk()) return result;
@@ -344,6 +349,8 @@
     const nowMs = this.#context.getNowMs();
     const key = formatServerKey(entry);
     const observation = observations.get(key, nowMs);
+    const record: AttemptRecord = { server: key, sentMs: readElapsedMs(routed) };
+    routed.attempts.push(record);
     const attempt: Attempt = {
       routed,
       entry,
@@ -354,6 +361,9 @@
       shouldWithhold: ({ statusCode }: { statusCode: number }) =>
         statusCode === SERVICE_UNAVAILABLE && this.#canRunAgain(routed, state.possibleRuns + 1),
       chargeRetry: () => this.#chargeRetry(routed, state),
+      onAcknowledged: () => {
+        record.acknowledgedMs ??= readElapsedMs(routed);
+      },
     };
     state.tried.add(key);
     if (state.choice) versions.charge(state.choice);
@@ -364,7 +374,7 @@
     observation.inFlight -= 1;
     this.#recordVersion(attempt, result, state.choice);
     recordOutcome(attempt, result, this.#dependencies, this.#context.getNowMs());
-    routed.attemptResults.push(`${key} ${formatResult(result)}`);
+    Object.assign(record, { endedMs: readElapsedMs(routed), ...describeEnd(result) });
     return result;
   }
 
@@ -418,7 +428,10 @@
         !exchange.isAborted &&
         state.tried.size < Math.max(MAX_SERVERS_TRIED, routed.route.maxAttempts)
       : error.code !== CallErrorCode.Truncated && this.#canRunAgain(routed, state.possibleRuns);
-    if (!mayRetry) return false;
+    if (!mayRetry) {
+      Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NotRepeatable });
+      return false;
+    }
     // A failed connection or a refusal by the owner node puts no load on the server.
     const isFree =
       error.code === CallErrorCode.NotWritten ||
@@ -431,6 +444,7 @@
     const { metrics } = this.#context;
     const name = hasBudget ? 'requests_retried' : 'retries_over_budget';
     metrics.counter(name, { reason: error.code }).value += 1;
+    if (!hasBudget) Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NoBudget });
     return hasBudget;
   }
 
@@ -460,6 +474,15 @@
     return { ...choice, entries: reachable.length > 0 ? reachable : untried };
   }
 
+  #findObstacle(
+    routed: RoutedRequest,
+    selection: Selection | undefined,
+    state: AttemptState,
+  ): NoFurtherAttempt | undefined {
+    if (!selection) return NoFurtherAttempt.NoServer;
+    return this.#isTooBusy(routed, selection, state) ? NoFurtherAttempt.NoRoomInTime : undefined;
+  }
+
   /** Refuses a new request at once if even the best server, or this node itself, has no room in time. */
   #isTooBusy(routed: RoutedRequest, { expected }: Selection, state: AttemptState): boolean {
     const { costs } = this.#context;
@@ -474,7 +497,7 @@
     if (!isTooBusy(known, { objectiveMs, untilDeadlineMs: deadlineMs - nowMs })) return false;
     const options = { isWritten: false, retryAfterMs: known?.waitMs };
     const target = state;
-    target.lastError = new CallError(CallErrorCode.Refused, NO_ROOM_IN_TIME, options);
+    target.lastError = new CallError(CallErrorCode.Refused, NoFurtherAttempt.NoRoomInTime, options);
     return true;
   }
 
--- a/src/request/_lib/EntryLog.ts
+++ b/src/request/_lib/EntryLog.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import type { LogContext } from '../../process/log/index.js';
+import { formatAttempt } from './AttemptRecord.js';
 import { RefusalReason } from './writeRefusal.js';
 
 import type { CallError } from '../../connection/CallError/index.js';
@@ -26,7 +27,7 @@
   route: routed.route.name,
   service: routed.service,
   version: routed.version,
-  tried: routed.attemptResults,
+  tried: routed.attempts.map(formatAttempt),
   elapsedMs: Math.round(performance.now() - routed.exchange.startedAtMs),
 });
 
@@ -64,6 +65,7 @@
         isPastDeadline: exchange.isPastDeadline,
         remainingMs: Math.round(deadlineMs - nowMs),
         liveServers,
+        noFurtherAttempt: routed.noFurtherAttempt,
       }),
       'request not served',
     );
--- a/src/request/_lib/OwnerHandler.ts
+++ b/src/request/_lib/OwnerHandler.ts
@@ -187,7 +187,7 @@
     if (result.isErr()) {
       if (!exchange.response.headersSent) this.#setLoadHeaders(exchange, local, call);
       answerFailure(exchange, result.error);
-      this.#logFailure(exchange, call, local, result.error);
+      this.#logFailure(exchange, call, local, { error: result.error, waitedMs });
       if (result.error.code === CallErrorCode.Refused) {
         this.#countRefusal(result.error.message);
       }
@@ -237,7 +237,7 @@
     exchange: Exchange,
     call: ForwardedCall,
     { gate }: LocalServer,
-    error: CallError,
+    { error, waitedMs }: { error: CallError; waitedMs: number },
   ): void {
     const nowMs = this.#context.getNowMs();
     failureLog.info(
@@ -255,6 +255,7 @@
         reason: error.message,
         isWritten: error.options.isWritten,
         elapsedMs: Math.round(performance.now() - exchange.startedAtMs),
+        waitedMs: Math.round(waitedMs),
         usedSlots: gate.used,
         waiting: gate.waiting,
         capacity: gate.capacity,
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -20,6 +20,7 @@
 
 import { CallErrorCode } from '../../connection/CallError/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
+import { createRateLimitedLogger } from '../../process/log/createRateLimitedLogger/index.js';
 import { createLogger } from '../../process/log/index.js';
 import { parseAnswerReport } from '../shareReports/index.js';
 import { recordReport } from '../observeServers/index.js';
@@ -43,7 +44,11 @@
 import type { RequestContext } from './RequestContext.js';
 import type { RoutedRequest } from './routeRequest.js';
 
+/** Limit on log lines about late acknowledgements. */
+const LATE_LINES_PER_SECOND = 5;
+
 const log = createLogger('hop');
+const lateLog = createRateLimitedLogger('hop', LATE_LINES_PER_SECOND);
 
 /**
  * Timeout for the acknowledgement of a forwarded request: allows for a round trip, a retransmission and
@@ -70,6 +75,8 @@
    * can't be sent again.
    */
   chargeRetry: () => boolean;
+  /** Called when the node beside the server acknowledges the request, at the latest by its answer. */
+  onAcknowledged: () => void;
   /** Records the response to a request with an Idempotency-Key. */
   tap?: ResponseTap;
   /** Set when the request is sent to the node beside the server. */
@@ -227,7 +234,9 @@
     const hop = { isAcknowledged: false };
     Object.assign(attempt, { hop });
     const markAlive = (): void => {
+      if (!hop.isAcknowledged) this.#logLateAcknowledgement(attempt, sentAtMs);
       hop.isAcknowledged = true;
+      attempt.onAcknowledged();
       acknowledgementTimeout.cancel();
       peers.recordResponse(nodeId);
     };
@@ -268,6 +277,18 @@
     if (chargeRetry()) routed.exchange.failCall('the node did not acknowledge the request');
   }
 
+  #logLateAcknowledgement({ routed, entry }: Attempt, sentAtMs: number): void {
+    const nowMs = performance.now();
+    const elapsedMs = Math.round(nowMs - sentAtMs);
+    if (elapsedMs <= ACKNOWLEDGEMENT_TIMEOUT_MS) return;
+    const { requestId } = routed;
+    lateLog.info(
+      nowMs,
+      () => ({ nodeId: entry.node.nodeId, requestId, elapsedMs }),
+      'node acknowledged a request late',
+    );
+  }
+
   #readInternalHeaders(attempt: Attempt, head: ResponseHead, sentAtMs: number): void {
     const grantId = head.internal?.get(GRANT_HEADER);
     if (grantId !== undefined) {
--- a/src/request/_lib/routeRequest.ts
+++ b/src/request/_lib/routeRequest.ts
@@ -6,6 +6,7 @@
 import { RefusalReason, createNotRunRefusal } from './writeRefusal.js';
 
 import type { Route, Workspace } from '../../_generated/foxtailvane/v1/configuration_pb.js';
+import type { AttemptRecord, NoFurtherAttempt } from './AttemptRecord.js';
 import type { Exchange } from './Exchange.js';
 import type TrafficSplit from '../splitTraffic/index.js';
 import type ObjectiveEstimator from '../trackObjectives/index.js';
@@ -40,8 +41,9 @@
   outerAttempt: number;
   /** The only node that may run the request, as a trial after crashes; any node if undefined. */
   trialNodeId?: string | undefined;
-  /** Servers tried so far, each with the result of the attempt. */
-  attemptResults: string[];
+  attempts: AttemptRecord[];
+  /** Why the last attempt was not followed by another one; undefined while it may be. */
+  noFurtherAttempt?: NoFurtherAttempt;
 }
 
 /**
@@ -120,7 +122,7 @@
     isReturn: objective.isReturn,
     priority: computePriority(route, admitted?.workspace),
     ...admitted,
-    attemptResults: [],
+    attempts: [],
     outerAttempt: parseCount(exchange.internalHeaders.get(ATTEMPT_HEADER)) ?? 0,
   };
 };
