Keep an unacknowledged attempt open beside the next one

Cause: an attempt that the node beside the server had not acknowledged within 450 ms was given up as soon as another server was listed. Only then was that server chosen, and it could be full, unreachable, too busy or refuse the request; the first attempt could not be taken back. The class: an attempt ended before its successor was certain.

An overdue attempt now stays open while the next one is made, within max_attempts, the retry budget and the quota. The first that begins to write its response cancels the others; if the next attempt is refused or not possible, the overdue one is waited for until the deadline. The budget is charged once a server is chosen, for each arrival beyond the first. A streamed body counts as taken while a call sends it; before, such a lookup was given up and could not be sent again.

UpstreamCall.fail() is gone with its only use. Its two tests now report the failure as undici does, through onError(), with the same checks.

--- a/src/connection/UpstreamCall/exceptions.test.ts
+++ b/src/connection/UpstreamCall/exceptions.test.ts
@@ -194,7 +194,7 @@
     const slowTap = createTap(() => delay(20));
     const { received, outcome } = await run(t, { tap: slowTap }, (upstream) => {
       complete()(upstream);
-      upstream.call.fail('the connection is dead');
+      upstream.call.onError(new Error('the connection is dead'));
     });
     t.ok(outcome?.isOk());
     t.match(received, WHOLE);
@@ -204,7 +204,7 @@
 // Guards against a part of a failed call that is written into, or after, the answer that replaces it.
 tap.test('nothing is written after the call failed', { timeout: TIMEOUT_MS }, async (t) => {
   const { received } = await run(t, {}, ({ call, onHeaders }) => {
-    call.fail('the connection is dead');
+    call.onError(new Error('the connection is dead'));
     onHeaders(200, []);
     call.onData(Buffer.from('ok'));
     call.onComplete([]);
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -103,6 +103,8 @@
   onHeld?: () => void;
   /** Returns whether early hints with these headers, alternating names and values, are passed on. */
   validateHints?: (headers: string[]) => boolean;
+  /** Called before the head of the response is written; from then on no other call may write one. */
+  onWriting?: () => void;
   /** Called when the upstream acknowledges that it received the request. */
   onAcknowledged?: () => void;
   /** Returns whether a response is withheld from the caller because the request is retried. */
@@ -255,19 +257,6 @@
     else this.onError(new Error(reason));
   }
 
-  /**
-   * Ends the call as failed without a response, for example because its connection is dead. A response
-   * that has arrived is sent nevertheless.
-   *
-   * @param reason - message of the error
-   */
-  fail(reason: string): void {
-    if (this.#isSettled || this.#isReceived) return;
-    const error = new Error(reason);
-    this.onError(error);
-    this.#abort?.(error);
-  }
-
   /** Called by undici immediately before it writes the request. */
   onConnect(abort: (error?: Error) => void): void {
     // undici may dispatch a request again after its connection closed; it must not be written twice.
@@ -311,6 +300,7 @@
 
   /** Called by undici when the request failed. */
   onError(error: Error): void {
+    if (this.#isReceived) return;
     const isWhole = this.#statusCode !== 0 && isTrailerError(error);
     if (isWhole && !this.#isSettled && this.#cancelReason === undefined) {
       this.#logDropped('trailers', error.message);
@@ -612,6 +602,7 @@
     // Node.js would keep the reason and the framing of a head that it refuses for the next one.
     const fault = findFieldFault(headers);
     if (fault) throw fault;
+    this.#options.onWriting?.();
     this.#response.writeHead(statusCode, headers);
     this.#isHeadWritten = true;
   }
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -11,6 +11,7 @@
 import { ResponseRecorder, replayResponse } from './ResponseRecorder.js';
 import { NoFurtherAttempt } from './AttemptRecord.js';
 import EntryLog from './EntryLog.js';
+import OpenAttempts, { AttemptEventKind } from './OpenAttempts.js';
 import { BodyState, Exchange } from './Exchange.js';
 import { createDrainRefusal, mayOutlastDrain } from './refuseLate.js';
 import { answerFailure } from './answerFailure.js';
@@ -37,6 +38,7 @@
 import type PeerTracker from '../trackPeers/index.js';
 import type { AttemptRecord } from './AttemptRecord.js';
 import type BodyReader from './BodyReader.js';
+import type { AttemptProgress, AttemptResult } from './OpenAttempts.js';
 import type { RequestContext } from './RequestContext.js';
 import type ServerCaller from './ServerCaller.js';
 import type { Attempt } from './ServerCaller.js';
@@ -48,6 +50,8 @@
 
 /** Maximum number of servers tried for a request that certainly did not run. */
 const MAX_SERVERS_TRIED = 3;
+/** Reason of a retry beside an attempt whose node has not acknowledged the request. */
+const NOT_ACKNOWLEDGED = 'NOT_ACKNOWLEDGED';
 const SERVICE_UNAVAILABLE = 503;
 const US_PER_MS = 1_000;
 const ID_RADIX = 36;
@@ -77,11 +81,16 @@
   choice: VersionChoice | undefined;
   /** Keys of the servers tried so far. */
   tried: Set<string>;
-  /** Number of attempts that may have run. */
+  open: OpenAttempts;
+  /** Number of ended attempts that may have run. */
   possibleRuns: number;
+  /** Number of ended attempts that may have reached a server, which may have refused them. */
+  arrivals: number;
+  /** Number of retries charged to the budget. */
+  chargedRetries: number;
+  /** Number of repeats charged to the quota of the workspace. */
+  chargedRepeats: number;
   lastError: CallError | undefined;
-  /** Whether the next retry is charged already. */
-  isRetryCharged: boolean;
   /** Last error of an attempt that may have run; takes precedence over later refusals. */
   possibleRunError: CallError | undefined;
 }
@@ -96,6 +105,10 @@
 const isKnownNotRun = (error: CallError | undefined): boolean =>
   !error || isNotRunError(error) || !error.options.isWritten;
 
+/** Returns whether a failed attempt may have reached a server, which may have refused it. */
+const mayHaveArrived = (error: CallError): boolean =>
+  error.options.isServerRefusal === true || !isNotRunError(error);
+
 /** Errors that the server, or the node beside it, has caused after the server got the request. */
 const SERVER_ERRORS = new Set([
   CallErrorCode.Shed,
@@ -255,10 +268,12 @@
     this.#dependencies.workspaceLimiter?.giveBack(workspace.name);
   }
 
-  /** Charges a further attempt, as it may run at a second server. */
-  #chargeRepeat({ workspace }: RoutedRequest): void {
-    if (!workspace) return;
-    this.#dependencies.workspaceLimiter?.addRepeat(workspace.name);
+  /** Charges an attempt beside or after others that may run, as it may run at a further server. */
+  #chargeRepeat({ workspace }: RoutedRequest, state: AttemptState): void {
+    if (state.chargedRepeats >= state.possibleRuns + state.open.size) return;
+    const target = state;
+    target.chargedRepeats += 1;
+    if (workspace) this.#dependencies.workspaceLimiter?.addRepeat(workspace.name);
   }
 
   /** Serves the request if its idempotency key is free; otherwise replays the response or refuses. */
@@ -300,35 +315,61 @@
     this.#finish(routed, result);
   }
 
-  /** Tries servers until one responds; an undefined error means that no server was available. */
+  /**
+   * Tries servers until one responds; an undefined error means that no server was available. An overdue
+   * attempt stays open beside the next one, and the response that comes first is passed on.
+   */
   async #tryServers(
     routed: RoutedRequest,
     tap?: ResponseTap,
   ): Promise<Result<CallSummary, CallError | undefined>> {
+    const open = new OpenAttempts();
     const state: AttemptState = {
       choice: undefined,
       tried: new Set(),
+      open,
       possibleRuns: 0,
+      arrivals: 0,
+      chargedRetries: 0,
+      chargedRepeats: 0,
       lastError: undefined,
-      isRetryCharged: false,
       possibleRunError: undefined,
     };
     this.#dependencies.budget.addRequest(routed.service, this.#context.getNowMs());
-    let mayContinue = true;
-    while (mayContinue) {
-      const selection = this.#selectServer(routed, state);
-      Object.assign(routed, { noFurtherAttempt: this.#findObstacle(routed, selection, state) });
-      if (!selection || routed.noFurtherAttempt) break;
-      const { entry } = selection;
-      const result = await this.#attempt(routed, entry, state, tap);
-      if (result.isOk()) return result;
-      state.lastError = result.error;
-      mayContinue = this.#reserveRetry(routed, state, result.error);
-      if (mayContinue && !isNotRunError(result.error)) this.#chargeRepeat(routed);
+    this.#startAttempt(routed, state, { tap });
+    while (open.size > 0) {
+      const event = await open.next();
+      if (event.kind === AttemptEventKind.Overdue) {
+        if (open.areOverdue && this.#canOverlap(routed, state)) {
+          this.#startAttempt(routed, state, { tap, retryReason: NOT_ACKNOWLEDGED });
+        }
+      } else if (event.result.isOk()) {
+        return event.result;
+      } else if (this.#canRetry(routed, state, event.result.error)) {
+        this.#startAttempt(routed, state, { tap, retryReason: event.result.error.code });
+      }
     }
     return err(state.possibleRunError ?? state.lastError);
   }
 
+  /** Starts an attempt on the best server, if there is one and a retry is within the budget. */
+  #startAttempt(
+    routed: RoutedRequest,
+    state: AttemptState,
+    { tap, retryReason }: { tap: ResponseTap | undefined; retryReason?: string },
+  ): void {
+    const selection = this.#selectServer(routed, state);
+    const obstacle =
+      this.#findObstacle(routed, selection, state) ??
+      (retryReason === undefined ? undefined : this.#chargeRetry(routed, state, retryReason));
+    Object.assign(routed, { noFurtherAttempt: obstacle });
+    if (!selection || obstacle !== undefined) return;
+    this.#chargeRepeat(routed, state);
+    state.open.start((progress) =>
+      this.#attempt(routed, selection.entry, state, { tap, progress }),
+    );
+  }
+
   #finish(routed: RoutedRequest, result: Result<CallSummary, CallError | undefined>): void {
     if (result.isOk()) {
       this.#recordAddedLatency(routed, result.value);
@@ -343,9 +384,10 @@
     routed: RoutedRequest,
     entry: ServerEntry,
     state: AttemptState,
-    tap: ResponseTap | undefined,
-  ): Promise<Result<CallSummary, CallError>> {
+    { tap, progress }: { tap: ResponseTap | undefined; progress: AttemptProgress },
+  ): Promise<AttemptResult> {
     const { observations, breaker, caller, versions } = this.#dependencies;
+    const { choice } = state;
     const nowMs = this.#context.getNowMs();
     const key = formatServerKey(entry);
     const observation = observations.get(key, nowMs);
@@ -359,20 +401,22 @@
       ...(tap && { tap }),
       number: routed.outerAttempt + state.tried.size,
       shouldWithhold: ({ statusCode }: { statusCode: number }) =>
-        statusCode === SERVICE_UNAVAILABLE && this.#canRunAgain(routed, state.possibleRuns + 1),
-      chargeRetry: () => this.#chargeRetry(routed, state),
+        statusCode === SERVICE_UNAVAILABLE &&
+        (state.open.size > 1 || this.#canRunAgain(routed, state)),
+      onOverdue: progress.reportOverdue,
       onAcknowledged: () => {
         record.acknowledgedMs ??= readElapsedMs(routed);
+        progress.reportAcknowledged();
       },
     };
     state.tried.add(key);
-    if (state.choice) versions.charge(state.choice);
+    if (choice) versions.charge(choice);
     observation.inFlight += 1;
     observation.lastUsedAtMs = nowMs;
     breaker.addRequest(key, nowMs);
     const result = await caller.call(attempt);
     observation.inFlight -= 1;
-    this.#recordVersion(attempt, result, state.choice);
+    this.#recordVersion(attempt, result, choice);
     recordOutcome(attempt, result, this.#dependencies, this.#context.getNowMs());
     Object.assign(record, { endedMs: readElapsedMs(routed), ...describeEnd(result) });
     return result;
@@ -397,55 +441,61 @@
     });
   }
 
-  /** Returns whether a request that may have run can be sent to another server. */
-  #canRunAgain({ exchange, route, outerAttempt }: RoutedRequest, runs: number): boolean {
+  /** Returns whether a request that may have run, or may be running, can be sent to another server. */
+  #canRunAgain({ exchange, route, outerAttempt }: RoutedRequest, state: AttemptState): boolean {
+    const runs = state.possibleRuns + state.open.size;
     const isAllowed = route.idempotent && runs < route.maxAttempts && outerAttempt === 0;
-    return isAllowed && exchange.canSendBody && !exchange.isAborted;
+    return isAllowed && exchange.canBeSent;
   }
 
-  /** Charges a retry before the attempt is given up; returns false if no retry is possible. */
-  #chargeRetry(routed: RoutedRequest, state: AttemptState): boolean {
-    const target = state;
-    target.isRetryCharged =
-      this.#canRunAgain(routed, state.possibleRuns + 1) &&
-      this.#findCandidates(routed, state, false).entries.length > 0 &&
-      this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
-    return state.isRetryCharged;
+  /** Returns whether a request whose attempts are overdue can be sent to another server as well. */
+  #canOverlap(routed: RoutedRequest, state: AttemptState): boolean {
+    const canRunAgain = this.#canRunAgain(routed, state);
+    if (!canRunAgain) Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NotRepeatable });
+    return canRunAgain;
   }
 
-  /** Returns whether to retry the request, and charges the retry to the budget. */
-  #reserveRetry(routed: RoutedRequest, state: AttemptState, error: CallError): boolean {
+  /** Returns whether to try another server after a failed attempt. */
+  #canRetry(routed: RoutedRequest, state: AttemptState, error: CallError): boolean {
     const target = state;
+    target.lastError = error;
     // A later attempt that was cancelled unsent leaves the outcome of an earlier one unknown.
     if (!isKnownNotRun(error)) {
       target.possibleRuns += 1;
       target.possibleRunError = error;
     }
-    const { exchange } = routed;
-    const mayRetry = isNotRunError(error)
-      ? routed.outerAttempt === 0 &&
-        exchange.canSendBody &&
-        !exchange.isAborted &&
-        state.tried.size < Math.max(MAX_SERVERS_TRIED, routed.route.maxAttempts)
-      : error.code !== CallErrorCode.Truncated && this.#canRunAgain(routed, state.possibleRuns);
-    if (!mayRetry) {
-      Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NotRepeatable });
-      return false;
-    }
-    // A failed connection or a refusal by the owner node puts no load on the server.
-    const isFree =
-      error.code === CallErrorCode.NotWritten ||
-      (error.code === CallErrorCode.Refused && !error.options.isServerRefusal);
+    if (mayHaveArrived(error)) target.arrivals += 1;
+    if (!state.open.areOverdue) return false;
+    const { exchange, outerAttempt, route } = routed;
+    const mayRun = state.possibleRuns + state.open.size > 0;
+    const isUntried =
+      outerAttempt === 0 &&
+      exchange.canBeSent &&
+      state.tried.size < Math.max(MAX_SERVERS_TRIED, route.maxAttempts);
+    const mayRetry =
+      (!mayRun || this.#canRunAgain(routed, state)) &&
+      (isNotRunError(error) ? isUntried : error.code !== CallErrorCode.Truncated);
+    if (!mayRetry) Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NotRepeatable });
+    return mayRetry;
+  }
+
+  /**
+   * Charges a retry to the budget if the attempts before it may have reached a server: a failed
+   * connection or a refusal by the owner node puts no load on one.
+   */
+  #chargeRetry(
+    { service }: RoutedRequest,
+    state: AttemptState,
+    reason: string,
+  ): NoFurtherAttempt | undefined {
+    const isCharged = state.chargedRetries >= state.arrivals + state.open.size;
     const hasBudget =
-      isFree ||
-      state.isRetryCharged ||
-      this.#dependencies.budget.take(routed.service, this.#context.getNowMs());
-    target.isRetryCharged = false;
-    const { metrics } = this.#context;
+      isCharged || this.#dependencies.budget.take(service, this.#context.getNowMs());
+    const target = state;
+    if (hasBudget && !isCharged) target.chargedRetries += 1;
     const name = hasBudget ? 'requests_retried' : 'retries_over_budget';
-    metrics.counter(name, { reason: error.code }).value += 1;
-    if (!hasBudget) Object.assign(routed, { noFurtherAttempt: NoFurtherAttempt.NoBudget });
-    return hasBudget;
+    this.#context.metrics.counter(name, { reason }).value += 1;
+    return hasBudget ? undefined : NoFurtherAttempt.NoBudget;
   }
 
   #listLive({ service, trialNodeId }: RoutedRequest): ServerEntry[] {
@@ -458,7 +508,7 @@
 
   /**
    * Finds the live servers of the right version that were not tried, those on responsive nodes if
-   * there are any.
+   * there are any. Beside an overdue attempt, one on another unresponsive node gains nothing.
    */
   #findCandidates(routed: RoutedRequest, state: AttemptState, canExpose: boolean): VersionChoice {
     const { service } = routed;
@@ -471,7 +521,8 @@
     const reachable = untried.filter(({ node }) => !peers.isUnresponsive(node.nodeId));
     if (choice.exposure && reachable.length === 0)
       return this.#findCandidates(routed, state, false);
-    return { ...choice, entries: reachable.length > 0 ? reachable : untried };
+    const isOnlyReachable = reachable.length > 0 || state.open.size > 0;
+    return { ...choice, entries: isOnlyReachable ? reachable : untried };
   }
 
   #findObstacle(
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -42,7 +42,7 @@
 /**
  * A request of a caller and its response, over one or more calls to upstreams.
  *
- * Cancels the call in progress when the caller disconnects or the deadline passes.
+ * Cancels the calls in progress when the caller disconnects or the deadline passes.
  */
 export class Exchange {
   readonly method: string;
@@ -65,7 +65,7 @@
 
   #body: Buffer | StreamedBody | null = null;
 
-  #call: UpstreamCall | undefined;
+  readonly #calls = new Set<UpstreamCall>();
 
   #deadlineTimeout: PolledTimeout | undefined;
 
@@ -131,9 +131,11 @@
     return this.#isCallerGone || this.#isPastDeadline || this.#isBodyWasteful;
   }
 
-  /** Whether the body can be sent to an upstream, possibly again. */
-  get canSendBody(): boolean {
-    return !(this.#body instanceof StreamedBody) || !this.#isBodySent;
+  /** Whether the request can be sent to an upstream, possibly beside or after another one. */
+  get canBeSent(): boolean {
+    if (this.isAborted || this.response.headersSent) return false;
+    const isBodyTaken = this.#isBodySent || this.#calls.size > 0;
+    return !(this.#body instanceof StreamedBody) || !isBodyTaken;
   }
 
   /** Whether the request body has not been received completely. */
@@ -252,7 +254,8 @@
   }
 
   /**
-   * Sends the request to one upstream and streams its response to the caller.
+   * Sends the request to one upstream and streams its response to the caller. Of several calls at the
+   * same time, the first that begins to write its response cancels the others.
    *
    * @param dispatcher - pool of the upstream
    * @param target - path with query, and all headers as alternating names and values
@@ -268,24 +271,22 @@
       const reason = 'the exchange is already aborted';
       return err(new CallError(CallErrorCode.Cancelled, reason, { isWritten: false }));
     }
-    const call = new UpstreamCall(this.response, options);
-    this.#call = call;
+    const call = new UpstreamCall(this.response, {
+      ...options,
+      onWriting: () => this.#cancelOthers(call),
+    });
+    this.#calls.add(call);
     const result = await call.send(dispatcher, {
       method: this.method,
       path: target.path,
       headers: target.headers,
       body: this.#body instanceof StreamedBody ? this.#body.stream : this.#body,
     });
-    this.#call = undefined;
+    this.#calls.delete(call);
     if (call.isWritten) this.#isBodySent = true;
     return result;
   }
 
-  /** Fails the call in progress, but not the exchange: the request can be sent to another server. */
-  failCall(reason: string): void {
-    this.#call?.fail(reason);
-  }
-
   /** Closes the connection after the response, however the request ends. */
   closeAfterResponse(): void {
     ResponsePipeline.of(this.#request.socket).closeAfter(this.response);
@@ -373,8 +374,14 @@
     else this.#abort('the body consists of very short chunks');
   }
 
+  #cancelOthers(answering: UpstreamCall): void {
+    [...this.#calls]
+      .filter((call) => call !== answering)
+      .forEach((call) => call.cancel('another server answered first'));
+  }
+
   #abort(reason: string): void {
-    this.#call?.cancel(reason);
+    this.#calls.forEach((call) => call.cancel(reason));
     this.#abortListeners.splice(0).forEach((listener) => listener());
   }
 }
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -70,11 +70,8 @@
   number: number;
   /** Returns whether to withhold a response from the caller because the request is retried. */
   shouldWithhold: (head: ResponseHead) => boolean;
-  /**
-   * Charges a retry to the budget, so that the attempt can be given up; returns false if the request
-   * can't be sent again.
-   */
-  chargeRetry: () => boolean;
+  /** Called when the node beside the server has not acknowledged the request in time. */
+  onOverdue: () => void;
   /** Called when the node beside the server acknowledges the request, at the latest by its answer. */
   onAcknowledged: () => void;
   /** Records the response to a request with an Idempotency-Key. */
@@ -263,18 +260,17 @@
   }
 
   /**
-   * Retires the connections to a node that did not acknowledge a request. A request that can be sent to
-   * another server is given up here. Any other waits on its connection until its deadline: it may be
-   * running, and the node may only be slow.
+   * Retires the connections to a node that did not acknowledge a request. The request itself waits on
+   * its connection: it may be running, and the node may only be slow.
    */
-  #handleMissingAcknowledgement({ routed, entry, chargeRetry }: Attempt): void {
+  #handleMissingAcknowledgement({ routed, entry, onOverdue }: Attempt): void {
     const { nodeId, forwardAddress } = entry.node;
     const nowMs = this.#context.getNowMs();
     const isNewlyUnresponsive = this.#dependencies.peers.recordFailure(nodeId, nowMs);
     if (isNewlyUnresponsive)
       log.warn({ nodeId, requestId: routed.requestId }, 'node did not acknowledge a request');
     if (isNewlyUnresponsive) this.#dependencies.nodePools.retire(forwardAddress);
-    if (chargeRetry()) routed.exchange.failCall('the node did not acknowledge the request');
+    onOverdue();
   }
 
   #logLateAcknowledgement({ routed, entry }: Attempt, sentAtMs: number): void {
