Pass a withheld 503 on if no other server responds

Callers saw 502 "the server answered 503" from the node: a server's 503 on an idempotent route was thrown away for a retry before it was certain that another server would be found, in budget and in time.

A withheld response of up to 64 KiB is now kept with its head, and sent if no other attempt answers. One that ends with its connection is not kept, since its end is not certain.

--- a/src/connection/CallError/index.ts
+++ b/src/connection/CallError/index.ts
@@ -16,6 +16,16 @@
   Cancelled = 'CANCELLED',
 }
 
+/** A whole response of a server that was withheld from the caller. */
+export interface WithheldResponse {
+  statusCode: number;
+  /** Alternating names and values. */
+  headers: string[];
+  body: Buffer;
+  /** Time from writing the request to the end of the response. */
+  upstreamMs: number;
+}
+
 /** A call to an upstream that did not end with a complete response. */
 export class CallError extends Error {
   override readonly name = 'CallError';
@@ -25,7 +35,8 @@
    * @param message - human-readable reason
    * @param options - `isWritten`: whether a byte of the request may have been written;
    *   `retryAfterMs`: retry delay requested by the upstream; `isServerRefusal`: the server refused
-   *   the request, not its node; `cause`: error of the underlying layer
+   *   the request, not its node; `response`: the withheld response, if it is whole and short; `cause`:
+   *   error of the underlying layer
    */
   constructor(
     readonly code: CallErrorCode,
@@ -34,6 +45,7 @@
       isWritten: boolean;
       retryAfterMs?: number | undefined;
       isServerRefusal?: boolean;
+      response?: WithheldResponse;
       cause?: unknown;
     },
   ) {
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -171,6 +171,9 @@
 
   #withheldError: CallError | undefined;
 
+  /** Head of a withheld response that is kept, to be sent if no other server responds. */
+  #keptHead: ResponseHead | undefined;
+
   #droppedBytes = 0;
 
   #isAcknowledged = false;
@@ -325,9 +328,12 @@
     this.#options.onHead?.(head);
     const headError = this.#options.validateHead?.(head);
     if (headError && headError.code !== CallErrorCode.Refused) return this.#refuseHead(headError);
-    this.#withheldError = headError ?? this.#findNodeError(head) ?? this.#findShedError(head);
-    if (this.#withheldError) return true;
     const endsWithConnection = this.#endsWithConnection(head, decoded);
+    const failure = headError ?? this.#findNodeError(head);
+    const shedError = failure ? undefined : this.#findShedError(head);
+    this.#withheldError = failure ?? shedError;
+    if (shedError && !endsWithConnection && !findFieldFault(head.headers)) this.#keptHead = head;
+    if (this.#withheldError) return true;
     this.#options.tap?.addHead(head, { endsWithConnection });
     if (isBuffered(head)) {
       this.#bufferedHead = head;
@@ -380,12 +386,12 @@
 
   /** Sends the end of a response that has arrived completely; `trailers`: names and values. */
   #receiveEnd(trailers: Buffer[] | null): void {
+    const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     if (this.#withheldError) {
-      this.#finish(err(this.#withheldError));
+      this.#finish(err(this.#attachKept(this.#withheldError, upstreamMs)));
       return;
     }
     this.#isReceived = true;
-    const upstreamMs = performance.now() - this.#writtenAtMs - this.#pausedMs;
     const complete = (): void => {
       if (this.#isSettled) return;
       this.#run('end', () => {
@@ -433,10 +439,13 @@
     });
   }
 
-  /** Drops a part of a withheld body; ends the call if the body is too long. */
+  /** Keeps or drops a part of a withheld body; ends the call if the body is too long. */
   #dropChunk(chunk: Buffer, withheldError: CallError): void {
     this.#droppedBytes += chunk.length;
-    if (this.#droppedBytes <= MAX_DROPPED_BYTES) return;
+    if (this.#droppedBytes <= MAX_DROPPED_BYTES) {
+      if (this.#keptHead) this.#buffered.append(chunk);
+      return;
+    }
     this.#finish(err(withheldError));
     this.#abort?.(withheldError);
   }
@@ -560,6 +569,15 @@
     return new CallError(CallErrorCode.Shed, message, { isWritten: true });
   }
 
+  /** Returns the error of a withheld response with the response, if that is kept. */
+  #attachKept(error: CallError, upstreamMs: number): CallError {
+    if (!this.#keptHead) return error;
+    const { statusCode, headers } = this.#keptHead;
+    const body = Buffer.from(this.#buffered.take());
+    const response = { statusCode, headers, body, upstreamMs };
+    return new CallError(error.code, error.message, { ...error.options, response });
+  }
+
   #forwardInformational(statusCode: number, raw: Buffer[]): void {
     if (statusCode === PROCESSING) this.#acknowledge();
     if (statusCode !== EARLY_HINTS || !this.#canForwardHint()) return;
--- a/src/request/_lib/EntryHandler.ts
+++ b/src/request/_lib/EntryHandler.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { createHash } from 'node:crypto';
 
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import { ServerState } from '../../_generated/foxtailvane/v1/endpoints_pb.js';
 import { CallError, CallErrorCode } from '../../connection/CallError/index.js';
@@ -25,6 +25,7 @@
 import TrafficSplit from '../splitTraffic/index.js';
 import { RefusalReason, RequestOutcome, createNotRunRefusal } from './writeRefusal.js';
 
+import type { WithheldResponse } from '../../connection/CallError/index.js';
 import type { CallSummary, ResponseTap } from '../../connection/UpstreamCall/index.js';
 import type { ServerEntry } from '../../process/endpoints/types.js';
 import type { RetryBudget } from '../budgetRetries/index.js';
@@ -93,6 +94,8 @@
   lastError: CallError | undefined;
   /** Last error of an attempt that may have run; takes precedence over later refusals. */
   possibleRunError: CallError | undefined;
+  /** Response of a server that is sent if no other one responds. */
+  withheldResponse: WithheldResponse | undefined;
 }
 
 const isLive = ({ server, node }: ServerEntry): boolean =>
@@ -334,6 +337,7 @@
       chargedRepeats: 0,
       lastError: undefined,
       possibleRunError: undefined,
+      withheldResponse: undefined,
     };
     this.#dependencies.budget.addRequest(routed.service, this.#context.getNowMs());
     this.#startAttempt(routed, state, { tap });
@@ -349,6 +353,11 @@
         this.#startAttempt(routed, state, { tap, retryReason: event.result.error.code });
       }
     }
+    const { withheldResponse } = state;
+    if (withheldResponse && routed.exchange.canBeAnswered) {
+      routed.exchange.sendWithheld(withheldResponse);
+      return ok(withheldResponse);
+    }
     return err(state.possibleRunError ?? state.lastError);
   }
 
@@ -465,6 +474,7 @@
       target.possibleRunError = error;
     }
     if (mayHaveArrived(error)) target.arrivals += 1;
+    target.withheldResponse = error.options.response ?? state.withheldResponse;
     if (!state.open.areOverdue) return false;
     const { exchange, outerAttempt, route } = routed;
     const mayRun = state.possibleRuns + state.open.size > 0;
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -8,12 +8,14 @@
 import { UpstreamCall } from '../../connection/UpstreamCall/index.js';
 import { copyHeaders } from '../../connection/copyHeaders/index.js';
 import { abortResponse, delimitByClose } from '../../connection/delimitByClose/index.js';
+import findHeader from '../../connection/findHeader/index.js';
 import { onWastefulBody } from '../../connection/limitBodyParts/index.js';
 import GrowingBuffer from '../../process/GrowingBuffer/index.js';
 import PolledTimeout from '../../process/PolledTimeout/index.js';
 import { digestBody, fingerprintRequest } from '../fingerprintRequest/index.js';
 import StreamedBody from './StreamedBody.js';
 
+import type { WithheldResponse } from '../../connection/CallError/index.js';
 import type { CallSummary, UpstreamCallOptions } from '../../connection/UpstreamCall/index.js';
 
 /** Bodies up to this size are buffered, so that a request can be sent to another server. */
@@ -131,9 +133,14 @@
     return this.#isCallerGone || this.#isPastDeadline || this.#isBodyWasteful;
   }
 
+  /** Whether no response was begun, and one can be. */
+  get canBeAnswered(): boolean {
+    return !this.isAborted && !this.response.headersSent;
+  }
+
   /** Whether the request can be sent to an upstream, possibly beside or after another one. */
   get canBeSent(): boolean {
-    if (this.isAborted || this.response.headersSent) return false;
+    if (!this.canBeAnswered) return false;
     const isBodyTaken = this.#isBodySent || this.#calls.size > 0;
     return !(this.#body instanceof StreamedBody) || !isBodyTaken;
   }
@@ -287,6 +294,14 @@
     return result;
   }
 
+  /** Sends a response that was withheld before. */
+  sendWithheld({ statusCode, headers, body }: WithheldResponse): void {
+    const hasLength = findHeader(headers, 'content-length') !== undefined;
+    if (!hasLength && !this.response.useChunkedEncodingByDefault) this.delimitByClose();
+    this.response.writeHead(statusCode, headers);
+    this.response.end(body);
+  }
+
   /** Closes the connection after the response, however the request ends. */
   closeAfterResponse(): void {
     ResponsePipeline.of(this.#request.socket).closeAfter(this.response);
