--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -25,6 +25,7 @@
 import OwnerHandler from '../_lib/OwnerHandler.js';
 import { ServerProbes } from '../../process/localServers/index.js';
 import GrantClient from '../_lib/GrantClient.js';
+import RequestDispatcher from '../_lib/RequestDispatcher.js';
 import ServerCaller from '../_lib/ServerCaller.js';
 import { FailureRateBreaker } from '../breakCircuit/index.js';
 import { RatioRetryBudget } from '../budgetRetries/index.js';
@@ -349,7 +350,7 @@
       breaker: this.#breaker,
     };
     const bodies = new BodyReader(this.#crashLedger);
-    const entryHandler = new EntryHandler(this.#context, {
+    const dispatcher = new RequestDispatcher(this.#context, {
       ...recorders,
       workspaceLimiter: options.workspaceLimiter,
       caller: new ServerCaller(this.#context, {
@@ -375,14 +376,18 @@
         }),
       budget:
         options.createBudget?.(() => options.directory.records().length) ?? new RatioRetryBudget(),
-      guard: this.#idempotencyGuard,
       peers: this.#peers,
       departures: this.#departures,
-      crashLedger: this.#crashLedger,
-      bodies,
       versions: options.versions ?? new AnyVersionPolicy(),
       evidence: options.evidence,
     });
+    const entryHandler = new EntryHandler(this.#context, {
+      dispatcher,
+      guard: this.#idempotencyGuard,
+      crashLedger: this.#crashLedger,
+      bodies,
+      workspaceLimiter: options.workspaceLimiter,
+    });
     const ownerHandler = new OwnerHandler(this.#context, {
       bodies,
       caller: localCaller,
