Ask other servers again while an attempt stays unacknowledged

A lookup whose first node stands still, and which the other nodes have refused, waited for the first one until its deadline, although a server that refused it may have room again soon after.

While an attempt is unacknowledged, each further timeout now looks for another server, those included that certainly did not run the request, within the same bounds.

--- a/src/request/RequestServer/overlappingAttempts.test.ts
+++ b/src/request/RequestServer/overlappingAttempts.test.ts
@@ -34,13 +34,17 @@
 };
 
 /** Passes what a node sends to another one on after a delay, as if the other had stood still. */
-const delayRequests = async (t: Test, { localServers }: TestNode): Promise<void> => {
+const delayRequests = async (
+  t: Test,
+  { localServers }: TestNode,
+  delayMs = SLOW_NODE_MS,
+): Promise<void> => {
   const { host, port } = splitAddress(localServers.record().forwardAddress);
   const sockets = new Set<Socket>();
   const link = createServer((socket) => {
     const upstream = connect(port, host);
     [socket, upstream].forEach((end) => sockets.add(end.on('error', () => end.destroy())));
-    setTimeout(() => socket.pipe(upstream), SLOW_NODE_MS);
+    setTimeout(() => socket.pipe(upstream), delayMs);
     upstream.pipe(socket);
   });
   const address = await listenOnLoopback(link);
@@ -51,14 +55,18 @@
   localServers.setAddresses({ forwardAddress: address, peerAddress: address });
 };
 
-/** Announces a server at an address that refuses connections, so that its node refuses requests. */
-const announceUnreachable = async (mesh: TestMesh, node: TestNode): Promise<void> => {
-  const server = createHttpServer();
+/**
+ * Announces a server at an address that refuses connections, so that its node refuses requests; returns
+ * the server and the address at which it can be started.
+ */
+const announceUnreachable = async (mesh: TestMesh, node: TestNode) => {
+  const server = createHttpServer((_, response) => response.end('served'));
   const address = await listenOnLoopback(server);
   await new Promise((resolve) => {
     server.close(resolve);
   });
   mesh.announce(node, server, address);
+  return { server, ...splitAddress(address) };
 };
 
 // Guards against a lookup that fails although its first server answers in time, since another server
@@ -72,6 +80,20 @@
   replies.forEach(({ status, body }) => t.same([status, body], [200, 'served']));
 });
 
+// Guards against a lookup that waits for a node that stands still until its deadline, although a server
+// that has refused it before has room again.
+tap.test('a lookup is sent again to a server that refused it before', async (t) => {
+  const { mesh, entry, slow, other } = await startMesh(t);
+  await mesh.startBackend(slow, (_, response) => response.end('late'));
+  const { server, host, port } = await announceUnreachable(mesh, other);
+  t.teardown(() => server.close());
+  await delayRequests(t, slow, 10 * SLOW_NODE_MS);
+  const replies = Promise.all(Array.from({ length: LOOKUPS }, () => send(entry.address)));
+  await delay(SLOW_NODE_MS);
+  server.listen(port, host);
+  (await replies).forEach(({ status, body }) => t.same([status, body], [200, 'served']));
+});
+
 // Guards against an answer that is lost, doubled or mixed while two servers run a lookup.
 tap.test('the first of two answers is passed on and the other run ends', async (t) => {
   const { mesh, entry, slow, other } = await startMesh(t);
--- a/src/request/_lib/AttemptLedger.test.ts
+++ b/src/request/_lib/AttemptLedger.test.ts
@@ -17,8 +17,9 @@
 const recordFailures = (limits: typeof LOOKUP, errors: CallError[]): AttemptLedger => {
   const ledger = new AttemptLedger(limits);
   errors.forEach((error, index) => {
-    ledger.addAttempt(`node/server-${index}`);
-    ledger.recordFailure(error);
+    const key = `node/server-${index}`;
+    ledger.addAttempt(key);
+    ledger.recordFailure(key, error);
   });
   return ledger;
 };
@@ -65,7 +66,7 @@
   t.equal(countCharges(recordFailures(LOOKUP, [refusedByServer]), 0), 1);
   const ledger = recordFailures(LOOKUP, []);
   t.equal(countCharges(ledger, 1), 1, 'beside an open attempt');
-  ledger.recordFailure(refused);
+  ledger.recordFailure('node/server-0', refused);
   t.equal(countCharges(ledger, 1), 0, 'after the node of the second server refused it');
 });
 
--- a/src/request/_lib/AttemptLedger.ts
+++ b/src/request/_lib/AttemptLedger.ts
@@ -37,9 +37,14 @@
 export default class AttemptLedger {
   readonly #limits: AttemptLimits;
 
-  /** Keys of the servers tried so far. */
+  #attempts = 0;
+
+  /** Keys of the servers that run the request, or may have run it. */
   readonly #tried = new Set<string>();
 
+  /** Keys of the servers that certainly did not run it. */
+  readonly #refused = new Set<string>();
+
   /** Number of ended attempts that may have run. */
   #possibleRuns = 0;
 
@@ -62,7 +67,7 @@
 
   /** Number of attempts made. */
   get attempts(): number {
-    return this.#tried.size;
+    return this.#attempts;
   }
 
   /** What is known about the request; an attempt that may have run takes precedence over refusals. */
@@ -75,13 +80,21 @@
     return this.#withheldResponse;
   }
 
-  /** Returns whether a server was tried. */
-  hasTried(key: string): boolean {
-    return this.#tried.has(key);
+  /** Returns whether a server was not tried yet. */
+  isUntried(key: string): boolean {
+    return !this.#tried.has(key) && !this.#refused.has(key);
   }
 
+  /** Returns whether a server was tried that certainly did not run the request. */
+  hasRefused(key: string): boolean {
+    return this.#refused.has(key);
+  }
+
+  /** Records the start of an attempt. */
   addAttempt(key: string): void {
+    this.#attempts += 1;
     this.#tried.add(key);
+    this.#refused.delete(key);
   }
 
   /** Records why no server could be tried. */
@@ -89,9 +102,13 @@
     this.#lastError = error;
   }
 
-  /** Records the failure of an attempt. */
-  recordFailure(error: CallError): void {
+  /** Records the failure of an attempt on a server. */
+  recordFailure(key: string, error: CallError): void {
     this.#lastError = error;
+    if (isNotRunError(error)) {
+      this.#tried.delete(key);
+      this.#refused.add(key);
+    }
     // A later attempt that was cancelled unsent leaves the outcome of an earlier one unknown.
     if (!isKnownNotRun(error)) {
       this.#possibleRuns += 1;
--- a/src/request/_lib/OpenAttempts.test.ts
+++ b/src/request/_lib/OpenAttempts.test.ts
@@ -12,10 +12,10 @@
 const SERVED: AttemptResult = ok({ statusCode: 200, upstreamMs: 1 });
 
 /** Starts an attempt; returns how to report its progress and to end it. */
-const startAttempt = (open: OpenAttempts) => {
+const startAttempt = (open: OpenAttempts, key = 'node/server') => {
   let progress: AttemptProgress | undefined;
   let end: (result: AttemptResult) => void = () => undefined;
-  open.start((reported) => {
+  open.start(key, (reported) => {
     progress = reported;
     return new Promise((resolve) => {
       end = resolve;
@@ -31,12 +31,12 @@
 // Guards against an event that is lost because another one came in the same turn.
 tap.test('attempts that end in the same turn are all returned', async (t) => {
   const open = new OpenAttempts();
-  const attempts = [startAttempt(open), startAttempt(open)];
+  const attempts = [startAttempt(open, 'a'), startAttempt(open, 'b')];
   attempts[0]?.end(FAILED);
   attempts[1]?.end(SERVED);
-  t.strictSame(await open.next(), { kind: AttemptEventKind.Ended, result: FAILED });
+  t.strictSame(await open.next(), { kind: AttemptEventKind.Ended, key: 'a', result: FAILED });
   t.equal(open.size, 1, 'an end that was not returned counts as open');
-  t.strictSame(await open.next(), { kind: AttemptEventKind.Ended, result: SERVED });
+  t.strictSame(await open.next(), { kind: AttemptEventKind.Ended, key: 'b', result: SERVED });
   t.equal(open.size, 0);
 });
 
@@ -58,7 +58,7 @@
 
 tap.test('an attempt that rejects rejects the wait for it', async (t) => {
   const open = new OpenAttempts();
-  open.start(() => Promise.reject(new Error('fault')));
+  open.start('node/server', () => Promise.reject(new Error('fault')));
   await t.rejects(open.next(), { message: 'fault' });
   t.equal(open.size, 0);
 });
--- a/src/request/_lib/OpenAttempts.ts
+++ b/src/request/_lib/OpenAttempts.ts
@@ -4,7 +4,7 @@
 import type { CallSummary } from '../../connection/UpstreamCall/index.js';
 
 export enum AttemptEventKind {
-  /** The node beside the server has not acknowledged the request in time; the attempt goes on. */
+  /** The node beside the server has not acknowledged the request so far; the attempt goes on. */
   Overdue = 'OVERDUE',
   Ended = 'ENDED',
 }
@@ -12,7 +12,13 @@
 export type AttemptResult = Result<CallSummary, CallError>;
 
 export type AttemptEvent =
-  { kind: AttemptEventKind.Overdue } | { kind: AttemptEventKind.Ended; result: AttemptResult };
+  | { kind: AttemptEventKind.Overdue }
+  | {
+      kind: AttemptEventKind.Ended;
+      /** Key of the server. */
+      key: string;
+      result: AttemptResult;
+    };
 
 /** Receives what becomes known about an attempt in progress. */
 export interface AttemptProgress {
@@ -22,6 +28,7 @@
 }
 
 interface OpenAttempt {
+  readonly key: string;
   isOverdue: boolean;
 }
 
@@ -56,10 +63,11 @@
   /**
    * Starts an attempt.
    *
+   * @param key - key of the server
    * @param run - makes the attempt
    */
-  start(run: (progress: AttemptProgress) => Promise<AttemptResult>): void {
-    const attempt: OpenAttempt = { isOverdue: false };
+  start(key: string, run: (progress: AttemptProgress) => Promise<AttemptResult>): void {
+    const attempt: OpenAttempt = { key, isOverdue: false };
     this.#attempts.add(attempt);
     const ended = run({
       reportOverdue: () => {
@@ -86,8 +94,9 @@
     }
     const event = this.#events.shift();
     if (!event?.ended) return { kind: AttemptEventKind.Overdue };
-    this.#attempts.delete(event.attempt);
-    return { kind: AttemptEventKind.Ended, result: await event.ended };
+    const { attempt, ended } = event;
+    this.#attempts.delete(attempt);
+    return { kind: AttemptEventKind.Ended, key: attempt.key, result: await ended };
   }
 
   #push(event: PendingEvent): void {
--- a/src/request/_lib/RequestDispatcher.ts
+++ b/src/request/_lib/RequestDispatcher.ts
@@ -141,7 +141,7 @@
       const event = await open.next();
       if (event.kind === AttemptEventKind.Overdue) this.#handleOverdue(dispatch);
       else if (event.result.isOk()) return event.result;
-      else this.#handleFailure(dispatch, event.result.error);
+      else this.#handleFailure(dispatch, event.key, event.result.error);
     }
     return this.#sendWithheld(dispatch) ?? err(ledger.error);
   }
@@ -159,9 +159,9 @@
     } else recordNoFurtherAttempt(routed, NoFurtherAttempt.NotRepeatable);
   }
 
-  #handleFailure(dispatch: Dispatch, error: CallError): void {
+  #handleFailure(dispatch: Dispatch, key: string, error: CallError): void {
     const { routed, ledger, open } = dispatch;
-    ledger.recordFailure(error);
+    ledger.recordFailure(key, error);
     if (!open.areOverdue) return;
     if (ledger.mayRetry(error, describeSituation(dispatch))) {
       this.#startAttempt(dispatch, error.code);
@@ -189,7 +189,9 @@
     const { selection, choice } = target;
     if (!selection || obstacle !== undefined) return;
     ledger.chargeRepeat(open.size, () => this.#chargeRepeat(routed));
-    open.start((progress) => this.#attempt(dispatch, { selection, choice, progress }));
+    open.start(formatServerKey(selection.entry), (progress) =>
+      this.#attempt(dispatch, { selection, choice, progress }),
+    );
   }
 
   #findObstacle(
@@ -287,19 +289,24 @@
 
   /**
    * Finds the live servers of the right version that were not tried, those on responsive nodes if
-   * there are any. Beside an overdue attempt, one on another unresponsive node gains nothing.
+   * there are any. Beside an overdue attempt, those on other unresponsive nodes gain nothing, and those
+   * that have refused the request may have room by then.
    */
   #findCandidates(dispatch: Dispatch, canExpose: boolean): VersionChoice {
     const { routed, ledger, open } = dispatch;
     const { versions, peers } = this.#dependencies;
     const choice = versions.choose(routed.service, this.#listLive(routed), canExpose);
-    const untried = choice.entries.filter(
-      (entry) => ledger.attempts === 0 || !ledger.hasTried(formatServerKey(entry)),
-    );
-    const reachable = untried.filter(({ node }) => !peers.isUnresponsive(node.nodeId));
+    const isReachable = ({ node }: ServerEntry): boolean => !peers.isUnresponsive(node.nodeId);
+    const untried =
+      ledger.attempts === 0
+        ? choice.entries
+        : choice.entries.filter((entry) => ledger.isUntried(formatServerKey(entry)));
+    const reachable = untried.filter(isReachable);
     if (choice.exposure && reachable.length === 0) return this.#findCandidates(dispatch, false);
-    const isOnlyReachable = reachable.length > 0 || open.size > 0;
-    return { ...choice, entries: isOnlyReachable ? reachable : untried };
+    if (reachable.length > 0) return { ...choice, entries: reachable };
+    if (open.size === 0) return { ...choice, entries: untried };
+    const refused = choice.entries.filter((entry) => ledger.hasRefused(formatServerKey(entry)));
+    return { ...choice, entries: refused.filter(isReachable) };
   }
 
   /** Refuses a new request at once if even the best server, or this node itself, has no room in time. */
--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -70,7 +70,10 @@
   number: number;
   /** Returns whether to withhold a response from the caller because the request is retried. */
   shouldWithhold: (head: ResponseHead) => boolean;
-  /** Called when the node beside the server has not acknowledged the request in time. */
+  /**
+   * Called when the node beside the server has not acknowledged the request in time, and again each time
+   * that the same time has passed without it.
+   */
   onOverdue: () => void;
   /** Called when the node beside the server acknowledges the request, at the latest by its answer. */
   onAcknowledged: () => void;
@@ -224,10 +227,13 @@
     const sentAtMs = performance.now();
     const pool = this.#dependencies.nodePools.get(forwardAddress, MAX_NODE_CONNECTIONS);
     const { peers } = this.#dependencies;
-    const acknowledgementTimeout = new PolledTimeout(
-      () => this.#handleMissingAcknowledgement(attempt),
-      ACKNOWLEDGEMENT_TIMEOUT_MS,
-    );
+    let isOverdue = false;
+    const acknowledgementTimeout = new PolledTimeout(() => {
+      if (!isOverdue) this.#avoidNode(attempt);
+      isOverdue = true;
+      attempt.onOverdue();
+      acknowledgementTimeout.refresh();
+    }, ACKNOWLEDGEMENT_TIMEOUT_MS);
     const hop = { isAcknowledged: false };
     Object.assign(attempt, { hop });
     const markAlive = (): void => {
@@ -260,17 +266,16 @@
   }
 
   /**
-   * Retires the connections to a node that did not acknowledge a request. The request itself waits on
-   * its connection: it may be running, and the node may only be slow.
+   * Avoids a node that did not acknowledge a request, and retires the connections to it. The request
+   * itself waits on its connection: it may be running, and the node may only be slow.
    */
-  #handleMissingAcknowledgement({ routed, entry, onOverdue }: Attempt): void {
+  #avoidNode({ routed, entry }: Attempt): void {
     const { nodeId, forwardAddress } = entry.node;
     const nowMs = this.#context.getNowMs();
     const isNewlyUnresponsive = this.#dependencies.peers.recordFailure(nodeId, nowMs);
-    if (isNewlyUnresponsive)
-      log.warn({ nodeId, requestId: routed.requestId }, 'node did not acknowledge a request');
-    if (isNewlyUnresponsive) this.#dependencies.nodePools.retire(forwardAddress);
-    onOverdue();
+    if (!isNewlyUnresponsive) return;
+    log.warn({ nodeId, requestId: routed.requestId }, 'node did not acknowledge a request');
+    this.#dependencies.nodePools.retire(forwardAddress);
   }
 
   #logLateAcknowledgement({ routed, entry }: Attempt, sentAtMs: number): void {
