Check a waiting request for crashes again once it has its slot

Cause: LocalCaller asked the crash ledger before a request waited for its slot, and sent it whatever became known meanwhile. Since overdue attempts stay open, more of them wait at a time, and each would end one more server (BUDGET).

The check is repeated beside that of the key; a trial is exempt. It ends before anything is sent, so the refusal as not run is true.

crashingRequests.test.ts: the waiting lookup ran once and was answered 200 before, now it is refused and its slot is free. The second test, a lookup on a slow link, passed before as well; it guards the check on arrival.

--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -59,6 +59,12 @@
   findKeyFault?: (() => string | undefined) | undefined;
 }
 
+/** A request that is admitted to a local server. */
+interface AdmittedRequest extends LocalRequest {
+  /** Whether the request is tried although it is suspected of crashing servers. */
+  isTrial: boolean;
+}
+
 /** Path and headers; headers hold the remaining time, so they are created once a slot is acquired. */
 export interface LocalTarget {
   path: string;
@@ -186,28 +192,47 @@
       return err(new CallError(CallErrorCode.Refused, SERVER_UNREACHABLE, errorOptions));
     }
     const { ledger } = this.#crashes;
-    const { path } = target;
     const keyFault = localRequest.findKeyFault?.();
     if (keyFault !== undefined) return refuse(keyFault);
-    const suspected = ledger.isEmpty
-      ? []
-      : exchange.computeFingerprints(path, localRequest.callerService);
+    const suspected = this.#listSuspected(exchange, target, localRequest);
     if (!ledger.isBlocked(suspected)) {
-      return this.#callServer(exchange, local, localRequest, target, options);
+      const admitted = { ...localRequest, isTrial: false };
+      return this.#callServer(exchange, local, admitted, target, options);
     }
     if (!ledger.beginTrial(suspected, nowMs)) {
       return refuse(CRASHES_SERVERS);
     }
     log.info({ requestId: localRequest.requestId }, 'suspected request is tried once more');
-    const result = await this.#callServer(exchange, local, localRequest, target, options);
+    const admitted = { ...localRequest, isTrial: true };
+    const result = await this.#callServer(exchange, local, admitted, target, options);
     ledger.endTrial(suspected, judgeTrial(exchange, result), this.#context.getNowMs());
     return result;
   }
 
+  /** Returns the fingerprints of a request; none while no request is suspected of crashing servers. */
+  #listSuspected(
+    exchange: Exchange,
+    { path }: LocalTarget,
+    { callerService }: LocalRequest,
+  ): bigint[] {
+    return this.#crashes.ledger.isEmpty ? [] : exchange.computeFingerprints(path, callerService);
+  }
+
+  /** Returns why a request that has waited for its slot must not be sent any more. */
+  #findLateFault(
+    exchange: Exchange,
+    target: LocalTarget,
+    admitted: AdmittedRequest,
+  ): string | undefined {
+    const suspected = admitted.isTrial ? [] : this.#listSuspected(exchange, target, admitted);
+    const isBlocked = this.#crashes.ledger.isBlocked(suspected);
+    return admitted.findKeyFault?.() ?? (isBlocked ? CRASHES_SERVERS : undefined);
+  }
+
   async #callServer(
     exchange: Exchange,
     local: LocalServer,
-    localRequest: LocalRequest,
+    localRequest: AdmittedRequest,
     target: LocalTarget,
     options: Omit<UpstreamCallOptions, 'isNode'>,
   ): Promise<Result<CallSummary, CallError>> {
@@ -223,10 +248,10 @@
       return err(new CallError(code, refusal, { isWritten: false, retryAfterMs }));
     }
     const { server, gate } = local;
-    const laterKeyFault = localRequest.findKeyFault?.();
-    if (laterKeyFault !== undefined) {
+    const lateFault = this.#findLateFault(exchange, target, localRequest);
+    if (lateFault !== undefined) {
       gate.release(demand, 0, this.#context.getNowMs());
-      return refuse(laterKeyFault);
+      return refuse(lateFault);
     }
     const startedAtMs = performance.now();
     const sentAtMs = this.#context.getNowMs();
