Try no further server for a request that has ended

A request that ended unsent, because its caller left or its deadline passed while it waited for a slot, was tried on further servers since. Nothing was sent, but each try took a retry from the budget, and with it the retry of a caller that still waits.

Cause: an attempt that was cancelled unsent is neither a refusal nor one that may have run, and only those two asked whether the request can still be sent. AttemptLedger asks that first now.

--- a/src/request/_lib/AttemptLedger.ts
+++ b/src/request/_lib/AttemptLedger.ts
@@ -127,12 +127,12 @@
 
   /** Returns whether to try another server after a failure that is recorded. */
   mayRetry(error: CallError, situation: AttemptSituation): boolean {
+    const { maxAttempts, outerAttempt } = this.#limits;
+    if (!situation.canBeSent || outerAttempt > 0) return false;
     const mayRun = this.#possibleRuns + situation.openAttempts > 0;
     if (mayRun && !this.mayRunAgain(situation)) return false;
     if (!isNotRunError(error)) return error.code !== CallErrorCode.Truncated;
-    const { maxAttempts, outerAttempt } = this.#limits;
-    const hasTriesLeft = this.attempts < Math.max(MAX_SERVERS_TRIED, maxAttempts);
-    return hasTriesLeft && outerAttempt === 0 && situation.canBeSent;
+    return this.#attempts < Math.max(MAX_SERVERS_TRIED, maxAttempts);
   }
 
   /**
