Cancel attempts that wait for a slot once another one answers

Callers got answers that were cut: an overlapping attempt that waited for a slot of the server beside the entry node was no call yet, so the answer of the other one did not cancel it. It got its slot, ran, and its own answer cut the one in progress. A broken answer ended only after that attempt (4.1 s instead of 1.1 s).

The first call that begins to write its response now ends the waits for slots as well, and no further call is sent from then on. Such an attempt counts as cancelled, not as refused.

--- a/src/connection/CallError/index.ts
+++ b/src/connection/CallError/index.ts
@@ -12,7 +12,7 @@
   Shed = 'SHED',
   /** The response ended before it was complete. */
   Truncated = 'TRUNCATED',
-  /** This node cancelled the call: the caller disconnected or the deadline passed. */
+  /** This node cancelled the call: the caller disconnected, the deadline passed or another call answered. */
   Cancelled = 'CANCELLED',
 }
 
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -71,7 +71,7 @@
 
   #deadlineTimeout: PolledTimeout | undefined;
 
-  #abortListeners: (() => void)[] = [];
+  #decisionListeners: (() => void)[] = [];
 
   /** On the clock of `performance.now()`. */
   #deadlineAtMs = Infinity;
@@ -197,15 +197,16 @@
   }
 
   /**
-   * Registers a listener for the abort of the exchange.
+   * Registers a listener for the moment from which nothing needs to be sent to an upstream any more.
    *
-   * @param listener - called once, when the caller disconnects or the deadline passes
+   * @param listener - called once, when the caller disconnects, the deadline passes or a call begins to
+   *   write its response
    * @returns a function that removes the listener
    */
-  onAborted(listener: () => void): () => void {
-    this.#abortListeners.push(listener);
+  onDecided(listener: () => void): () => void {
+    this.#decisionListeners.push(listener);
     return () => {
-      this.#abortListeners = this.#abortListeners.filter((other) => other !== listener);
+      this.#decisionListeners = this.#decisionListeners.filter((other) => other !== listener);
     };
   }
 
@@ -274,8 +275,8 @@
     target: { path: string; headers: string[] },
     options: UpstreamCallOptions,
   ): Promise<Result<CallSummary, CallError>> {
-    if (this.isAborted) {
-      const reason = 'the exchange is already aborted';
+    if (!this.canBeAnswered) {
+      const reason = 'the exchange is already aborted or answered';
       return err(new CallError(CallErrorCode.Cancelled, reason, { isWritten: false }));
     }
     const call = new UpstreamCall(this.response, {
@@ -330,7 +331,7 @@
   #waitUntilIdentified({ identified }: StreamedBody): Promise<boolean> {
     if (this.isAborted) return Promise.resolve(false);
     const aborted = new Promise<boolean>((resolve) => {
-      this.onAborted(() => resolve(false));
+      this.onDecided(() => resolve(false));
     });
     return Promise.race([identified.then(() => true), aborted]);
   }
@@ -342,7 +343,7 @@
   async #awaitTurn(): Promise<void> {
     if (this.response.socket !== null) return;
     await new Promise<void>((resolve) => {
-      const unsubscribe = this.onAborted(resolve);
+      const unsubscribe = this.onDecided(resolve);
       this.response.once('socket', () => {
         unsubscribe();
         resolve();
@@ -353,7 +354,7 @@
   #bufferBody(): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
       const body = new GrowingBuffer();
-      const unsubscribe = this.onAborted(() => resolve(undefined));
+      const unsubscribe = this.onDecided(() => resolve(undefined));
       this.#request.on('data', (part: Buffer) => body.append(part));
       this.#request.on('end', () => {
         unsubscribe();
@@ -393,10 +394,11 @@
     [...this.#calls]
       .filter((call) => call !== answering)
       .forEach((call) => call.cancel('another server answered first'));
+    this.#decisionListeners.splice(0).forEach((listener) => listener());
   }
 
   #abort(reason: string): void {
     this.#calls.forEach((call) => call.cancel(reason));
-    this.#abortListeners.splice(0).forEach((listener) => listener());
+    this.#decisionListeners.splice(0).forEach((listener) => listener());
   }
 }
--- a/src/request/_lib/LocalCaller.ts
+++ b/src/request/_lib/LocalCaller.ts
@@ -243,7 +243,7 @@
     const demand = createDemand(local, localRequest, isCall);
     const refusal = await this.#acquireSlot(exchange, local, demand);
     if (refusal !== undefined) {
-      const code = exchange.isAborted ? CallErrorCode.Cancelled : CallErrorCode.Refused;
+      const code = exchange.canBeAnswered ? CallErrorCode.Refused : CallErrorCode.Cancelled;
       const retryAfterMs = local.gate.estimateWaitMs(this.#context.getNowMs());
       return err(new CallError(code, refusal, { isWritten: false, retryAfterMs }));
     }
@@ -421,7 +421,7 @@
         unsubscribe();
         resolve(refusal);
       });
-      unsubscribe = exchange.onAborted(() => {
+      unsubscribe = exchange.onDecided(() => {
         withdraw(this.#context.getNowMs());
         resolve('GIVEN_UP');
       });
