Keep the connection of a caller when a held response is not sent

A response without a length is held until it is complete and has the connection closed after it.

ResponsePipeline.closeAfter() returns a function that withdraws the close. It has no effect once a request behind was dropped, since its caller waits for the close to send it again.

--- a/src/connection/ResponsePipeline/index.ts
+++ b/src/connection/ResponsePipeline/index.ts
@@ -31,6 +31,13 @@
   start: (waitedMs: number) => void;
 }
 
+interface PlannedClose {
+  /** Number of calls that want the connection closed after the response. */
+  count: number;
+  /** Whether the connection is kept once none of them wants that any more. */
+  keepsAlive: boolean;
+}
+
 /**
  * Pending responses of one connection, in the order of their requests.
  *
@@ -66,6 +73,12 @@
 
   #isClosed = false;
 
+  /** Responses after which the connection is to be closed, unless that is withdrawn. */
+  readonly #plannedCloses = new Map<ServerResponse, PlannedClose>();
+
+  /** Whether a request was dropped, which the caller sends again once the connection is closed. */
+  #hasDropped = false;
+
   #isPaused = false;
 
   #isStarting = false;
@@ -123,11 +136,22 @@
    * on are not handled.
    *
    * @param response - a pending response
+   * @returns a function that withdraws this close; it has no effect if the head was written or a request
+   *   was dropped meanwhile
    */
-  closeAfter(response: ServerResponse): void {
+  closeAfter(response: ServerResponse): () => void {
     const target = response;
+    const isClosedOtherwise = this.#isClosed && this.#plannedCloses.size === 0;
+    const planned = this.#plannedCloses.get(response) ?? {
+      count: 0,
+      keepsAlive: response.shouldKeepAlive,
+    };
     target.shouldKeepAlive = false;
     this.#isClosed = true;
+    if (isClosedOtherwise) return () => undefined;
+    planned.count += 1;
+    this.#plannedCloses.set(response, planned);
+    return () => this.#withdrawClose(response);
   }
 
   /**
@@ -169,12 +193,28 @@
   /** Reads and drops a request that must not be handled. */
   discard(request: IncomingMessage): void {
     this.#discardedCount += 1;
+    this.#hasDropped = true;
     request.resume();
     if (!this.#isClosed) this.#pause();
     else if (this.#discardedCount > MAX_DISCARDED) this.#socket.destroy();
   }
 
+  #withdrawClose(response: ServerResponse): void {
+    const target = response;
+    const planned = this.#plannedCloses.get(response);
+    if (!planned) return;
+    planned.count -= 1;
+    if (planned.count > 0) return;
+    this.#plannedCloses.delete(response);
+    if (response.headersSent || this.#hasDropped || this.#socket.destroyed) return;
+    target.shouldKeepAlive = planned.keepsAlive;
+    if (this.#plannedCloses.size > 0) return;
+    this.#isClosed = false;
+    this.#startWaiting();
+  }
+
   #remove(response: ServerResponse): void {
+    this.#plannedCloses.delete(response);
     this.#isClosed ||= !response.shouldKeepAlive || this.#socket.destroyed;
     if (this.#pending.size > FEW_PENDING) totalAhead -= 1;
     this.#pending.delete(response);
@@ -224,6 +264,7 @@
 
   /** Gives up the requests that were not started. */
   #dropWaiting(): void {
+    this.#hasDropped ||= this.#waiting.length > 0;
     this.#waiting = [];
     turns.withdraw(this);
   }
--- a/src/connection/UpstreamCall/index.ts
+++ b/src/connection/UpstreamCall/index.ts
@@ -99,8 +99,11 @@
   onUnframed?: (head: ResponseHead) => void;
   /** Holds responses without a length until their end; set at the node that faces the caller. */
   holder?: ResponseHolder;
-  /** Called when a response is held, which will end with its connection unless the call fails. */
-  onHeld?: () => void;
+  /**
+   * Called when a response is held, which will end with its connection unless the call fails; returns a
+   * function that is called if it fails.
+   */
+  onHeld?: () => () => void;
   /** Returns whether early hints with these headers, alternating names and values, are passed on. */
   validateHints?: (headers: string[]) => boolean;
   /** Called before the head of the response is written; from then on no other call may write one. */
@@ -188,6 +191,8 @@
   /** Space of a held response without a length. */
   #heldSpace: HeldSpace | undefined;
 
+  #undoHeld: (() => void) | undefined;
+
   #statusCode = 0;
 
   /** Length of the body, if it is known. */
@@ -343,7 +348,7 @@
       this.#heldSpace = this.#options.holder?.open();
       if (this.#heldSpace) {
         this.#bufferedHead = head;
-        this.#options.onHeld?.();
+        this.#undoHeld = this.#options.onHeld?.();
         return true;
       }
       this.#options.onUnframed?.(head);
@@ -534,7 +539,10 @@
   #finish(result: Result<CallSummary, CallError>): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    if (result.isErr()) this.#heldSpace?.release();
+    if (result.isErr()) {
+      this.#heldSpace?.release();
+      this.#undoHeld?.();
+    }
     this.#settle(result);
   }
 
--- a/src/request/_lib/Exchange.ts
+++ b/src/request/_lib/Exchange.ts
@@ -303,9 +303,13 @@
     this.response.end(body);
   }
 
-  /** Closes the connection after the response, however the request ends. */
-  closeAfterResponse(): void {
-    ResponsePipeline.of(this.#request.socket).closeAfter(this.response);
+  /**
+   * Closes the connection after the response.
+   *
+   * @returns a function that keeps the connection again, unless requests behind were dropped meanwhile
+   */
+  closeAfterResponse(): () => void {
+    return ResponsePipeline.of(this.#request.socket).closeAfter(this.response);
   }
 
   /** Delimits the response by closing the connection, because its length is not known. */
