Avoid a node that acknowledges late until it answers a probe

Since overdue attempts stay open, their late acknowledgements reached PeerTracker and marked the node responsive at once, so that further lookups were sent to a node that takes 900 ms for each. Only a response in time counts now; otherwise the probe with its limit of 400 ms decides, as before.

cancelledAttempts.test.ts, 'a node that acknowledges too late is avoided until a probe succeeds': failed on (4 of 16 sent there), passes now.

--- a/src/request/_lib/ServerCaller.ts
+++ b/src/request/_lib/ServerCaller.ts
@@ -237,11 +237,14 @@
     const hop = { isAcknowledged: false };
     Object.assign(attempt, { hop });
     const markAlive = (): void => {
-      if (!hop.isAcknowledged) this.#logLateAcknowledgement(attempt, sentAtMs);
+      if (!hop.isAcknowledged && isOverdue) {
+        this.#logLateAcknowledgement(attempt, sentAtMs, performance.now());
+      }
       hop.isAcknowledged = true;
       attempt.onAcknowledged();
       acknowledgementTimeout.cancel();
-      peers.recordResponse(nodeId);
+      // A node that responds so late is avoided until it answers a probe in time.
+      if (!isOverdue) peers.recordResponse(nodeId);
     };
     const result = await exchange.call(
       pool,
@@ -278,11 +281,12 @@
     this.#dependencies.nodePools.retire(forwardAddress);
   }
 
-  #logLateAcknowledgement({ routed, entry }: Attempt, sentAtMs: number): void {
-    const nowMs = performance.now();
+  #logLateAcknowledgement(
+    { routed: { requestId }, entry }: Attempt,
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
     const elapsedMs = Math.round(nowMs - sentAtMs);
-    if (elapsedMs <= ACKNOWLEDGEMENT_TIMEOUT_MS) return;
-    const { requestId } = routed;
     lateLog.info(
       nowMs,
       () => ({ nodeId: entry.node.nodeId, requestId, elapsedMs }),
