Return the charges for repeats that certainly did not run

An overlapping attempt is charged to the quota of its workspace when it starts, as it may run at a second server. If it is refused as not run, the charge was kept, so a workspace was refused before its quota was used up.

--- a/src/request/_lib/AttemptLedger.ts
+++ b/src/request/_lib/AttemptLedger.ts
@@ -160,4 +160,14 @@
     this.#chargedRepeats += 1;
     charge();
   }
+
+  /**
+   * Returns how many of the charged repeats certainly did not run.
+   *
+   * @param openAttempts - number of attempts in progress, or ended with a response
+   */
+  countUnusedRepeats(openAttempts: number): number {
+    const repeats = Math.max(0, this.#possibleRuns + openAttempts - 1);
+    return Math.max(0, this.#chargedRepeats - repeats);
+  }
 }
--- a/src/request/_lib/RequestDispatcher.ts
+++ b/src/request/_lib/RequestDispatcher.ts
@@ -136,14 +136,24 @@
     const open = new OpenAttempts();
     const dispatch: Dispatch = { routed, tap, ledger, open };
     this.#dependencies.budget.addRequest(service, this.#context.getNowMs());
+    const summary = await this.#tryServers(dispatch);
+    const runs = open.size + (summary ? 1 : 0);
+    this.#returnRepeats(routed, ledger.countUnusedRepeats(runs));
+    if (summary) return ok(summary);
+    return this.#sendWithheld(dispatch) ?? err(ledger.error);
+  }
+
+  /** Makes attempts until one responds, or there can't be another one. */
+  async #tryServers(dispatch: Dispatch): Promise<CallSummary | undefined> {
+    const { open } = dispatch;
     this.#startAttempt(dispatch);
     while (open.size > 0) {
       const event = await open.next();
       if (event.kind === AttemptEventKind.Overdue) this.#handleOverdue(dispatch);
-      else if (event.result.isOk()) return event.result;
+      else if (event.result.isOk()) return event.result.value;
       else this.#handleFailure(dispatch, event.key, event.result.error);
     }
-    return this.#sendWithheld(dispatch) ?? err(ledger.error);
+    return undefined;
   }
 
   /** Returns the number of servers that accept a request. */
@@ -218,6 +228,14 @@
     if (workspace) this.#dependencies.workspaceLimiter?.addRepeat(workspace.name);
   }
 
+  /** Returns charges for repeats that certainly reached no server. */
+  #returnRepeats({ workspace }: RoutedRequest, count: number): void {
+    if (!workspace) return;
+    Array.from({ length: count }).forEach(() =>
+      this.#dependencies.workspaceLimiter?.giveBack(workspace.name),
+    );
+  }
+
   async #attempt(
     dispatch: Dispatch,
     target: { selection: Selection; choice: VersionChoice; progress: AttemptProgress },
