Measure only deltas in the test of their size

The trace: a slow follower got three whole entries, the first version of 1.3 MB among them, and the delta of the second one in one request, which is as intended. The check took the bytes of the request for those of the delta.

It now takes the request with its deltas alone; the bound is the same.

--- a/src/process/replication/ReplicatedLog/deltas.test.ts
+++ b/src/process/replication/ReplicatedLog/deltas.test.ts
@@ -86,8 +86,10 @@
   const sizesByVersion = new Map<number, number[]>();
   const cluster = await startCluster(t, {
     alterRequest: (request) => {
-      const versions = request.entries.flatMap(({ delta }) => delta?.head?.version ?? []);
-      const bytes = toBinary(AppendRequestSchema, request).length;
+      const deltas = request.entries.filter(({ delta }) => delta);
+      const versions = deltas.flatMap(({ delta }) => delta?.head?.version ?? []);
+      // A slow follower may get the first version, which is whole, in the same request.
+      const bytes = toBinary(AppendRequestSchema, { ...request, entries: deltas }).length;
       versions.forEach((version) =>
         sizesByVersion.set(version, [...(sizesByVersion.get(version) ?? []), bytes]),
       );
