Let workers of the platform stand-in have a bounded number of slots

Cause: the stand-in announced its slots and ran any number of requests at the same time, so no test could have a worker that is full.

A request whose caller leaves frees its slot or its place. Without the option nothing changes.

--- a/stand-ins/platform/PlatformWorker.ts
+++ b/stand-ins/platform/PlatformWorker.ts
@@ -15,6 +15,11 @@
   /** `IP:port` of the `control` listener of its machine. */
   control: string;
   slots?: number;
+  /**
+   * Number of requests that wait for a slot; further ones are rejected as not executed. Without it any
+   * number of requests runs at the same time. Not for raw answers, which hold no slot.
+   */
+  queueLength?: number;
   /** Execution time of a request. */
   workMs?: number;
   /** Version of its software. */
@@ -28,6 +33,7 @@
 }
 
 const HEARTBEAT_INTERVAL_MS = 200;
+const DEFAULT_SLOTS = 4;
 
 /** A request that the worker started to execute. */
 export interface WorkerRun {
@@ -49,6 +55,11 @@
 
   #sequence = 0;
 
+  #occupiedSlots = 0;
+
+  /** Requests that wait for a slot, by their responses, with what runs each. */
+  readonly #queue = new Map<ServerResponse, () => void>();
+
   #state = 'ready';
 
   #timer: NodeJS.Timeout | undefined;
@@ -100,7 +111,7 @@
       address,
       zone,
       control,
-      slots = 4,
+      slots = DEFAULT_SLOTS,
       version = 'v1',
     } = this.#options;
     this.#sequence += 1;
@@ -121,7 +132,7 @@
   }
 
   #handleRequest(incoming: IncomingMessage, response: ServerResponse): void {
-    const { instanceId, workMs = 5, findStatus = () => 200 } = this.#options;
+    const { instanceId } = this.#options;
     const { headers, url = '' } = incoming;
     if (url === '/health') {
       response.writeHead(this.#state === 'ready' ? 200 : 503, { 'instance-id': instanceId }).end();
@@ -133,6 +144,47 @@
       response.writeHead(421, { 'instance-id': instanceId, 'attempt-id': attemptId }).end();
       return;
     }
+    this.#occupySlot(attemptId, response, () => this.#run(attemptId, incoming, response));
+  }
+
+  /** Runs a request at once, once a slot is free, or never, as the bounds of the worker say. */
+  #occupySlot(attemptId: string, response: ServerResponse, run: () => void): void {
+    const { instanceId, slots = DEFAULT_SLOTS, queueLength } = this.#options;
+    if (queueLength === undefined) {
+      run();
+      return;
+    }
+    if (this.#occupiedSlots >= slots && this.#queue.size >= queueLength) {
+      response.writeHead(503, {
+        ...{ 'instance-id': instanceId, 'attempt-id': attemptId, 'not-executed': '1' },
+      });
+      response.end();
+      return;
+    }
+    this.#queue.set(response, run);
+    // A response closes when it is complete or its connection is.
+    response.once('close', () => {
+      // A request whose caller left while it waited held no slot.
+      if (!this.#queue.delete(response)) this.#occupiedSlots -= 1;
+      this.#runQueued();
+    });
+    this.#runQueued();
+  }
+
+  #runQueued(): void {
+    const { slots = DEFAULT_SLOTS } = this.#options;
+    [...this.#queue]
+      .slice(0, Math.max(0, slots - this.#occupiedSlots))
+      .forEach(([response, run]) => {
+        this.#queue.delete(response);
+        this.#occupiedSlots += 1;
+        run();
+      });
+  }
+
+  #run(attemptId: string, incoming: IncomingMessage, response: ServerResponse): void {
+    const { instanceId, workMs = 5, findStatus = () => 200 } = this.#options;
+    const { headers, url = '' } = incoming;
     const callerService = String(headers['caller-service'] ?? '');
     const { rawHeaders } = incoming;
     const run = { attemptId, path: url, callerService, rawHeaders, atMs: performance.now() };
