Let clients of the soak leave, and vary their bursts

Cause: clients that keep their connections waited for every response, so the soak could not check what runs for a client that is gone (GONE).

Change: options for the share of orders, the length of bursts, the pause and the share of bursts after which the client leaves. Times of the first byte and of the response are kept. Clients without the options draw the same sequences as before.

--- a/stand-ins/keepingClient/index.ts
+++ b/stand-ins/keepingClient/index.ts
@@ -20,16 +20,21 @@
   GivenUp = 'GIVEN_UP',
   /** It was sent behind a response that closes the connection, so it counts as not received. */
   BehindClose = 'BEHIND_CLOSE',
+  /** The client closed the connection before the response was complete. */
+  Left = 'LEFT',
 }
 
 /** A request that was written to a connection. */
 export interface KeptRequest {
   attemptId: string;
   isOrder: boolean;
-  /** Time of its last byte, on the clock of `performance.now()`. */
+  /** Times of its first and its last byte, on the clock of `performance.now()`. */
+  beganAtMs: number;
   sentAtMs: number;
   end: RequestEnd;
-  /** Time at which the connection closed without a response to it. */
+  /** Time at which its response was complete. */
+  answeredAtMs?: number;
+  /** Time at which the node or the client closed the connection without a response to it. */
   closedAtMs?: number;
   /** What had been received of its response or of one before it. */
   received?: string;
@@ -46,21 +51,33 @@
   /** Prefix of the ids of its requests. */
   name: string;
   random: Random;
+  /** Share of the requests that are orders, half of them by default. */
+  orderShare?: number;
+  /** Largest number of requests sent behind one another. */
+  maxBurst?: number;
+  /** Longest time between the last response and the next request. */
+  maxPauseMs?: number;
+  /** Share of the bursts after which the client leaves before all are answered; never by default. */
+  leaveShare?: number;
 }
 
+const DEFAULT_ORDER_SHARE = 0.5;
 const MAX_BURST = 3;
 const MAX_PAUSE_MS = 150;
+const MIN_STAY_MS = 20;
+const MAX_STAY_MS = 900;
 const MAX_CHUNK_PAUSE_MS = 80;
 const RECONNECT_DELAY_MS = 100;
-const DEADLINE_MS = 2_000;
+/** What each request states as the time that is left. */
+export const DEADLINE_MS = 2_000;
 /** Far above the deadline, by which each request is answered. */
 const GIVE_UP_MS = 6_000;
 const ORDER_PARTS = ['one bundle of ', 'willow rods'];
 
 /** Waits for an event for a bounded time; an error of the connection does not reject. */
-const waitForEvent = (socket: Socket, event: string): Promise<void> =>
+const waitForEvent = (socket: Socket, event: string, timeoutMs: number): Promise<void> =>
   new Promise((resolve) => {
-    const timer = setTimeout(() => resolve(), GIVE_UP_MS);
+    const timer = setTimeout(() => resolve(), timeoutMs);
     socket.once(event, () => {
       clearTimeout(timer);
       resolve();
@@ -79,6 +96,11 @@
     this.#options = options;
   }
 
+  /** `IP:port` of the node. */
+  get address(): string {
+    return this.#options.address;
+  }
+
   /**
    * Sends requests until the end; opens a new connection when one has closed.
    *
@@ -101,6 +123,7 @@
       const request = pending.shift();
       if (request) {
         request.end = RequestEnd.Answered;
+        request.answeredAtMs = performance.now();
         request.statusCode = response.statusCode;
         request.response = response;
       } else this.unasked.push(response);
@@ -124,33 +147,48 @@
       socket.emit('answered');
     });
     const isUsable = (): boolean => !socket.destroyed && !isClosing;
+    const { random, maxPauseMs = MAX_PAUSE_MS } = this.#options;
     while (isUsable() && !isOver()) {
       await this.#sendBurst(socket, pending, isUsable);
-      const giveUpAtMs = performance.now() + GIVE_UP_MS;
-      const isWaiting = (): boolean => pending.length > 0 && performance.now() < giveUpAtMs;
-      while (isUsable() && isWaiting()) await waitForEvent(socket, 'answered');
+      const stayMs = this.#drawStayMs();
+      const leaveAtMs = performance.now() + (stayMs ?? GIVE_UP_MS);
+      const isWaiting = (): boolean => pending.length > 0 && performance.now() < leaveAtMs;
+      while (isUsable() && isWaiting()) {
+        await waitForEvent(socket, 'answered', leaveAtMs - performance.now());
+      }
       if (isUsable() && pending.length > 0) {
-        pending.splice(0).forEach((request) => Object.assign(request, { end: RequestEnd.GivenUp }));
+        const end = stayMs === undefined ? RequestEnd.GivenUp : RequestEnd.Left;
+        const closedAtMs = performance.now();
+        pending.splice(0).forEach((request) => Object.assign(request, { end, closedAtMs }));
         socket.destroy();
       }
-      await sleep(drawInteger(this.#options.random, 0, MAX_PAUSE_MS));
+      await sleep(drawInteger(random, 0, maxPauseMs));
     }
     // The rest of the responses, up to the close by the node.
-    if (isClosing && !socket.destroyed) await waitForEvent(socket, 'close');
+    if (isClosing && !socket.destroyed) await waitForEvent(socket, 'close', GIVE_UP_MS);
     socket.destroy();
   }
 
+  /** Draws how long the client waits before it leaves; undefined if it waits for all responses. */
+  #drawStayMs(): number | undefined {
+    const { random, leaveShare = 0 } = this.#options;
+    // Clients that never leave draw nothing for it, so that their sequences stay what they were.
+    if (leaveShare === 0 || random() >= leaveShare) return undefined;
+    return drawInteger(random, MIN_STAY_MS, MAX_STAY_MS);
+  }
+
   async #sendBurst(socket: Socket, pending: KeptRequest[], isUsable: () => boolean): Promise<void> {
-    const count = drawInteger(this.#options.random, 1, MAX_BURST);
+    const { random, maxBurst = MAX_BURST } = this.#options;
+    const count = drawInteger(random, 1, maxBurst);
     for (let index = 0; index < count && isUsable(); index += 1) {
       await this.#sendOne(socket, pending);
     }
   }
 
   async #sendOne(socket: Socket, pending: KeptRequest[]): Promise<void> {
-    const { name, service, random } = this.#options;
+    const { name, service, random, orderShare = DEFAULT_ORDER_SHARE } = this.#options;
     const attemptId = `${name}-${this.sent.length}`;
-    const isOrder = random() < 1 / 2;
+    const isOrder = random() < orderShare;
     const isChunked = isOrder && random() < 1 / 2;
     const body = ORDER_PARTS.join('');
     const lines = [
@@ -162,7 +200,7 @@
       ...(isChunked ? ['transfer-encoding: chunked'] : []),
     ];
     const request: KeptRequest = {
-      ...{ attemptId, isOrder, isChunked, sentAtMs: 0 },
+      ...{ attemptId, isOrder, isChunked, beganAtMs: performance.now(), sentAtMs: 0 },
       ...{ end: RequestEnd.Pending, statusCode: undefined },
     };
     this.sent.push(request);
