Measure in soak tests how long nodes wait for a processor

Cause: on a busy machine a node that gets no processor looks like one that is slow itself, and no report told them apart.

Change: DelayWatch samples how late the process of the test is, as runFloods did, and how long each node could run but did not, from /proc/PID/schedstat. runFloods uses it for its own delay.

--- a/soak/runFloods/index.ts
+++ b/soak/runFloods/index.ts
@@ -12,6 +12,7 @@
 import type { Random } from '../../stand-ins/createSeededRandom/index.js';
 import KeepingClient, { RequestEnd } from '../../stand-ins/keepingClient/index.js';
 import type { KeptRequest } from '../../stand-ins/keepingClient/index.js';
+import DelayWatch from '../_lib/DelayWatch.js';
 import FloodingCaller from './FloodingCaller.js';
 import { drawAnswerFlood } from './drawFlood.js';
 import writeFlood from './writeFlood.js';
@@ -88,16 +89,6 @@
   return peak;
 };
 
-const watchOwnDelay = async (isOver: () => boolean): Promise<number> => {
-  let largestMs = 0;
-  while (!isOver()) {
-    const startedAtMs = performance.now();
-    await sleep(SAMPLE_INTERVAL_MS);
-    largestMs = Math.max(largestMs, performance.now() - startedAtMs - SAMPLE_INTERVAL_MS);
-  }
-  return Math.round(largestMs);
-};
-
 /** Stops a node as planned and starts it again, in some of the runs; returns that node. */
 const restartNode = async (
   { nodes }: PlatformCluster,
@@ -225,7 +216,8 @@
     );
     const running = [...clients, ...callers].map((client) => client.run(checkOver));
     const watching = platform.nodes.map((node) => watchMemory(node, checkOver));
-    const ownDelay = watchOwnDelay(checkOver);
+    const delays = new DelayWatch([]);
+    const watchingDelays = delays.run(checkOver);
     const [restarted] = await Promise.all([
       restartNode(platform, random, options),
       sleep(durationMs),
@@ -233,6 +225,7 @@
     isOver = true;
     await Promise.all(running);
     const peaks = await Promise.all(watching);
+    await watchingDelays;
     const sent = clients.flatMap((client) => client.sent);
     const ends = findProcessFaults([...platform.nodes, ...platform.controls]);
     const beyond = peaks.flatMap(({ heldMb }, index) =>
@@ -241,7 +234,7 @@
     return {
       ...{ seed, faultyServices, floodedMb: Math.round(floodedBytes / BYTES_PER_MB) },
       connections: callers.reduce((sum, { connections }) => sum + connections, 0),
-      ...{ requests: sent.length, ends: countEnds(sent), ownDelayMs: await ownDelay },
+      ...{ requests: sent.length, ends: countEnds(sent), ownDelayMs: delays.largestOwnDelayMs },
       heldMb: peaks.map(({ heldMb }) => heldMb),
       totalMb: peaks.map(({ totalMb }) => totalMb),
       violations: [
--- a/stand-ins/platform/PlatformMachine.ts
+++ b/stand-ins/platform/PlatformMachine.ts
@@ -65,6 +65,13 @@
   Inode = 9,
 }
 
+/** Columns of `/proc/PID/schedstat`, in nanoseconds. */
+enum SchedulerColumn {
+  Wait = 1,
+}
+
+const NS_PER_MS = 1_000_000;
+
 /** Fields of `/proc/PID/stat`, counted from the state. */
 const USER_TIME_FIELD = 11;
 const SYSTEM_TIME_FIELD = 12;
@@ -143,6 +150,12 @@
     return ticks * MS_PER_TICK;
   }
 
+  /** Reads how long the process could run and got no processor, in milliseconds. */
+  async readProcessorWaitMs(): Promise<number> {
+    const statistics = await readFile(`/proc/${this.#child?.pid}/schedstat`, 'utf8');
+    return Number(statistics.split(' ')[SchedulerColumn.Wait]) / NS_PER_MS;
+  }
+
   /** Writes the settings file and starts the program. */
   async start(options: { isFirstStart: boolean } = { isFirstStart: true }): Promise<void> {
     if (this.#folder === '') this.#folder = await mkdtemp(join(tmpdir(), 'foxtailvane-platform-'));
