--- a/test/platform/closeDelimitedAnswers.test.ts
+++ b/test/platform/closeDelimitedAnswers.test.ts
@@ -68,7 +68,17 @@
   end: CallerEnd;
 }
 
-/** Sends a lookup and returns what arrived until the connection was over. */
+/** Returns whether an answer whose head states its length has arrived completely. */
+const isWholeByLength = (text: string): boolean => {
+  const [head = '', body] = text.split('\r\n\r\n');
+  const lengthBytes = /^content-length: *(\d+)/im.exec(head)?.[1];
+  return body !== undefined && lengthBytes !== undefined && body.length >= Number(lengthBytes);
+};
+
+/**
+ * Sends a lookup and returns what arrived until the connection was over, or until the end of an answer of
+ * stated length, after which the connection may be kept.
+ */
 const call = (
   node: PlatformMachine | undefined,
   form: string,
@@ -85,6 +95,9 @@
     let text = '';
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
+      if (!isWholeByLength(text)) return;
+      socket.destroy();
+      resolve({ text, end: CallerEnd.Orderly });
     });
     socket.on('error', () => resolve({ text, end: CallerEnd.Reset }));
     // After a reset that the runtime reports as an end, the connection has no peer any more.
