Read what has arrived before a draining node closes connections

A draining node closes its connections without requests as soon as none is in flight.

The drain now polls all connections before it counts the requests in flight as none.

drain.test.ts, 'a request that has arrived before a drain closes is answered': failed before, passes now.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -314,3 +314,37 @@
   t.match(received, /early/);
   await drained;
 });
+
+// Guards against a request that is reset because the event loop was late and had not read it when the drain
+// closed the connections without requests.
+tap.test('a request that has arrived before a drain closes is answered', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const entry = await mesh.startNode('entry', { drainGraceMs: GRACE_MS });
+  const owner = await mesh.startNode('owner');
+  await mesh.startBackend(owner, (_, response) => {
+    response.end('ok');
+  });
+  const { host, port } = splitAddress(entry.address);
+  const socket = connect(port, host);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  socket.on('error', () => undefined);
+  const closed = once(socket, 'close');
+  const sendLookup = (): boolean => socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  await once(socket, 'connect');
+  sendLookup();
+  while (received === '') await delay(1);
+  received = '';
+  const drained = entry.requestServer.drain();
+  await delay(GRACE_MS - 30);
+  // Sent while the event loop is late, after its last poll and before the timer of the drain.
+  setTimeout(sendLookup, 10);
+  const lateUntilMs = performance.now() + 60;
+  while (performance.now() < lateUntilMs);
+  await closed;
+  await drained;
+  t.match(received, /^HTTP\/1\.1 200 /);
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -1,6 +1,7 @@
 import { createServer as createHttpServer } from 'node:http';
 import { createServer as createHttpsServer, Server as HttpsServer } from 'node:https';
 import { Server as NetServer } from 'node:net';
+import { setImmediate as immediate } from 'node:timers/promises';
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -193,6 +194,13 @@
     setTimeout(resolve, durationMs);
   });
 
+/** Resolves once all connections are read on which bytes have arrived. */
+const pollConnections = async (): Promise<void> => {
+  // The first one may be called within the poll that was waited for.
+  await immediate();
+  await immediate();
+};
+
 /**
  * Serves requests on a node, with a listener for callers and a listener for other nodes.
  *
@@ -498,8 +506,13 @@
     this.#ownerListener.closeAllConnections();
   }
 
+  /** Waits for the requests in flight, and for those that have arrived and were not read yet. */
   async #finishRequests(deadlineMs: number): Promise<void> {
-    while (this.#inFlight > 0 && performance.now() < deadlineMs) await delay(DRAIN_POLL_MS);
+    const isLate = (): boolean => performance.now() >= deadlineMs;
+    do {
+      while (this.#inFlight > 0 && !isLate()) await delay(DRAIN_POLL_MS);
+      await pollConnections();
+    } while (this.#inFlight > 0 && !isLate());
   }
 
   /** Closes all listeners and connections immediately; requests in flight fail. */
