Serve nodes that learn of a drain late

A draining node announces its servers as draining 1.7 s after SIGTERM on the platform, and closed its connections 0.7 s later. Nodes that had not learnt of it by then had their requests reset or refused.

Other nodes are served until none has sent a request for 200 ms, at most for the 2 s after the announcement within which the record reaches all.

drain.test.ts, 'a draining node serves nodes that learn of the drain late': 503 among the statuses before, all are served now.

--- a/src/request/RequestServer/drain.test.ts
+++ b/src/request/RequestServer/drain.test.ts
@@ -9,6 +9,7 @@
 import type { Test } from 'tap';
 import { splitAddress } from '../../connection/splitAddress/index.js';
 import { TestMesh, send } from '../../../test/requestMesh/index.js';
+import TestDirectory from '../../../test/requestMesh/TestDirectory.js';
 import sendRaw from '../../../test/requestMesh/sendRaw.js';
 
 import type { TestNode } from '../../../test/requestMesh/index.js';
@@ -348,3 +349,26 @@
   await drained;
   t.match(received, /^HTTP\/1\.1 200 /);
 });
+
+// Guards against requests that are reset since their entry nodes have not learnt of the drain yet.
+tap.test('a draining node serves nodes that learn of the drain late', async (t) => {
+  const mesh = new TestMesh();
+  t.teardown(() => mesh.stop());
+  const directory = new TestDirectory();
+  const entry = await mesh.startNode('entry', { directory });
+  const owner = await mesh.startNode('owner', { drainGraceMs: 100 });
+  await mesh.startBackend(owner, (_, response) => {
+    response.end('ok');
+  });
+  directory.nodes.set('owner', owner.localServers);
+  directory.freeze();
+  const drained = owner.requestServer.drain(DRAIN_TIMEOUT_MS);
+  const statuses: number[] = [];
+  const untilMs = performance.now() + 1_000;
+  while (performance.now() < untilMs) {
+    statuses.push((await send(entry.address, { method: 'POST', path: '/orders' })).status);
+    await delay(20);
+  }
+  t.strictSame([...new Set(statuses)], [200]);
+  await drained;
+});
--- a/src/request/RequestServer/index.ts
+++ b/src/request/RequestServer/index.ts
@@ -86,6 +86,8 @@
 const FLUSH_TIMEOUT_MS = 100;
 /** Time within which the draining record reaches every node of the data centre. */
 const DEFAULT_DRAIN_GRACE_MS = 2_000;
+/** Time without a request of another node after which a draining node closes their connections. */
+const FORWARD_QUIET_MS = 200;
 /** Well below half of the lease of granted slots, so that they are renewed in time. */
 const MAINTENANCE_INTERVAL_MS = 100;
 /** Maintenance rounds between removals of the state of unknown servers and nodes. */
@@ -262,6 +264,9 @@
 
   #inFlight = 0;
 
+  /** When another node sent the last request, on the clock of `performance.now()`. */
+  #lastForwardedAtMs = -Infinity;
+
   /** Set while the node drains. */
   #drainWindow: DrainWindow | undefined;
 
@@ -406,6 +411,9 @@
       (...received) => ownerHandler.handle(...received),
       options.tls?.(),
     );
+    this.#ownerListener.prependListener('request', () => {
+      this.#lastForwardedAtMs = performance.now();
+    });
   }
 
   get isDraining(): boolean {
@@ -481,7 +489,10 @@
     if (drainAnnounceDelayMs > 0) await delay(drainAnnounceDelayMs);
     this.#context.localServers.drain();
     await delay(drainGraceMs - drainAnnounceDelayMs);
-    const closed = [stopListening(this.#entryListener), stopListening(this.#ownerListener)];
+    const closed = [stopListening(this.#entryListener)];
+    const learntAtMs = startMs + drainAnnounceDelayMs + DEFAULT_DRAIN_GRACE_MS;
+    await this.#awaitQuiet(Math.min(learntAtMs, deadlineMs));
+    closed.push(stopListening(this.#ownerListener));
     await this.#finishRequests(deadlineMs);
     this.#entryListener.closeIdleConnections();
     this.#ownerListener.closeIdleConnections();
@@ -506,6 +517,20 @@
     this.#ownerListener.closeAllConnections();
   }
 
+  /**
+   * Waits until other nodes send no more requests.
+   *
+   * @param untilMs - when all of them have learnt of the drain, on the clock of `performance.now()`
+   */
+  async #awaitQuiet(untilMs: number): Promise<void> {
+    const isQuiet = (): boolean =>
+      performance.now() >= Math.min(untilMs, this.#lastForwardedAtMs + FORWARD_QUIET_MS);
+    do {
+      while (!isQuiet()) await delay(DRAIN_POLL_MS);
+      await pollConnections();
+    } while (!isQuiet());
+  }
+
   /** Waits for the requests in flight, and for those that have arrived and were not read yet. */
   async #finishRequests(deadlineMs: number): Promise<void> {
     const isLate = (): boolean => performance.now() >= deadlineMs;
